--- /dev/null
+++ b/include/flamingosaddle/base/result.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <flamingosaddle/base/error.h>
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/success_failure.hpp>
+#include <boost/outcome/try.hpp>
+
+namespace flamingosaddle
+{
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+/**
+ * The value of a call or the Error that kept it from one. Asking for a value that is not there ends the program.
+ */
+template <typename T>
+using Result = outcome::basic_result<T, Error, outcome::policy::terminate>;
+
+/**
+ * Makes a failed Result of any value type: `return fail(ErrorKind::NotFound, "no template 'a'", "publish it first");`
+ */
+inline auto fail(ErrorKind kind, std::string message, std::string remedy)
+{
+    return outcome::failure(Error(kind, std::move(message), std::move(remedy)));
+}
+
+/**
+ * Passes @p error on as a failed Result of another value type.
+ */
+inline auto fail(Error error)
+{
+    return outcome::failure(std::move(error));
+}
+
+/**
+ * The value of a call that succeeds without one.
+ */
+inline auto done()
+{
+    return outcome::success();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/http/client.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/base/endpoint.h>
+#include <flamingosaddle/base/result.h>
+#include <flamingosaddle/http/message.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace flamingosaddle
+{
+
+struct HttpResponseHead {
+    int status = 0;
+    HttpHeaders headers;
+};
+
+/**
+ * One connection to an HTTP/1.1 server with at most one request in flight. Every call takes the longest time without
+ * progress that it allows. Used from one executor.
+ */
+class HttpConnection
+{
+public:
+    virtual ~HttpConnection() = default;
+
+    /**
+     * Connects. Fails with Unreachable (also on timeout): nothing was sent.
+     */
+    static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> connect(Endpoint endpoint, Duration timeout);
+
+    /**
+     * Sends one request. After a failure anyByteSent() tells whether the server may have seen any of it.
+     */
+    virtual boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout) = 0;
+    virtual boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) = 0;
+    /**
+     * Appends the next bytes of the body to @p piece, after clearing it. Answers false at the end mark of the body. A
+     * body that ends without its end mark fails with ConnectionLost.
+     */
+    virtual boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) = 0;
+    /** Closes at once; an operation in flight fails with Cancelled. */
+    virtual void close() = 0;
+
+    virtual bool anyByteSent() const = 0; ///< of the last request
+    /** Whether the last answer was read whole and the server keeps the connection open. */
+    virtual bool isReusable() const = 0;
+    /** Whether the server has closed an idle connection, or sent bytes that nobody asked for. */
+    virtual bool isStale() const = 0;
+};
+
+struct FetchOptions {
+    Duration connectTimeout = std::chrono::seconds(1);
+    Duration timeout = std::chrono::seconds(5); ///< for the whole exchange after connecting
+    std::size_t maxBodyBytes = 16 * 1024 * 1024;
+};
+
+/**
+ * One request on a connection of its own. Fails with Unreachable when nothing was sent, otherwise with Timeout,
+ * ConnectionLost, TooLarge or Protocol.
+ */
+boost::asio::awaitable<Result<HttpResponse>> fetch(Endpoint endpoint, HttpRequest request, FetchOptions options = {});
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/http/server.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/base/endpoint.h>
+#include <flamingosaddle/base/result.h>
+#include <flamingosaddle/http/message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace flamingosaddle
+{
+
+/**
+ * Limits on what one connection may send and how slowly.
+ */
+struct HttpServerLimits {
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxConnections = 4096;
+    Duration headerTimeout = std::chrono::seconds(10); ///< from the first byte of a request to the end of its header
+    Duration bodyTimeout = std::chrono::seconds(30); ///< from the end of the header to the end of the body
+    Duration idleTimeout = std::chrono::seconds(120); ///< between two requests of one connection
+    Duration writeTimeout = std::chrono::seconds(30); ///< for the caller to take one piece of the answer
+
+    friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
+};
+
+/**
+ * One request and its answer on a connection. Lives as long as the handler's coroutine; used from the connection's
+ * executor only, but for abort(), which any thread may call through the handle of abortHandle().
+ */
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+
+    // Queries.
+    virtual const HttpRequest &request() const = 0;
+    virtual bool isStarted() const = 0; ///< whether a byte of the answer may have been written
+    virtual bool isPeerGone() const = 0; ///< whether the caller closed the connection
+
+    // Commands. A failed write means that the caller is gone; the exchange then takes no more.
+    virtual boost::asio::awaitable<Result<void>> respond(HttpResponse response) = 0;
+    virtual boost::asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers) = 0;
+    /** Writes @p piece as one chunk. */
+    virtual boost::asio::awaitable<Result<void>> writePiece(std::string_view piece) = 0;
+    /** Writes the end mark. A stream that is not ended reaches the caller as a broken one. */
+    virtual boost::asio::awaitable<Result<void>> endStream() = 0;
+    /** Closes the connection after this exchange instead of keeping it alive. */
+    virtual void closeAfter() = 0;
+    /**
+     * Called once, on the connection's executor, when the caller closes the connection while the handler runs or when
+     * abort() is called.
+     */
+    virtual void onGone(std::function<void()> handler) = 0;
+    /**
+     * A function that closes the connection at once, from any thread, and does nothing once the connection has ended.
+     */
+    virtual std::function<void()> abortHandle() = 0;
+};
+
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
+
+/**
+ * Accepts connections on one address and runs the handler once for each request. Malformed, oversized and slow requests
+ * are answered by the server itself through the errorResponse hook and the connection is closed.
+ */
+class HttpServer
+{
+public:
+    class Builder;
+
+    virtual ~HttpServer() = default;
+
+    // Queries.
+    virtual Endpoint localEndpoint() const = 0;
+    virtual std::size_t connectionCount() const = 0;
+    virtual std::size_t activeExchangeCount() const = 0;
+
+    // Commands; any thread.
+    /** Stops accepting, closes idle connections and closes each other one after its exchange. */
+    virtual void drain() = 0;
+    /** Closes everything at once. */
+    virtual void stop() = 0;
+};
+
+class HttpServer::Builder
+{
+public:
+    Builder &listenOn(Endpoint endpoint); ///< port 0 takes a free one
+    Builder &limits(HttpServerLimits limits);
+    Builder &handler(HttpHandler handler);
+    /** Turns an error of the server itself (malformed, too large, timeout) into its answer. */
+    Builder &errorResponse(std::function<HttpResponse(const Error &)> hook);
+    /**
+     * The contexts that connections are spread over, one thread each. The caller runs them and keeps them alive longer
+     * than the server.
+     */
+    Builder &contexts(std::vector<boost::asio::io_context *> contexts);
+
+    /** Binds and starts. Fails with InvalidSetting when the address cannot be bound. */
+    Result<std::unique_ptr<HttpServer>> start();
+
+private:
+    Endpoint endpoint;
+    HttpServerLimits serverLimits;
+    HttpHandler requestHandler;
+    std::function<HttpResponse(const Error &)> errorHook;
+    std::vector<boost::asio::io_context *> executionContexts;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,74 @@
+#include <flamingosaddle/base/clock.h>
+
+#include <atomic>
+#include <cstdint>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::int64_t notPaused = -1;
+
+// Nanoseconds that tests have added to the steady clock.
+std::atomic<std::int64_t> offsetNanoseconds{0};
+// The value at which the clock stands still, or notPaused.
+std::atomic<std::int64_t> pausedNanoseconds{notPaused};
+
+std::int64_t steadyNanoseconds()
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+RuntimeClock::time_point RuntimeClock::now() noexcept
+{
+    const std::int64_t paused = pausedNanoseconds.load(std::memory_order_acquire);
+    if (paused != notPaused) {
+        return time_point(duration(paused));
+    }
+    return time_point(duration(steadyNanoseconds() + offsetNanoseconds.load(std::memory_order_acquire)));
+}
+
+void RuntimeClock::pause()
+{
+    pausedNanoseconds.store(now().time_since_epoch().count(), std::memory_order_release);
+}
+
+void RuntimeClock::resume()
+{
+    const std::int64_t paused = pausedNanoseconds.load(std::memory_order_acquire);
+    if (paused == notPaused) {
+        return;
+    }
+    offsetNanoseconds.store(paused - steadyNanoseconds(), std::memory_order_release);
+    pausedNanoseconds.store(notPaused, std::memory_order_release);
+}
+
+void RuntimeClock::advance(duration step)
+{
+    if (isPaused()) {
+        pausedNanoseconds.fetch_add(step.count(), std::memory_order_acq_rel);
+    } else {
+        offsetNanoseconds.fetch_add(step.count(), std::memory_order_acq_rel);
+    }
+}
+
+bool RuntimeClock::isPaused() noexcept
+{
+    return pausedNanoseconds.load(std::memory_order_acquire) != notPaused;
+}
+
+PausedClock::PausedClock()
+{
+    RuntimeClock::pause();
+}
+
+PausedClock::~PausedClock()
+{
+    RuntimeClock::resume();
+}
+
+} // namespace flamingosaddle
