--- /dev/null
+++ b/include/flamingosaddle/base/metrics.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+struct MetricLabel {
+    std::string name;
+    std::string value;
+
+    friend auto operator<=>(const MetricLabel &, const MetricLabel &) = default;
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+/**
+ * A number that only grows. Any thread may add and read.
+ */
+class Counter
+{
+public:
+    void add(std::uint64_t count = 1)
+    {
+        this->total.fetch_add(count, std::memory_order_relaxed);
+    }
+
+    std::uint64_t value() const
+    {
+        return this->total.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::uint64_t> total{0};
+};
+
+/**
+ * A number that is set. Any thread may set and read.
+ */
+class Gauge
+{
+public:
+    void set(double value)
+    {
+        this->present.store(value, std::memory_order_relaxed);
+    }
+
+    double value() const
+    {
+        return this->present.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<double> present{0.0};
+};
+
+/**
+ * Estimates the quantiles 0.5, 0.95 and 0.99 of all observations, in constant memory. Any thread may observe and read.
+ */
+class Distribution
+{
+public:
+    struct Summary {
+        std::uint64_t count = 0;
+        double sum = 0.0;
+        double median = 0.0;
+        double p95 = 0.0;
+        double p99 = 0.0;
+
+        friend bool operator==(const Summary &, const Summary &) = default;
+    };
+
+    Distribution();
+    ~Distribution();
+
+    void observe(double value);
+    Summary summary() const;
+
+private:
+    class Estimator;
+    mutable std::mutex mutex;
+    std::unique_ptr<Estimator> estimator;
+};
+
+/**
+ * All metrics of a process by name and labels. An instrument lives as long as the registry; asking twice answers the same
+ * one. Any thread may call anything.
+ */
+class MetricsRegistry
+{
+public:
+    // Commands.
+    Counter &counter(const std::string &name, const std::string &help, const MetricLabels &labels = {});
+    Gauge &gauge(const std::string &name, const std::string &help, const MetricLabels &labels = {});
+    Distribution &distribution(const std::string &name, const std::string &help, const MetricLabels &labels = {});
+
+    // Queries.
+    /** All metrics in the Prometheus text format. */
+    std::string prometheusText() const;
+
+private:
+    template <typename Instrument>
+    struct Family {
+        std::string help;
+        std::map<MetricLabels, std::unique_ptr<Instrument>> members;
+    };
+
+    template <typename Instrument>
+    Instrument &find(std::map<std::string, Family<Instrument>> &families, const std::string &name, const std::string &help,
+        const MetricLabels &labels);
+
+    mutable std::mutex mutex;
+    std::map<std::string, Family<Counter>> counters;
+    std::map<std::string, Family<Gauge>> gauges;
+    std::map<std::string, Family<Distribution>> distributions;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/control/routingsnapshot.cpp
@@ -0,0 +1,111 @@
+#include <flamingosaddle/control/routingsnapshot.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+RoutingSnapshot::RoutingSnapshot(std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil)
+    : state(std::move(config))
+    , tombstones(std::move(tombstones))
+    , freshLimit(freshUntil)
+{
+    for (const auto &[id, key] : this->state->keys()) {
+        this->keysByDigest.emplace(key.value.digest.prefix(), &key.value);
+    }
+    for (const auto &[id, route] : this->state->routes()) {
+        this->routesByLength.push_back(&route.value);
+    }
+    std::stable_sort(this->routesByLength.begin(), this->routesByLength.end(), [](const Route *left, const Route *right) {
+        return left->pathPrefix.size() > right->pathPrefix.size();
+    });
+    for (const auto &[id, account] : this->state->clientAccounts()) {
+        this->classTable.emplace(id, this->state->classesOf(id));
+    }
+    std::set<ModelName> served;
+    for (const auto &[id, server] : this->state->backendServers()) {
+        served.insert(server.value.models.begin(), server.value.models.end());
+    }
+    this->modelNames.assign(served.begin(), served.end());
+}
+
+const ConfigState &RoutingSnapshot::config() const
+{
+    return *this->state;
+}
+
+std::uint64_t RoutingSnapshot::offset() const
+{
+    return this->state->nextOffset();
+}
+
+TimePoint RoutingSnapshot::freshUntil() const
+{
+    return this->freshLimit;
+}
+
+const ClientKey *RoutingSnapshot::findKey(const KeyDigest &digest) const
+{
+    const auto [first, last] = this->keysByDigest.equal_range(digest.prefix());
+    for (auto entry = first; entry != last; ++entry) {
+        const ClientKey &key = *entry->second;
+        if (key.digest.equals(digest) && !this->isWithdrawn(key.id)) {
+            return &key;
+        }
+    }
+    return nullptr;
+}
+
+bool RoutingSnapshot::isWithdrawn(const KeyId &id) const
+{
+    return this->tombstones.contains(id) || this->state->isWithdrawn(id);
+}
+
+const Route *RoutingSnapshot::findRoute(std::string_view path) const
+{
+    const auto found = std::find_if(this->routesByLength.begin(), this->routesByLength.end(), [path](const Route *route) {
+        if (!path.starts_with(route->pathPrefix)) {
+            return false;
+        }
+        // "/book" leads to "/book/1" and "/book", not to "/bookings".
+        return route->pathPrefix.ends_with('/') || path.size() == route->pathPrefix.size()
+            || path[route->pathPrefix.size()] == '/';
+    });
+    return found == this->routesByLength.end() ? nullptr : *found;
+}
+
+const std::vector<RequestClass> *RoutingSnapshot::classesOf(const ClientAccountId &id) const
+{
+    const auto found = this->classTable.find(id);
+    return found == this->classTable.end() ? nullptr : &found->second;
+}
+
+const std::vector<ModelName> &RoutingSnapshot::models() const
+{
+    return this->modelNames;
+}
+
+std::vector<BackendServer> RoutingSnapshot::backendServers() const
+{
+    std::vector<BackendServer> servers;
+    servers.reserve(this->state->backendServers().size());
+    for (const auto &[id, server] : this->state->backendServers()) {
+        servers.push_back(server.value);
+    }
+    return servers;
+}
+
+void SnapshotBoard::publish(std::shared_ptr<const RoutingSnapshot> snapshot)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->newest = std::move(snapshot);
+}
+
+std::shared_ptr<const RoutingSnapshot> SnapshotBoard::current() const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->newest;
+}
+
+} // namespace flamingosaddle
