Daemon settings from flags and environment, with every fault reported at once

One table describes each setting: flag, variable, unit, help and how its text is read; the reference page is made from the same table. app_test passes.

--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,419 @@
+#include <flamingosaddle/app/settings.h>
+
+#include <boost/program_options.hpp>
+
+#include <charconv>
+#include <map>
+#include <sstream>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+using MaybeError = std::optional<Error>;
+
+constexpr std::size_t minSecretBytes = 16;
+
+Error settingError(std::string message, std::string remedy)
+{
+    return {ErrorKind::InvalidSetting, std::move(message), std::move(remedy)};
+}
+
+template <typename Number>
+MaybeError readNumber(const std::string &text, Number smallest, Number largest, Number &target)
+{
+    Number value{};
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || read.ec != std::errc() || read.ptr != text.data() + text.size() || value < smallest || value > largest) {
+        std::ostringstream remedy;
+        remedy << "give a number from " << smallest << " to " << largest;
+        return settingError("'" + text + "' is out of range or no number", remedy.str());
+    }
+    target = value;
+    return std::nullopt;
+}
+
+MaybeError readEndpoint(const std::string &text, Endpoint &target)
+{
+    auto parsed = Endpoint::parse(text);
+    if (parsed.has_error()) {
+        return parsed.error();
+    }
+    target = std::move(parsed).value();
+    return std::nullopt;
+}
+
+MaybeError readEndpoints(const std::string &text, std::vector<Endpoint> &target)
+{
+    std::vector<Endpoint> endpoints;
+    std::istringstream parts(text);
+    std::string part;
+    while (std::getline(parts, part, ',')) {
+        Endpoint endpoint;
+        if (MaybeError error = readEndpoint(part, endpoint)) {
+            return error;
+        }
+        endpoints.push_back(std::move(endpoint));
+    }
+    target = std::move(endpoints);
+    return std::nullopt;
+}
+
+template <typename IdType>
+MaybeError readName(const std::string &text, IdType &target)
+{
+    if (text.empty()
+        || text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") != std::string::npos) {
+        return settingError("'" + text + "' is no name", "use letters, digits, '-', '_' and '.'");
+    }
+    target = IdType(text);
+    return std::nullopt;
+}
+
+MaybeError readLogLevel(const std::string &text, LogLevel &target)
+{
+    static const std::map<std::string, LogLevel> levels = {
+        {"debug", LogLevel::Debug},
+        {"info", LogLevel::Info},
+        {"warning", LogLevel::Warning},
+        {"error", LogLevel::Error},
+    };
+    const auto found = levels.find(text);
+    if (found == levels.end()) {
+        return settingError("'" + text + "' is no log level", "use debug, info, warning or error");
+    }
+    target = found->second;
+    return std::nullopt;
+}
+
+std::string logLevelText(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+std::string endpointsText(const std::vector<Endpoint> &endpoints)
+{
+    std::string text;
+    for (const Endpoint &endpoint : endpoints) {
+        text += (text.empty() ? "" : ",") + endpoint.text();
+    }
+    return text;
+}
+
+std::string variableOf(const std::string &flag)
+{
+    std::string name = "FLAMINGOSADDLE_";
+    for (const char character : flag) {
+        name.push_back(character == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(character))));
+    }
+    return name;
+}
+
+SettingDescription describe(const std::string &flag, const std::string &unit, const std::string &help)
+{
+    SettingDescription description;
+    description.flag = flag;
+    description.variable = variableOf(flag);
+    description.unit = unit;
+    description.help = help;
+    return description;
+}
+
+SettingDescription endpointSetting(const std::string &flag, const std::string &help, Endpoint Settings::*member)
+{
+    SettingDescription description = describe(flag, "IP:port", help);
+    description.show = [member](const Settings &settings) {
+        return (settings.*member).text();
+    };
+    description.assign = [member](Settings &settings, const std::string &text) {
+        return readEndpoint(text, settings.*member);
+    };
+    return description;
+}
+
+SettingDescription sizeSetting(const std::string &flag, const std::string &unit, const std::string &help,
+    std::size_t Settings::*member, std::size_t smallest, std::size_t largest)
+{
+    SettingDescription description = describe(flag, unit, help);
+    description.show = [member](const Settings &settings) {
+        return std::to_string(settings.*member);
+    };
+    description.assign = [member, smallest, largest](Settings &settings, const std::string &text) {
+        return readNumber(text, smallest, largest, settings.*member);
+    };
+    return description;
+}
+
+SettingDescription timeSetting(const std::string &flag, const std::string &help, std::chrono::milliseconds Settings::*member,
+    std::int64_t smallest, std::int64_t largest)
+{
+    SettingDescription description = describe(flag, "ms", help);
+    description.show = [member](const Settings &settings) {
+        return std::to_string((settings.*member).count());
+    };
+    description.assign = [member, smallest, largest](Settings &settings, const std::string &text) {
+        std::int64_t count = 0;
+        MaybeError error = readNumber(text, smallest, largest, count);
+        if (!error) {
+            settings.*member = std::chrono::milliseconds(count);
+        }
+        return error;
+    };
+    return description;
+}
+
+template <typename IdType>
+SettingDescription nameSetting(const std::string &flag, const std::string &help, IdType Settings::*member)
+{
+    SettingDescription description = describe(flag, "name", help);
+    description.show = [member](const Settings &settings) {
+        return (settings.*member).text();
+    };
+    description.assign = [member](Settings &settings, const std::string &text) {
+        return readName(text, settings.*member);
+    };
+    return description;
+}
+
+SettingDescription keySecretSetting()
+{
+    SettingDescription description;
+    description.variable = "FLAMINGOSADDLE_KEY_SECRET";
+    description.unit = "text, at least 16 bytes";
+    description.help
+        = "Secret of the keyed hash under which callers' keys are stored; the same for daemons and operators. Never printed.";
+    description.required = true;
+    description.show = [](const Settings &) -> std::string {
+        return "(secret)";
+    };
+    description.assign = [](Settings &settings, const std::string &text) -> MaybeError {
+        if (text.size() < minSecretBytes) {
+            return settingError("the key secret is too short", "use at least 16 random bytes");
+        }
+        settings.keySecret = text;
+        return std::nullopt;
+    };
+    return description;
+}
+
+SettingDescription seedPeersSetting()
+{
+    SettingDescription description = describe(
+        "seed-peers", "IP:port,...", "Peer addresses to contact at the start besides the platform's list of instances.");
+    description.show = [](const Settings &settings) {
+        return endpointsText(settings.seedPeers);
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        return readEndpoints(text, settings.seedPeers);
+    };
+    return description;
+}
+
+SettingDescription traceSamplingSetting()
+{
+    SettingDescription description = describe(
+        "trace-sampling", "fraction", "Fraction of requests whose spans are exported when the caller sent no decision.");
+    description.show = [](const Settings &settings) {
+        std::ostringstream text;
+        text << settings.traceSampling;
+        return text.str();
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        return readNumber(text, 0.0, 1.0, settings.traceSampling);
+    };
+    return description;
+}
+
+SettingDescription logLevelSetting()
+{
+    SettingDescription description
+        = describe("log-level", "level", "Lowest level that is logged: debug, info, warning or error.");
+    description.show = [](const Settings &settings) {
+        return logLevelText(settings.logLevel);
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        return readLogLevel(text, settings.logLevel);
+    };
+    return description;
+}
+
+SettingDescription required(SettingDescription description)
+{
+    description.required = true;
+    return description;
+}
+
+void addPlaceSettings(std::vector<SettingDescription> &all)
+{
+    all.push_back(endpointSetting("listen", "Address for callers; port 0 takes a free one.", &Settings::listen));
+    all.push_back(
+        endpointSetting("admin-listen", "Address for operators: health, metrics, status, withdrawal.", &Settings::adminListen));
+    all.push_back(endpointSetting("peer-listen", "Address for other instances.", &Settings::peerListen));
+    all.push_back(required(endpointSetting("platform", "Address of the platform's services.", &Settings::platform)));
+    all.push_back(seedPeersSetting());
+    all.push_back(required(nameSetting("data-centre", "Data centre that this instance stands in.", &Settings::dataCentre)));
+    all.push_back(
+        nameSetting("instance-id", "Name of this instance; made up at the start when not given.", &Settings::instanceId));
+    all.push_back(keySecretSetting());
+}
+
+void addCallerSettings(std::vector<SettingDescription> &all)
+{
+    constexpr std::int64_t hour = 3600000;
+    all.push_back(sizeSetting("traffic-threads", "threads", "Threads that carry requests.", &Settings::trafficThreads, 1, 64));
+    all.push_back(
+        sizeSetting("max-header-bytes", "bytes", "Longest header of a request.", &Settings::maxHeaderBytes, 1024, 1 << 20));
+    all.push_back(sizeSetting("max-body-bytes", "bytes", "Longest body of a request.", &Settings::maxBodyBytes, 1024, 1 << 30));
+    all.push_back(
+        sizeSetting("max-connections", "connections", "Callers' connections at a time.", &Settings::maxConnections, 1, 1 << 20));
+    all.push_back(
+        timeSetting("header-timeout", "Longest time for a request's header to arrive.", &Settings::headerTimeout, 1, hour));
+    all.push_back(timeSetting("body-timeout", "Longest time for a request's body to arrive.", &Settings::bodyTimeout, 1, hour));
+    all.push_back(timeSetting("idle-timeout", "Time after which an idle connection is closed.", &Settings::idleTimeout, 1, hour));
+    all.push_back(timeSetting(
+        "write-timeout", "Longest time for a caller to take a piece of its answer.", &Settings::writeTimeout, 1, hour));
+    all.push_back(
+        sizeSetting("max-waiting", "requests", "Longest queue of waiting requests.", &Settings::maxWaiting, 1, 1 << 20));
+}
+
+void addBackendSettings(std::vector<SettingDescription> &all)
+{
+    constexpr std::int64_t hour = 3600000;
+    all.push_back(
+        timeSetting("connect-timeout", "Longest time to connect to a backend server.", &Settings::connectTimeout, 1, hour));
+    all.push_back(timeSetting(
+        "first-byte-timeout", "Longest time for a backend server to begin its answer.", &Settings::firstByteTimeout, 1, hour));
+    all.push_back(timeSetting("progress-timeout", "Longest time between two pieces of a backend server's answer.",
+        &Settings::progressTimeout, 1, hour));
+    all.push_back(timeSetting("backend-idle-limit", "Time after which an idle connection to a backend server is closed.",
+        &Settings::backendIdleLimit, 1, hour));
+    all.push_back(
+        sizeSetting("max-attempts", "attempts", "Backend servers tried for one request.", &Settings::maxAttempts, 1, 10));
+    all.push_back(sizeSetting(
+        "retry-percent", "percent", "Retries as a percentage of a client account's successes.", &Settings::retryPercent, 0, 100));
+}
+
+void addControlSettings(std::vector<SettingDescription> &all)
+{
+    constexpr std::int64_t hour = 3600000;
+    all.push_back(timeSetting("freshness-limit",
+        "Time without word from the log and from every peer after which requests with a key are refused.",
+        &Settings::freshnessLimit, 100, hour));
+    all.push_back(
+        timeSetting("heartbeat-interval", "Time between two heartbeats to a peer.", &Settings::heartbeatInterval, 10, 60000));
+    all.push_back(timeSetting("lease-duration", "Length of a lease on a role.", &Settings::leaseDuration, 100, hour));
+    all.push_back(
+        timeSetting("order-lifetime", "Longest time that an order may be under way.", &Settings::orderLifetime, 100, hour));
+    all.push_back(timeSetting("usage-flush-interval",
+        "Time between two appends of usage counts: what is lost at most when the instance dies.", &Settings::usageFlushInterval,
+        10, hour));
+    all.push_back(timeSetting("usage-window", "Length of a window of usage reports.", &Settings::usageWindow, 1000, 24 * hour));
+    all.push_back(timeSetting(
+        "drain-timeout", "Longest time that a shutdown waits for running requests.", &Settings::drainTimeout, 0, hour));
+    all.push_back(traceSamplingSetting());
+    all.push_back(logLevelSetting());
+}
+
+std::vector<SettingDescription> makeDescriptions()
+{
+    std::vector<SettingDescription> all;
+    addPlaceSettings(all);
+    addCallerSettings(all);
+    addBackendSettings(all);
+    addControlSettings(all);
+    return all;
+}
+
+using TextByName = std::map<std::string, std::string>;
+
+// Puts the flags that were given into @p values, under their names, and faults into @p errors.
+void readFlags(const std::vector<std::string> &arguments, TextByName &values, std::vector<Error> &errors)
+{
+    namespace options = boost::program_options;
+    options::options_description known;
+    for (const SettingDescription &description : settingDescriptions()) {
+        if (!description.flag.empty()) {
+            known.add_options()(description.flag.c_str(), options::value<std::string>());
+        }
+    }
+    try {
+        options::variables_map map;
+        options::store(options::command_line_parser(arguments)
+                           .options(known)
+                           .style(options::command_line_style::default_style & ~options::command_line_style::allow_guessing)
+                           .run(),
+            map);
+        for (const auto &[name, value] : map) {
+            values[name] = value.as<std::string>();
+        }
+    } catch (const options::error &error) {
+        errors.push_back(settingError(error.what(), "see --help for the settings"));
+    }
+}
+
+} // namespace
+
+const std::vector<SettingDescription> &settingDescriptions()
+{
+    static const std::vector<SettingDescription> descriptions = makeDescriptions();
+    return descriptions;
+}
+
+std::variant<Settings, std::vector<Error>> loadSettings(
+    const std::vector<std::string> &arguments, const EnvironmentLookup &environment)
+{
+    std::vector<Error> errors;
+    TextByName flags;
+    readFlags(arguments, flags, errors);
+    Settings settings;
+    for (const SettingDescription &description : settingDescriptions()) {
+        const auto flag = flags.find(description.flag);
+        const std::optional<std::string> text
+            = flag != flags.end() ? std::optional(flag->second) : environment(description.variable);
+        const std::string name = description.flag.empty() ? description.variable : "--" + description.flag;
+        if (!text) {
+            if (description.required) {
+                errors.push_back(
+                    settingError(name + " is missing", "set it or " + description.variable + " (" + description.unit + ")"));
+            }
+            continue;
+        }
+        if (const MaybeError error = description.assign(settings, *text)) {
+            errors.push_back(settingError(name + ": " + error->message(), error->remedy()));
+        }
+    }
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+std::string settingsReference()
+{
+    std::ostringstream page;
+    page << "# Settings of flamingosaddled\n\n";
+    page << "Generated by `flamingosaddled --settings-reference`; a flag goes before its environment variable.\n\n";
+    page << "| flag | environment | unit | default | meaning |\n|---|---|---|---|---|\n";
+    const Settings defaults;
+    for (const SettingDescription &description : settingDescriptions()) {
+        const std::string flag = description.flag.empty() ? "(environment only)" : "`--" + description.flag + "`";
+        const std::string value = description.required ? "(required)" : "`" + description.show(defaults) + "`";
+        page << "| " << flag << " | `" << description.variable << "` | " << description.unit << " | " << value << " | "
+             << description.help << " |\n";
+    }
+    return page.str();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/app/settings_test.cpp
@@ -0,0 +1,63 @@
+#include <flamingosaddle/app/settings.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace flamingosaddle;
+
+namespace
+{
+
+EnvironmentLookup environmentOf(std::map<std::string, std::string> variables)
+{
+    return [variables = std::move(variables)](const std::string &name) -> std::optional<std::string> {
+        const auto found = variables.find(name);
+        return found == variables.end() ? std::nullopt : std::optional(found->second);
+    };
+}
+
+const std::map<std::string, std::string> minimalEnvironment = {
+    {"FLAMINGOSADDLE_PLATFORM", "127.0.0.1:7000"},
+    {"FLAMINGOSADDLE_DATA_CENTRE", "ke-central-a"},
+    {"FLAMINGOSADDLE_KEY_SECRET", "0123456789abcdef"},
+};
+
+} // namespace
+
+TEST(Settings, FlagsGoBeforeTheEnvironment)
+{
+    auto variables = minimalEnvironment;
+    variables["FLAMINGOSADDLE_HEADER_TIMEOUT"] = "1000";
+    variables["FLAMINGOSADDLE_MAX_WAITING"] = "7";
+    const auto loaded = loadSettings({"--header-timeout", "2500"}, environmentOf(variables));
+    ASSERT_TRUE(std::holds_alternative<Settings>(loaded));
+    EXPECT_EQ(std::get<Settings>(loaded).headerTimeout, std::chrono::milliseconds(2500));
+    EXPECT_EQ(std::get<Settings>(loaded).maxWaiting, 7u);
+    EXPECT_EQ(std::get<Settings>(loaded).platform.port, 7000);
+}
+
+TEST(Settings, ReportsEveryFaultAtOnceWithItsRemedy)
+{
+    const auto loaded
+        = loadSettings({"--listen", "localhost:1", "--traffic-threads", "0", "--trace-sampling", "2"}, environmentOf({}));
+    ASSERT_TRUE(std::holds_alternative<std::vector<Error>>(loaded));
+    const auto &errors = std::get<std::vector<Error>>(loaded);
+    EXPECT_EQ(errors.size(), 6u); // listen, platform, data-centre, key secret, traffic-threads, trace-sampling
+    for (const Error &error : errors) {
+        EXPECT_EQ(error.kind(), ErrorKind::InvalidSetting);
+        EXPECT_FALSE(error.remedy().empty());
+    }
+}
+
+TEST(Settings, UnknownFlagsAreRefused)
+{
+    EXPECT_TRUE(
+        std::holds_alternative<std::vector<Error>>(loadSettings({"--no-such-flag", "1"}, environmentOf(minimalEnvironment))));
+}
+
+TEST(Settings, ReferenceNeverShowsASecret)
+{
+    EXPECT_EQ(settingsReference().find("0123456789abcdef"), std::string::npos);
+    EXPECT_NE(settingsReference().find("FLAMINGOSADDLE_KEY_SECRET"), std::string::npos);
+}
