--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -74,6 +74,7 @@
 struct Assignment {
     Ticket ticket{};
     BackendServerId server;
+    bool suspect = false; ///< a backend server died of it before: tell the peers through noteSuspect() before it is sent
 
     friend bool operator==(const Assignment &, const Assignment &) = default;
 };
@@ -101,7 +102,8 @@
 enum class AttemptEnd {
     Completed, ///< the whole answer was read
     NotSent, ///< failed before a byte was written
-    ServerFailed, ///< the server broke off, answered with a server error or fell silent
+    ServerError, ///< the server answered with an error status and lives on
+    ServerFailed, ///< the server broke off or fell silent, so it may have died of the request
     CallerGone,
 };
 
@@ -117,6 +119,19 @@
     friend bool operator==(const ServerReport &, const ServerReport &) = default;
 };
 
+/**
+ * Tokens that instances served to a client account, the unit in which they tell each other of used shares.
+ */
+struct ServiceReport {
+    ClientAccountId clientAccount;
+    ModelName model; ///< empty for a plain service
+    ServiceName service; ///< empty for a model
+    int tier = 0;
+    std::uint64_t tokens = 0;
+
+    friend bool operator==(const ServiceReport &, const ServiceReport &) = default;
+};
+
 struct DispatcherOptions {
     std::size_t maxWaiting = 4096; ///< requests in the queue, all tiers together
     std::uint32_t retryPercent = 10; ///< retries as a percentage of a client account's successes
@@ -174,6 +189,21 @@
     /** A peer saw @p fingerprint running when a backend server died. */
     void noteDeath(std::uint64_t fingerprint, const BackendServerId &server, TimePoint now);
 
+    /** A peer runs, until @p until at the latest, a request of which a backend server died before. */
+    void noteSuspect(std::uint64_t fingerprint, TimePoint until);
+
+    /** A peer served tokens to a client account since its last report. */
+    void notePeerService(const ServiceReport &service);
+
+    /** Fills @p services, after clearing it, with what was served here since the last call, for the peers. */
+    void takeService(std::vector<ServiceReport> &services);
+
+    /** The cheap backend servers of a data centre are being reclaimed: no new work goes to them. */
+    void excludeDataCentre(const DataCentre &dataCentre, TimePoint now);
+
+    /** The cheap backend servers of a data centre may be used again. */
+    void includeDataCentre(const DataCentre &dataCentre, TimePoint now);
+
     // Queries.
 
     std::size_t waitingCount() const;
--- /dev/null
+++ b/tests/traffic/dispatcher_test.cpp
@@ -0,0 +1,118 @@
+#include <flamingosaddle/traffic/dispatcher.h>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+RequestProfile profileOf(const std::string &account, int tier, TimePoint arrival = {})
+{
+    RequestProfile profile;
+    profile.clientAccount = ClientAccountId(account);
+    profile.requestClass.name = ClassName("class" + std::to_string(tier));
+    profile.requestClass.tier = tier;
+    profile.model = ModelName("model");
+    profile.arrival = arrival;
+    return profile;
+}
+
+BackendServer serverOf(const std::string &id, std::uint32_t slots)
+{
+    BackendServer server;
+    server.id = BackendServerId(id);
+    server.dataCentre = DataCentre("a");
+    server.models = {ModelName("model")};
+    server.slots = slots;
+    return server;
+}
+
+Ticket submitted(Dispatcher &dispatcher, const RequestProfile &profile)
+{
+    return std::get<Ticket>(dispatcher.submit(profile, profile.arrival));
+}
+
+} // namespace
+
+TEST(Dispatcher, StartsHigherTiersFirstWithinTheSlots)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 1)}, TimePoint());
+    const Ticket low = submitted(dispatcher, profileOf("a", 1));
+    const Ticket high = submitted(dispatcher, profileOf("b", 0));
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{high, BackendServerId("s"), false}}));
+    dispatcher.finish(high, AttemptEnd::Completed, TimePoint());
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{low, BackendServerId("s"), false}}));
+}
+
+TEST(Dispatcher, EvictsALowerTierBeforeItRefusesAHigherOne)
+{
+    DispatcherOptions options;
+    options.maxWaiting = 1;
+    Dispatcher dispatcher{options};
+    dispatcher.setServers({serverOf("s", 1)}, TimePoint());
+    const Ticket low = submitted(dispatcher, profileOf("a", 1));
+    const Ticket high = submitted(dispatcher, profileOf("b", 0));
+    EXPECT_TRUE(std::holds_alternative<Refusal>(dispatcher.submit(profileOf("c", 0), TimePoint())));
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    ASSERT_EQ(decisions.rejections.size(), 1U);
+    EXPECT_EQ(decisions.rejections.front().ticket, low);
+    EXPECT_EQ(decisions.rejections.front().refusal.reason, RefusalReason::Evicted);
+    EXPECT_EQ(decisions.rejections.front().refusal.runState, RunState::NotRun);
+    EXPECT_EQ(decisions.assignments.front().ticket, high);
+}
+
+TEST(Dispatcher, NeverRunsANonIdempotentRequestAgainOnceBytesWereSent)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 1), serverOf("t", 1)}, TimePoint());
+    RequestProfile profile = profileOf("a", 0);
+    profile.idempotent = false;
+    const Ticket ticket = submitted(dispatcher, profile);
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(dispatcher.retry(ticket, AttemptEnd::NotSent, false, TimePoint()), std::nullopt);
+    dispatcher.dispatch(TimePoint(), decisions);
+    ASSERT_EQ(decisions.assignments.size(), 1U);
+    const std::optional<Refusal> refusal = dispatcher.retry(ticket, AttemptEnd::ServerFailed, true, TimePoint());
+    ASSERT_TRUE(refusal.has_value());
+    EXPECT_EQ(refusal->runState, RunState::Unknown);
+}
+
+TEST(Dispatcher, RefusesARequestThatTwoServersDiedOf)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 1), serverOf("t", 1), serverOf("u", 1)}, TimePoint());
+    RequestProfile profile = profileOf("a", 0);
+    profile.fingerprint = 7;
+    const Ticket ticket = submitted(dispatcher, profile);
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(dispatcher.retry(ticket, AttemptEnd::ServerFailed, true, TimePoint()), std::nullopt);
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_TRUE(decisions.assignments.at(0).suspect);
+    const std::optional<Refusal> refusal = dispatcher.retry(ticket, AttemptEnd::ServerFailed, true, TimePoint());
+    ASSERT_TRUE(refusal.has_value());
+    EXPECT_EQ(refusal->reason, RefusalReason::Quarantined);
+    EXPECT_EQ(std::get<Refusal>(dispatcher.submit(profile, TimePoint())).reason, RefusalReason::Quarantined);
+}
+
+TEST(Dispatcher, RejectsWaitingRequestsAtTheirDeadline)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 0)}, TimePoint());
+    const RequestProfile profile = profileOf("a", 0);
+    submitted(dispatcher, profile);
+    const TimePoint deadline = profile.arrival + profile.requestClass.deadline;
+    EXPECT_EQ(dispatcher.nextWakeup(), deadline);
+    Decisions decisions;
+    dispatcher.dispatch(deadline, decisions);
+    ASSERT_EQ(decisions.rejections.size(), 1U);
+    EXPECT_EQ(decisions.rejections.front().refusal.reason, RefusalReason::DeadlineMissed);
+}
