--- a/tests/standins/logstore.cpp
+++ b/tests/standins/logstore.cpp
@@ -5,6 +5,13 @@
 namespace flamingosaddle::standins
 {
 
+namespace
+{
+
+constexpr std::size_t maxReadBytes = 4 * 1024 * 1024; ///< of one answer
+
+} // namespace
+
 void LogStore::Stream::dropBelow(std::uint64_t offset)
 {
     while (this->first < offset && !this->records.empty()) {
@@ -67,8 +74,14 @@
         return result;
     }
     const Stream &held = found->second;
+    std::size_t bytes = 0;
     for (std::uint64_t offset = std::max(from, held.first); offset < held.head() && result.size() < limit; ++offset) {
-        result.push_back({offset, held.records[offset - held.first]});
+        const std::string &body = held.records[offset - held.first];
+        bytes += body.size();
+        if (bytes > maxReadBytes && !result.empty()) {
+            break;
+        }
+        result.push_back({offset, body});
     }
     return result;
 }
