--- /dev/null
+++ b/tests/process/checkers.cpp
@@ -0,0 +1,181 @@
+#include "checkers.h"
+
+#include "generation.h"
+
+#include <map>
+#include <set>
+#include <sstream>
+#include <tuple>
+
+namespace flamingosaddle::process
+{
+
+namespace
+{
+
+bool isRepeatable(const Json &run)
+{
+    const std::string method = run.at("method");
+    return method == "GET" || method == "HEAD" || run.at("target").get<std::string>().starts_with("/v1/");
+}
+
+/**
+ * Sees fencing numbers in the order of arrival and finds those that two processes used or that came too late.
+ */
+class EpochOrder
+{
+public:
+    Violations see(std::uint64_t epoch, const std::string &holder, const std::string &what)
+    {
+        Violations violations;
+        const std::string &first = this->holders.emplace(epoch, holder).first->second;
+        if (first != holder) {
+            violations.push_back(what + ": epoch " + std::to_string(epoch) + " used by " + first + " and " + holder);
+        }
+        if (epoch < this->newest) {
+            violations.push_back(what + ": epoch " + std::to_string(epoch) + " after " + std::to_string(this->newest));
+        }
+        this->newest = std::max(this->newest, epoch);
+        return violations;
+    }
+
+private:
+    std::map<std::uint64_t, std::string> holders;
+    std::uint64_t newest = 0;
+};
+
+void append(Violations &violations, const Violations &more)
+{
+    violations.insert(violations.end(), more.begin(), more.end());
+}
+
+Violations compareText(const standins::GenerationRequest &request, const std::string &text)
+{
+    const std::string expected = standins::answerText(request.mark, 0, request.maxTokens);
+    if (text == expected) {
+        return {};
+    }
+    return {"expected " + std::to_string(expected.size()) + " bytes of " + request.mark + ", got " + std::to_string(text.size())
+        + " bytes: " + text.substr(0, 80)};
+}
+
+} // namespace
+
+Violations checkRunAtMostOnce(const std::vector<Json> &backendAudits)
+{
+    std::map<std::string, unsigned> runs;
+    for (const Json &audit : backendAudits) {
+        for (const Json &run : audit.at("runs")) {
+            if (run.at("end") == "notRun" || isRepeatable(run)) {
+                continue;
+            }
+            ++runs["request id " + run.at("requestId").get<std::string>()];
+            if (run.at("idempotencyKey") != "") {
+                ++runs["idempotency key " + run.at("idempotencyKey").get<std::string>()];
+            }
+        }
+    }
+    Violations violations;
+    for (const auto &[name, count] : runs) {
+        if (count > 1) {
+            violations.push_back(name + " ran " + std::to_string(count) + " times");
+        }
+    }
+    return violations;
+}
+
+Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys)
+{
+    Violations violations;
+    for (const Json &audit : backendAudits) {
+        for (const Json &run : audit.at("runs")) {
+            const std::string received = run.dump();
+            for (const std::string &key : keys) {
+                if (received.find(key) != std::string::npos) {
+                    violations.push_back("request " + run.at("requestId").get<std::string>() + " carried a caller's key");
+                }
+            }
+        }
+    }
+    return violations;
+}
+
+StreamedAnswer parseStream(const std::string &body)
+{
+    StreamedAnswer answer;
+    std::istringstream lines(body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (!line.starts_with("data: ")) {
+            continue;
+        }
+        if (line == "data: [DONE]") {
+            answer.done = true;
+            continue;
+        }
+        const Json event = Json::parse(line.substr(6), nullptr, false);
+        for (const Json &choice : event.value("choices", Json::array())) {
+            answer.text += choice.value("text", "") + choice.value("delta", Json::object()).value("content", "");
+        }
+    }
+    return answer;
+}
+
+Violations checkStreamedAnswer(const std::string &path, const std::string &request, const std::string &body)
+{
+    const StreamedAnswer answer = parseStream(body);
+    Violations violations = compareText(standins::parseGenerationRequest(path, request), answer.text);
+    if (!answer.done) {
+        violations.emplace_back("the stream has no end mark");
+    }
+    return violations;
+}
+
+Violations checkPlainAnswer(const std::string &path, const std::string &request, const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("choices")) {
+        return {"not a completion: " + body.substr(0, 80)};
+    }
+    const Json &choice = json.at("choices").at(0);
+    const std::string text = choice.value("text", "") + choice.value("message", Json::object()).value("content", "");
+    return compareText(standins::parseGenerationRequest(path, request), text);
+}
+
+Violations checkOrders(const Json &orders)
+{
+    Violations violations;
+    std::map<std::string, EpochOrder> epochs;
+    std::set<std::string> applied;
+    for (const Json &order : orders) {
+        if (order.at("outcome") != "applied") {
+            continue;
+        }
+        const std::string id = order.at("id");
+        append(violations, epochs[order.value("dataCentre", "")].see(order.at("epoch"), order.at("holder"), "order " + id));
+        if (!applied.insert(id).second) {
+            violations.push_back("order " + id + " applied twice");
+        }
+    }
+    return violations;
+}
+
+Violations checkUsageReports(const Json &reports)
+{
+    using Figures = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
+    Violations violations;
+    EpochOrder epochs;
+    std::map<std::string, Figures> windows;
+    for (const Json &report : reports) {
+        const std::string window = report.at("clientAccount").get<std::string>() + " window "
+            + std::to_string(report.at("window").get<std::uint64_t>());
+        const Figures figures{report.at("requests"), report.at("promptTokens"), report.at("completionTokens")};
+        append(violations, epochs.see(report.at("fencing"), report.at("holder"), window));
+        if (windows.emplace(window, figures).first->second != figures) {
+            violations.push_back(window + " reported with different figures");
+        }
+    }
+    return violations;
+}
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/process/checkers.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "json.h"
+
+#include <string>
+#include <vector>
+
+namespace flamingosaddle::process
+{
+
+using standins::Json;
+
+/**
+ * What a checker found wrong, one text each; empty when the invariant holds. The checkers read the stand-ins' audits,
+ * which the product cannot influence.
+ */
+using Violations = std::vector<std::string>;
+
+/**
+ * No request id and no idempotency key of a call that changes something ran more than once, over the audits of all
+ * backend servers. Calls that may be repeated (GET, HEAD and generations of a model) are left out.
+ */
+Violations checkRunAtMostOnce(const std::vector<Json> &backendAudits);
+
+/** No backend server received one of the callers' keys, in a header, the target or the body. */
+Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys);
+
+/** What the events of a streamed answer carry, joined. */
+struct StreamedAnswer {
+    std::string text;
+    bool done = false; ///< whether the stream ended with `data: [DONE]`
+
+    friend bool operator==(const StreamedAnswer &, const StreamedAnswer &) = default;
+};
+
+StreamedAnswer parseStream(const std::string &body);
+
+/** The streamed body is the whole answer to the generation request @p request and to no other, with its end mark. */
+Violations checkStreamedAnswer(const std::string &path, const std::string &request, const std::string &body);
+
+/** The body of an answer that was not streamed is the whole answer to the generation request @p request. */
+Violations checkPlainAnswer(const std::string &path, const std::string &request, const std::string &body);
+
+/**
+ * Orders that the platform or an engine applied came from one holder in each epoch, never from an older epoch after a
+ * newer one, and none was applied twice. @p orders is in the order of arrival, fencing numbers in `epoch`.
+ */
+Violations checkOrders(const Json &orders);
+
+/**
+ * Every window of a client account was reported with one figure, by one holder in each epoch, and never from an older
+ * epoch after a newer one.
+ */
+Violations checkUsageReports(const Json &reports);
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/process/checkers_test.cpp
@@ -0,0 +1,134 @@
+#include "checkers.h"
+
+#include "completionformat.h"
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::process;
+
+namespace
+{
+
+constexpr const char *chatPath = "/v1/chat/completions";
+
+Json run(const char *method, const char *requestId, const char *idempotencyKey, const char *end)
+{
+    return {{"method", method}, {"target", "/deposits"}, {"requestId", requestId}, {"idempotencyKey", idempotencyKey},
+        {"headers", {{{"name", "Accept"}, {"value", "*/*"}}}}, {"body", ""}, {"end", end}};
+}
+
+Json audit(const Json &runs)
+{
+    return {{"runs", runs}};
+}
+
+std::string chat(const char *text)
+{
+    return Json{{"model", "m"}, {"max_tokens", 3}, {"stream", true}, {"messages", {{{"role", "user"}, {"content", text}}}}}
+        .dump();
+}
+
+/** What an engine streams for the tokens @p indices of a request. */
+std::string stream(const std::string &request, const std::vector<std::uint32_t> &indices, bool withEnd)
+{
+    const auto parsed = standins::parseGenerationRequest(chatPath, request);
+    const standins::CompletionFormat format(parsed);
+    std::string body;
+    for (const std::uint32_t index : indices) {
+        body += format.tokenEvent(standins::tokenText(parsed.mark, index));
+    }
+    return withEnd ? body + format.endEvents() : body;
+}
+
+Json order(const char *id, std::uint64_t epoch, const char *holder, const char *outcome = "applied")
+{
+    return {{"id", id}, {"dataCentre", "dc-a"}, {"epoch", epoch}, {"holder", holder}, {"outcome", outcome}};
+}
+
+Json report(std::uint64_t window, std::uint64_t tokens, std::uint64_t epoch, const char *holder)
+{
+    return {{"clientAccount", "c"}, {"window", window}, {"requests", 1}, {"promptTokens", 2}, {"completionTokens", tokens},
+        {"fencing", epoch}, {"holder", holder}};
+}
+
+} // namespace
+
+TEST(CheckRunAtMostOnce, AcceptsDistinctAndRepeatableRuns)
+{
+    const Json runs = {run("POST", "r1", "k1", "whole"), run("POST", "r2", "", "whole"), run("GET", "r3", "", "whole"),
+        run("GET", "r3", "", "whole"), run("POST", "r4", "", "notRun")};
+    EXPECT_EQ(checkRunAtMostOnce({audit(runs), audit({run("POST", "r4", "", "whole")})}), Violations{});
+}
+
+TEST(CheckRunAtMostOnce, FindsASecondRunOnAnotherServer)
+{
+    const Json first = audit({run("POST", "r1", "", "answerLost")});
+    EXPECT_EQ(checkRunAtMostOnce({first, audit({run("POST", "r1", "", "whole")})}).size(), 1U);
+}
+
+TEST(CheckRunAtMostOnce, FindsASecondRunOfAnIdempotencyKey)
+{
+    EXPECT_EQ(checkRunAtMostOnce({audit({run("POST", "r1", "k", "whole"), run("POST", "r2", "k", "running")})}).size(), 1U);
+}
+
+TEST(CheckNoKeySeen, FindsAKeyInHeaderTargetAndBody)
+{
+    Json inHeader = run("GET", "r1", "", "whole");
+    inHeader["headers"].push_back({{"name", "Authorization"}, {"value", "Bearer secret-key"}});
+    Json inTarget = run("GET", "r2", "", "whole");
+    inTarget["target"] = "/deposits?key=secret-key";
+    Json inBody = run("GET", "r3", "", "whole");
+    inBody["body"] = "secret-key";
+    const Json runs = {inHeader, inTarget, inBody, run("GET", "r4", "", "whole")};
+    EXPECT_EQ(checkNoKeySeen({audit(runs)}, {"secret-key", "other-key"}).size(), 3U);
+    EXPECT_EQ(checkNoKeySeen({audit(runs)}, {"other-key"}), Violations{});
+}
+
+TEST(CheckStreamedAnswer, AcceptsTheWholeAnswer)
+{
+    EXPECT_EQ(checkStreamedAnswer(chatPath, chat("a"), stream(chat("a"), {0, 1, 2}, true)), Violations{});
+}
+
+TEST(CheckStreamedAnswer, FindsATruncatedDoubledCrossedOrUnendedAnswer)
+{
+    EXPECT_EQ(checkStreamedAnswer(chatPath, chat("a"), stream(chat("a"), {0, 1}, true)).size(), 1U);
+    EXPECT_EQ(checkStreamedAnswer(chatPath, chat("a"), stream(chat("a"), {0, 1, 1, 2}, true)).size(), 1U);
+    EXPECT_EQ(checkStreamedAnswer(chatPath, chat("a"), stream(chat("b"), {0, 1, 2}, true)).size(), 1U);
+    EXPECT_EQ(checkStreamedAnswer(chatPath, chat("a"), stream(chat("a"), {0, 1, 2}, false)).size(), 1U);
+}
+
+TEST(CheckPlainAnswer, FindsTheAnswerToAnotherRequest)
+{
+    const auto parsed = standins::parseGenerationRequest(chatPath, chat("a"));
+    const std::string body = standins::CompletionFormat(parsed).whole(standins::answerText(parsed.mark, 0, 3));
+    EXPECT_EQ(checkPlainAnswer(chatPath, chat("a"), body), Violations{});
+    EXPECT_EQ(checkPlainAnswer(chatPath, chat("b"), body).size(), 1U);
+    EXPECT_EQ(checkPlainAnswer(chatPath, chat("a"), "{}").size(), 1U);
+}
+
+TEST(CheckOrders, AcceptsHoldersThatFollowEachOther)
+{
+    const Json orders
+        = {order("o1", 3, "i1"), order("o1", 3, "i1", "duplicate"), order("o2", 4, "i2"), order("o3", 3, "i1", "refused")};
+    EXPECT_EQ(checkOrders(orders), Violations{});
+}
+
+TEST(CheckOrders, FindsTwoHoldersOldEpochsAndRepetitions)
+{
+    EXPECT_EQ(checkOrders({order("o1", 3, "i1"), order("o2", 3, "i2")}).size(), 1U);
+    EXPECT_EQ(checkOrders({order("o1", 4, "i1"), order("o2", 3, "i2")}).size(), 1U);
+    EXPECT_EQ(checkOrders({order("o1", 3, "i1"), order("o1", 3, "i1")}).size(), 1U);
+}
+
+TEST(CheckUsageReports, AcceptsTheSameFigureAgain)
+{
+    EXPECT_EQ(checkUsageReports({report(60, 9, 1, "i1"), report(60, 9, 2, "i2"), report(120, 5, 2, "i2")}), Violations{});
+}
+
+TEST(CheckUsageReports, FindsDifferentFiguresTwoHoldersAndOldEpochs)
+{
+    EXPECT_EQ(checkUsageReports({report(60, 9, 1, "i1"), report(60, 8, 1, "i1")}).size(), 1U);
+    EXPECT_EQ(checkUsageReports({report(60, 9, 1, "i1"), report(120, 9, 1, "i2")}).size(), 1U);
+    EXPECT_EQ(checkUsageReports({report(60, 9, 2, "i2"), report(120, 9, 1, "i1")}).size(), 1U);
+}
