--- a/include/flamingosaddle/platform/httpplatform.h
+++ b/include/flamingosaddle/platform/httpplatform.h
@@ -19,6 +19,6 @@
  * The platform's interfaces over HTTP and JSON, as docs/PROTOCOL.md gives them. Each call runs on the executor of the
  * coroutine that awaits it, on a connection of its own.
  */
-Platform httpPlatform(HttpPlatformOptions options);
+Platform httpPlatform(const HttpPlatformOptions &options);
 
 } // namespace flamingosaddle
