--- /dev/null
+++ b/include/flamingosaddle/app/adminhandler.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <flamingosaddle/base/metrics.h>
+#include <flamingosaddle/control/controller.h>
+#include <flamingosaddle/http/server.h>
+
+#include <functional>
+
+namespace flamingosaddle
+{
+
+/**
+ * What the admin address needs to know of the traffic side.
+ */
+struct TrafficStatus {
+    std::size_t callerConnections = 0;
+    std::size_t activeExchanges = 0;
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    bool draining = false;
+
+    friend bool operator==(const TrafficStatus &, const TrafficStatus &) = default;
+};
+
+/**
+ * Answers the admin address: health, metrics, queries of the control state and the withdrawal of keys. Runs on the control
+ * thread, so that it reads control state directly. docs/PROTOCOL.md lists its calls.
+ */
+class AdminHandler
+{
+public:
+    AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus);
+
+    boost::asio::awaitable<void> handle(HttpExchange &exchange);
+
+private:
+    HttpResponse answer(const HttpRequest &request);
+    HttpResponse query(const HttpRequest &request) const;
+    HttpResponse statusResponse() const;
+    HttpResponse readinessResponse() const;
+    HttpResponse historyResponse() const;
+    HttpResponse changeResponse(const ChangeId &id) const;
+    HttpResponse withdraw(const HttpRequest &request);
+
+    Controller &controller;
+    MetricsRegistry &metrics;
+    std::function<TrafficStatus()> trafficStatus;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/control/routingsnapshot.h
+++ b/include/flamingosaddle/control/routingsnapshot.h
@@ -58,6 +58,9 @@
     std::vector<ModelName> modelNames;
 };
 
+/** All backend servers of a configuration, by their ids. */
+std::vector<BackendServer> backendServersOf(const ConfigState &state);
+
 /**
  * Hands the newest snapshot from the control thread to the traffic threads. Any thread may call anything.
  */
