--- /dev/null
+++ b/tools/flamingosaddled.cpp
@@ -0,0 +1,83 @@
+#include <flamingosaddle/app/daemon.h>
+#include <flamingosaddle/app/settings.h>
+#include <flamingosaddle/base/log.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace flamingosaddle;
+
+constexpr int exitUsage = 1;
+constexpr int exitFailed = 2;
+
+std::optional<std::string> environmentVariable(const std::string &name)
+{
+    const char *value = std::getenv(name.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+// Takes a switch without a value out of the arguments; answers whether it was there.
+bool takeSwitch(std::vector<std::string> &arguments, const std::string &name)
+{
+    return std::erase(arguments, name) > 0;
+}
+
+void printHelp()
+{
+    std::cout << "flamingosaddled: routes language-model traffic. Settings are flags or environment variables.\n\n"
+              << "  --help                 print this text\n"
+              << "  --check                check the settings, print every fault and end\n"
+              << "  --settings-reference   print the reference page of all settings\n\n";
+    for (const SettingDescription &description : settingDescriptions()) {
+        const std::string flag = description.flag.empty() ? "" : "--" + description.flag + ", ";
+        std::cout << "  " << flag << description.variable << " (" << description.unit << ")\n      " << description.help << '\n';
+    }
+}
+
+int runDaemon(const Settings &settings)
+{
+    initializeLogging(settings.logLevel);
+    auto daemon = Daemon::create(settings);
+    if (daemon.has_error()) {
+        std::cerr << "flamingosaddled: " << daemon.error().text() << '\n';
+        return exitFailed;
+    }
+    const Daemon::Addresses addresses = daemon.value()->addresses();
+    std::cout << "listening caller=" << addresses.caller.text() << " admin=" << addresses.admin.text()
+              << " peer=" << addresses.peer.text() << std::endl;
+    daemon.value()->run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (takeSwitch(arguments, "--help")) {
+        printHelp();
+        return EXIT_SUCCESS;
+    }
+    if (takeSwitch(arguments, "--settings-reference")) {
+        std::cout << settingsReference();
+        return EXIT_SUCCESS;
+    }
+    const bool checkOnly = takeSwitch(arguments, "--check");
+    const auto loaded = loadSettings(arguments, environmentVariable);
+    if (const auto *errors = std::get_if<std::vector<Error>>(&loaded)) {
+        for (const Error &error : *errors) {
+            std::cerr << "flamingosaddled: " << error.text() << '\n';
+        }
+        return exitUsage;
+    }
+    if (checkOnly) {
+        std::cout << "settings: ok\n";
+        return EXIT_SUCCESS;
+    }
+    return runDaemon(std::get<Settings>(loaded));
+}
