--- a/include/flamingosaddle/control/configtail.h
+++ b/include/flamingosaddle/control/configtail.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/control/backoff.h>
+#include <flamingosaddle/control/logtail.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/configstate.h>
 
@@ -26,11 +26,11 @@
     /**
      * @param onAdvance called after each step forward, and after each read that reached the head of the stream
      */
-    ConfigTail(Platform platform, std::function<void()> onAdvance, std::uint64_t seed);
+    ConfigTail(const Platform &platform, std::function<void()> onAdvance, std::uint64_t seed);
 
     // Commands.
 
-    /** Reads until stop(). */
+    /** Reads until stop(). The object has to outlive the coroutine. */
     boost::asio::awaitable<void> run();
     void stop();
 
@@ -55,20 +55,21 @@
     std::uint64_t undecodableCount() const;
 
 private:
-    boost::asio::awaitable<void> loadSnapshot();
-    boost::asio::awaitable<bool> readOnce();
+    boost::asio::awaitable<Result<std::uint64_t>> position();
+    boost::asio::awaitable<Result<void>> loadSnapshot();
+    void takeBatch(const LogBatch &batch, TimePoint sentAt);
+    void noteReadTo(std::uint64_t headOffset, TimePoint sentAt);
     void noteGap();
     void applyRecord(ConfigState &target, std::uint64_t offset, std::string_view body);
     void replaceState(ConfigState next);
 
-    Platform platform;
+    const Platform &platform;
     std::function<void()> onAdvance;
-    Backoff backoff;
+    LogTail tail;
     std::shared_ptr<const ConfigState> current;
     std::optional<TimePoint> readAt;
     std::uint64_t undecodable = 0;
     bool gap = false;
-    bool stopped = false;
     bool snapshotSought = false;
 };
 
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -63,6 +63,7 @@
     void announceWithdrawals(const ConfigState &before, const ConfigState &after);
 
     boost::asio::io_context &context;
+    Platform platform;
     ControllerOptions controllerOptions;
     ControllerHooks hooks;
     std::set<KeyId> earlyTombstones;
--- a/src/control/configtail.cpp
+++ b/src/control/configtail.cpp
@@ -1,48 +1,40 @@
 #include <flamingosaddle/control/configtail.h>
 
 #include <flamingosaddle/base/log.h>
-#include <flamingosaddle/control/delay.h>
 
 #include <utility>
 
 namespace flamingosaddle
 {
 
-namespace
-{
-
-constexpr std::chrono::milliseconds readWait(1000);
-constexpr std::chrono::milliseconds firstRetryDelay(50);
-constexpr std::chrono::seconds longestRetryDelay(2);
-
-} // namespace
-
-ConfigTail::ConfigTail(Platform platform, std::function<void()> onAdvance, std::uint64_t seed)
-    : platform(std::move(platform))
+ConfigTail::ConfigTail(const Platform &platform, std::function<void()> onAdvance, std::uint64_t seed)
+    : platform(platform)
     , onAdvance(std::move(onAdvance))
-    , backoff(firstRetryDelay, longestRetryDelay, seed)
+    , tail(platform, LogStream::Config,
+          LogTailHooks{
+              [this] {
+                  return this->position();
+              },
+              [this](const LogBatch &batch, TimePoint sentAt) {
+                  this->takeBatch(batch, sentAt);
+              },
+              [this] {
+                  this->noteGap();
+              },
+          },
+          seed)
     , current(std::make_shared<const ConfigState>())
 {
 }
 
 boost::asio::awaitable<void> ConfigTail::run()
 {
-    while (!this->stopped) {
-        if (!this->snapshotSought) {
-            co_await this->loadSnapshot();
-        }
-        const bool succeeded = co_await this->readOnce();
-        if (succeeded) {
-            this->backoff.reset();
-        } else if (!this->stopped) {
-            co_await delay(this->backoff.next());
-        }
-    }
+    return this->tail.run();
 }
 
 void ConfigTail::stop()
 {
-    this->stopped = true;
+    this->tail.stop();
 }
 
 bool ConfigTail::applyForwarded(std::uint64_t offset, std::string_view body)
@@ -85,60 +77,68 @@
     return this->undecodable;
 }
 
-boost::asio::awaitable<void> ConfigTail::loadSnapshot()
+boost::asio::awaitable<Result<std::uint64_t>> ConfigTail::position()
+{
+    if (!this->snapshotSought) {
+        const Result<void> loaded = co_await this->loadSnapshot();
+        if (loaded.has_error()) {
+            co_return fail(loaded.error());
+        }
+        this->snapshotSought = true;
+    }
+    co_return this->current->nextOffset();
+}
+
+boost::asio::awaitable<Result<void>> ConfigTail::loadSnapshot()
 {
     const Result<LogBounds> bounds = co_await this->platform.bounds(LogStream::ConfigSnapshot);
     if (bounds.has_error()) {
-        co_return;
+        co_return fail(bounds.error());
     }
-    this->snapshotSought = true;
     if (bounds.value().headOffset == bounds.value().firstOffset) {
-        co_return;
+        co_return done();
     }
     const std::uint64_t newest = bounds.value().headOffset - 1;
     const Result<LogBatch> batch = co_await this->platform.read(LogStream::ConfigSnapshot, newest, std::chrono::milliseconds(0));
     if (batch.has_error()) {
-        this->snapshotSought = false;
-        co_return;
+        co_return fail(batch.error());
     }
     for (const LogRecord &record : batch.value().records) {
         const Result<ConfigState> snapshot = decodeConfigSnapshot(record.body);
         if (snapshot.has_value()) {
             this->adoptSnapshot(snapshot.value());
         } else {
-            logStateChange(LogLevel::Error, "control", "config snapshot unreadable", {{"error", snapshot.error().text()}});
+            logStateChange(LogLevel::Error, "control", "config snapshot is unreadable", {{"error", snapshot.error().text()}});
         }
     }
+    co_return done();
 }
 
-boost::asio::awaitable<bool> ConfigTail::readOnce()
+void ConfigTail::takeBatch(const LogBatch &batch, TimePoint sentAt)
 {
-    const std::uint64_t from = this->current->nextOffset();
-    const TimePoint sentAt = RuntimeClock::now();
-    const Result<LogBatch> batch = co_await this->platform.read(LogStream::Config, from, readWait);
-    if (batch.has_error()) {
-        if (batch.error().kind() == ErrorKind::Trimmed) {
-            this->noteGap();
-        }
-        co_return false;
-    }
     this->gap = false;
+    if (batch.records.empty()) {
+        this->noteReadTo(batch.headOffset, sentAt);
+        this->onAdvance();
+        return;
+    }
     // A peer may have forwarded records while the read was under way: only what is still ahead is applied.
     ConfigState next = *this->current;
-    for (const LogRecord &record : batch.value().records) {
+    for (const LogRecord &record : batch.records) {
         if (record.offset >= next.nextOffset()) {
             this->applyRecord(next, record.offset, record.body);
         }
     }
-    if (batch.value().headOffset <= next.nextOffset()) {
+    this->current = std::make_shared<const ConfigState>(std::move(next));
+    this->noteReadTo(batch.headOffset, sentAt);
+    this->onAdvance();
+}
+
+void ConfigTail::noteReadTo(std::uint64_t headOffset, TimePoint sentAt)
+{
+    if (headOffset <= this->current->nextOffset()) {
         this->readAt = sentAt;
     }
-    if (next.nextOffset() > this->current->nextOffset()) {
-        this->replaceState(std::move(next));
-    } else {
-        this->onAdvance();
-    }
-    co_return true;
 }
 
 void ConfigTail::noteGap()
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -12,10 +12,11 @@
 
 Controller::Controller(boost::asio::io_context &context, Platform platform, ControllerOptions options, ControllerHooks hooks)
     : context(context)
+    , platform(std::move(platform))
     , controllerOptions(std::move(options))
     , hooks(std::move(hooks))
     , tail(
-          std::move(platform),
+          this->platform,
           [this] {
               this->configAdvanced();
           },
