--- /dev/null
+++ b/include/flamingosaddle/control/logappender.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/backoff.h>
+#include <flamingosaddle/platform/platform.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace flamingosaddle
+{
+
+struct LogAppenderOptions {
+    Duration interval = std::chrono::milliseconds(100); ///< shortest time between two appends: the stream's append budget
+    std::size_t maxBufferedRecords = 100000; ///< while the log is down; the oldest are given up beyond it
+
+    friend bool operator==(const LogAppenderOptions &, const LogAppenderOptions &) = default;
+};
+
+/**
+ * Appends records to a stream in the order in which they were pushed. A record whose answer was lost is appended again with
+ * the same text, so a record has to carry an id by which readers drop the repetition. Lives on the control thread.
+ */
+class LogAppender
+{
+public:
+    LogAppender(const Platform &platform, LogStream stream, LogAppenderOptions options, std::uint64_t seed);
+
+    // Commands.
+
+    void push(std::string body);
+
+    /** Appends until stop(). The object has to outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    void stop();
+
+    // Queries.
+    std::size_t bufferedCount() const;
+    std::uint64_t givenUpCount() const; ///< records that were dropped because the buffer was full
+    std::uint64_t appendCount() const; ///< calls to the log, repetitions included
+
+private:
+    const Platform &platform;
+    LogStream stream;
+    LogAppenderOptions options;
+    Backoff backoff;
+    std::deque<std::string> buffer;
+    std::uint64_t givenUp = 0;
+    std::uint64_t appends = 0;
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
