--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -45,12 +45,13 @@
  */
 struct ClassParameters {
     ClassName name;
-    std::optional<int> tier;
-    std::optional<std::chrono::milliseconds> firstTokenTarget;
-    std::optional<std::chrono::milliseconds> interTokenTarget;
-    std::optional<std::chrono::milliseconds> deadline;
-    std::optional<double> floorShare;
-    std::optional<bool> cheapAllowed;
+    std::optional<int> tier{};
+    std::optional<std::chrono::milliseconds> firstTokenTarget{};
+    std::optional<std::chrono::milliseconds> interTokenTarget{};
+    std::optional<std::chrono::milliseconds> deadline{};
+    std::optional<double> floorShare{};
+    std::optional<bool> cheapAllowed{};
+    std::optional<bool> idempotent{};
 
     friend bool operator==(const ClassParameters &, const ClassParameters &) = default;
 };
--- a/include/flamingosaddle/state/configchange.h
+++ b/include/flamingosaddle/state/configchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace flamingosaddle
@@ -77,8 +78,8 @@
 struct ConfigChange {
     ChangeId id; ///< the same in every repetition of the change, so that a lost answer does no harm
     /**
-     * The revision of the object that the change was made against: the offset of the record that last set it, or 0
-     * for an object that does not exist. A change without one is applied whatever the revision.
+     * The revision of the object that the change was made against (see Revised), or 0 for an object that does not
+     * exist. A change without one is applied whatever the revision; WithdrawKey always is.
      */
     std::optional<std::uint64_t> expectedRevision;
     std::string author;
--- a/include/flamingosaddle/state/configstate.h
+++ b/include/flamingosaddle/state/configstate.h
@@ -38,7 +38,8 @@
 };
 
 /**
- * An object and the offset of the record that last set it.
+ * An object and its revision: one more than the offset of the record that last set it, so that 0 stands for an object
+ * that does not exist.
  */
 template <typename T>
 struct Revised {
@@ -58,6 +59,14 @@
 /**
  * The configuration after some prefix of the `config` stream. A pure function of the records: the same records, with
  * any repetitions, give the same state everywhere.
+ *
+ * Beside the rules of configvalidation.h for one object, apply() holds the configuration together:
+ * - A published template version never changes.
+ * - A client account names an existing template version; a key names an existing client account.
+ * - Two routes never have the same path prefix.
+ * - A key is given once and never changes. Withdrawn, neither its id nor its digest is ever given again, also when the
+ *   withdrawal comes before the gift.
+ * - Removing a client account withdraws its keys.
  */
 class ConfigState
 {
@@ -65,8 +74,8 @@
     // Commands.
 
     /**
-     * Applies the record at @p offset. Offsets at or below appliedOffset() are ignored (answers Duplicate), so that
-     * nothing that is in force reverts.
+     * Applies the record at @p offset. An offset below nextOffset() changes nothing and answers Duplicate, so that
+     * nothing that is in force reverts. So does a change whose id is among the remembered ones.
      */
     ChangeResult apply(std::uint64_t offset, const ConfigChange &change);
 
@@ -102,6 +111,16 @@
      */
     std::vector<RequestClass> classesOf(const ClientAccountId &id) const;
 
+    /**
+     * The present revision of the object that @p change names, 0 when it does not exist.
+     */
+    std::uint64_t revisionOf(const ConfigChangeBody &change) const;
+
+    /**
+     * Whether a withdrawn key had this digest.
+     */
+    bool isWithdrawn(const KeyDigest &digest) const;
+
     /**
      * What became of the change, while it is among the last maxRememberedChanges.
      */
@@ -119,14 +138,28 @@
 private:
     friend class ConfigSnapshotCodec;
 
+    void remember(const ChangeResult &result);
+    void withdraw(const KeyId &id);
+
+    void put(const PutTemplate &change);
+    void put(const PutClientAccount &change);
+    void put(const RemoveClientAccount &change);
+    void put(const PutRoute &change);
+    void put(const RemoveRoute &change);
+    void put(const PutBackendServer &change);
+    void put(const RemoveBackendServer &change);
+    void put(const GiveKey &change);
+    void put(const WithdrawKey &change);
+
     std::map<TemplateKey, Revised<Template>> templateTable;
     std::map<ClientAccountId, Revised<ClientAccount>> clientAccountTable;
     std::map<RouteId, Revised<Route>> routeTable;
     std::map<BackendServerId, Revised<BackendServer>> backendServerTable;
     std::map<KeyId, Revised<ClientKey>> keyTable;
     std::set<KeyId> withdrawnKeyTable;
-    std::deque<ChangeResult> recentResults;
-    std::map<ChangeId, std::uint64_t> recentIds; // offset of the record that decided
+    std::set<std::uint64_t> withdrawnDigestPrefixes; // KeyDigest::prefix() of withdrawn keys
+    std::deque<ChangeResult> recentResults; // ascending offsets
+    std::map<ChangeId, std::uint64_t> recentOffsets; // of the record that decided
     std::uint64_t next = 0;
 };
 
--- /dev/null
+++ b/src/state/configsnapshot.cpp
@@ -0,0 +1,166 @@
+#include <flamingosaddle/state/configstate.h>
+
+#include "configfields.h"
+
+#include <flamingosaddle/state/configvalidation.h>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::size_t maxSnapshotBytes = std::size_t{64} << 20;
+constexpr std::uint32_t snapshotVersion = 1;
+
+constexpr RecordFormat snapshotFormat{
+    ErrorKind::InvalidConfiguration, "take another snapshot, from the log or from a peer", maxSnapshotBytes, false};
+
+} // namespace
+
+template <>
+struct EnumNames<ChangeOutcome> {
+    static constexpr std::array values{
+        std::pair{ChangeOutcome::Accepted, "accepted"},
+        std::pair{ChangeOutcome::Conflict, "conflict"},
+        std::pair{ChangeOutcome::Invalid, "invalid"},
+    };
+};
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<ChangeResult> value)
+{
+    archive.required("id", value.id);
+    archive.required("offset", value.offset);
+    archive.required("outcome", value.outcome);
+    archive.optional("detail", value.detail);
+}
+
+template <typename Archive, typename T>
+static void describeRevised(Archive &archive, T &value)
+{
+    archive.required("revision", value.revision);
+    archive.required("value", value.value);
+}
+
+template <typename T>
+static void describe(RecordReader &reader, Revised<T> &value)
+{
+    describeRevised(reader, value);
+}
+
+template <typename T>
+static void describe(RecordWriter &writer, const Revised<T> &value)
+{
+    describeRevised(writer, value);
+}
+
+/**
+ * The tables of a ConfigState as lists, as they stand in a snapshot.
+ */
+struct ConfigSnapshot {
+    std::uint32_t version = snapshotVersion;
+    std::uint64_t next = 0;
+    std::vector<Revised<Template>> templates;
+    std::vector<Revised<ClientAccount>> clientAccounts;
+    std::vector<Revised<Route>> routes;
+    std::vector<Revised<BackendServer>> backendServers;
+    std::vector<Revised<ClientKey>> keys;
+    std::vector<KeyId> withdrawnKeys;
+    std::vector<std::uint64_t> withdrawnDigests;
+    std::vector<ChangeResult> results;
+};
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<ConfigSnapshot> value)
+{
+    archive.required("version", value.version);
+    archive.required("next", value.next);
+    archive.required("templates", value.templates);
+    archive.required("clientAccounts", value.clientAccounts);
+    archive.required("routes", value.routes);
+    archive.required("backendServers", value.backendServers);
+    archive.required("keys", value.keys);
+    archive.required("withdrawnKeys", value.withdrawnKeys);
+    archive.required("withdrawnDigests", value.withdrawnDigests);
+    archive.required("results", value.results);
+}
+
+class ConfigSnapshotCodec
+{
+public:
+    static ConfigSnapshot toSnapshot(const ConfigState &state)
+    {
+        ConfigSnapshot snapshot;
+        snapshot.next = state.next;
+        snapshot.templates = valuesOf(state.templateTable);
+        snapshot.clientAccounts = valuesOf(state.clientAccountTable);
+        snapshot.routes = valuesOf(state.routeTable);
+        snapshot.backendServers = valuesOf(state.backendServerTable);
+        snapshot.keys = valuesOf(state.keyTable);
+        snapshot.withdrawnKeys.assign(state.withdrawnKeyTable.begin(), state.withdrawnKeyTable.end());
+        snapshot.withdrawnDigests.assign(state.withdrawnDigestPrefixes.begin(), state.withdrawnDigestPrefixes.end());
+        snapshot.results.assign(state.recentResults.begin(), state.recentResults.end());
+        return snapshot;
+    }
+
+    static ConfigState toState(ConfigSnapshot snapshot)
+    {
+        ConfigState state;
+        state.next = snapshot.next;
+        for (auto &entry : snapshot.templates) {
+            TemplateKey key{entry.value.name, entry.value.version};
+            state.templateTable[std::move(key)] = std::move(entry);
+        }
+        fill(state.clientAccountTable, snapshot.clientAccounts);
+        fill(state.routeTable, snapshot.routes);
+        fill(state.backendServerTable, snapshot.backendServers);
+        fill(state.keyTable, snapshot.keys);
+        state.withdrawnKeyTable.insert(snapshot.withdrawnKeys.begin(), snapshot.withdrawnKeys.end());
+        state.withdrawnDigestPrefixes.insert(snapshot.withdrawnDigests.begin(), snapshot.withdrawnDigests.end());
+        for (const ChangeResult &result : snapshot.results) {
+            state.remember(result);
+        }
+        return state;
+    }
+
+private:
+    template <typename Key, typename Value>
+    static std::vector<Value> valuesOf(const std::map<Key, Value> &table)
+    {
+        std::vector<Value> values;
+        values.reserve(table.size());
+        for (const auto &[key, value] : table) {
+            values.push_back(value);
+        }
+        return values;
+    }
+
+    template <typename Table, typename Values>
+    static void fill(Table &table, Values &values)
+    {
+        for (auto &entry : values) {
+            auto id = entry.value.id;
+            table[std::move(id)] = std::move(entry);
+        }
+    }
+};
+
+std::string encodeConfigSnapshot(const ConfigState &state)
+{
+    return encodeRecord(ConfigSnapshotCodec::toSnapshot(state));
+}
+
+Result<ConfigState> decodeConfigSnapshot(std::string_view text)
+{
+    Result<ConfigSnapshot> snapshot = decodeRecord<ConfigSnapshot>(text, snapshotFormat);
+    if (snapshot.has_error()) {
+        return fail(snapshot.error());
+    }
+    if (snapshot.value().version != snapshotVersion) {
+        return fail(ErrorKind::InvalidConfiguration, "the snapshot has an unknown version", "read the log from its beginning");
+    }
+    return ConfigSnapshotCodec::toState(std::move(snapshot).value());
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/state/configvalidation.cpp
@@ -0,0 +1,331 @@
+#include <flamingosaddle/state/configvalidation.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+auto invalid(const std::string &field, const std::string &complaint, const std::string &remedy)
+{
+    return fail(ErrorKind::InvalidConfiguration, "field '" + field + "' " + complaint, remedy);
+}
+
+bool isNameCharacter(char character)
+{
+    return character > ' ' && character != '\x7f' && character != '"' && character != '\\';
+}
+
+Result<void> checkName(const std::string &field, const std::string &name)
+{
+    const bool isPlain = std::all_of(name.begin(), name.end(), [](char character) {
+        return isNameCharacter(character) && static_cast<unsigned char>(character) < 0x80;
+    });
+    if (name.empty() || name.size() > ConfigLimits::maxNameBytes || !isPlain) {
+        return invalid(field, "is no name",
+            "give 1 to " + std::to_string(ConfigLimits::maxNameBytes)
+                + " printable ASCII characters without space, quote or backslash");
+    }
+    return done();
+}
+
+template <typename Names>
+Result<void> checkNames(const std::string &field, const Names &names)
+{
+    if (names.size() > ConfigLimits::maxNames) {
+        return invalid(field, "is too long", "give at most " + std::to_string(ConfigLimits::maxNames) + " names");
+    }
+    std::set<std::string_view> seen;
+    for (const auto &name : names) {
+        BOOST_OUTCOME_TRYV(checkName(field, name.text()));
+        if (!seen.insert(name.text()).second) {
+            return invalid(field, "holds '" + name.text() + "' twice", "name it once");
+        }
+    }
+    return done();
+}
+
+Result<void> checkDuration(const std::string &field, std::chrono::milliseconds duration)
+{
+    if (duration <= std::chrono::milliseconds::zero() || duration > ConfigLimits::maxDuration) {
+        return invalid(field, "is out of range", "give 1 to " + std::to_string(ConfigLimits::maxDuration.count()) + " ms");
+    }
+    return done();
+}
+
+Result<void> checkClass(const std::string &field, const RequestClass &value)
+{
+    BOOST_OUTCOME_TRYV(checkName(field + ".name", value.name.text()));
+    if (value.tier < 0 || value.tier > ConfigLimits::maxTier) {
+        return invalid(field + ".tier", "is out of range", "give 0 to " + std::to_string(ConfigLimits::maxTier));
+    }
+    BOOST_OUTCOME_TRYV(checkDuration(field + ".firstTokenTargetMs", value.firstTokenTarget));
+    BOOST_OUTCOME_TRYV(checkDuration(field + ".interTokenTargetMs", value.interTokenTarget));
+    BOOST_OUTCOME_TRYV(checkDuration(field + ".deadlineMs", value.deadline));
+    if (value.deadline < value.firstTokenTarget) {
+        return invalid(field + ".deadlineMs", "is below firstTokenTargetMs", "give a deadline that the first token can meet");
+    }
+    if (!(value.floorShare >= 0.0 && value.floorShare <= 1.0)) {
+        return invalid(field + ".floorShare", "is out of range", "give 0 to 1");
+    }
+    return done();
+}
+
+Result<void> checkClasses(const std::vector<RequestClass> &classes)
+{
+    if (classes.empty() || classes.size() > ConfigLimits::maxClasses) {
+        return invalid("classes", "has a wrong length", "give 1 to " + std::to_string(ConfigLimits::maxClasses) + " classes");
+    }
+    std::set<ClassName> seen;
+    double floorShares = 0.0;
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        const std::string field = "classes[" + std::to_string(i) + "]";
+        BOOST_OUTCOME_TRYV(checkClass(field, classes[i]));
+        if (!seen.insert(classes[i].name).second) {
+            return invalid(field + ".name", "stands twice", "give each class a name of its own");
+        }
+        floorShares += classes[i].floorShare;
+    }
+    if (floorShares > 1.0) {
+        return invalid("classes.floorShare", "adds up to more than 1", "lower the floor shares of the classes");
+    }
+    return done();
+}
+
+Result<void> checkParameters(const Template &base, const ClientAccount &clientAccount)
+{
+    for (const ClassParameters &parameters : clientAccount.classes) {
+        const bool isKnown = std::any_of(base.classes.begin(), base.classes.end(), [&parameters](const RequestClass &candidate) {
+            return candidate.name == parameters.name;
+        });
+        if (!isKnown) {
+            return invalid(
+                "classes.name", "'" + parameters.name.text() + "' is no class of the template", "name one of its classes");
+        }
+    }
+    return checkClasses(effectiveClasses(base, clientAccount));
+}
+
+RequestClass withParameters(RequestClass requestClass, const ClassParameters &parameters)
+{
+    requestClass.tier = parameters.tier.value_or(requestClass.tier);
+    requestClass.idempotent = parameters.idempotent.value_or(requestClass.idempotent);
+    requestClass.firstTokenTarget = parameters.firstTokenTarget.value_or(requestClass.firstTokenTarget);
+    requestClass.interTokenTarget = parameters.interTokenTarget.value_or(requestClass.interTokenTarget);
+    requestClass.deadline = parameters.deadline.value_or(requestClass.deadline);
+    requestClass.floorShare = parameters.floorShare.value_or(requestClass.floorShare);
+    requestClass.cheapAllowed = parameters.cheapAllowed.value_or(requestClass.cheapAllowed);
+    return requestClass;
+}
+
+/**
+ * The rules for one change that need the state it is applied to.
+ */
+class ChangeCheck
+{
+public:
+    explicit ChangeCheck(const ConfigState &state)
+        : state(state)
+    {
+    }
+
+    Result<void> operator()(const PutTemplate &change) const
+    {
+        BOOST_OUTCOME_TRYV(validate(change.value));
+        if (this->state.findTemplate(change.value.name, change.value.version) != nullptr) {
+            return invalid("version", "is published and never changes", "publish the template under the next version");
+        }
+        return done();
+    }
+
+    Result<void> operator()(const PutClientAccount &change) const
+    {
+        BOOST_OUTCOME_TRYV(validate(change.value));
+        const auto *base = this->state.findTemplate(change.value.templateName, change.value.templateVersion);
+        if (base == nullptr) {
+            return invalid("templateName", "and templateVersion name no published template", "publish the template first");
+        }
+        return checkParameters(base->value, change.value);
+    }
+
+    Result<void> operator()(const PutRoute &change) const
+    {
+        BOOST_OUTCOME_TRYV(validate(change.value));
+        for (const auto &[id, route] : this->state.routes()) {
+            if (id != change.value.id && route.value.pathPrefix == change.value.pathPrefix) {
+                return invalid(
+                    "pathPrefix", "belongs to route '" + id.text() + "'", "choose another prefix or change that route");
+            }
+        }
+        return done();
+    }
+
+    Result<void> operator()(const PutBackendServer &change) const
+    {
+        return validate(change.value);
+    }
+
+    Result<void> operator()(const GiveKey &change) const
+    {
+        const ClientKey &key = change.value;
+        BOOST_OUTCOME_TRYV(validate(key));
+        if (this->state.isWithdrawn(key.id) || this->state.isWithdrawn(key.digest)) {
+            return invalid("id", "names a withdrawn key", "give a new key under a new id");
+        }
+        if (this->state.findKey(key.id) != nullptr) {
+            return invalid("id", "names a key that was given before", "give a new key under a new id");
+        }
+        if (this->state.findClientAccount(key.clientAccount) == nullptr) {
+            return invalid("clientAccount", "names no client account", "create the client account first");
+        }
+        for (const auto &[id, given] : this->state.keys()) {
+            if (given.value.digest == key.digest) {
+                return invalid("digest", "belongs to key '" + id.text() + "'", "generate another key");
+            }
+        }
+        return done();
+    }
+
+    Result<void> operator()(const WithdrawKey &change) const
+    {
+        return checkName("id", change.id.text());
+    }
+
+    Result<void> operator()(const RemoveClientAccount &change) const
+    {
+        return this->checkExists(this->state.findClientAccount(change.id), "client account");
+    }
+
+    Result<void> operator()(const RemoveRoute &change) const
+    {
+        return this->checkExists(this->state.findRoute(change.id), "route");
+    }
+
+    Result<void> operator()(const RemoveBackendServer &change) const
+    {
+        return this->checkExists(this->state.findBackendServer(change.id), "backend server");
+    }
+
+private:
+    static Result<void> checkExists(const void *object, const char *what)
+    {
+        if (object == nullptr) {
+            return invalid("id", std::string("names no ") + what, "list the objects and name one of them");
+        }
+        return done();
+    }
+
+    const ConfigState &state;
+};
+
+Result<void> checkRevision(const ConfigState &state, const ConfigChange &change)
+{
+    // A withdrawal must take effect whatever else happened to the key.
+    if (!change.expectedRevision.has_value() || std::holds_alternative<WithdrawKey>(change.body)) {
+        return done();
+    }
+    const std::uint64_t present = state.revisionOf(change.body);
+    if (present != *change.expectedRevision) {
+        return fail(ErrorKind::Conflict,
+            "the object is at revision " + std::to_string(present) + ", not at " + std::to_string(*change.expectedRevision),
+            "read the object again and repeat the change against its revision");
+    }
+    return done();
+}
+
+} // namespace
+
+Result<void> validate(const Template &value)
+{
+    BOOST_OUTCOME_TRYV(checkName("name", value.name.text()));
+    if (value.version == 0) {
+        return invalid("version", "is 0", "count versions from 1");
+    }
+    return checkClasses(value.classes);
+}
+
+Result<void> validate(const ClientAccount &value)
+{
+    BOOST_OUTCOME_TRYV(checkName("id", value.id.text()));
+    BOOST_OUTCOME_TRYV(checkName("templateName", value.templateName.text()));
+    if (!(value.share > 0.0 && value.share <= ConfigLimits::maxShare)) {
+        return invalid("share", "is out of range", "give a weight above 0");
+    }
+    std::set<ClassName> seen;
+    for (const ClassParameters &parameters : value.classes) {
+        if (!seen.insert(parameters.name).second) {
+            return invalid("classes.name", "'" + parameters.name.text() + "' stands twice", "name each class once");
+        }
+    }
+    BOOST_OUTCOME_TRYV(checkNames("models", value.models));
+    return checkNames("services", value.services);
+}
+
+Result<void> validate(const Route &value)
+{
+    BOOST_OUTCOME_TRYV(checkName("id", value.id.text()));
+    BOOST_OUTCOME_TRYV(checkName("service", value.service.text()));
+    const std::string &prefix = value.pathPrefix;
+    const bool isPath = !prefix.empty() && prefix.front() == '/' && std::all_of(prefix.begin(), prefix.end(), isNameCharacter);
+    if (!isPath || prefix.size() > ConfigLimits::maxPathPrefixBytes) {
+        return invalid("pathPrefix", "is no path", "begin it with '/', without spaces, at most 1024 bytes");
+    }
+    return done();
+}
+
+Result<void> validate(const BackendServer &value)
+{
+    BOOST_OUTCOME_TRYV(checkName("id", value.id.text()));
+    BOOST_OUTCOME_TRYV(checkName("dataCentre", value.dataCentre.text()));
+    if (value.endpoint.port == 0 || Endpoint::parse(value.endpoint.text()).has_error()) {
+        return invalid("endpoint", "is no IP number and port", "write for instance 127.0.0.1:8080");
+    }
+    if (value.slots == 0 || value.slots > ConfigLimits::maxSlots) {
+        return invalid("slots", "is out of range", "give 1 to " + std::to_string(ConfigLimits::maxSlots));
+    }
+    if (value.kind == BackendKind::Service) {
+        if (!value.models.empty()) {
+            return invalid("models", "is set for a plain service", "leave it out, or set kind to engine");
+        }
+        return checkName("service", value.service.text());
+    }
+    if (value.models.empty() || !value.service.isEmpty()) {
+        return invalid("models", "is empty, or service is set, for an engine", "name its models, or set kind to service");
+    }
+    return checkNames("models", value.models);
+}
+
+Result<void> validate(const ClientKey &value)
+{
+    BOOST_OUTCOME_TRYV(checkName("id", value.id.text()));
+    return checkName("clientAccount", value.clientAccount.text());
+}
+
+Result<void> checkChange(const ConfigState &state, const ConfigChange &change)
+{
+    BOOST_OUTCOME_TRYV(checkName("id", change.id.text()));
+    BOOST_OUTCOME_TRYV(checkRevision(state, change));
+    return std::visit(ChangeCheck(state), change.body);
+}
+
+std::vector<RequestClass> effectiveClasses(const Template &base, const ClientAccount &clientAccount)
+{
+    std::vector<RequestClass> classes = base.classes;
+    for (RequestClass &requestClass : classes) {
+        for (const ClassParameters &parameters : clientAccount.classes) {
+            if (parameters.name == requestClass.name) {
+                requestClass = withParameters(requestClass, parameters);
+            }
+        }
+    }
+    return classes;
+}
+
+} // namespace flamingosaddle
