--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -1,136 +1,18 @@
 #pragma once
 
-#include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/base/id.h>
-#include <flamingosaddle/state/config.h>
+#include <flamingosaddle/traffic/types.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
 namespace flamingosaddle
 {
 
-/**
- * What the decisions know of one request.
- */
-struct RequestProfile {
-    ClientAccountId clientAccount; ///< empty on a route open to all
-    double clientAccountShare = 1.0;
-    RequestClass requestClass;
-    ModelName model; ///< empty for a plain service
-    ServiceName service; ///< empty for a model
-    std::uint64_t prefixHash = 0; ///< of the beginning of the prompt; 0 when there is none
-    std::uint64_t fingerprint = 0; ///< of the whole request, for quarantine
-    std::uint32_t promptTokens = 0; ///< estimate
-    bool idempotent = true; ///< of this request: its class, its route and its method together
-    TimePoint arrival;
-
-    friend bool operator==(const RequestProfile &, const RequestProfile &) = default;
-};
-
-/**
- * Whether a refused request can have run.
- */
-enum class RunState {
-    NotRun, ///< no byte of it reached a backend server
-    Unknown,
-};
-
-enum class RefusalReason {
-    Overloaded, ///< the forecast or the queue leaves no chance to meet the target
-    Evicted, ///< gave its place in the queue to a higher tier
-    DeadlineMissed,
-    NoServer, ///< no backend server can take it at present
-    Quarantined, ///< this request was running when backend servers died
-    RetriesExhausted,
-    Draining,
-    Cancelled,
-};
-
-const char *toString(RefusalReason reason);
-
-/**
- * The final answer to a request that is not carried out.
- */
-struct Refusal {
-    RefusalReason reason = RefusalReason::Overloaded;
-    RunState runState = RunState::NotRun;
-    std::chrono::seconds retryAfter{1}; ///< when to come back
-
-    friend bool operator==(const Refusal &, const Refusal &) = default;
-};
-
-/**
- * Names a request inside the dispatcher, from submit() until finish() or its refusal.
- */
-enum class Ticket : std::uint64_t {
-};
-
-struct Assignment {
-    Ticket ticket{};
-    BackendServerId server;
-    bool suspect = false; ///< a backend server died of it before: tell the peers through noteSuspect() before it is sent
-
-    friend bool operator==(const Assignment &, const Assignment &) = default;
-};
-
-struct Rejection {
-    Ticket ticket{};
-    Refusal refusal;
-
-    friend bool operator==(const Rejection &, const Rejection &) = default;
-};
-
-/**
- * Requests that may start now, and waiting ones that are given up.
- */
-struct Decisions {
-    std::vector<Assignment> assignments;
-    std::vector<Rejection> rejections;
-
-    friend bool operator==(const Decisions &, const Decisions &) = default;
-};
-
-/**
- * How an attempt on a backend server ended.
- */
-enum class AttemptEnd {
-    Completed, ///< the whole answer was read
-    NotSent, ///< failed before a byte was written
-    ServerError, ///< the server answered with an error status and lives on
-    ServerFailed, ///< the server broke off or fell silent, so it may have died of the request
-    CallerGone,
-};
-
-/**
- * Load of a backend server as the engine, with a lag, and peers report it.
- */
-struct ServerReport {
-    BackendServerId server;
-    std::uint32_t peersInFlight = 0; ///< requests that other instances run there
-    std::uint64_t waitingTokens = 0; ///< as the engine reports it
-    TimePoint measuredAt;
-
-    friend bool operator==(const ServerReport &, const ServerReport &) = default;
-};
-
-/**
- * Tokens that instances served to a client account, the unit in which they tell each other of used shares.
- */
-struct ServiceReport {
-    ClientAccountId clientAccount;
-    ModelName model; ///< empty for a plain service
-    ServiceName service; ///< empty for a model
-    int tier = 0;
-    std::uint64_t tokens = 0;
-
-    friend bool operator==(const ServiceReport &, const ServiceReport &) = default;
-};
+struct DispatcherPolicies;
 
 struct DispatcherOptions {
     std::size_t maxWaiting = 4096; ///< requests in the queue, all tiers together
@@ -150,6 +32,10 @@
 {
 public:
     explicit Dispatcher(DispatcherOptions options);
+
+    /** With rules that replace the usual ones, see policies.h. */
+    Dispatcher(DispatcherOptions options, DispatcherPolicies policies);
+
     ~Dispatcher();
     Dispatcher(Dispatcher &&) noexcept;
     Dispatcher &operator=(Dispatcher &&) noexcept;
@@ -162,7 +48,10 @@
     /** Takes in a report of a server's load. */
     void report(const ServerReport &report);
 
-    /** Admits a request to the queue or refuses it at once. */
+    /**
+     * Admits a request to the queue or refuses it at once. Other requests may have lost their place to it: dispatch()
+     * has to follow.
+     */
     std::variant<Ticket, Refusal> submit(const RequestProfile &profile, TimePoint now);
 
     /** Fills @p decisions, after clearing it, with what may start now and what is given up. */
@@ -178,8 +67,9 @@
     void finish(Ticket ticket, AttemptEnd end, TimePoint now);
 
     /**
-     * The attempt failed and nothing was passed on to the caller: puts the request back into the queue when it may run
-     * again, answers the refusal when it may not. @p anyByteSent tells whether the backend server may have seen it.
+     * The attempt failed, and nothing was passed on to the caller or the stream can be resumed at its position: puts
+     * the request back into the queue when it may run again, answers the refusal when it may not; the ticket is then
+     * unknown. @p anyByteSent tells whether the backend server may have seen it.
      */
     std::optional<Refusal> retry(Ticket ticket, AttemptEnd end, bool anyByteSent, TimePoint now);
 
@@ -190,7 +80,7 @@
     void noteDeath(std::uint64_t fingerprint, const BackendServerId &server, TimePoint now);
 
     /** A peer runs, until @p until at the latest, a request of which a backend server died before. */
-    void noteSuspect(std::uint64_t fingerprint, TimePoint until);
+    void noteSuspect(std::uint64_t fingerprint, TimePoint until, TimePoint now);
 
     /** A peer served tokens to a client account since its last report. */
     void notePeerService(const ServiceReport &service);
@@ -201,6 +91,12 @@
     /** The cheap backend servers of a data centre are being reclaimed: no new work goes to them. */
     void excludeDataCentre(const DataCentre &dataCentre, TimePoint now);
 
+    /**
+     * The number of instances that share the backend servers. Each may always use its even part of a server's slots,
+     * however old the peers' reports are. 0, as at the start, keeps to the reports alone.
+     */
+    void setInstanceCount(std::uint32_t count);
+
     /** The cheap backend servers of a data centre may be used again. */
     void includeDataCentre(const DataCentre &dataCentre, TimePoint now);
 
--- /dev/null
+++ b/include/flamingosaddle/traffic/interner.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * Gives names small dense indices, so that the decisions compare and look up integers. Looking up a known name
+ * allocates nothing. The index of a released name is given out again.
+ */
+template <typename Name, typename Hash = std::hash<Name>>
+class Interner
+{
+public:
+    // Commands.
+
+    /** The index of @p name, a new one when it is not known. */
+    std::uint32_t intern(const Name &name)
+    {
+        const auto found = this->indices.find(name);
+        if (found != this->indices.end()) {
+            return found->second;
+        }
+        const std::uint32_t index = this->freeIndex();
+        this->names[index] = name;
+        this->indices.emplace(name, index);
+        return index;
+    }
+
+    /** Forgets @p name; its index may come to stand for another name. */
+    void release(const Name &name)
+    {
+        const auto found = this->indices.find(name);
+        if (found != this->indices.end()) {
+            this->unused.push_back(found->second);
+            this->indices.erase(found);
+        }
+    }
+
+    // Queries.
+
+    std::optional<std::uint32_t> find(const Name &name) const
+    {
+        const auto found = this->indices.find(name);
+        return found == this->indices.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    const Name &name(std::uint32_t index) const
+    {
+        return this->names[index];
+    }
+
+    /** One more than the largest index given out so far. */
+    std::size_t size() const
+    {
+        return this->names.size();
+    }
+
+private:
+    std::uint32_t freeIndex()
+    {
+        if (this->unused.empty()) {
+            this->names.emplace_back();
+            return static_cast<std::uint32_t>(this->names.size() - 1);
+        }
+        const std::uint32_t index = this->unused.back();
+        this->unused.pop_back();
+        return index;
+    }
+
+    std::unordered_map<Name, std::uint32_t, Hash> indices;
+    std::vector<Name> names;
+    std::vector<std::uint32_t> unused;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <flamingosaddle/traffic/fairqueue.h>
+#include <flamingosaddle/traffic/serverpool.h>
+#include <flamingosaddle/traffic/types.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * What the dispatcher keeps of a request from its admission to its end.
+ */
+struct RequestRecord {
+    QueueEntry entry; ///< as it waits or waited in the queue
+    ShareIndex share = 0;
+    TimePoint deadline;
+    std::uint64_t prefixHash = 0;
+    std::uint64_t fingerprint = 0;
+    std::uint32_t promptTokens = 0;
+    bool idempotent = true;
+    std::uint32_t attempts = 0;
+    bool everSent = false; ///< a backend server may have seen it
+    ServerIndex failedServer = noServer; ///< of the last attempt
+    // Of the attempt that runs.
+    ServerIndex server = noServer;
+    TimePoint startedAt;
+    TimePoint lastTokenAt;
+    bool firstTokenSeen = false;
+    std::uint64_t tokens = 0; ///< of the answer so far
+    double reservedTokens = 0.0; ///< charged in advance and not yet used up
+    double outstandingTokens = 0.0; ///< counted as expected work of the server
+
+    bool isRunning() const
+    {
+        return this->server != noServer;
+    }
+};
+
+/**
+ * Records by dense index. A ticket holds the index and a generation, so that the ticket of a request that is over names
+ * no other request.
+ */
+class RequestTable
+{
+public:
+    // Commands.
+
+    RequestIndex add()
+    {
+        if (this->unused.empty()) {
+            this->slots.emplace_back();
+            this->unused.reserve(this->slots.capacity());
+            this->unused.push_back(static_cast<RequestIndex>(this->slots.size() - 1));
+        }
+        const RequestIndex index = this->unused.back();
+        this->unused.pop_back();
+        this->slots[index].used = true;
+        this->slots[index].record = RequestRecord();
+        ++this->count;
+        return index;
+    }
+
+    void remove(RequestIndex index)
+    {
+        this->slots[index].used = false;
+        ++this->slots[index].generation;
+        this->unused.push_back(index);
+        --this->count;
+    }
+
+    RequestRecord &record(RequestIndex index)
+    {
+        return this->slots[index].record;
+    }
+
+    // Queries.
+
+    Ticket ticket(RequestIndex index) const
+    {
+        return Ticket{(static_cast<std::uint64_t>(this->slots[index].generation) << 32) | index};
+    }
+
+    std::optional<RequestIndex> find(Ticket ticket) const
+    {
+        const auto index = static_cast<RequestIndex>(ticket);
+        const bool known = index < this->slots.size() && this->slots[index].used && this->ticket(index) == ticket;
+        return known ? std::optional(index) : std::nullopt;
+    }
+
+    std::size_t size() const
+    {
+        return this->count;
+    }
+
+private:
+    struct Slot {
+        RequestRecord record;
+        std::uint32_t generation = 1;
+        bool used = false;
+    };
+
+    std::vector<Slot> slots;
+    std::vector<RequestIndex> unused;
+    std::size_t count = 0;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/traffic/selection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <flamingosaddle/traffic/serverpool.h>
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * What the choice of a server depends on.
+ */
+struct SelectionRequest {
+    TargetIndex target = 0;
+    bool cheapAllowed = true;
+    std::uint64_t prefixHash = 0; ///< 0 when there is none
+    ServerIndex failedServer = noServer; ///< of the last attempt, taken only when there is no other
+};
+
+/**
+ * A server with a free slot, for policies that choose by other rules.
+ */
+struct ServerView {
+    ServerIndex server = noServer;
+    std::uint32_t slots = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t peersInFlight = 0;
+};
+
+/** The position in @p views of the server to use; the vector is never empty. */
+using ChooseServer = std::function<std::size_t(const std::vector<ServerView> &views)>;
+
+/**
+ * Chooses the backend server for a request among those with a free slot.
+ *
+ * First the server of the highest rendezvous weight for the prompt's prefix, or the second, if it is no straggler and
+ * its load is at most affinityBound times the mean: its cache may hold the prefix. Otherwise the better of two servers
+ * drawn at random: servers that failed lately, stragglers and the server and data centre of the failed attempt come
+ * last, then the one with fewer expected waiting tokens per slot. Drawing at random keeps instances that hold the same
+ * old reports from choosing the same server.
+ */
+class Selector
+{
+public:
+    static constexpr double affinityBound = 1.25;
+
+    /** @param choose replaces the rules when it is set */
+    explicit Selector(std::uint64_t seed, ChooseServer choose = {});
+
+    // Commands.
+
+    /** noServer when no permitted server has a free slot. */
+    ServerIndex select(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
+
+private:
+    // What speaks against a server; less is better.
+    struct Penalty {
+        int level = 0;
+        double expectedTokens = 0.0; // per slot
+    };
+
+    ServerIndex byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
+    ServerIndex byChoice(const ServerPool &pool, const SelectionRequest &request);
+    ServerIndex byTwoDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
+    ServerIndex byScan(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
+    bool isWithinBound(const ServerPool &pool, TargetIndex target, const Candidate &candidate, TimePoint now) const;
+    Penalty penalty(const ServerPool &pool, const SelectionRequest &request, ServerIndex server, TimePoint now) const;
+
+    std::mt19937_64 random;
+    ChooseServer choose;
+    std::vector<ServerView> views; // for the policy
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/dispatcherattempts.cpp
@@ -0,0 +1,142 @@
+// The part of the dispatcher that follows a request from its start on a backend server to its end.
+
+#include "dispatcherimplementation.h"
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+void Dispatcher::Implementation::firstToken(Ticket ticket, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value() || !this->requests.record(*index).isRunning() || this->requests.record(*index).firstTokenSeen) {
+        return;
+    }
+    RequestRecord &record = this->requests.record(*index);
+    record.firstTokenSeen = true;
+    record.lastTokenAt = now;
+    record.outstandingTokens -= record.promptTokens;
+    this->pool.noteProgress(record.server, record.promptTokens);
+    this->pool.noteFirstToken(record.server, now - record.startedAt, now);
+    this->forecast.noteFirstToken(record.entry.target, now - record.startedAt);
+    this->queue.shares().noteServed(record.share, record.promptTokens);
+}
+
+void Dispatcher::Implementation::tokens(Ticket ticket, std::uint32_t count, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value() || !this->requests.record(*index).isRunning() || count == 0) {
+        return;
+    }
+    RequestRecord &record = this->requests.record(*index);
+    const double reserved = std::min(record.reservedTokens, static_cast<double>(count));
+    record.tokens += count;
+    record.reservedTokens -= reserved;
+    record.outstandingTokens -= reserved;
+    this->pool.noteProgress(record.server, reserved);
+    this->queue.shares().charge(record.share, count - reserved);
+    this->queue.shares().noteServed(record.share, count);
+    if (record.firstTokenSeen && now > record.lastTokenAt) {
+        this->pool.noteInterToken(record.server, (now - record.lastTokenAt) / count, now);
+    }
+    record.lastTokenAt = now;
+}
+
+void Dispatcher::Implementation::finish(Ticket ticket, AttemptEnd end, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value()) {
+        return;
+    }
+    RequestRecord &record = this->requests.record(*index);
+    if (!record.isRunning()) {
+        this->cancel(ticket);
+        return;
+    }
+    if (end == AttemptEnd::Completed) {
+        this->retryBudget.noteSuccess(record.entry.account);
+        this->forecast.noteEnd(record.entry.target, record.entry.requestClass, now - record.startedAt, record.tokens);
+    }
+    this->endAttempt(record, end, now);
+    this->requests.remove(*index);
+}
+
+std::optional<Refusal> Dispatcher::Implementation::retry(Ticket ticket, AttemptEnd end, bool anyByteSent, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value() || !this->requests.record(*index).isRunning()) {
+        return Refusal{RefusalReason::Cancelled, RunState::Unknown, std::chrono::seconds(1)};
+    }
+    RequestRecord &record = this->requests.record(*index);
+    record.everSent = record.everSent || anyByteSent;
+    this->endAttempt(record, end, now);
+    const std::optional<RefusalReason> reason = this->reasonNotToRetry(record, end, now);
+    if (reason.has_value()) {
+        const Refusal refusal = this->refusalOf(record, *reason);
+        this->requests.remove(*index);
+        return refusal;
+    }
+    record.entry.late = record.entry.lateAt <= now;
+    this->putInQueue(*index);
+    return std::nullopt;
+}
+
+std::optional<RefusalReason> Dispatcher::Implementation::reasonNotToRetry(
+    const RequestRecord &record, AttemptEnd end, TimePoint now)
+{
+    if (end == AttemptEnd::CallerGone || end == AttemptEnd::Completed) {
+        return RefusalReason::Cancelled;
+    }
+    const Quarantine::Verdict verdict = this->quarantine.verdict(record.fingerprint, now);
+    if (verdict == Quarantine::Verdict::Refused || verdict == Quarantine::Verdict::Busy) {
+        return RefusalReason::Quarantined;
+    }
+    if (record.deadline <= now) {
+        return RefusalReason::DeadlineMissed;
+    }
+    if ((record.everSent && !record.idempotent) || record.attempts >= this->options.maxAttempts) {
+        return RefusalReason::RetriesExhausted;
+    }
+    if (!this->pool.anyUsable(record.entry.target, record.entry.cheapAllowed)) {
+        return RefusalReason::NoServer;
+    }
+    const bool allowed
+        = this->policies.mayRetry ? this->policies.mayRetry(record.attempts) : this->retryBudget.take(record.entry.account);
+    return allowed ? std::nullopt : std::optional(RefusalReason::RetriesExhausted);
+}
+
+void Dispatcher::Implementation::endAttempt(RequestRecord &record, AttemptEnd end, TimePoint now)
+{
+    this->noteServerOutcome(record, end, now);
+    const bool promptUnused = end == AttemptEnd::NotSent && !record.firstTokenSeen;
+    this->queue.shares().charge(record.share, -record.reservedTokens - (promptUnused ? record.promptTokens : 0.0));
+    this->quarantine.noteEnd(record.fingerprint);
+    this->pool.release(record.server, record.entry.target, record.outstandingTokens);
+    record.failedServer = record.server;
+    record.server = noServer;
+}
+
+void Dispatcher::Implementation::noteServerOutcome(const RequestRecord &record, AttemptEnd end, TimePoint now)
+{
+    switch (end) {
+    case AttemptEnd::Completed:
+        this->pool.noteSuccess(record.server);
+        break;
+    case AttemptEnd::ServerFailed:
+        this->pool.noteFailure(record.server, now);
+        // A server of a zone that is being reclaimed dies of that.
+        if (!this->pool.isExcluded(record.server)) {
+            this->quarantine.noteDeath(record.fingerprint, this->pool.server(record.server).nameHash, now);
+        }
+        break;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::ServerError:
+        this->pool.noteFailure(record.server, now);
+        break;
+    case AttemptEnd::CallerGone:
+        break;
+    }
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -0,0 +1,345 @@
+#include "dispatcherimplementation.h"
+
+#include <flamingosaddle/base/hash.h>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr double percent = 100.0;
+constexpr std::chrono::seconds noServerRetryAfter{5};
+constexpr std::chrono::seconds suspectRetryAfter{5};
+
+Refusal notRun(RefusalReason reason, std::chrono::seconds retryAfter)
+{
+    return Refusal{reason, RunState::NotRun, retryAfter};
+}
+
+} // namespace
+
+std::size_t Dispatcher::Implementation::ClassKeyHash::operator()(const ClassKey &key) const noexcept
+{
+    return hash64(key.name.text(), static_cast<std::uint64_t>(key.tier));
+}
+
+Dispatcher::Implementation::Implementation(DispatcherOptions options, DispatcherPolicies policies)
+    : quarantine(options.quarantineDeaths)
+    , options(options)
+    , policies(std::move(policies))
+    , queue(this->policies.serveBefore)
+    , selector(options.seed, this->policies.chooseServer)
+    , retryBudget(options.retryPercent / percent)
+{
+    if (!this->policies.admit) {
+        this->policies.admit = meetsTarget;
+    }
+}
+
+std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
+{
+    switch (this->quarantine.verdict(profile.fingerprint, now)) {
+    case Quarantine::Verdict::Refused:
+        return notRun(RefusalReason::Quarantined, std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry));
+    case Quarantine::Verdict::Busy:
+        return notRun(RefusalReason::Quarantined, suspectRetryAfter);
+    case Quarantine::Verdict::Clear:
+    case Quarantine::Verdict::Suspect:
+        break;
+    }
+    const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
+    if (!target.has_value() || !this->pool.anyUsable(*target, profile.requestClass.cheapAllowed)) {
+        return notRun(RefusalReason::NoServer, noServerRetryAfter);
+    }
+    QueueEntry entry = this->entryOf(profile, *target);
+    const std::optional<Refusal> refusal = this->refuseByForecast(entry, profile.requestClass.firstTokenTarget, now);
+    if (refusal.has_value()) {
+        return *refusal;
+    }
+    return this->enqueue(profile, entry);
+}
+
+QueueEntry Dispatcher::Implementation::entryOf(const RequestProfile &profile, TargetIndex target)
+{
+    QueueEntry entry;
+    entry.target = target;
+    entry.requestClass = this->internClass(profile.requestClass);
+    entry.account = this->accounts.intern(profile.clientAccount);
+    entry.tier = profile.requestClass.tier;
+    entry.weight = profile.clientAccountShare;
+    entry.floorShare = profile.requestClass.floorShare;
+    entry.cheapAllowed = profile.requestClass.cheapAllowed;
+    entry.arrival = profile.arrival;
+    entry.lateAt = profile.arrival + profile.requestClass.firstTokenTarget;
+    return entry;
+}
+
+ClassIndex Dispatcher::Implementation::internClass(const RequestClass &requestClass)
+{
+    this->classKey.name = requestClass.name;
+    this->classKey.tier = requestClass.tier;
+    this->classKey.floorShare = requestClass.floorShare;
+    this->classKey.cheapAllowed = requestClass.cheapAllowed;
+    return this->classes.intern(this->classKey);
+}
+
+std::optional<Refusal> Dispatcher::Implementation::refuseByForecast(
+    QueueEntry &entry, std::chrono::milliseconds firstTokenTarget, TimePoint now)
+{
+    const WaitForecast wait = forecastWait(this->situationOf(entry, now));
+    if (!this->policies.admit(wait, firstTokenTarget)) {
+        const std::optional<RequestIndex> victim
+            = this->policies.mayEvict ? this->queue.victimBelow(entry.tier, entry.target) : std::nullopt;
+        if (!victim.has_value()) {
+            return notRun(RefusalReason::Overloaded, retryAfter(wait, firstTokenTarget));
+        }
+        // It would be late even without lower tiers, but none of them may wait where it is refused.
+        this->reject(*victim, RefusalReason::Evicted);
+        entry.late = true;
+    }
+    if (!this->makeRoom(entry)) {
+        return notRun(RefusalReason::Overloaded, retryAfter(wait, firstTokenTarget));
+    }
+    return std::nullopt;
+}
+
+QueueSituation Dispatcher::Implementation::situationOf(const QueueEntry &entry, TimePoint now)
+{
+    FairShares &shares = this->queue.shares();
+    const LaneIndex lane = shares.lane(entry.target, entry.tier);
+    const ShareIndex share = shares.share(lane, entry.account, entry.weight);
+    QueueSituation situation;
+    const double free = this->pool.freeSlots(entry.target, entry.cheapAllowed);
+    situation.slots = this->pool.ownInFlight(entry.target) + free;
+    situation.freeSlots = free;
+    situation.holdSeconds = this->forecast.holdSeconds(entry.target);
+    situation.higherWaiting = this->queue.waitingAbove(entry.target, entry.tier);
+    for (int tier = entry.tier - 1; tier >= 0; --tier) {
+        situation.higherArrivalsPerSecond += this->forecast.arrivalsPerSecond(shares.lane(entry.target, tier), now);
+    }
+    situation.tierWaiting = shares.laneWaiting(lane);
+    situation.ownWaiting = shares.waiting(share);
+    const double requestTokens = entry.weight > 0.0 ? this->forecast.outputTokens(entry.requestClass) / entry.weight : 1.0;
+    situation.ownLead = shares.lead(share) / std::max(requestTokens, 1.0);
+    const double otherWeight = shares.laneWeight(lane) - (shares.waiting(share) > 0 ? shares.weight(share) : 0.0);
+    situation.weightRatio = 1.0 + otherWeight / shares.weight(share);
+    const std::uint64_t period = this->queue.floorPeriod(entry.target, entry.requestClass);
+    situation.floorShare = period > 0 ? 1.0 / static_cast<double>(period) : 0.0;
+    situation.classWaiting = this->queue.waitingOfClass(entry.target, entry.requestClass);
+    situation.firstTokenSeconds = this->forecast.firstTokenSeconds(entry.target);
+    return situation;
+}
+
+bool Dispatcher::Implementation::makeRoom(const QueueEntry &entry)
+{
+    if (this->queue.size() < this->options.maxWaiting) {
+        return true;
+    }
+    if (!this->policies.mayEvict) {
+        return false;
+    }
+    std::optional<RequestIndex> victim = this->queue.victimBelow(entry.tier, std::nullopt);
+    if (!victim.has_value()) {
+        FairShares &shares = this->queue.shares();
+        const LaneIndex lane = shares.lane(entry.target, entry.tier);
+        victim = this->queue.victimOfLongest(lane, shares.share(lane, entry.account, entry.weight));
+    }
+    if (victim.has_value()) {
+        this->reject(*victim, RefusalReason::Evicted);
+    }
+    return victim.has_value();
+}
+
+Ticket Dispatcher::Implementation::enqueue(const RequestProfile &profile, QueueEntry entry)
+{
+    const RequestIndex index = this->requests.add();
+    RequestRecord &record = this->requests.record(index);
+    entry.request = index;
+    record.entry = entry;
+    record.deadline = profile.arrival + profile.requestClass.deadline;
+    record.prefixHash = profile.prefixHash;
+    record.fingerprint = profile.fingerprint;
+    record.promptTokens = profile.promptTokens;
+    record.idempotent = profile.idempotent;
+    this->putInQueue(index);
+    this->forecast.noteArrival(this->queue.shares().lane(entry.target, entry.tier), profile.arrival);
+    return this->requests.ticket(index);
+}
+
+void Dispatcher::Implementation::putInQueue(RequestIndex index)
+{
+    RequestRecord &record = this->requests.record(index);
+    record.share = this->queue.add(record.entry);
+    this->deadlines.add(index, record.deadline);
+}
+
+void Dispatcher::Implementation::takeFromQueue(RequestIndex index)
+{
+    this->queue.remove(index);
+    this->deadlines.remove(index);
+}
+
+void Dispatcher::Implementation::reject(RequestIndex index, RefusalReason reason)
+{
+    this->pending.push_back(Rejection{this->requests.ticket(index), this->refusalOf(this->requests.record(index), reason)});
+    this->takeFromQueue(index);
+    this->requests.remove(index);
+}
+
+Refusal Dispatcher::Implementation::refusalOf(const RequestRecord &record, RefusalReason reason) const
+{
+    const std::optional<double> hold = this->forecast.holdSeconds(record.entry.target);
+    const auto seconds
+        = std::chrono::seconds(std::clamp(static_cast<std::int64_t>(hold.value_or(1.0)), std::int64_t{1}, std::int64_t{60}));
+    return Refusal{reason, record.everSent ? RunState::Unknown : RunState::NotRun, seconds};
+}
+
+void Dispatcher::Implementation::dispatch(TimePoint now, Decisions &decisions)
+{
+    decisions.assignments.clear();
+    decisions.rejections.clear();
+    this->rejectExpired(now);
+    if (this->serversChanged) {
+        this->rejectUnservable();
+        this->serversChanged = false;
+    }
+    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
+        if (this->queue.waiting(target) > 0) {
+            this->startWaiting(target, now, decisions);
+        }
+    }
+    decisions.rejections.swap(this->pending);
+}
+
+void Dispatcher::Implementation::rejectExpired(TimePoint now)
+{
+    while (!this->deadlines.isEmpty() && this->deadlines.earliest() <= now) {
+        this->reject(this->deadlines.earliestMember(), RefusalReason::DeadlineMissed);
+    }
+}
+
+void Dispatcher::Implementation::rejectUnservable()
+{
+    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
+        for (const bool cheapAllowed : {false, true}) {
+            while (!this->pool.anyUsable(target, cheapAllowed)) {
+                const std::optional<RequestIndex> request = this->queue.anyWaiting(target, cheapAllowed);
+                if (!request.has_value()) {
+                    break;
+                }
+                this->reject(*request, RefusalReason::NoServer);
+            }
+        }
+    }
+}
+
+void Dispatcher::Implementation::startWaiting(TargetIndex target, TimePoint now, Decisions &decisions)
+{
+    while (true) {
+        const std::optional<RequestIndex> request = this->queue.next(target, this->pool.availability(target), now);
+        if (!request.has_value()) {
+            return;
+        }
+        const RequestRecord &record = this->requests.record(*request);
+        const std::optional<RefusalReason> reason = this->reasonNotToStart(record, now);
+        if (reason.has_value()) {
+            this->reject(*request, *reason);
+            continue;
+        }
+        const SelectionRequest wanted{target, record.entry.cheapAllowed, record.prefixHash, record.failedServer};
+        const ServerIndex server = this->selector.select(this->pool, wanted, now);
+        if (server == noServer) {
+            return;
+        }
+        this->queue.noteStart(*request);
+        this->takeFromQueue(*request);
+        this->start(*request, server, now, decisions);
+    }
+}
+
+std::optional<RefusalReason> Dispatcher::Implementation::reasonNotToStart(const RequestRecord &record, TimePoint now) const
+{
+    const Quarantine::Verdict verdict = this->quarantine.verdict(record.fingerprint, now);
+    if (verdict == Quarantine::Verdict::Refused || verdict == Quarantine::Verdict::Busy) {
+        return RefusalReason::Quarantined;
+    }
+    const double left = std::chrono::duration<double>(record.deadline - now).count();
+    if (left < this->forecast.firstTokenSeconds(record.entry.target)) {
+        return RefusalReason::DeadlineMissed;
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::Implementation::start(RequestIndex index, ServerIndex server, TimePoint now, Decisions &decisions)
+{
+    RequestRecord &record = this->requests.record(index);
+    const bool suspect = this->quarantine.verdict(record.fingerprint, now) == Quarantine::Verdict::Suspect;
+    if (suspect) {
+        this->quarantine.noteStart(record.fingerprint);
+    }
+    ++record.attempts;
+    record.server = server;
+    record.startedAt = now;
+    record.lastTokenAt = now;
+    record.firstTokenSeen = false;
+    record.tokens = 0;
+    record.reservedTokens = this->forecast.outputTokens(record.entry.requestClass);
+    record.outstandingTokens = record.reservedTokens + record.promptTokens;
+    this->queue.shares().charge(record.share, record.outstandingTokens);
+    this->pool.acquire(server, record.entry.target, record.outstandingTokens);
+    decisions.assignments.push_back(Assignment{this->requests.ticket(index), this->pool.server(server).id, suspect});
+}
+
+void Dispatcher::Implementation::cancel(Ticket ticket)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (index.has_value() && !this->requests.record(*index).isRunning()) {
+        this->takeFromQueue(*index);
+        this->requests.remove(*index);
+    }
+}
+
+void Dispatcher::Implementation::setServers(const std::vector<BackendServer> &servers)
+{
+    this->pool.setServers(servers);
+    this->serversChanged = true;
+}
+
+void Dispatcher::Implementation::setExcluded(const DataCentre &dataCentre, bool excluded)
+{
+    this->pool.setExcluded(dataCentre, excluded);
+    this->serversChanged = true;
+}
+
+void Dispatcher::Implementation::notePeerService(const ServiceReport &service)
+{
+    const std::optional<TargetIndex> target = this->pool.findTarget(service.model, service.service);
+    if (!target.has_value()) {
+        return;
+    }
+    FairShares &shares = this->queue.shares();
+    const LaneIndex lane = shares.lane(*target, service.tier);
+    const AccountIndex account = this->accounts.intern(service.clientAccount);
+    shares.notePeerService(shares.share(lane, account, service.weight), service.tokens);
+}
+
+void Dispatcher::Implementation::takeService(std::vector<ServiceReport> &services)
+{
+    services.clear();
+    const FairShares &shares = this->queue.shares();
+    this->queue.shares().takeServed([&](LaneIndex lane, ShareIndex share, std::uint64_t tokens) {
+        const auto &[model, service] = this->pool.targetName(shares.laneTarget(lane));
+        services.push_back(ServiceReport{
+            this->accounts.name(shares.account(share)), model, service, shares.laneTier(lane), shares.weight(share), tokens});
+    });
+}
+
+std::optional<TimePoint> Dispatcher::Implementation::nextWakeup() const
+{
+    return this->deadlines.isEmpty() ? std::nullopt : std::optional(this->deadlines.earliest());
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/dispatcherimplementation.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <flamingosaddle/traffic/deadlineheap.h>
+#include <flamingosaddle/traffic/dispatcher.h>
+#include <flamingosaddle/traffic/forecast.h>
+#include <flamingosaddle/traffic/policies.h>
+#include <flamingosaddle/traffic/quarantine.h>
+#include <flamingosaddle/traffic/requesttable.h>
+#include <flamingosaddle/traffic/retrybudget.h>
+
+namespace flamingosaddle
+{
+
+/**
+ * Composes the modules of the decisions; see Dispatcher for what each call promises.
+ */
+class Dispatcher::Implementation
+{
+public:
+    Implementation(DispatcherOptions options, DispatcherPolicies policies);
+
+    // Commands.
+
+    std::variant<Ticket, Refusal> submit(const RequestProfile &profile, TimePoint now);
+    void dispatch(TimePoint now, Decisions &decisions);
+    void firstToken(Ticket ticket, TimePoint now);
+    void tokens(Ticket ticket, std::uint32_t count, TimePoint now);
+    void finish(Ticket ticket, AttemptEnd end, TimePoint now);
+    std::optional<Refusal> retry(Ticket ticket, AttemptEnd end, bool anyByteSent, TimePoint now);
+    void cancel(Ticket ticket);
+    void setServers(const std::vector<BackendServer> &servers);
+    void setExcluded(const DataCentre &dataCentre, bool excluded);
+    void notePeerService(const ServiceReport &service);
+    void takeService(std::vector<ServiceReport> &services);
+
+    ServerPool pool;
+    Quarantine quarantine;
+
+    // Queries.
+
+    std::size_t waitingCount() const
+    {
+        return this->queue.size();
+    }
+
+    std::size_t runningCount() const
+    {
+        return this->requests.size() - this->queue.size();
+    }
+
+    std::optional<TimePoint> nextWakeup() const;
+
+private:
+    // Parameters of a class that decide how its requests are queued.
+    struct ClassKey {
+        ClassName name;
+        int tier = 0;
+        double floorShare = 0.0;
+        bool cheapAllowed = true;
+
+        friend bool operator==(const ClassKey &, const ClassKey &) = default;
+    };
+
+    struct ClassKeyHash {
+        std::size_t operator()(const ClassKey &key) const noexcept;
+    };
+
+    QueueEntry entryOf(const RequestProfile &profile, TargetIndex target);
+    ClassIndex internClass(const RequestClass &requestClass);
+    QueueSituation situationOf(const QueueEntry &entry, TimePoint now);
+    std::optional<Refusal> refuseByForecast(QueueEntry &entry, std::chrono::milliseconds firstTokenTarget, TimePoint now);
+    bool makeRoom(const QueueEntry &entry);
+    Ticket enqueue(const RequestProfile &profile, QueueEntry entry);
+    void putInQueue(RequestIndex index);
+    void takeFromQueue(RequestIndex index);
+    void reject(RequestIndex index, RefusalReason reason);
+    Refusal refusalOf(const RequestRecord &record, RefusalReason reason) const;
+    void rejectExpired(TimePoint now);
+    void rejectUnservable();
+    void startWaiting(TargetIndex target, TimePoint now, Decisions &decisions);
+    std::optional<RefusalReason> reasonNotToStart(const RequestRecord &record, TimePoint now) const;
+    void start(RequestIndex index, ServerIndex server, TimePoint now, Decisions &decisions);
+    void endAttempt(RequestRecord &record, AttemptEnd end, TimePoint now);
+    void noteServerOutcome(const RequestRecord &record, AttemptEnd end, TimePoint now);
+    std::optional<RefusalReason> reasonNotToRetry(const RequestRecord &record, AttemptEnd end, TimePoint now);
+
+    DispatcherOptions options;
+    DispatcherPolicies policies;
+    FairQueue queue;
+    Selector selector;
+    Forecast forecast;
+    RetryBudget retryBudget;
+    RequestTable requests;
+    DeadlineHeap deadlines; // of waiting requests
+    Interner<ClientAccountId> accounts;
+    Interner<ClassKey, ClassKeyHash> classes;
+    ClassKey classKey; // kept so that a look-up copies into existing memory
+    std::vector<Rejection> pending; // that the next dispatch() hands out
+    bool serversChanged = false;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/fairqueue.cpp
@@ -0,0 +1,350 @@
+#include <flamingosaddle/traffic/fairqueue.h>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr RequestIndex noRequest = std::numeric_limits<RequestIndex>::max();
+
+std::uint64_t groupKey(const QueueEntry &entry)
+{
+    // 31 bits of the class are far more than there can be.
+    return (static_cast<std::uint64_t>(entry.target) << 32) | (entry.requestClass << 1) | (entry.late ? 1U : 0U);
+}
+
+} // namespace
+
+FairQueue::FairQueue(ServeBefore before)
+    : before(std::move(before))
+{
+}
+
+ShareIndex FairQueue::add(const QueueEntry &entry)
+{
+    if (entry.request >= this->nodes.size()) {
+        this->nodes.resize(entry.request + 1);
+    }
+    const FlowIndex flow = this->flowOf(this->groupOf(entry), entry);
+    this->nodes[entry.request].entry = entry;
+    this->link(flow, entry.request);
+    const ShareIndex share = this->flows[flow].share;
+    this->fairShares.addWaiting(share);
+    ++this->targets[entry.target].waiting;
+    ++this->count;
+    return share;
+}
+
+void FairQueue::remove(RequestIndex request)
+{
+    const ShareIndex share = this->flows[this->nodes[request].flow].share;
+    this->unlink(request);
+    this->fairShares.removeWaiting(share);
+    --this->targets[this->nodes[request].entry.target].waiting;
+    --this->count;
+}
+
+std::optional<RequestIndex> FairQueue::next(TargetIndex index, Availability available, TimePoint now)
+{
+    if (index >= this->targets.size()) {
+        return std::nullopt;
+    }
+    const Target &target = this->targets[index];
+    while (target.waiting > 0) {
+        std::optional<FlowIndex> flow;
+        if (this->before) {
+            flow = this->flowByPolicy(target, available);
+        } else {
+            flow = this->dueFlow(target, available);
+            flow = flow.has_value() ? flow : this->nextFlow(target, available);
+        }
+        if (!flow.has_value()) {
+            return std::nullopt;
+        }
+        const RequestIndex request = this->flows[*flow].head;
+        const QueueEntry &entry = this->nodes[request].entry;
+        if (!this->before && !entry.late && entry.lateAt <= now) {
+            this->makeLate(request);
+            continue;
+        }
+        return request;
+    }
+    return std::nullopt;
+}
+
+void FairQueue::noteStart(RequestIndex request)
+{
+    const Node &node = this->nodes[request];
+    this->fairShares.notePicked(this->flows[node.flow].share);
+    this->targets[node.entry.target].floors.noteStart(node.entry.requestClass);
+}
+
+std::uint32_t FairQueue::waiting(TargetIndex target) const
+{
+    return target < this->targets.size() ? this->targets[target].waiting : 0;
+}
+
+std::uint32_t FairQueue::waitingAbove(TargetIndex target, int tier) const
+{
+    std::uint32_t sum = 0;
+    if (target < this->targets.size()) {
+        for (const GroupIndex group : this->targets[target].groups) {
+            sum += this->groups[group].tier < tier ? this->groups[group].waiting : 0;
+        }
+    }
+    return sum;
+}
+
+std::uint32_t FairQueue::waitingOfClass(TargetIndex target, ClassIndex requestClass) const
+{
+    std::uint32_t sum = 0;
+    if (target < this->targets.size()) {
+        for (const GroupIndex group : this->targets[target].groups) {
+            sum += this->groups[group].requestClass == requestClass ? this->groups[group].waiting : 0;
+        }
+    }
+    return sum;
+}
+
+std::optional<RequestIndex> FairQueue::anyWaiting(TargetIndex target, bool cheapAllowed) const
+{
+    if (target < this->targets.size()) {
+        for (const GroupIndex index : this->targets[target].groups) {
+            const Group &group = this->groups[index];
+            if (group.cheapAllowed == cheapAllowed && group.waiting > 0) {
+                return this->flows[group.active.front()].head;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t FairQueue::floorPeriod(TargetIndex target, ClassIndex requestClass) const
+{
+    return target < this->targets.size() ? this->targets[target].floors.period(requestClass) : 0;
+}
+
+std::optional<RequestIndex> FairQueue::victimBelow(int tier, std::optional<TargetIndex> target) const
+{
+    std::optional<FlowIndex> victim;
+    const auto rank = [this](FlowIndex flow) {
+        const Group &group = this->groups[this->flows[flow].group];
+        return std::tuple(group.tier, group.late, this->fairShares.counter(this->flows[flow].share));
+    };
+    for (const Group &group : this->groups) {
+        if (group.tier <= tier || (target.has_value() && group.target != *target)) {
+            continue;
+        }
+        for (const FlowIndex flow : group.active) {
+            if (!victim.has_value() || rank(flow) > rank(*victim)) {
+                victim = flow;
+            }
+        }
+    }
+    return victim.has_value() ? std::optional(this->flows[*victim].tail) : std::nullopt;
+}
+
+std::optional<RequestIndex> FairQueue::victimOfLongest(LaneIndex lane, ShareIndex share) const
+{
+    const auto length = [this](ShareIndex other) {
+        return this->fairShares.waiting(other) / this->fairShares.weight(other);
+    };
+    double longest = (this->fairShares.waiting(share) + 1) / this->fairShares.weight(share);
+    std::optional<FlowIndex> victim;
+    for (const Group &group : this->groups) {
+        if (group.target != this->fairShares.laneTarget(lane) || group.tier != this->fairShares.laneTier(lane)) {
+            continue;
+        }
+        for (const FlowIndex flow : group.active) {
+            const ShareIndex other = this->flows[flow].share;
+            if (other != share && length(other) > longest) {
+                longest = length(other);
+                victim = flow;
+            }
+        }
+    }
+    return victim.has_value() ? std::optional(this->flows[*victim].tail) : std::nullopt;
+}
+
+FairQueue::GroupIndex FairQueue::groupOf(const QueueEntry &entry)
+{
+    const auto found = this->groupIndices.find(groupKey(entry));
+    if (found != this->groupIndices.end()) {
+        return found->second;
+    }
+    const auto index = static_cast<GroupIndex>(this->groups.size());
+    this->groups.push_back(Group{entry.target, entry.requestClass, entry.tier, entry.late, entry.cheapAllowed, 0, 0, {}});
+    this->groupIndices.emplace(groupKey(entry), index);
+    if (entry.target >= this->targets.size()) {
+        this->targets.resize(entry.target + 1);
+    }
+    Target &target = this->targets[entry.target];
+    target.floors.addClass(entry.requestClass, entry.floorShare);
+    target.groups.push_back(index);
+    std::sort(target.groups.begin(), target.groups.end(), [this](GroupIndex left, GroupIndex right) {
+        const Group &first = this->groups[left];
+        const Group &second = this->groups[right];
+        return std::tuple(first.tier, first.late, left) < std::tuple(second.tier, second.late, right);
+    });
+    return index;
+}
+
+FairQueue::FlowIndex FairQueue::flowOf(GroupIndex group, const QueueEntry &entry)
+{
+    const LaneIndex lane = this->fairShares.lane(entry.target, entry.tier);
+    const ShareIndex share = this->fairShares.share(lane, entry.account, entry.weight);
+    const std::uint64_t key = (static_cast<std::uint64_t>(group) << 32) | entry.account;
+    const auto found = this->flowIndices.find(key);
+    if (found != this->flowIndices.end()) {
+        return found->second;
+    }
+    const auto index = static_cast<FlowIndex>(this->flows.size());
+    this->flows.push_back(Flow{group, share, noRequest, noRequest, 0, 0});
+    this->flowIndices.emplace(key, index);
+    this->makeRoom(this->groups[group]);
+    return index;
+}
+
+void FairQueue::makeRoom(Group &group)
+{
+    ++group.flowCount;
+    if (group.active.capacity() < group.flowCount) {
+        group.active.reserve(2 * static_cast<std::size_t>(group.flowCount));
+    }
+}
+
+void FairQueue::link(FlowIndex index, RequestIndex request)
+{
+    Flow &flow = this->flows[index];
+    Group &group = this->groups[flow.group];
+    Node &node = this->nodes[request];
+    node.flow = index;
+    node.previous = flow.waiting == 0 ? noRequest : flow.tail;
+    node.next = noRequest;
+    if (flow.waiting == 0) {
+        flow.head = request;
+        flow.activePosition = static_cast<std::uint32_t>(group.active.size());
+        group.active.push_back(index);
+    } else {
+        this->nodes[flow.tail].next = request;
+    }
+    flow.tail = request;
+    ++flow.waiting;
+    ++group.waiting;
+}
+
+void FairQueue::unlink(RequestIndex request)
+{
+    const Node &node = this->nodes[request];
+    Flow &flow = this->flows[node.flow];
+    Group &group = this->groups[flow.group];
+    (node.previous == noRequest ? flow.head : this->nodes[node.previous].next) = node.next;
+    (node.next == noRequest ? flow.tail : this->nodes[node.next].previous) = node.previous;
+    --flow.waiting;
+    --group.waiting;
+    if (flow.waiting == 0) {
+        const FlowIndex moved = group.active.back();
+        group.active[flow.activePosition] = moved;
+        this->flows[moved].activePosition = flow.activePosition;
+        group.active.pop_back();
+    }
+}
+
+bool FairQueue::canStart(const Group &group, Availability available) const
+{
+    return group.waiting > 0 && (available.reliable || (available.cheap && group.cheapAllowed));
+}
+
+bool FairQueue::isBetter(FlowIndex left, FlowIndex right) const
+{
+    const double leftCounter = this->fairShares.counter(this->flows[left].share);
+    const double rightCounter = this->fairShares.counter(this->flows[right].share);
+    if (leftCounter != rightCounter) {
+        return leftCounter < rightCounter;
+    }
+    return this->nodes[this->flows[left].head].entry.arrival < this->nodes[this->flows[right].head].entry.arrival;
+}
+
+void FairQueue::improve(const Group &group, std::optional<FlowIndex> &best) const
+{
+    for (const FlowIndex flow : group.active) {
+        if (!best.has_value() || this->isBetter(flow, *best)) {
+            best = flow;
+        }
+    }
+}
+
+std::optional<FairQueue::FlowIndex> FairQueue::dueFlow(const Target &target, Availability available) const
+{
+    const auto startable = [&](GroupIndex index, ClassIndex requestClass) {
+        return this->groups[index].requestClass == requestClass && this->canStart(this->groups[index], available);
+    };
+    const ClassIndex due = target.floors.due([&](ClassIndex requestClass) {
+        return std::any_of(target.groups.begin(), target.groups.end(), [&](GroupIndex index) {
+            return startable(index, requestClass);
+        });
+    });
+    std::optional<FlowIndex> best;
+    for (const GroupIndex index : target.groups) {
+        if (!best.has_value() && due != FloorCredits::none && startable(index, due)) {
+            this->improve(this->groups[index], best);
+        }
+    }
+    return best;
+}
+
+std::optional<FairQueue::FlowIndex> FairQueue::nextFlow(const Target &target, Availability available) const
+{
+    std::optional<FlowIndex> best;
+    const Group *level = nullptr;
+    for (const GroupIndex index : target.groups) {
+        const Group &group = this->groups[index];
+        if (level != nullptr && (group.tier != level->tier || group.late != level->late)) {
+            break;
+        }
+        if (this->canStart(group, available)) {
+            level = &group;
+            this->improve(group, best);
+        }
+    }
+    return best;
+}
+
+std::optional<FairQueue::FlowIndex> FairQueue::flowByPolicy(const Target &target, Availability available) const
+{
+    std::optional<FlowIndex> best;
+    const auto head = [this](FlowIndex index) {
+        const Flow &flow = this->flows[index];
+        const QueueEntry &entry = this->nodes[flow.head].entry;
+        return QueueHead{flow.head, entry.tier, this->fairShares.counter(flow.share), entry.arrival};
+    };
+    for (const GroupIndex index : target.groups) {
+        const Group &group = this->groups[index];
+        if (!this->canStart(group, available)) {
+            continue;
+        }
+        for (const FlowIndex flow : group.active) {
+            if (!best.has_value() || this->before(head(flow), head(*best))) {
+                best = flow;
+            }
+        }
+    }
+    return best;
+}
+
+void FairQueue::makeLate(RequestIndex request)
+{
+    QueueEntry entry = this->nodes[request].entry;
+    entry.late = true;
+    const FlowIndex flow = this->flowOf(this->groupOf(entry), entry);
+    this->unlink(request);
+    this->nodes[request].entry = entry;
+    this->link(flow, request);
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/quarantine.cpp
@@ -0,0 +1,99 @@
+#include <flamingosaddle/traffic/quarantine.h>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+Quarantine::Quarantine(std::uint32_t maxDeaths)
+    : maxDeaths(maxDeaths)
+{
+}
+
+void Quarantine::noteDeath(std::uint64_t fingerprint, std::uint64_t server, TimePoint now)
+{
+    if (fingerprint == 0) {
+        return;
+    }
+    Entry &entry = this->entryOf(fingerprint, now);
+    const bool repeated = entry.deaths > 0 && entry.lastServer == server && now - entry.lastDeath < repeatInterval;
+    if (!repeated) {
+        ++entry.deaths;
+    }
+    entry.lastServer = server;
+    entry.lastDeath = now;
+    entry.expires = now + expiry;
+}
+
+void Quarantine::notePeerRun(std::uint64_t fingerprint, TimePoint until, TimePoint now)
+{
+    if (fingerprint == 0) {
+        return;
+    }
+    Entry &entry = this->entryOf(fingerprint, now);
+    entry.deaths = std::max(entry.deaths, 1U);
+    entry.peerRunsUntil = std::max(entry.peerRunsUntil, until);
+}
+
+void Quarantine::noteStart(std::uint64_t fingerprint)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end()) {
+        ++found->second.running;
+    }
+}
+
+void Quarantine::noteEnd(std::uint64_t fingerprint)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end() && found->second.running > 0) {
+        --found->second.running;
+    }
+}
+
+Quarantine::Verdict Quarantine::verdict(std::uint64_t fingerprint, TimePoint now) const
+{
+    const auto found = this->entries.find(fingerprint);
+    if (fingerprint == 0 || found == this->entries.end() || found->second.expires <= now) {
+        return Verdict::Clear;
+    }
+    const Entry &entry = found->second;
+    if (entry.deaths >= this->maxDeaths) {
+        return Verdict::Refused;
+    }
+    return entry.running > 0 || entry.peerRunsUntil > now ? Verdict::Busy : Verdict::Suspect;
+}
+
+Quarantine::Entry &Quarantine::entryOf(std::uint64_t fingerprint, TimePoint now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end()) {
+        if (found->second.expires <= now) {
+            found->second.deaths = 0;
+            found->second.expires = now + expiry;
+        }
+        return found->second;
+    }
+    if (this->entries.size() >= capacity) {
+        this->makeRoom(now);
+    }
+    Entry entry;
+    entry.expires = now + expiry;
+    return this->entries.emplace(fingerprint, entry).first->second;
+}
+
+void Quarantine::makeRoom(TimePoint now)
+{
+    std::erase_if(this->entries, [now](const auto &item) {
+        return item.second.expires <= now;
+    });
+    if (this->entries.size() < capacity) {
+        return;
+    }
+    const auto oldest = std::min_element(this->entries.begin(), this->entries.end(), [](const auto &left, const auto &right) {
+        return left.second.expires < right.second.expires;
+    });
+    this->entries.erase(oldest);
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/selection.cpp
@@ -0,0 +1,169 @@
+#include <flamingosaddle/traffic/selection.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr double unknownRequestTokens = 500.0; // of a peer's request, while nothing was measured
+
+// Mixes a server's hash and a prefix hash into a rendezvous weight (the finaliser of splitmix64).
+std::uint64_t mixedWeight(std::uint64_t nameHash, std::uint64_t prefixHash)
+{
+    std::uint64_t value = nameHash ^ (prefixHash * 0x9e3779b97f4a7c15ULL);
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+double expectedTokens(const ServerState &state)
+{
+    const double each = state.inFlight > 0 ? state.ownTokens / state.inFlight : unknownRequestTokens;
+    const double known = state.ownTokens + state.peersInFlight * each;
+    return std::max(known, static_cast<double>(state.reportedTokens)) * state.slowdown / std::max(state.slots, 1U);
+}
+
+} // namespace
+
+Selector::Selector(std::uint64_t seed, ChooseServer choose)
+    : random(seed)
+    , choose(std::move(choose))
+{
+}
+
+ServerIndex Selector::select(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
+{
+    if (this->choose) {
+        return this->byChoice(pool, request);
+    }
+    const ServerIndex affine = request.prefixHash == 0 ? noServer : this->byAffinity(pool, request, now);
+    return affine == noServer ? this->byTwoDraws(pool, request, now) : affine;
+}
+
+ServerIndex Selector::byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const
+{
+    const Candidate *first = nullptr;
+    const Candidate *second = nullptr;
+    std::uint64_t firstWeight = 0;
+    std::uint64_t secondWeight = 0;
+    for (const Candidate &candidate : pool.candidates(request.target)) {
+        const std::uint64_t weight = mixedWeight(candidate.nameHash, request.prefixHash);
+        if (first == nullptr || weight > firstWeight) {
+            second = first;
+            secondWeight = firstWeight;
+            first = &candidate;
+            firstWeight = weight;
+        } else if (second == nullptr || weight > secondWeight) {
+            second = &candidate;
+            secondWeight = weight;
+        }
+    }
+    for (const Candidate *candidate : {first, second}) {
+        if (candidate != nullptr && candidate->server != request.failedServer
+            && (request.cheapAllowed || !pool.server(candidate->server).cheap)
+            && this->isWithinBound(pool, request.target, *candidate, now)) {
+            return candidate->server;
+        }
+    }
+    return noServer;
+}
+
+bool Selector::isWithinBound(const ServerPool &pool, TargetIndex target, const Candidate &candidate, TimePoint now) const
+{
+    const ServerState &state = pool.server(candidate.server);
+    const bool isFree = candidate.freePosition != std::numeric_limits<std::uint32_t>::max();
+    if (!isFree || state.avoidUntil > now || pool.isStraggler(candidate.server, now)) {
+        return false;
+    }
+    const double mean = static_cast<double>(pool.load(target) + 1) / std::max(pool.slots(target), 1U);
+    const double load = state.inFlight + state.peersInFlight;
+    return load + 1.0 <= std::max(1.0, affinityBound * mean * state.slots);
+}
+
+ServerIndex Selector::byChoice(const ServerPool &pool, const SelectionRequest &request)
+{
+    this->views.clear();
+    for (const bool cheap : {false, true}) {
+        if (cheap && !request.cheapAllowed) {
+            continue;
+        }
+        for (const std::uint32_t position : pool.free(request.target, cheap)) {
+            const ServerIndex server = pool.candidates(request.target)[position].server;
+            const ServerState &state = pool.server(server);
+            this->views.push_back(ServerView{server, state.slots, state.inFlight, state.peersInFlight});
+        }
+    }
+    return this->views.empty() ? noServer : this->views[this->choose(this->views)].server;
+}
+
+ServerIndex Selector::byTwoDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
+{
+    const std::vector<std::uint32_t> &reliable = pool.free(request.target, false);
+    const std::vector<std::uint32_t> &cheap = pool.free(request.target, true);
+    const std::size_t count = reliable.size() + (request.cheapAllowed ? cheap.size() : 0);
+    if (count == 0) {
+        return noServer;
+    }
+    const auto serverAt = [&](std::size_t draw) {
+        const std::uint32_t position = draw < reliable.size() ? reliable[draw] : cheap[draw - reliable.size()];
+        return pool.candidates(request.target)[position].server;
+    };
+    const std::size_t firstDraw = this->random() % count;
+    const std::size_t secondDraw = count == 1 ? firstDraw : (firstDraw + 1 + this->random() % (count - 1)) % count;
+    const ServerIndex first = serverAt(firstDraw);
+    const ServerIndex second = serverAt(secondDraw);
+    const Penalty firstPenalty = this->penalty(pool, request, first, now);
+    const Penalty secondPenalty = this->penalty(pool, request, second, now);
+    if (std::min(firstPenalty.level, secondPenalty.level) > 0) {
+        return this->byScan(pool, request, now);
+    }
+    const bool firstIsBetter = std::tuple(firstPenalty.level, firstPenalty.expectedTokens)
+        <= std::tuple(secondPenalty.level, secondPenalty.expectedTokens);
+    return firstIsBetter ? first : second;
+}
+
+ServerIndex Selector::byScan(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const
+{
+    ServerIndex best = noServer;
+    Penalty least;
+    for (const bool cheap : {false, true}) {
+        if (cheap && !request.cheapAllowed) {
+            continue;
+        }
+        for (const std::uint32_t position : pool.free(request.target, cheap)) {
+            const ServerIndex server = pool.candidates(request.target)[position].server;
+            const Penalty penalty = this->penalty(pool, request, server, now);
+            if (best == noServer
+                || std::tuple(penalty.level, penalty.expectedTokens) < std::tuple(least.level, least.expectedTokens)) {
+                best = server;
+                least = penalty;
+            }
+        }
+    }
+    return best;
+}
+
+Selector::Penalty Selector::penalty(
+    const ServerPool &pool, const SelectionRequest &request, ServerIndex server, TimePoint now) const
+{
+    const ServerState &state = pool.server(server);
+    int level = 0;
+    if (state.avoidUntil > now) {
+        level += 8;
+    }
+    if (server == request.failedServer) {
+        level += 4;
+    } else if (request.failedServer != noServer && state.zone == pool.server(request.failedServer).zone) {
+        level += 1;
+    }
+    if (pool.isStraggler(server, now)) {
+        level += 2;
+    }
+    return Penalty{level, expectedTokens(state)};
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/serverpool.cpp
@@ -0,0 +1,342 @@
+#include <flamingosaddle/traffic/serverpool.h>
+
+#include <flamingosaddle/base/hash.h>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::uint32_t notFree = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace
+
+std::size_t ServerPool::TargetNameHash::operator()(const std::pair<ModelName, ServiceName> &name) const noexcept
+{
+    return hash64(name.second.text(), hash64(name.first.text()));
+}
+
+void ServerPool::setServers(const std::vector<BackendServer> &configured)
+{
+    for (ServerState &state : this->servers) {
+        state.present = false;
+    }
+    for (const BackendServer &server : configured) {
+        this->place(server);
+    }
+    for (ServerState &state : this->servers) {
+        if (!state.present && state.inFlight == 0 && !state.id.isEmpty()) {
+            this->serverNames.release(state.id);
+            state = ServerState();
+        }
+    }
+    this->rebuildTargets();
+}
+
+void ServerPool::place(const BackendServer &configured)
+{
+    const ServerIndex index = this->serverNames.intern(configured.id);
+    if (index >= this->servers.size()) {
+        this->servers.resize(index + 1);
+    }
+    ServerState &state = this->servers[index];
+    state.id = configured.id;
+    state.nameHash = hash64(configured.id.text());
+    state.zone = this->zoneNames.intern(configured.dataCentre);
+    state.slots = configured.slots;
+    state.cheap = configured.cheap;
+    state.leaving = configured.leaving;
+    state.present = true;
+    std::vector<ServerPlace> before;
+    before.swap(state.places);
+    if (configured.kind == BackendKind::Service) {
+        this->addPlace(state, before, this->internTarget(ModelName(), configured.service));
+        return;
+    }
+    for (const ModelName &model : configured.models) {
+        this->addPlace(state, before, this->internTarget(model, ServiceName()));
+    }
+}
+
+void ServerPool::addPlace(ServerState &state, const std::vector<ServerPlace> &before, TargetIndex target)
+{
+    ServerPlace place{target, 0, 0};
+    for (const ServerPlace &earlier : before) {
+        if (earlier.target == target) {
+            place.inFlight = earlier.inFlight;
+        }
+    }
+    state.places.push_back(place);
+}
+
+TargetIndex ServerPool::internTarget(const ModelName &model, const ServiceName &service)
+{
+    const TargetIndex index = this->targetNames.intern({model, service});
+    if (index >= this->targets.size()) {
+        this->targets.resize(index + 1);
+    }
+    return index;
+}
+
+void ServerPool::report(const ServerReport &report)
+{
+    const std::optional<ServerIndex> index = this->serverNames.find(report.server);
+    if (!index.has_value() || this->servers[*index].reportedAt > report.measuredAt) {
+        return;
+    }
+    ServerState &state = this->servers[*index];
+    const std::int64_t change = static_cast<std::int64_t>(report.peersInFlight) - state.peersInFlight;
+    state.peersInFlight = report.peersInFlight;
+    state.reportedTokens = report.waitingTokens;
+    state.reportedAt = report.measuredAt;
+    this->changeLoad(*index, change);
+    this->refresh(*index);
+}
+
+void ServerPool::setExcluded(const DataCentre &dataCentre, bool excluded)
+{
+    const ZoneIndex zone = this->zoneNames.intern(dataCentre);
+    if (zone >= this->excludedZones.size()) {
+        this->excludedZones.resize(zone + 1, false);
+    }
+    this->excludedZones[zone] = excluded;
+    this->rebuildTargets();
+}
+
+void ServerPool::setInstanceCount(std::uint32_t count)
+{
+    this->instanceCount = count;
+    this->rebuildTargets();
+}
+
+void ServerPool::acquire(ServerIndex index, TargetIndex target, double tokens)
+{
+    this->servers[index].ownTokens += tokens;
+    this->changeInFlight(index, target, 1);
+}
+
+void ServerPool::release(ServerIndex index, TargetIndex target, double tokens)
+{
+    ServerState &state = this->servers[index];
+    state.ownTokens = std::max(0.0, state.ownTokens - tokens);
+    this->changeInFlight(index, target, -1);
+    if (!state.present && state.inFlight == 0) {
+        this->serverNames.release(state.id);
+        state = ServerState();
+    }
+}
+
+void ServerPool::changeInFlight(ServerIndex index, TargetIndex targetIndex, std::int64_t change)
+{
+    ServerState &state = this->servers[index];
+    Target &target = this->targets[targetIndex];
+    state.inFlight = static_cast<std::uint32_t>(state.inFlight + change);
+    target.ownInFlight = static_cast<std::uint32_t>(target.ownInFlight + change);
+    for (ServerPlace &place : state.places) {
+        if (place.target == targetIndex) {
+            place.inFlight = static_cast<std::uint32_t>(place.inFlight + change);
+        }
+    }
+    if (!this->isUsable(state)) {
+        return;
+    }
+    this->changeLoad(index, change);
+    if (state.cheap) {
+        Zone &zone = target.zones[state.zone];
+        zone.inFlight = static_cast<std::uint32_t>(zone.inFlight + change);
+    }
+    this->refresh(index);
+    this->refreshZone(targetIndex, state.zone);
+}
+
+void ServerPool::noteProgress(ServerIndex index, double tokens)
+{
+    ServerState &state = this->servers[index];
+    state.ownTokens = std::max(0.0, state.ownTokens - tokens);
+}
+
+std::optional<ServerIndex> ServerPool::find(const BackendServerId &id) const
+{
+    return this->serverNames.find(id);
+}
+
+Availability ServerPool::availability(TargetIndex target) const
+{
+    return Availability{!this->targets[target].freeReliable.empty(), !this->targets[target].freeCheap.empty()};
+}
+
+std::optional<TargetIndex> ServerPool::findTarget(const ModelName &model, const ServiceName &service)
+{
+    this->targetKey.first = model;
+    this->targetKey.second = service;
+    return this->targetNames.find(this->targetKey);
+}
+
+std::uint32_t ServerPool::freeSlots(TargetIndex target, bool cheapAllowed) const
+{
+    std::uint32_t sum = 0;
+    for (const bool cheap : {false, true}) {
+        if (cheap && !cheapAllowed) {
+            continue;
+        }
+        for (const std::uint32_t position : this->free(target, cheap)) {
+            const ServerState &state = this->servers[this->targets[target].candidates[position].server];
+            const std::uint32_t usable = this->usableSlots(state);
+            sum += std::max(usable, state.inFlight + 1) - state.inFlight;
+        }
+    }
+    return sum;
+}
+
+bool ServerPool::anyUsable(TargetIndex target, bool cheapAllowed) const
+{
+    return this->targets[target].reliableCount > 0 || (cheapAllowed && !this->targets[target].candidates.empty());
+}
+
+bool ServerPool::isExcluded(ServerIndex index) const
+{
+    const ServerState &state = this->servers[index];
+    return state.cheap && state.zone < this->excludedZones.size() && this->excludedZones[state.zone];
+}
+
+bool ServerPool::isUsable(const ServerState &state) const
+{
+    const bool excluded = state.cheap && state.zone < this->excludedZones.size() && this->excludedZones[state.zone];
+    return state.present && !state.leaving && !excluded;
+}
+
+void ServerPool::rebuildTargets()
+{
+    for (Target &target : this->targets) {
+        target.candidates.clear();
+        target.freeReliable.clear();
+        target.freeCheap.clear();
+        target.zones.resize(this->zoneNames.size());
+        target.reliableCount = 0;
+        target.slots = 0;
+        target.load = 0;
+        std::fill(target.zones.begin(), target.zones.end(), Zone());
+    }
+    for (ServerIndex index = 0; index < this->servers.size(); ++index) {
+        if (this->isUsable(this->servers[index])) {
+            for (ServerPlace &place : this->servers[index].places) {
+                place.position = static_cast<std::uint32_t>(this->targets[place.target].candidates.size());
+                this->addCandidate(index, place);
+            }
+        }
+    }
+    for (ServerIndex index = 0; index < this->servers.size(); ++index) {
+        this->refresh(index);
+    }
+    this->scratch.reserve(this->servers.size());
+}
+
+void ServerPool::addCandidate(ServerIndex index, const ServerPlace &place)
+{
+    const ServerState &state = this->servers[index];
+    Target &target = this->targets[place.target];
+    target.candidates.push_back(Candidate{index, state.nameHash, notFree});
+    target.slots += state.slots;
+    target.load += state.inFlight + state.peersInFlight;
+    if (state.cheap) {
+        target.zones[state.zone].slots += state.slots;
+        target.zones[state.zone].inFlight += place.inFlight;
+        target.freeCheap.reserve(target.candidates.size());
+    } else {
+        ++target.reliableCount;
+        target.freeReliable.reserve(target.candidates.size());
+    }
+}
+
+std::uint32_t ServerPool::usableSlots(const ServerState &state) const
+{
+    if (state.slowdown < stragglerSlowdown) {
+        return state.slots;
+    }
+    return std::max(std::min(state.slots, 1U), static_cast<std::uint32_t>(state.slots / state.slowdown));
+}
+
+bool ServerPool::hasFreeSlot(const ServerState &state, const Target &target) const
+{
+    const std::uint32_t usable = this->usableSlots(state);
+    const std::uint32_t evenPart = this->instanceCount > 1 ? usable / this->instanceCount : 0;
+    const bool slotFree = state.inFlight + state.peersInFlight < usable || state.inFlight < evenPart;
+    return slotFree && !this->isZoneFull(state, target);
+}
+
+bool ServerPool::isZoneFull(const ServerState &state, const Target &target) const
+{
+    if (!state.cheap) {
+        return false;
+    }
+    const Zone &zone = target.zones[state.zone];
+    const std::uint32_t elsewhere = target.slots - zone.slots;
+    return elsewhere > 0 && zone.inFlight >= elsewhere;
+}
+
+void ServerPool::refresh(ServerIndex index)
+{
+    const ServerState &state = this->servers[index];
+    if (!this->isUsable(state)) {
+        return;
+    }
+    for (const ServerPlace &place : state.places) {
+        this->refreshPlace(index, place.target, place.position);
+    }
+}
+
+void ServerPool::refreshPlace(ServerIndex index, TargetIndex targetIndex, std::uint32_t position)
+{
+    Target &target = this->targets[targetIndex];
+    const ServerState &state = this->servers[index];
+    std::vector<std::uint32_t> &free = state.cheap ? target.freeCheap : target.freeReliable;
+    Candidate &candidate = target.candidates[position];
+    const bool isFree = this->hasFreeSlot(state, target);
+    if (isFree && candidate.freePosition == notFree) {
+        candidate.freePosition = static_cast<std::uint32_t>(free.size());
+        free.push_back(position);
+    } else if (!isFree && candidate.freePosition != notFree) {
+        const std::uint32_t moved = free.back();
+        free[candidate.freePosition] = moved;
+        target.candidates[moved].freePosition = candidate.freePosition;
+        free.pop_back();
+        candidate.freePosition = notFree;
+    }
+}
+
+void ServerPool::refreshZone(TargetIndex targetIndex, ZoneIndex zoneIndex)
+{
+    const Target &target = this->targets[targetIndex];
+    if (zoneIndex >= target.zones.size() || target.zones[zoneIndex].slots == 0) {
+        return;
+    }
+    const Zone &zone = target.zones[zoneIndex];
+    const std::uint32_t elsewhere = target.slots - zone.slots;
+    // Only a step over the bound, in one direction or the other, changes which servers are free.
+    if (zone.inFlight != elsewhere && zone.inFlight + 1 != elsewhere) {
+        return;
+    }
+    for (std::uint32_t position = 0; position < target.candidates.size(); ++position) {
+        const ServerIndex server = target.candidates[position].server;
+        if (this->servers[server].cheap && this->servers[server].zone == zoneIndex) {
+            this->refreshPlace(server, targetIndex, position);
+        }
+    }
+}
+
+void ServerPool::changeLoad(ServerIndex index, std::int64_t change)
+{
+    const ServerState &state = this->servers[index];
+    if (!this->isUsable(state)) {
+        return;
+    }
+    for (const ServerPlace &place : state.places) {
+        Target &target = this->targets[place.target];
+        target.load = static_cast<std::uint32_t>(target.load + change);
+    }
+}
+
+} // namespace flamingosaddle
