--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -119,10 +119,12 @@
     /** Appends one record and answers its offset. */
     std::function<Answer<std::uint64_t>(LogStream stream, std::string body)> append;
     /**
-     * Reads records from @p from on, waiting up to @p wait for one to come. Fails with Trimmed when the log no longer
-     * holds @p from; the message names the oldest offset.
+     * Reads records from @p from on, waiting up to @p wait for one to come. When the log no longer holds @p from, the
+     * batch has no records and its firstOffset is above @p from.
      */
     std::function<Answer<LogBatch>(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait)> read;
+    /** The offset that the next append to the stream gets. */
+    std::function<Answer<std::uint64_t>(LogStream stream)> head;
     std::function<Answer<std::vector<InstanceEntry>>()> instances;
     std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
     std::function<Answer<void>(PlatformOrder order)> order;
--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -203,17 +203,6 @@
     return fields.text("message");
 }
 
-Error trimmed(std::string_view body)
-{
-    const Json json = Json::parse(body, nullptr, false);
-    FieldReader fields(json);
-    const std::uint64_t first = fields.number("first");
-    if (auto fault = fields.fault()) {
-        return std::move(*fault);
-    }
-    return {ErrorKind::Trimmed, "the log begins at offset " + std::to_string(first), "load a snapshot and read on from there"};
-}
-
 } // namespace
 
 std::string encodeOrder(const PlatformOrder &order)
@@ -272,6 +261,20 @@
     return batch;
 }
 
+Result<LogBatch> decodeTrimmed(std::string_view body)
+{
+    BOOST_OUTCOME_TRY(json, parse(body));
+    FieldReader fields(json);
+    LogBatch batch;
+    batch.firstOffset = fields.number("first");
+    batch.nextOffset = batch.firstOffset;
+    batch.headOffset = fields.number("head");
+    if (auto fault = fields.fault()) {
+        return fail(std::move(*fault));
+    }
+    return batch;
+}
+
 Result<std::vector<InstanceEntry>> decodeInstances(std::string_view body)
 {
     BOOST_OUTCOME_TRY(json, parse(body));
@@ -286,12 +289,8 @@
 
 Error errorOf(int status, std::string_view body)
 {
-    constexpr int gone = 410;
     constexpr int firstClientError = 400;
     constexpr int firstServerError = 500;
-    if (status == gone) {
-        return trimmed(body);
-    }
     const std::string message = "the platform answered " + std::to_string(status) + " " + messageIn(body);
     if (status >= firstServerError) {
         return {ErrorKind::Unavailable, message, "try again; the call may have taken effect"};
