--- /dev/null
+++ b/include/flamingosaddle/control/delay.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace flamingosaddle
+{
+
+/**
+ * Suspends the coroutine for @p duration of the runtime's clock.
+ */
+boost::asio::awaitable<void> delay(Duration duration);
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -47,6 +47,13 @@
     friend bool operator==(const LogBatch &, const LogBatch &) = default;
 };
 
+struct LogBounds {
+    std::uint64_t firstOffset = 0; ///< the oldest record that the log still holds
+    std::uint64_t headOffset = 0; ///< what the next append gets
+
+    friend bool operator==(const LogBounds &, const LogBounds &) = default;
+};
+
 struct InstanceEntry {
     InstanceId id;
     std::string peerAddress; ///< where its peers reach it, as Endpoint::parse() reads it
@@ -119,12 +126,12 @@
     /** Appends one record and answers its offset. */
     std::function<Answer<std::uint64_t>(LogStream stream, std::string body)> append;
     /**
-     * Reads records from @p from on, waiting up to @p wait for one to come. When the log no longer holds @p from, the
-     * batch has no records and its firstOffset is above @p from.
+     * Reads records from @p from on, waiting up to @p wait for one to come. Fails with Trimmed when the log no longer
+     * holds @p from; the message names the oldest offset.
      */
     std::function<Answer<LogBatch>(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait)> read;
-    /** The offset that the next append to the stream gets. */
-    std::function<Answer<std::uint64_t>(LogStream stream)> head;
+    /** What the stream holds at present. */
+    std::function<Answer<LogBounds>(LogStream stream)> bounds;
     std::function<Answer<std::vector<InstanceEntry>>()> instances;
     std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
     std::function<Answer<void>(PlatformOrder order)> order;
--- a/include/flamingosaddle/platform/platformcodec.h
+++ b/include/flamingosaddle/platform/platformcodec.h
@@ -26,16 +26,12 @@
  * Also fails when the offsets of the records do not count up, or lie before the batch's first or after its next offset.
  */
 Result<LogBatch> decodeLogBatch(std::string_view body);
-/**
- * The bounds in the answer to a read of an offset that was trimmed, as a batch without records.
- */
-Result<LogBatch> decodeTrimmed(std::string_view body);
 Result<std::vector<InstanceEntry>> decodeInstances(std::string_view body);
 Result<std::vector<BackendMachine>> decodeMachines(std::string_view body);
 
 /**
- * The error that an answer with a status other than 200 stands for: Refused from 400 to 499, Unavailable from 500 on
- * (the action may have taken effect), Protocol for the rest.
+ * The error that an answer with a status other than 200 stands for: Trimmed for 410, Refused for any other status from
+ * 400 to 499, Unavailable from 500 on (the action may have taken effect), Protocol for the rest.
  */
 Error errorOf(int status, std::string_view body);
 
--- /dev/null
+++ b/src/control/backoff.cpp
@@ -0,0 +1,29 @@
+#include <flamingosaddle/control/backoff.h>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+Backoff::Backoff(Duration first, Duration limit, std::uint64_t seed)
+    : first(first)
+    , limit(limit)
+    , step(first)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+Duration Backoff::next()
+{
+    std::uniform_int_distribution<Duration::rep> draw(this->step.count() / 2, this->step.count());
+    const Duration delay(draw(this->random));
+    this->step = std::min(this->step * 2, this->limit);
+    return delay;
+}
+
+void Backoff::reset()
+{
+    this->step = this->first;
+}
+
+} // namespace flamingosaddle
