--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -47,6 +47,13 @@
     friend bool operator==(const LogBatch &, const LogBatch &) = default;
 };
 
+struct LogBounds {
+    std::uint64_t firstOffset = 0; ///< the oldest record that the log still holds
+    std::uint64_t headOffset = 0; ///< what the next append gets
+
+    friend bool operator==(const LogBounds &, const LogBounds &) = default;
+};
+
 struct InstanceEntry {
     InstanceId id;
     std::string peerAddress; ///< where its peers reach it, as Endpoint::parse() reads it
@@ -123,6 +130,8 @@
      * holds @p from; the message names the oldest offset.
      */
     std::function<Answer<LogBatch>(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait)> read;
+    /** What the stream holds at present. */
+    std::function<Answer<LogBounds>(LogStream stream)> bounds;
     std::function<Answer<std::vector<InstanceEntry>>()> instances;
     std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
     std::function<Answer<void>(PlatformOrder order)> order;
--- a/src/control/routingsnapshot.cpp
+++ b/src/control/routingsnapshot.cpp
@@ -87,10 +87,15 @@
 }
 
 std::vector<BackendServer> RoutingSnapshot::backendServers() const
+{
+    return backendServersOf(*this->state);
+}
+
+std::vector<BackendServer> backendServersOf(const ConfigState &state)
 {
     std::vector<BackendServer> servers;
-    servers.reserve(this->state->backendServers().size());
-    for (const auto &[id, server] : this->state->backendServers()) {
+    servers.reserve(state.backendServers().size());
+    for (const auto &[id, server] : state.backendServers()) {
         servers.push_back(server.value);
     }
     return servers;
