HTTP server and client on Beast with our own timers

Every connection keeps one read in flight, also while its handler runs: that notices a caller who leaves and keeps pipelined bytes. Deadlines are moved by storing a time; the timer is set again only when it fires early, so a stream costs no timer operation per piece. A write is tried at once on the non-blocking socket and falls back to the reactor for what is left.

Ruled out: beast::tcp_stream's timeouts (real clock, tests cannot pause them) and Beast's chunk_body (it allocates for each chunk).

A body that ends without its end mark is ConnectionLost; this includes bodies delimited by the end of the connection, since nobody can tell whether one is whole.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -41,7 +41,8 @@
     virtual boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) = 0;
     /**
      * Appends the next bytes of the body to @p piece, after clearing it. Answers false at the end mark of the body. A
-     * body that ends without its end mark fails with ConnectionLost.
+     * body that ends without its end mark fails with ConnectionLost; so does one that has neither a length nor chunks,
+     * since nobody can tell whether it is whole.
      */
     virtual boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) = 0;
     /** Closes at once; an operation in flight fails with Cancelled. */
@@ -57,7 +58,7 @@
 struct FetchOptions {
     Duration connectTimeout = std::chrono::seconds(1);
     Duration timeout = std::chrono::seconds(5); ///< for the whole exchange after connecting
-    std::size_t maxBodyBytes = 16 * 1024 * 1024;
+    std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 };
 
 /**
--- a/include/flamingosaddle/http/message.h
+++ b/include/flamingosaddle/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace flamingosaddle
 {
@@ -21,8 +22,8 @@
  * Limits on what one connection may send and how slowly.
  */
 struct HttpServerLimits {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t maxConnections = 4096;
     Duration headerTimeout = std::chrono::seconds(10); ///< from the first byte of a request to the end of its header
     Duration bodyTimeout = std::chrono::seconds(30); ///< from the end of the header to the end of the body
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,121 @@
+#include "clientconnection.h"
+
+#include <flamingosaddle/http/client.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+Error unreachable(const Endpoint &endpoint, const std::string &reason)
+{
+    return {ErrorKind::Unreachable, endpoint.text() + " cannot be reached: " + reason, "check that the server runs there"};
+}
+
+Error nothingSent(const Error &error)
+{
+    return {ErrorKind::Unreachable, error.message(), "send the request again"};
+}
+
+/**
+ * The time that is left of a limit for the whole exchange.
+ */
+class TimeLimit
+{
+public:
+    explicit TimeLimit(Duration timeout)
+        : deadline(RuntimeClock::now() + timeout)
+    {
+    }
+
+    Duration left() const
+    {
+        return std::max(Duration::zero(), this->deadline - RuntimeClock::now());
+    }
+
+private:
+    TimePoint deadline;
+};
+
+asio::awaitable<Result<void>> readWholeBody(HttpConnection &connection, TimeLimit limit, std::size_t maxBytes, std::string &body)
+{
+    std::string piece;
+    while (true) {
+        const Result<bool> more = co_await connection.readBody(piece, limit.left());
+        if (!more.has_value()) {
+            co_return fail(more.error());
+        }
+        if (!more.value()) {
+            co_return done();
+        }
+        if (body.size() + piece.size() > maxBytes) {
+            co_return fail(ErrorKind::TooLarge, "the answer is over " + std::to_string(maxBytes) + " bytes", "ask for less");
+        }
+        body.append(piece);
+    }
+}
+
+} // namespace
+
+asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::connect(Endpoint endpoint, Duration timeout)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        co_return fail(unreachable(endpoint, error.message()));
+    }
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    tcp::socket socket(executor);
+    Watchdog watchdog(executor, [&socket]() {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    });
+    watchdog.arm(timeout);
+    co_await socket.async_connect(tcp::endpoint(address, endpoint.port), asio::redirect_error(asio::use_awaitable, error));
+    if (watchdog.hasExpired()) {
+        co_return fail(unreachable(endpoint, "no answer in time"));
+    }
+    if (error) {
+        co_return fail(unreachable(endpoint, error.message()));
+    }
+    co_return std::unique_ptr<HttpConnection>(std::make_unique<ClientConnection>(std::move(socket), endpoint.text()));
+}
+
+asio::awaitable<Result<HttpResponse>> fetch(Endpoint endpoint, HttpRequest request, FetchOptions options)
+{
+    const Result<std::unique_ptr<HttpConnection>> connected = co_await HttpConnection::connect(endpoint, options.connectTimeout);
+    if (!connected.has_value()) {
+        co_return fail(connected.error());
+    }
+    HttpConnection &connection = *connected.value();
+    const TimeLimit limit(options.timeout);
+    request.headers.set("Connection", "close");
+    const Result<void> sent = co_await connection.send(request, limit.left());
+    if (!sent.has_value()) {
+        co_return fail(connection.anyByteSent() ? sent.error() : nothingSent(sent.error()));
+    }
+    Result<HttpResponseHead> head = co_await connection.readHead(limit.left());
+    if (!head.has_value()) {
+        co_return fail(head.error());
+    }
+    HttpResponse response{head.value().status, std::move(head.value().headers), {}};
+    const Result<void> body = co_await readWholeBody(connection, limit, options.maxBodyBytes, response.body);
+    if (!body.has_value()) {
+        co_return fail(body.error());
+    }
+    co_return response;
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/clientconnection.cpp
@@ -0,0 +1,277 @@
+#include "clientconnection.h"
+
+#include "wire.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <limits>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+constexpr int switchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+
+/**
+ * A body that the parser appends to a string of its owner, piece by piece.
+ */
+struct AppendingBody {
+    using value_type = std::string *;
+
+    class reader
+    {
+    public:
+        template <bool isRequest, class Fields>
+        reader(http::header<isRequest, Fields> &, value_type &target)
+            : target(target)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+
+        template <class Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            std::size_t count = 0;
+            for (auto it = asio::buffer_sequence_begin(buffers); it != asio::buffer_sequence_end(buffers); ++it) {
+                const asio::const_buffer part(*it);
+                this->target->append(static_cast<const char *>(part.data()), part.size());
+                count += part.size();
+            }
+            return count;
+        }
+
+        void finish(boost::system::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &target;
+    };
+};
+
+bool needsLength(const HttpRequest &request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
+} // namespace
+
+struct ClientConnection::Parser : http::response_parser<AppendingBody> {
+};
+
+ClientConnection::ClientConnection(tcp::socket socket, std::string host)
+    : socket(std::move(socket))
+    , host(std::move(host))
+    , watchdog(this->socket.get_executor(), [this]() {
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+    })
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
+}
+
+ClientConnection::~ClientConnection() = default;
+
+std::string ClientConnection::headOf(const HttpRequest &request) const
+{
+    HttpRequest head{request.method, request.target, request.headers, {}};
+    head.headers.remove("Content-Length");
+    head.headers.remove("Transfer-Encoding");
+    if (!head.headers.has("Host")) {
+        head.headers.add("Host", this->host);
+    }
+    if (needsLength(request)) {
+        head.headers.add("Content-Length", std::to_string(request.body.size()));
+    }
+    return requestHead(head);
+}
+
+Error ClientConnection::failure(const boost::system::error_code &error) const
+{
+    if (this->closedByUs) {
+        return {ErrorKind::Cancelled, "the connection to " + this->host + " was closed", "nothing to do"};
+    }
+    if (this->watchdog.hasExpired()) {
+        return {ErrorKind::Timeout, this->host + " made no progress in time", "look at the load of the server"};
+    }
+    return {
+        ErrorKind::ConnectionLost, "the connection to " + this->host + " broke: " + error.message(), "look at the server's log"};
+}
+
+asio::awaitable<Result<void>> ClientConnection::send(const HttpRequest &request, Duration timeout)
+{
+    this->sentAny = false;
+    this->wholeAnswer = false;
+    this->headRequest = request.method == "HEAD";
+    this->parser.reset();
+    this->body.clear();
+    const std::string head = this->headOf(request);
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(request.body)};
+    boost::system::error_code error;
+    this->watchdog.arm(timeout);
+    const std::size_t sent = co_await asio::async_write(this->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+    this->sentAny = sent > 0;
+    if (error) {
+        const Error reason = this->failure(error);
+        this->watchdog.disarm();
+        co_return fail(reason);
+    }
+    this->watchdog.disarm();
+    co_return done();
+}
+
+asio::awaitable<Result<void>> ClientConnection::readMore(Duration timeout)
+{
+    boost::system::error_code error;
+    this->watchdog.arm(timeout);
+    const std::size_t count
+        = co_await this->socket.async_read_some(asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
+    this->watchdog.disarm();
+    if (error) {
+        co_return fail(this->failure(error));
+    }
+    this->input.append(this->readBuffer.data(), count);
+    co_return done();
+}
+
+Result<void> ClientConnection::parseInput()
+{
+    const bool toHead = !this->parser->is_header_done();
+    std::size_t used = 0;
+    boost::system::error_code error;
+    while (used < this->input.size() && !this->parser->is_done() && toHead != this->parser->is_header_done()) {
+        const asio::const_buffer rest(this->input.data() + used, this->input.size() - used);
+        const std::size_t count = this->parser->put(rest, error);
+        used += count;
+        if (error || count == 0) {
+            break;
+        }
+    }
+    this->input.erase(0, used);
+    if (error && error != http::error::need_more) {
+        return fail(ErrorKind::Protocol, this->host + " sent no valid HTTP/1.1: " + error.message(), "correct the server");
+    }
+    return done();
+}
+
+bool ClientConnection::finishHead()
+{
+    const auto status = static_cast<int>(this->parser->get().result_int());
+    if (status < firstFinalStatus && status != switchingProtocols) {
+        // An interim answer; the real one follows.
+        this->parser.reset();
+        return false;
+    }
+    this->parser->eager(true);
+    return true;
+}
+
+asio::awaitable<Result<HttpResponseHead>> ClientConnection::readHead(Duration timeout)
+{
+    while (true) {
+        if (!this->parser) {
+            this->parser = std::make_unique<Parser>();
+            this->parser->get().body() = &this->body;
+            this->parser->header_limit(maxHeadBytes);
+            this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+            this->parser->skip(this->headRequest);
+        }
+        const Result<void> parsed = this->parseInput();
+        if (!parsed.has_value()) {
+            co_return fail(parsed.error());
+        }
+        if (this->parser->is_header_done()) {
+            if (this->finishHead()) {
+                break;
+            }
+            continue;
+        }
+        const Result<void> read = co_await this->readMore(timeout);
+        if (!read.has_value()) {
+            co_return fail(read.error());
+        }
+    }
+    const auto &message = this->parser->get();
+    co_return HttpResponseHead{static_cast<int>(message.result_int()), headersFrom(message)};
+}
+
+asio::awaitable<Result<bool>> ClientConnection::readBody(std::string &piece, Duration timeout)
+{
+    piece.clear();
+    if (!this->parser || !this->parser->is_header_done()) {
+        co_return fail(ErrorKind::Internal, "the head of the answer was not read", "call readHead() first");
+    }
+    while (true) {
+        const Result<void> parsed = this->parseInput();
+        if (!parsed.has_value()) {
+            co_return fail(parsed.error());
+        }
+        if (!this->body.empty()) {
+            // The two strings change places, so that neither allocates anew.
+            std::swap(piece, this->body);
+            co_return true;
+        }
+        if (this->parser->is_done()) {
+            this->wholeAnswer = true;
+            co_return false;
+        }
+        const Result<void> read = co_await this->readMore(timeout);
+        if (!read.has_value()) {
+            co_return fail(read.error());
+        }
+    }
+}
+
+void ClientConnection::close()
+{
+    this->closedByUs = true;
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+bool ClientConnection::anyByteSent() const
+{
+    return this->sentAny;
+}
+
+bool ClientConnection::isReusable() const
+{
+    return this->socket.is_open() && this->wholeAnswer && this->parser && this->parser->keep_alive();
+}
+
+bool ClientConnection::isStale() const
+{
+    if (!this->socket.is_open() || !this->input.empty()) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t count
+        = ::recv(const_cast<tcp::socket &>(this->socket).native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return !(count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/clientconnection.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "watchdog.h"
+
+#include <flamingosaddle/http/client.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+
+namespace flamingosaddle
+{
+
+/**
+ * The HttpConnection on a TCP socket.
+ */
+class ClientConnection final : public HttpConnection
+{
+public:
+    ClientConnection(boost::asio::ip::tcp::socket socket, std::string host);
+    ~ClientConnection() override;
+
+    boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout) override;
+    boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) override;
+    boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) override;
+    void close() override;
+
+    bool anyByteSent() const override;
+    bool isReusable() const override;
+    bool isStale() const override;
+
+private:
+    struct Parser;
+    static constexpr std::size_t readBytes = std::size_t{16} * 1024;
+
+    std::string headOf(const HttpRequest &request) const;
+    boost::asio::awaitable<Result<void>> readMore(Duration timeout);
+    Result<void> parseInput();
+    Error failure(const boost::system::error_code &error) const;
+    bool finishHead();
+
+    boost::asio::ip::tcp::socket socket;
+    std::string host;
+    Watchdog watchdog;
+    std::array<char, readBytes> readBuffer{};
+    std::string input; // read but not yet parsed
+    std::string body; // where the parser appends
+    std::unique_ptr<Parser> parser;
+    bool headRequest = false;
+    bool sentAny = false;
+    bool wholeAnswer = false;
+    bool closedByUs = false;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/http/httpfixture.cpp
@@ -0,0 +1,124 @@
+#include "httpfixture.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace flamingosaddle::test
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+ContextThread::ContextThread()
+    : guard(this->context.get_executor())
+    , thread([this]() {
+        this->context.run();
+    })
+{
+}
+
+ContextThread::~ContextThread()
+{
+    this->guard.reset();
+    this->context.stop();
+    this->thread.join();
+}
+
+TestServer::TestServer(HttpHandler handler, HttpServerLimits limits)
+{
+    auto started = HttpServer::Builder()
+                       .listenOn({"127.0.0.1", 0})
+                       .limits(limits)
+                       .handler(std::move(handler))
+                       .contexts({&this->thread.context})
+                       .start();
+    this->server = std::move(started.value());
+}
+
+TestServer::~TestServer()
+{
+    this->server.reset();
+}
+
+Endpoint TestServer::endpoint() const
+{
+    return this->server->localEndpoint();
+}
+
+RawClient::RawClient(const Endpoint &endpoint)
+    : socket(this->context)
+{
+    this->socket.connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
+}
+
+void RawClient::send(std::string_view bytes)
+{
+    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()));
+}
+
+bool RawClient::readSome()
+{
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    const std::size_t count = this->socket.read_some(asio::buffer(buffer), error);
+    this->received.append(buffer.data(), count);
+    return !error;
+}
+
+std::string RawClient::readAll()
+{
+    while (this->readSome()) {
+    }
+    return std::exchange(this->received, {});
+}
+
+std::string RawClient::readUntil(std::string_view mark)
+{
+    std::size_t found = this->received.find(mark);
+    while (found == std::string::npos && this->readSome()) {
+        found = this->received.find(mark);
+    }
+    const std::size_t end = found == std::string::npos ? this->received.size() : found + mark.size();
+    std::string text = this->received.substr(0, end);
+    this->received.erase(0, end);
+    return text;
+}
+
+bool RawClient::hasInput()
+{
+    return this->socket.available() > 0;
+}
+
+void RawClient::close()
+{
+    this->socket.close();
+}
+
+RawServer::RawServer(std::string answer)
+    : acceptor(this->context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , thread([this, answer = std::move(answer)]() {
+        boost::system::error_code error;
+        tcp::socket peer = this->acceptor.accept(error);
+        std::array<char, 4096> request{};
+        while (!error && peer.is_open()) {
+            peer.read_some(asio::buffer(request), error);
+            asio::write(peer, asio::buffer(answer), error);
+            peer.close();
+        }
+    })
+{
+}
+
+RawServer::~RawServer()
+{
+    this->thread.join();
+}
+
+Endpoint RawServer::endpoint() const
+{
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+} // namespace flamingosaddle::test
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,217 @@
+#include "httpfixture.h"
+
+#include <flamingosaddle/base/timer.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::test;
+using boost::asio::awaitable;
+
+namespace
+{
+
+HttpResponse echoOf(const HttpRequest &request)
+{
+    return {200, {}, request.body};
+}
+
+awaitable<void> echo(HttpExchange &exchange)
+{
+    const Result<void> written = co_await exchange.respond(echoOf(exchange.request()));
+    EXPECT_TRUE(written.has_value());
+}
+
+awaitable<void> waitUntilGone(HttpExchange &exchange)
+{
+    Timer gone(co_await boost::asio::this_coro::executor, TimePoint::max());
+    exchange.onGone([&gone]() {
+        gone.cancel();
+    });
+    boost::system::error_code ignored;
+    co_await gone.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+HttpServerLimits smallLimits()
+{
+    HttpServerLimits limits;
+    limits.maxHeaderBytes = 1024;
+    limits.maxBodyBytes = 2048;
+    limits.idleTimeout = std::chrono::hours(100'000);
+    return limits;
+}
+
+std::string post(const std::string &body, const std::string &more = {})
+{
+    return "POST /x HTTP/1.1\r\nHost: a\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string statusLine(const std::string &answer)
+{
+    return answer.substr(0, answer.find('\r'));
+}
+
+} // namespace
+
+TEST(HttpServer, EchoesPipelinedRequestsOfOneConnection)
+{
+    TestServer server(echo);
+    RawClient client(server.endpoint());
+    client.send(post("one") + post("two", "Connection: close\r\n"));
+    EXPECT_NE(client.readUntil("one").find("HTTP/1.1 200 OK"), std::string::npos);
+    const std::string second = client.readAll();
+    EXPECT_NE(second.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(second.ends_with("two"));
+}
+
+TEST(HttpServer, AnswersMalformedInputAndCloses)
+{
+    TestServer server(echo);
+    for (const char *bad : {"\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "\x16\x03\x01\x02\n\n\r\n\r\n",
+             "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "GET / HTTP/1.1\r\na b: c\r\n\r\n"}) {
+        RawClient client(server.endpoint());
+        client.send(bad);
+        const std::string answer = client.readAll();
+        EXPECT_EQ(statusLine(answer), "HTTP/1.1 400 Bad Request") << bad;
+        EXPECT_NE(answer.find("X-Flamingosaddle-Run-State: not-run"), std::string::npos);
+    }
+    RawClient client(server.endpoint());
+    client.send(post("fine", "Connection: close\r\n"));
+    EXPECT_TRUE(client.readAll().ends_with("fine"));
+}
+
+TEST(HttpServer, RefusesOversizedHeaders)
+{
+    TestServer server(echo, smallLimits());
+    RawClient oneField(server.endpoint());
+    oneField.send("GET / HTTP/1.1\r\nA: " + std::string(4000, 'a') + "\r\n\r\n");
+    EXPECT_TRUE(statusLine(oneField.readAll()).starts_with("HTTP/1.1 431"));
+
+    RawClient manyFields(server.endpoint());
+    std::string request = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 200; ++i) {
+        request += "A: bbbbbbbbbbbbbbbb\r\n";
+    }
+    manyFields.send(request);
+    EXPECT_TRUE(statusLine(manyFields.readAll()).starts_with("HTTP/1.1 431"));
+}
+
+TEST(HttpServer, RefusesOversizedBodies)
+{
+    TestServer server(echo, smallLimits());
+    RawClient withLength(server.endpoint());
+    withLength.send(post(std::string(4000, 'b')));
+    EXPECT_TRUE(statusLine(withLength.readAll()).starts_with("HTTP/1.1 413"));
+
+    RawClient chunked(server.endpoint());
+    chunked.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfa0\r\n" + std::string(4000, 'b') + "\r\n0\r\n\r\n");
+    EXPECT_TRUE(statusLine(chunked.readAll()).starts_with("HTTP/1.1 413"));
+}
+
+TEST(HttpServer, RefusesASlowSender)
+{
+    TestServer server(echo, smallLimits());
+    const PausedClock paused;
+    for (const char *part : {"GET / HT", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"}) {
+        RawClient client(server.endpoint());
+        client.send(part);
+        while (!client.hasInput()) {
+            RuntimeClock::advance(std::chrono::seconds(1));
+            std::this_thread::yield();
+        }
+        EXPECT_EQ(statusLine(client.readUntil("}}")), "HTTP/1.1 408 Request Timeout");
+    }
+}
+
+TEST(HttpServer, TurnsAwayConnectionsOverTheLimit)
+{
+    HttpServerLimits limits;
+    limits.maxConnections = 1;
+    TestServer server(echo, limits);
+    RawClient first(server.endpoint());
+    first.send(post("first"));
+    first.readUntil("first");
+    RawClient second(server.endpoint());
+    EXPECT_TRUE(statusLine(second.readAll()).starts_with("HTTP/1.1 503"));
+}
+
+TEST(HttpServer, NoticesThatTheCallerLeft)
+{
+    std::promise<void> ended;
+    TestServer server([&ended](HttpExchange &exchange) -> awaitable<void> {
+        co_await waitUntilGone(exchange);
+        EXPECT_TRUE(exchange.isPeerGone());
+        const Result<void> late = co_await exchange.respond(HttpResponse());
+        EXPECT_FALSE(late.has_value());
+        ended.set_value();
+    });
+    RawClient client(server.endpoint());
+    client.send(post("hello"));
+    client.close();
+    ended.get_future().wait();
+}
+
+TEST(HttpServer, AbortEndsTheExchangeFromAnotherThread)
+{
+    std::promise<std::function<void()>> handle;
+    TestServer server([&handle](HttpExchange &exchange) -> awaitable<void> {
+        handle.set_value(exchange.abortHandle());
+        co_await waitUntilGone(exchange);
+    });
+    RawClient client(server.endpoint());
+    client.send(post("hello"));
+    const std::function<void()> abort = handle.get_future().get();
+    abort();
+    EXPECT_EQ(client.readAll(), "");
+    abort();
+}
+
+TEST(HttpServer, StreamsChunksAndMarksTheEnd)
+{
+    TestServer server([](HttpExchange &exchange) -> awaitable<void> {
+        const bool whole = exchange.request().path() == "/whole";
+        Result<void> written = co_await exchange.beginStream(200, HttpHeaders());
+        EXPECT_TRUE(written.has_value());
+        written = co_await exchange.writePiece("hello");
+        EXPECT_TRUE(written.has_value());
+        if (whole) {
+            written = co_await exchange.endStream();
+            EXPECT_TRUE(written.has_value());
+        }
+    });
+    RawClient whole(server.endpoint());
+    whole.send("GET /whole HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(whole.readUntil("0\r\n\r\n").ends_with("\r\n\r\n5\r\nhello\r\n0\r\n\r\n"));
+    RawClient broken(server.endpoint());
+    broken.send("GET /broken HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(broken.readAll().ends_with("5\r\nhello\r\n"));
+}
+
+TEST(HttpServer, DrainClosesIdleConnectionsAndLetsRequestsEnd)
+{
+    std::promise<void> started;
+    std::promise<void> release;
+    TestServer server([&](HttpExchange &exchange) -> awaitable<void> {
+        if (exchange.request().path() == "/slow") {
+            started.set_value();
+            release.get_future().wait();
+        }
+        co_await echo(exchange);
+    });
+    RawClient idle(server.endpoint());
+    idle.send(post("idle"));
+    idle.readUntil("idle");
+    RawClient busy(server.endpoint());
+    busy.send("GET /slow HTTP/1.1\r\n\r\n");
+    started.get_future().wait();
+    server.server->drain();
+    release.set_value();
+    EXPECT_EQ(idle.readAll(), "");
+    EXPECT_NE(busy.readAll().find("Connection: close"), std::string::npos);
+}
