--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -54,13 +54,13 @@
     return command;
 }
 
-ChildCommand daemonCommand(const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId,
-    const std::vector<std::string> &flags)
+ChildCommand daemonCommand(
+    const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags)
 {
     ChildCommand command;
     command.program = FLAMINGOSADDLED;
-    command.arguments = {"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
-        "--platform", platform.text(), "--data-centre", dataCentre, "--instance-id", instanceId};
+    command.arguments = {"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--platform",
+        platform.text(), "--data-centre", dataCentre, "--instance-id", instanceId};
     command.arguments.insert(command.arguments.end(), flags.begin(), flags.end());
     command.environment["FLAMINGOSADDLE_KEY_SECRET"] = keySecret;
     return command;
@@ -121,8 +121,8 @@
     return {{"runs", std::move(list)}};
 }
 
-DaemonProcess::DaemonProcess(const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId,
-    const std::vector<std::string> &flags)
+DaemonProcess::DaemonProcess(
+    const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags)
     : process(daemonCommand(platform, dataCentre, instanceId, flags))
     , instanceId(instanceId)
 {
@@ -166,8 +166,7 @@
 
 BackendProcess &Cluster::addService(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags)
 {
-    Json configuration
-        = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "service"}, {"service", "bookings"}, {"slots", 64}};
+    Json configuration = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "service"}, {"service", "bookings"}, {"slots", 64}};
     return this->backends.emplace_back(std::move(configuration), std::move(flags), this->directory + "/" + id + ".jsonl");
 }
 
@@ -294,8 +293,8 @@
 HttpRequest chatRequest(const std::string &text, unsigned tokens, bool stream)
 {
     const Json message = {{"role", "user"}, {"content", text}};
-    return postRequest(chatPath,
-        {{"model", "baraka-8b"}, {"stream", stream}, {"max_tokens", tokens}, {"messages", Json::array({message})}});
+    return postRequest(
+        chatPath, {{"model", "baraka-8b"}, {"stream", stream}, {"max_tokens", tokens}, {"messages", Json::array({message})}});
 }
 
 } // namespace flamingosaddle::process
