--- /dev/null
+++ b/tests/control/configtail_test.cpp
@@ -0,0 +1,127 @@
+#include "fakeplatform.h"
+#include "rununtil.h"
+
+#include <flamingosaddle/control/configtail.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+
+namespace
+{
+
+std::string putService(const std::string &changeId, const std::string &name, std::optional<std::uint64_t> revision = std::nullopt)
+{
+    Route route;
+    route.id = RouteId(name);
+    route.pathPrefix = "/" + name;
+    route.service = ServiceName("bookings");
+    return encodeConfigChange({ChangeId(changeId), revision, "test", PutRoute{route}});
+}
+
+/**
+ * A tail on a fake platform, run step by step with the clock paused.
+ */
+class ConfigTailTest : public testing::Test
+{
+protected:
+    void start()
+    {
+        boost::asio::co_spawn(this->context, this->tail.run(), boost::asio::detached);
+    }
+
+    void TearDown() override
+    {
+        this->tail.stop();
+        RuntimeClock::advance(std::chrono::minutes(1));
+        this->context.run_for(std::chrono::milliseconds(50));
+    }
+
+    bool reaches(std::uint64_t offset)
+    {
+        return runUntil(this->context, [this, offset] {
+            return this->tail.state()->nextOffset() >= offset;
+        });
+    }
+
+    PausedClock paused;
+    FakePlatform platform;
+    Platform hooks = platform.hooks();
+    boost::asio::io_context context;
+    ConfigTail tail{hooks, [] {}, 1};
+};
+
+} // namespace
+
+TEST_F(ConfigTailTest, AppliesRecordsInLogOrderAndKnowsTheHead)
+{
+    this->platform.log.append("config", putService("c1", "a"));
+    this->platform.log.append("config", "no record at all");
+    this->platform.log.append("config", putService("c2", "b"));
+    this->start();
+    ASSERT_TRUE(this->reaches(3));
+    EXPECT_NE(this->tail.state()->findRoute(RouteId("b")), nullptr);
+    EXPECT_EQ(this->tail.undecodableCount(), 1u);
+    EXPECT_TRUE(this->tail.lastReadAt().has_value());
+}
+
+TEST_F(ConfigTailTest, StartsFromTheNewestSnapshotWhenTheLogWasTrimmed)
+{
+    ConfigState state;
+    for (std::uint64_t offset = 0; offset < 3; ++offset) {
+        const std::string record = putService("c" + std::to_string(offset), "r" + std::to_string(offset));
+        this->platform.log.append("config", record);
+        state.apply(offset, decodeConfigChange(record).value());
+    }
+    this->platform.log.trim("config", 3);
+    this->platform.log.append("config-snapshot", encodeConfigSnapshot(state));
+    this->platform.log.append("config", putService("c3", "r3"));
+    this->start();
+    ASSERT_TRUE(this->reaches(4));
+    EXPECT_NE(this->tail.state()->findRoute(RouteId("r0")), nullptr);
+    EXPECT_NE(this->tail.state()->findRoute(RouteId("r3")), nullptr);
+    EXPECT_FALSE(this->tail.hasGap());
+}
+
+TEST_F(ConfigTailTest, NamesAGapThatNoSnapshotCoversAndServesNothingOfIt)
+{
+    this->platform.log.append("config", putService("c1", "a"));
+    this->platform.log.append("config", putService("c2", "b"));
+    this->platform.log.trim("config", 1);
+    this->start();
+    ASSERT_TRUE(runUntil(this->context, [this] {
+        return this->tail.hasGap();
+    }));
+    EXPECT_EQ(this->tail.state()->nextOffset(), 0u);
+    EXPECT_FALSE(this->tail.lastReadAt().has_value());
+}
+
+TEST_F(ConfigTailTest, ReadsOnAfterAnOutageWithoutGoingBack)
+{
+    this->platform.log.append("config", putService("c1", "a"));
+    this->start();
+    ASSERT_TRUE(this->reaches(1));
+    const auto readBefore = this->tail.lastReadAt();
+    this->platform.logDown = true;
+    this->platform.log.append("config", putService("c2", "b"));
+    RuntimeClock::advance(std::chrono::minutes(10));
+    this->context.run_for(std::chrono::milliseconds(20));
+    EXPECT_EQ(this->tail.state()->nextOffset(), 1u);
+    EXPECT_EQ(this->tail.lastReadAt(), readBefore);
+    this->platform.logDown = false;
+    RuntimeClock::advance(std::chrono::minutes(1));
+    ASSERT_TRUE(this->reaches(2));
+}
+
+TEST_F(ConfigTailTest, TakesForwardedRecordsOnlyInOrderAndSnapshotsOnlyAhead)
+{
+    const std::string first = putService("c1", "a");
+    EXPECT_FALSE(this->tail.applyForwarded(1, putService("c2", "b")));
+    EXPECT_TRUE(this->tail.applyForwarded(0, first));
+    EXPECT_FALSE(this->tail.applyForwarded(0, first));
+    EXPECT_FALSE(this->tail.adoptSnapshot(ConfigState()));
+    EXPECT_EQ(this->tail.state()->nextOffset(), 1u);
+}
--- /dev/null
+++ b/tests/control/fakeplatform.cpp
@@ -0,0 +1,144 @@
+#include "fakeplatform.h"
+
+#include <flamingosaddle/control/delay.h>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds pollInterval(1);
+constexpr std::size_t readLimit = 1000;
+
+// Takes one of @p count faults; answers whether there was one.
+bool takeFault(std::uint32_t &count)
+{
+    if (count == 0) {
+        return false;
+    }
+    --count;
+    return true;
+}
+
+auto downError()
+{
+    return fail(ErrorKind::Unreachable, "the log is down", "wait until it is back");
+}
+
+auto lostAnswer()
+{
+    return fail(ErrorKind::Timeout, "no answer came", "ask whether the call took effect");
+}
+
+} // namespace
+
+Platform FakePlatform::hooks()
+{
+    Platform platform;
+    platform.append = [this](LogStream stream, std::string body) {
+        return this->append(stream, std::move(body));
+    };
+    platform.read = [this](LogStream stream, std::uint64_t from, std::chrono::milliseconds wait) {
+        return this->read(stream, from, wait);
+    };
+    platform.bounds = [this](LogStream stream) {
+        return this->bounds(stream);
+    };
+    platform.instances = [this]() -> Platform::Answer<std::vector<InstanceEntry>> {
+        co_return this->instanceList;
+    };
+    platform.backendMachines = [this](DataCentre dataCentre) {
+        return this->backendMachines(std::move(dataCentre));
+    };
+    platform.order = [this](PlatformOrder order) {
+        return this->order(std::move(order));
+    };
+    platform.reportUsage = [this](UsageReport report) {
+        return this->reportUsage(std::move(report));
+    };
+    return platform;
+}
+
+Platform::Answer<std::uint64_t> FakePlatform::append(LogStream stream, std::string body)
+{
+    if (this->logDown) {
+        co_return downError();
+    }
+    if (this->beforeAppend) {
+        this->beforeAppend(stream);
+    }
+    const std::optional<std::uint64_t> offset = this->log.append(toString(stream), std::move(body));
+    if (takeFault(this->loseAppendAnswers)) {
+        co_return lostAnswer();
+    }
+    co_return offset.value();
+}
+
+Platform::Answer<LogBatch> FakePlatform::read(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait)
+{
+    if (this->logDown) {
+        co_return downError();
+    }
+    const TimePoint deadline = RuntimeClock::now() + wait;
+    while (this->boundsOf(stream).headOffset <= from && RuntimeClock::now() < deadline && !this->logDown) {
+        co_await delay(pollInterval);
+    }
+    const LogBounds bounds = this->boundsOf(stream);
+    if (from < bounds.firstOffset) {
+        co_return fail(ErrorKind::Trimmed, "the oldest record is " + std::to_string(bounds.firstOffset), "start from a snapshot");
+    }
+    LogBatch batch{bounds.firstOffset, from, bounds.headOffset, {}};
+    for (standins::StoredRecord &record : this->log.read(toString(stream), from, readLimit)) {
+        batch.nextOffset = record.offset + 1;
+        batch.records.push_back({record.offset, std::move(record.body)});
+    }
+    co_return batch;
+}
+
+Platform::Answer<LogBounds> FakePlatform::bounds(LogStream stream)
+{
+    if (this->logDown) {
+        co_return downError();
+    }
+    co_return this->boundsOf(stream);
+}
+
+Platform::Answer<std::vector<BackendMachine>> FakePlatform::backendMachines(DataCentre dataCentre)
+{
+    std::vector<BackendMachine> found;
+    for (const standins::Machine &machine : this->machines.machines(dataCentre.text())) {
+        found.push_back(
+            {machine.id, machine.address, dataCentre, machine.model, machine.cheap, machine.reclaimNotice, machine.orderId});
+    }
+    co_return found;
+}
+
+Platform::Answer<void> FakePlatform::order(PlatformOrder order)
+{
+    const standins::DeskAnswer answer = this->machines.order(order.dataCentre.text(),
+        {order.id, toString(order.kind), order.server, order.model, order.cheap, order.fencing, order.holder});
+    if (takeFault(this->loseOrderAnswers)) {
+        co_return lostAnswer();
+    }
+    if (answer != standins::DeskAnswer::Done) {
+        co_return fail(ErrorKind::Refused, "the order was refused", "read the machines again");
+    }
+    co_return done();
+}
+
+Platform::Answer<void> FakePlatform::reportUsage(UsageReport report)
+{
+    this->usageReports.push_back(std::move(report));
+    if (takeFault(this->loseUsageAnswers)) {
+        co_return lostAnswer();
+    }
+    co_return done();
+}
+
+LogBounds FakePlatform::boundsOf(LogStream stream) const
+{
+    return {this->log.first(toString(stream)), this->log.head(toString(stream))};
+}
+
+} // namespace flamingosaddle
