Daemon: threads, addresses, signals and drain; control and admin wired

The caller's side answers 503 until its handler lands. A read of the fake log that waits while the log goes down now fails as the platform's would; before, it delivered a record appended during the outage (seen in control_test).

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -20,5 +20,214 @@
 
 namespace flamingosaddle
 {
-// PLACEHOLDER
+
+namespace
+{
+
+constexpr std::chrono::milliseconds drainPollInterval(10);
+
+InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
+{
+    if (!settings.instanceId.isEmpty()) {
+        return settings.instanceId;
+    }
+    return InstanceId(settings.dataCentre.text() + "-" + std::to_string(seed));
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+HttpServerLimits limitsOf(const Settings &settings)
+{
+    HttpServerLimits limits;
+    limits.maxHeaderBytes = settings.maxHeaderBytes;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    limits.maxConnections = settings.maxConnections;
+    limits.headerTimeout = settings.headerTimeout;
+    limits.bodyTimeout = settings.bodyTimeout;
+    limits.idleTimeout = settings.idleTimeout;
+    limits.writeTimeout = settings.writeTimeout;
+    return limits;
+}
+
+} // namespace
+
+class Daemon::Implementation
+{
+public:
+    explicit Implementation(const Settings &settings)
+        : settings(settings)
+        , seed(randomSeed())
+        , workers(settings.trafficThreads)
+        , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
+              ControllerOptions{instanceIdOf(settings, this->seed), settings.dataCentre, settings.freshnessLimit, this->seed},
+              this->controllerHooks())
+        , adminHandler(this->controller, this->metrics,
+              [this] {
+                  return this->trafficStatus();
+              })
+        , signals(this->controlContext, SIGTERM, SIGINT)
+    {
+    }
+
+    ~Implementation()
+    {
+        this->stop();
+    }
+
+    Result<void> bind()
+    {
+        HttpServer::Builder callers;
+        callers.listenOn(this->settings.listen).limits(limitsOf(this->settings)).contexts(this->workers.contexts());
+        callers.handler([this](HttpExchange &exchange) {
+            return this->handleCaller(exchange);
+        });
+        BOOST_OUTCOME_TRY(callerListener, callers.start());
+        this->callerServer = std::move(callerListener);
+        HttpServer::Builder admin;
+        admin.listenOn(this->settings.adminListen).contexts({&this->controlContext});
+        admin.handler([this](HttpExchange &exchange) {
+            return this->adminHandler.handle(exchange);
+        });
+        BOOST_OUTCOME_TRY(adminListener, admin.start());
+        this->adminServer = std::move(adminListener);
+        return done();
+    }
+
+    Addresses addresses() const
+    {
+        return {this->callerServer->localEndpoint(), this->adminServer->localEndpoint(), this->settings.peerListen};
+    }
+
+    void run()
+    {
+        this->controller.start();
+        this->awaitSignal();
+        this->workers.start();
+        this->controlContext.run();
+        this->stop();
+    }
+
+    void shutDown()
+    {
+        boost::asio::post(this->controlContext, [this] {
+            this->beginDrain();
+        });
+    }
+
+private:
+    ControllerHooks controllerHooks()
+    {
+        ControllerHooks hooks;
+        hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
+            this->board.publish(std::move(snapshot));
+        };
+        hooks.setServers = [](const std::vector<BackendServer> &) {};
+        hooks.keyWithdrawn = [](const KeyId &) {};
+        return hooks;
+    }
+
+    boost::asio::awaitable<void> handleCaller(HttpExchange &exchange)
+    {
+        const Result<void> ignored = co_await exchange.respond(jsonResponse(503, "{}"));
+        static_cast<void>(ignored);
+    }
+
+    TrafficStatus trafficStatus() const
+    {
+        TrafficStatus status;
+        status.callerConnections = this->callerServer->connectionCount();
+        status.activeExchanges = this->callerServer->activeExchangeCount();
+        status.draining = this->draining;
+        return status;
+    }
+
+    void awaitSignal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            if (this->draining) {
+                this->controlContext.stop();
+                return;
+            }
+            this->beginDrain();
+            this->awaitSignal();
+        });
+    }
+
+    void beginDrain()
+    {
+        if (this->draining) {
+            return;
+        }
+        this->draining = true;
+        logStateChange(LogLevel::Info, "app", "draining");
+        boost::asio::co_spawn(this->controlContext, this->drain(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> drain()
+    {
+        const TimePoint deadline = RuntimeClock::now() + this->settings.drainTimeout;
+        this->callerServer->drain();
+        while (this->callerServer->connectionCount() > 0 && RuntimeClock::now() < deadline) {
+            co_await delay(drainPollInterval);
+        }
+        logStateChange(LogLevel::Info, "app", "drained");
+        this->controlContext.stop();
+    }
+
+    void stop()
+    {
+        this->controller.stop();
+        this->workers.stop();
+    }
+
+    Settings settings;
+    std::uint64_t seed;
+    MetricsRegistry metrics;
+    SnapshotBoard board;
+    boost::asio::io_context controlContext{1};
+    WorkerThreads workers;
+    Controller controller;
+    AdminHandler adminHandler;
+    boost::asio::signal_set signals;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> adminServer;
+    bool draining = false;
+};
+
+Daemon::Daemon(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+{
+    auto implementation = std::make_unique<Implementation>(settings);
+    BOOST_OUTCOME_TRY(implementation->bind());
+    return std::unique_ptr<Daemon>(new Daemon(std::move(implementation)));
+}
+
+Daemon::Addresses Daemon::addresses() const
+{
+    return this->implementation->addresses();
 }
+
+void Daemon::run()
+{
+    this->implementation->run();
+}
+
+void Daemon::shutDown()
+{
+    this->implementation->shutDown();
+}
+
+} // namespace flamingosaddle
--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -84,6 +84,9 @@
     while (this->boundsOf(stream).headOffset <= from && RuntimeClock::now() < deadline && !this->logDown) {
         co_await delay(pollInterval);
     }
+    if (this->logDown) {
+        co_return downError();
+    }
     const LogBounds bounds = this->boundsOf(stream);
     if (from < bounds.firstOffset) {
         co_return fail(ErrorKind::Trimmed, "the oldest record is " + std::to_string(bounds.firstOffset), "start from a snapshot");
