--- /dev/null
+++ b/src/app/adminhandler.cpp
@@ -0,0 +1,153 @@
+#include <flamingosaddle/app/adminhandler.h>
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::string_view changesPrefix = "/v1/changes/";
+
+HttpResponse errorResponse(int status, std::string_view message)
+{
+    const nlohmann::json body = {{"error", {{"message", message}, {"type", "invalid_request"}}}};
+    return jsonResponse(status, body.dump());
+}
+
+HttpResponse textResponse(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Content-Type", "text/plain; charset=utf-8");
+    response.body = std::move(body);
+    return response;
+}
+
+nlohmann::json toJson(const ChangeResult &result)
+{
+    return {
+        {"id", result.id.text()}, {"offset", result.offset}, {"outcome", toString(result.outcome)}, {"detail", result.detail}};
+}
+
+} // namespace
+
+AdminHandler::AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus)
+    : controller(controller)
+    , metrics(metrics)
+    , trafficStatus(std::move(trafficStatus))
+{
+}
+
+boost::asio::awaitable<void> AdminHandler::handle(HttpExchange &exchange)
+{
+    HttpResponse response = this->answer(exchange.request());
+    // A caller that is gone needs no answer.
+    const Result<void> ignored = co_await exchange.respond(std::move(response));
+    static_cast<void>(ignored);
+}
+
+HttpResponse AdminHandler::answer(const HttpRequest &request)
+{
+    if (request.method == "GET") {
+        return this->query(request);
+    }
+    if (request.method == "POST" && request.path() == "/v1/tombstones") {
+        return this->withdraw(request);
+    }
+    return errorResponse(405, "no such command; POST /v1/tombstones withdraws a key, everything else is GET");
+}
+
+HttpResponse AdminHandler::query(const HttpRequest &request) const
+{
+    const std::string_view path = request.path();
+    if (path == "/healthz") {
+        return textResponse(200, "ok\n");
+    }
+    if (path == "/readyz") {
+        return this->readinessResponse();
+    }
+    if (path == "/metrics") {
+        return textResponse(200, this->metrics.prometheusText());
+    }
+    if (path == "/v1/status") {
+        return this->statusResponse();
+    }
+    if (path == "/v1/config") {
+        return jsonResponse(200, encodeConfigSnapshot(*this->controller.configTail().state()));
+    }
+    if (path == "/v1/history") {
+        return this->historyResponse();
+    }
+    if (path.starts_with(changesPrefix)) {
+        return this->changeResponse(ChangeId(std::string(path.substr(changesPrefix.size()))));
+    }
+    return errorResponse(404, "no such page; docs/PROTOCOL.md lists the calls of the admin address");
+}
+
+HttpResponse AdminHandler::statusResponse() const
+{
+    const TrafficStatus traffic = this->trafficStatus();
+    const ConfigTail &tail = this->controller.configTail();
+    const nlohmann::json body = {
+        {"instance", this->controller.options().instanceId.text()},
+        {"dataCentre", this->controller.options().dataCentre.text()},
+        {"ready", this->controller.isReady()},
+        {"draining", traffic.draining},
+        {"configOffset", tail.state()->nextOffset()},
+        {"configGap", tail.hasGap()},
+        {"fresh", this->controller.freshUntil() > RuntimeClock::now()},
+        {"callerConnections", traffic.callerConnections},
+        {"activeExchanges", traffic.activeExchanges},
+        {"waiting", traffic.waiting},
+        {"running", traffic.running},
+    };
+    return jsonResponse(200, body.dump());
+}
+
+HttpResponse AdminHandler::readinessResponse() const
+{
+    if (this->trafficStatus().draining) {
+        return textResponse(503, "draining\n");
+    }
+    if (!this->controller.isReady()) {
+        return textResponse(503, "the configuration has not been read yet\n");
+    }
+    return textResponse(200, "ready\n");
+}
+
+HttpResponse AdminHandler::historyResponse() const
+{
+    nlohmann::json changes = nlohmann::json::array();
+    for (const ChangeResult &result : this->controller.configTail().state()->history()) {
+        changes.push_back(toJson(result));
+    }
+    return jsonResponse(200, nlohmann::json{{"changes", std::move(changes)}}.dump());
+}
+
+HttpResponse AdminHandler::changeResponse(const ChangeId &id) const
+{
+    const std::optional<ChangeResult> result = this->controller.configTail().state()->resultOf(id);
+    if (!result) {
+        return errorResponse(
+            404, "this instance has not applied such a change; ask again, or publish it again under the same id");
+    }
+    return jsonResponse(200, toJson(*result).dump());
+}
+
+HttpResponse AdminHandler::withdraw(const HttpRequest &request)
+{
+    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("id") || !body["id"].is_string()
+        || body["id"].get_ref<const std::string &>().empty()) {
+        return errorResponse(400, "the body is no key id; send {\"id\": \"KEY-ID\"}");
+    }
+    this->controller.withdrawKey(KeyId(body["id"].get<std::string>()));
+    return jsonResponse(200, "{}");
+}
+
+} // namespace flamingosaddle
