--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -35,8 +35,8 @@
 
     // Limits on callers.
     std::size_t trafficThreads = 2;
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t maxConnections = 4096;
     std::chrono::milliseconds headerTimeout{10000};
     std::chrono::milliseconds bodyTimeout{30000};
