--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -34,7 +34,7 @@
 struct AppendingBody {
     using value_type = std::string *;
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that Beast looks for
     {
     public:
         template <bool isRequest, class Fields>
