--- /dev/null
+++ b/include/flamingosaddle/control/configtail.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/logtail.h>
+#include <flamingosaddle/platform/platform.h>
+#include <flamingosaddle/state/configstate.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace flamingosaddle
+{
+
+/**
+ * Keeps the configuration in step with the `config` stream. Starts from the newest snapshot in the log or from a peer's,
+ * then applies records in log order. The state only moves forward: a snapshot or a record at or below the offset in force
+ * is ignored. Lives on the control thread.
+ */
+class ConfigTail
+{
+public:
+    /**
+     * @param onAdvance called after each step forward, and after each read that reached the head of the stream
+     */
+    ConfigTail(const Platform &platform, std::function<void()> onAdvance, std::uint64_t seed);
+
+    // Commands.
+
+    /** Reads until stop(). The object has to outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    void stop();
+
+    /** A record that a peer read from the log. Taken when it is the next one; answers whether it was. */
+    bool applyForwarded(std::uint64_t offset, std::string_view body);
+
+    /** A snapshot that a peer holds. Taken when it is ahead; answers whether it was. */
+    bool adoptSnapshot(const ConfigState &snapshot);
+
+    // Queries.
+
+    /** The state in force. A later step makes a new object; a pointer that was handed out never changes. */
+    std::shared_ptr<const ConfigState> state() const;
+
+    /** When the stream was last read to its head. */
+    std::optional<TimePoint> lastReadAt() const;
+
+    /** Whether the log has lost records that no snapshot covers. */
+    bool hasGap() const;
+
+    /** Records that could not be decoded. */
+    std::uint64_t undecodableCount() const;
+
+private:
+    boost::asio::awaitable<Result<std::uint64_t>> position();
+    boost::asio::awaitable<Result<void>> loadSnapshot();
+    void takeBatch(const LogBatch &batch, TimePoint sentAt);
+    void noteReadTo(std::uint64_t headOffset, TimePoint sentAt);
+    void noteGap();
+    void applyRecord(ConfigState &target, std::uint64_t offset, std::string_view body);
+    void replaceState(ConfigState next);
+
+    const Platform &platform;
+    std::function<void()> onAdvance;
+    LogTail tail;
+    std::shared_ptr<const ConfigState> current;
+    std::optional<TimePoint> readAt;
+    std::uint64_t undecodable = 0;
+    bool gap = false;
+    bool snapshotSought = false;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/traffic/dispatcher.cpp
@@ -0,0 +1,125 @@
+#include <flamingosaddle/traffic/dispatcher.h>
+
+#include "dispatcherimplementation.h"
+
+#include <flamingosaddle/base/hash.h>
+
+namespace flamingosaddle
+{
+
+Dispatcher::Dispatcher(DispatcherOptions options)
+    : Dispatcher(options, DispatcherPolicies())
+{
+}
+
+Dispatcher::Dispatcher(DispatcherOptions options, DispatcherPolicies policies)
+    : implementation(std::make_unique<Implementation>(options, std::move(policies)))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher &&) noexcept = default;
+Dispatcher &Dispatcher::operator=(Dispatcher &&) noexcept = default;
+
+void Dispatcher::setServers(const std::vector<BackendServer> &servers, TimePoint /*now*/)
+{
+    this->implementation->setServers(servers);
+}
+
+void Dispatcher::report(const ServerReport &report)
+{
+    this->implementation->pool.report(report);
+}
+
+std::variant<Ticket, Refusal> Dispatcher::submit(const RequestProfile &profile, TimePoint now)
+{
+    return this->implementation->submit(profile, now);
+}
+
+void Dispatcher::dispatch(TimePoint now, Decisions &decisions)
+{
+    this->implementation->dispatch(now, decisions);
+}
+
+void Dispatcher::firstToken(Ticket ticket, TimePoint now)
+{
+    this->implementation->firstToken(ticket, now);
+}
+
+void Dispatcher::tokens(Ticket ticket, std::uint32_t count, TimePoint now)
+{
+    this->implementation->tokens(ticket, count, now);
+}
+
+void Dispatcher::finish(Ticket ticket, AttemptEnd end, TimePoint now)
+{
+    this->implementation->finish(ticket, end, now);
+}
+
+std::optional<Refusal> Dispatcher::retry(Ticket ticket, AttemptEnd end, bool anyByteSent, TimePoint now)
+{
+    return this->implementation->retry(ticket, end, anyByteSent, now);
+}
+
+void Dispatcher::cancel(Ticket ticket, TimePoint /*now*/)
+{
+    this->implementation->cancel(ticket);
+}
+
+void Dispatcher::noteDeath(std::uint64_t fingerprint, const BackendServerId &server, TimePoint now)
+{
+    this->implementation->quarantine.noteDeath(fingerprint, hash64(server.text()), now);
+}
+
+void Dispatcher::noteSuspect(std::uint64_t fingerprint, TimePoint until, TimePoint now)
+{
+    this->implementation->quarantine.notePeerRun(fingerprint, until, now);
+}
+
+void Dispatcher::notePeerService(const ServiceReport &service)
+{
+    this->implementation->notePeerService(service);
+}
+
+void Dispatcher::takeService(std::vector<ServiceReport> &services)
+{
+    this->implementation->takeService(services);
+}
+
+void Dispatcher::excludeDataCentre(const DataCentre &dataCentre, TimePoint /*now*/)
+{
+    this->implementation->setExcluded(dataCentre, true);
+}
+
+void Dispatcher::includeDataCentre(const DataCentre &dataCentre, TimePoint /*now*/)
+{
+    this->implementation->setExcluded(dataCentre, false);
+}
+
+void Dispatcher::setInstanceCount(std::uint32_t count)
+{
+    this->implementation->pool.setInstanceCount(count);
+}
+
+std::size_t Dispatcher::waitingCount() const
+{
+    return this->implementation->waitingCount();
+}
+
+std::size_t Dispatcher::runningCount() const
+{
+    return this->implementation->runningCount();
+}
+
+std::uint32_t Dispatcher::inFlight(const BackendServerId &server) const
+{
+    const std::optional<ServerIndex> index = this->implementation->pool.find(server);
+    return index.has_value() ? this->implementation->pool.server(*index).inFlight : 0;
+}
+
+std::optional<TimePoint> Dispatcher::nextWakeup() const
+{
+    return this->implementation->nextWakeup();
+}
+
+} // namespace flamingosaddle
