--- /dev/null
+++ b/tests/http/trafficgate_test.cpp
@@ -0,0 +1,162 @@
+#include "httpfixture.h"
+
+#include <flamingosaddle/http/trafficgate.h>
+
+#include <boost/asio/post.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::test;
+using boost::asio::awaitable;
+
+namespace
+{
+
+RequestProfile profileOf(int tier)
+{
+    RequestProfile profile;
+    profile.clientAccount = ClientAccountId("account");
+    profile.requestClass.tier = tier;
+    profile.requestClass.firstTokenTarget = std::chrono::hours(1);
+    profile.requestClass.deadline = std::chrono::hours(2);
+    profile.model = ModelName("m");
+    profile.fingerprint = 7;
+    profile.arrival = RuntimeClock::now();
+    return profile;
+}
+
+std::vector<BackendServer> servers(int count)
+{
+    std::vector<BackendServer> list;
+    for (int i = 0; i < count; ++i) {
+        BackendServer server;
+        server.id = BackendServerId("s" + std::to_string(i));
+        server.dataCentre = DataCentre("a");
+        server.models = {ModelName("m")};
+        server.slots = 1;
+        list.push_back(server);
+    }
+    return list;
+}
+
+/** A gate and two threads whose requests meet in it. */
+struct GateTest : testing::Test {
+    ContextThread first;
+    ContextThread second;
+    CallerSignal firstCaller;
+    CallerSignal secondCaller;
+    std::atomic<int> deaths = 0;
+    TrafficGate gate{Dispatcher(DispatcherOptions()), first.context.get_executor(),
+        {[this](std::uint64_t fingerprint, const BackendServerId &) {
+             EXPECT_EQ(fingerprint, 7U);
+             ++this->deaths;
+         },
+            {}}};
+
+    TrafficGrant acquireOnFirst()
+    {
+        TrafficGate::Answer answer = this->first.await(this->gate.acquire(profileOf(0), this->firstCaller));
+        return std::get<TrafficGrant>(std::move(answer));
+    }
+
+    void waitForWaiting(std::size_t count)
+    {
+        while (this->gate.waitingCount() != count) {
+            std::this_thread::yield();
+        }
+    }
+};
+
+} // namespace
+
+TEST_F(GateTest, AWaitingRequestIsResumedOnItsOwnExecutorWhenAServerComesFree)
+{
+    this->gate.setServers(servers(1));
+    TrafficGrant grant = this->acquireOnFirst();
+    std::future<std::thread::id> resumedOn = this->second.start([](GateTest &test) -> awaitable<std::thread::id> {
+        const TrafficGate::Answer answer = co_await test.gate.acquire(profileOf(0), test.secondCaller);
+        EXPECT_TRUE(std::holds_alternative<TrafficGrant>(answer));
+        co_return std::this_thread::get_id();
+    }(*this));
+    this->waitForWaiting(1);
+    grant.finish(AttemptEnd::Completed);
+    const std::thread::id secondThread = this->second.await([]() -> awaitable<std::thread::id> {
+        co_return std::this_thread::get_id();
+    }());
+    EXPECT_EQ(resumedOn.get(), secondThread);
+}
+
+TEST_F(GateTest, AnUnfinishedGrantGivesItsServerBack)
+{
+    this->gate.setServers(servers(1));
+    {
+        const TrafficGrant grant = this->acquireOnFirst();
+        EXPECT_EQ(this->gate.runningCount(), 1U);
+    }
+    EXPECT_EQ(this->gate.runningCount(), 0U);
+    EXPECT_EQ(this->deaths, 0);
+}
+
+TEST_F(GateTest, ACallerThatGoesWhileItWaitsIsCancelled)
+{
+    this->gate.setServers(servers(1));
+    const TrafficGrant grant = this->acquireOnFirst();
+    std::future<TrafficGate::Answer> answer = this->second.start(this->gate.acquire(profileOf(0), this->secondCaller));
+    this->waitForWaiting(1);
+    boost::asio::post(this->second.context, [this]() {
+        this->secondCaller.setGone();
+    });
+    EXPECT_EQ(std::get<Refusal>(answer.get()).reason, RefusalReason::Cancelled);
+    EXPECT_EQ(this->gate.waitingCount(), 0U);
+}
+
+TEST_F(GateTest, ARetryGoesToAnotherServerAndReportsTheDeath)
+{
+    this->gate.setServers(servers(2));
+    TrafficGrant grant = this->acquireOnFirst();
+    const BackendServerId dead = grant.server();
+    const std::optional<Refusal> refusal = this->first.await(grant.retry(AttemptEnd::ServerFailed, true, this->firstCaller));
+    EXPECT_FALSE(refusal.has_value());
+    EXPECT_NE(grant.server(), dead);
+    EXPECT_EQ(this->deaths, 1);
+    EXPECT_EQ(this->gate.runningCount(), 1U);
+}
+
+TEST_F(GateTest, AWaitingRequestIsRefusedAtItsDeadline)
+{
+    this->gate.setServers(servers(1));
+    const TrafficGrant grant = this->acquireOnFirst();
+    const PausedClock paused;
+    std::future<TrafficGate::Answer> answer = this->second.start(this->gate.acquire(profileOf(0), this->secondCaller));
+    this->waitForWaiting(1);
+    RuntimeClock::advance(std::chrono::hours(3));
+    const Refusal refusal = std::get<Refusal>(answer.get());
+    EXPECT_EQ(refusal.runState, RunState::NotRun);
+}
+
+TEST_F(GateTest, ManyRequestsOfTwoThreadsAllEnd)
+{
+    constexpr int requestsEach = 500;
+    this->gate.setServers(servers(2));
+    const auto work = [](TrafficGate &gate, CallerSignal &caller) -> awaitable<int> {
+        int granted = 0;
+        for (int i = 0; i < requestsEach; ++i) {
+            TrafficGate::Answer answer = co_await gate.acquire(profileOf(0), caller);
+            if (TrafficGrant *grant = std::get_if<TrafficGrant>(&answer)) {
+                grant->firstToken();
+                grant->tokens(3);
+                grant->finish(AttemptEnd::Completed);
+                ++granted;
+            }
+        }
+        co_return granted;
+    };
+    std::future<int> one = this->first.start(work(this->gate, this->firstCaller));
+    std::future<int> two = this->second.start(work(this->gate, this->secondCaller));
+    EXPECT_EQ(one.get(), requestsEach);
+    EXPECT_EQ(two.get(), requestsEach);
+    EXPECT_EQ(this->gate.runningCount(), 0U);
+}
