--- /dev/null
+++ b/tests/control/controller_test.cpp
@@ -0,0 +1,125 @@
+#include "fakeplatform.h"
+#include "rununtil.h"
+
+#include <flamingosaddle/control/controller.h>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+
+namespace
+{
+
+std::string record(const std::string &changeId, ConfigChangeBody body)
+{
+    return encodeConfigChange({ChangeId(changeId), std::nullopt, "test", std::move(body)});
+}
+
+/**
+ * A controller on a fake platform with one client account and one key.
+ */
+class ControllerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        RequestClass requestClass;
+        requestClass.name = ClassName("chat");
+        ClientAccount account;
+        account.id = ClientAccountId("acme");
+        account.templateName = TemplateName("office");
+        this->append(record("c1", PutTemplate{{TemplateName("office"), 1, {requestClass}}}));
+        this->append(record("c2", PutClientAccount{account}));
+        this->append(record("c3", GiveKey{{KeyId("k1"), account.id, KeyDigest::of("key", "secret")}}));
+        this->controller.start();
+        ASSERT_TRUE(runUntil(this->context, [this] {
+            return this->snapshot && this->snapshot->offset() == 3;
+        }));
+    }
+
+    void TearDown() override
+    {
+        this->controller.stop();
+        RuntimeClock::advance(std::chrono::minutes(1));
+        this->context.run_for(std::chrono::milliseconds(50));
+    }
+
+    void append(const std::string &body)
+    {
+        this->platform.log.append("config", body);
+    }
+
+    bool keyWorks() const
+    {
+        return this->snapshot->findKey(KeyDigest::of("key", "secret")) != nullptr;
+    }
+
+    ControllerHooks recordingHooks()
+    {
+        ControllerHooks hooks;
+        hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> next) {
+            this->snapshot = std::move(next);
+        };
+        hooks.setServers = [this](const std::vector<BackendServer> &next) {
+            this->servers = next;
+        };
+        hooks.keyWithdrawn = [this](const KeyId &id) {
+            this->withdrawn.push_back(id);
+        };
+        return hooks;
+    }
+
+    PausedClock paused;
+    FakePlatform platform;
+    boost::asio::io_context context;
+    std::shared_ptr<const RoutingSnapshot> snapshot;
+    std::vector<BackendServer> servers;
+    std::vector<KeyId> withdrawn;
+    Controller controller{context, platform.hooks(),
+        ControllerOptions{InstanceId("i1"), DataCentre("a"), std::chrono::seconds(5), 1}, recordingHooks()};
+};
+
+} // namespace
+
+TEST_F(ControllerTest, WithdrawalInTheLogReachesTrafficOnce)
+{
+    EXPECT_TRUE(this->keyWorks());
+    this->append(record("c4", WithdrawKey{KeyId("k1")}));
+    ASSERT_TRUE(runUntil(this->context, [this] {
+        return this->snapshot->offset() == 4;
+    }));
+    EXPECT_FALSE(this->keyWorks());
+    EXPECT_EQ(this->withdrawn, std::vector<KeyId>{KeyId("k1")});
+}
+
+TEST_F(ControllerTest, WithdrawalHandedInWorksWhileTheLogIsDown)
+{
+    this->platform.logDown = true;
+    this->controller.withdrawKey(KeyId("k1"));
+    this->controller.withdrawKey(KeyId("k1"));
+    EXPECT_FALSE(this->keyWorks());
+    EXPECT_EQ(this->withdrawn.size(), 1u);
+}
+
+TEST_F(ControllerTest, FreshnessEndsWhenTheLogIsSilent)
+{
+    EXPECT_GT(this->controller.freshUntil(), RuntimeClock::now());
+    this->platform.logDown = true;
+    RuntimeClock::advance(std::chrono::seconds(30));
+    this->context.run_for(std::chrono::milliseconds(20));
+    EXPECT_LT(this->controller.freshUntil(), RuntimeClock::now());
+}
+
+TEST_F(ControllerTest, BackendServersReachTraffic)
+{
+    BackendServer server;
+    server.id = BackendServerId("e1");
+    server.endpoint = {"127.0.0.1", 9000};
+    server.dataCentre = DataCentre("a");
+    server.models = {ModelName("m")};
+    this->append(record("c4", PutBackendServer{server}));
+    ASSERT_TRUE(runUntil(this->context, [this] {
+        return this->servers.size() == 1;
+    }));
+    EXPECT_EQ(this->servers.front(), server);
+}
--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -1,6 +1,8 @@
 #include "fakeplatform.h"
 
-#include <flamingosaddle/control/delay.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace flamingosaddle
 {
@@ -11,6 +13,13 @@
 constexpr std::chrono::milliseconds pollInterval(1);
 constexpr std::size_t readLimit = 1000;
 
+// The platform stands outside of the process, so a paused clock does not keep it from seeing an append.
+boost::asio::awaitable<void> outsideDelay(std::chrono::milliseconds duration)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 // Takes one of @p count faults; answers whether there was one.
 bool takeFault(std::uint32_t &count)
 {
@@ -82,7 +91,7 @@
     }
     const TimePoint deadline = RuntimeClock::now() + wait;
     while (this->boundsOf(stream).headOffset <= from && RuntimeClock::now() < deadline && !this->logDown) {
-        co_await delay(pollInterval);
+        co_await outsideDelay(pollInterval);
     }
     if (this->logDown) {
         co_return downError();
