Pool of connections to backend servers

An idle connection is probed and dropped after 15 s; a server is judged by a fresh connection only, since a failure of a reused one does not show which of the two is at fault. A connection goes back to the pool only after the end mark of its answer. Keep-alive probes and TCP_USER_TIMEOUT notice a path that drops packets, also before the progress deadline.

A handler that aborts its connection and returns is no longer answered with status 500: the server wrote that answer before the posted abort ran.

--- /dev/null
+++ b/include/flamingosaddle/http/backendpool.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <flamingosaddle/http/callersignal.h>
+#include <flamingosaddle/http/client.h>
+#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/traffic/types.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace flamingosaddle
+{
+
+struct BackendPoolOptions {
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration idleLimit = std::chrono::seconds(15); ///< an idle connection is not used after this long
+    std::size_t maxIdlePerServer = 32;
+
+    friend bool operator==(const BackendPoolOptions &, const BackendPoolOptions &) = default;
+};
+
+/**
+ * Why a request got no answer, and what that says of the backend server.
+ */
+struct BackendFailure {
+    Error error;
+    bool anyByteSent = false; ///< whether the server may have seen any of the request
+    AttemptEnd end = AttemptEnd::NotSent;
+
+    friend bool operator==(const BackendFailure &, const BackendFailure &) = default;
+};
+
+class BackendPool;
+
+/**
+ * A request whose answer has begun. The connection goes back to the pool when the answer was read whole, and is closed in
+ * every other case, so that nothing of the answer can reach another request.
+ */
+class BackendCall
+{
+public:
+    BackendCall(BackendPool &pool, Endpoint endpoint, std::unique_ptr<HttpConnection> connection, HttpResponseHead head,
+        CallerSignal &caller);
+
+    // Queries.
+    const HttpResponseHead &head() const;
+
+    // Commands.
+    /** As HttpConnection::readBody(). Fails with Cancelled when the caller goes. */
+    boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout);
+
+private:
+    BackendPool &pool;
+    Endpoint endpoint;
+    std::unique_ptr<HttpConnection> connection;
+    HttpResponseHead responseHead;
+    std::unique_ptr<CallerSignal::Listener> listener;
+};
+
+/**
+ * Connections to backend servers, for one executor. A connection carries one request at a time. An idle one is probed before
+ * it is used and dropped after a short time, since something between the two ends may have lost track of it. A backend
+ * server is judged by a fresh connection: what fails on a reused one is sent again on a fresh one of the same server when
+ * no byte was written or the request may run twice.
+ *
+ * Outlives its calls; destroyed before its executor's context.
+ */
+class BackendPool
+{
+public:
+    using Answer = std::variant<BackendCall, BackendFailure>;
+    using StepHook = std::function<void(RequestStep)>;
+
+    explicit BackendPool(BackendPoolOptions options);
+
+    // Commands.
+
+    struct Order {
+        Endpoint endpoint;
+        HttpRequest request;
+        bool idempotent = false;
+        Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the head of the answer
+    };
+
+    /** Sends a request and reads the head of its answer. */
+    boost::asio::awaitable<Answer> call(const Order &order, CallerSignal &caller, const StepHook &step);
+
+    /** Closes the idle connections that are over the idle limit. */
+    void dropExpired();
+
+    // Queries.
+    std::size_t idleCount() const;
+
+private:
+    friend class BackendCall;
+
+    struct Idle {
+        std::unique_ptr<HttpConnection> connection;
+        TimePoint since;
+    };
+
+    std::unique_ptr<HttpConnection> takeIdle(const Endpoint &endpoint);
+    void putIdle(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
+    boost::asio::awaitable<Answer> callOnFresh(const Order &order, CallerSignal &caller, const StepHook &step);
+    boost::asio::awaitable<Answer> callOn(
+        std::unique_ptr<HttpConnection> connection, const Order &order, CallerSignal &caller, const StepHook &step);
+
+    BackendPoolOptions options;
+    std::map<Endpoint, std::deque<Idle>> idle; // newest last
+    TimePoint nextSweep;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -65,6 +65,10 @@
      * A function that closes the connection at once, from any thread, and does nothing once the connection has ended.
      */
     virtual std::function<void()> abortHandle() = 0;
+    /**
+     * What a handler keeps on the connection from one exchange to the next; destroyed with the connection.
+     */
+    virtual std::shared_ptr<void> &connectionState() = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -71,6 +73,25 @@
     };
 };
 
+// A path that drops packets silently is noticed by the kernel: sent bytes that nobody acknowledges, and probes of a
+// connection on which nothing moves.
+constexpr int unacknowledgedLimitMilliseconds = 5000;
+constexpr int probeAfterSeconds = 5;
+constexpr int probeIntervalSeconds = 2;
+constexpr int probeCount = 3;
+
+void noticeDeadPaths(int socket)
+{
+    const auto set = [socket](int level, int option, int value) {
+        ::setsockopt(socket, level, option, &value, sizeof value);
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMilliseconds);
+}
+
 bool needsLength(const HttpRequest &request)
 {
     return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
@@ -92,6 +113,7 @@
     boost::system::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);
+    noticeDeadPaths(this->socket.native_handle());
 }
 
 ClientConnection::~ClientConnection() = default;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -90,7 +90,7 @@
     }
     co_await this->runHandler();
     this->servedAny = true;
-    co_return this->answer == Answer::Complete &&this->keepAlive && !this->gone;
+    co_return this->answer == Answer::Complete &&this->keepAlive && !this->gone && !this->abortRequested;
 }
 
 asio::awaitable<void> ServerConnection::runHandler()
@@ -106,7 +106,7 @@
         this->keepAlive = false;
     }
     this->goneHandler = nullptr;
-    if (this->answer == Answer::None && !this->gone) {
+    if (this->answer == Answer::None && !this->gone && !this->abortRequested) {
         const Error error(
             ErrorKind::Internal, "the request was not answered", "send it again; report the fault when it persists");
         this->keepAlive = false;
@@ -310,8 +310,14 @@
     };
 }
 
+std::shared_ptr<void> &ServerConnection::connectionState()
+{
+    return this->handlerState;
+}
+
 void ServerConnection::abort()
 {
+    this->abortRequested = true;
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()]() {
         self->closeNow();
     });
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -71,6 +71,7 @@
     void closeAfter() override;
     void onGone(std::function<void()> handler) override;
     std::function<void()> abortHandle() override;
+    std::shared_ptr<void> &connectionState() override;
 
 private:
     enum class Phase {
@@ -130,6 +131,7 @@
     bool readInFlight = false;
     bool inputEnded = false;
 
+    std::shared_ptr<void> handlerState;
     HttpRequest currentRequest;
     Phase phase = Phase::Idle;
     Answer answer = Answer::None;
@@ -137,6 +139,7 @@
     bool keepAlive = false;
     bool servedAny = false;
     bool writing = false;
+    std::atomic<bool> abortRequested{false}; // any thread
     bool gone = false;
     std::function<void()> goneHandler;
     std::string answerHead;
