--- /dev/null
+++ b/src/state/recordfields.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "recordcodec.h"
+
+#include <flamingosaddle/state/incarnation.h>
+
+/**
+ * The fields that the records of several streams share.
+ */
+namespace flamingosaddle
+{
+
+template <typename Archive>
+void describe(Archive &archive, typename Archive::template Ref<Incarnation> value)
+{
+    archive.required("instance", value.instance);
+    archive.required("number", value.number);
+}
+
+template <typename Archive>
+void describe(Archive &archive, typename Archive::template Ref<RecordId> value)
+{
+    archive.required("writer", value.writer);
+    archive.required("sequence", value.sequence);
+}
+
+/**
+ * Snapshots of a state machine: its tables as lists, and the offset from which reading goes on.
+ */
+inline constexpr RecordFormat snapshotFormat{
+    ErrorKind::Protocol, "take another snapshot, or read the log from its beginning", std::size_t{64} << 20, true};
+
+} // namespace flamingosaddle
