--- /dev/null
+++ b/include/flamingosaddle/control/claimdesk.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/logappender.h>
+#include <flamingosaddle/control/logtail.h>
+#include <flamingosaddle/http/claim.h>
+#include <flamingosaddle/platform/platform.h>
+#include <flamingosaddle/state/claimstate.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace flamingosaddle
+{
+
+/**
+ * Decides through the `claims` stream whether a named non-idempotent request runs. Lives on the control thread, but for the
+ * hook, which traffic threads call.
+ */
+class ClaimDesk
+{
+public:
+    struct Options {
+        Incarnation self;
+        ClaimLimits limits;
+        Duration timeout = std::chrono::seconds(2); ///< for a claim to be appended and read back
+        std::chrono::seconds retryAfter{5}; ///< told to a caller whose claim could not be decided
+        std::function<std::chrono::seconds()> wallTime; ///< since the epoch
+        std::uint64_t seed = 1;
+    };
+
+    ClaimDesk(const boost::asio::any_io_executor &control, const Platform &platform, Options options);
+    ~ClaimDesk();
+
+    // Commands.
+
+    /** The hook for callers' requests. It may be called from any thread, as long as the control thread runs. */
+    ClaimHook hook();
+
+    /** Starts from the state of the stream as of a snapshot, when the log no longer holds its beginning. */
+    void restore(ClaimTable table);
+
+    /** Reads the stream until stop(). The object has to outlive the coroutine. */
+    boost::asio::awaitable<void> runTail();
+    /** Appends outcomes until stop(). The object has to outlive the coroutine. */
+    boost::asio::awaitable<void> runAppender();
+    void stop();
+
+    // Queries.
+    const ClaimTable &table() const;
+    std::size_t unsettledCount() const; ///< claims of this instance whose request is running
+
+private:
+    struct Waiting;
+
+    boost::asio::awaitable<ClaimAnswer> claim(ClaimRequest request);
+    boost::asio::awaitable<Result<std::uint64_t>> position();
+    void takeBatch(const LogBatch &batch);
+    void takeResult(std::uint64_t offset, const ClaimRecord &record, ClaimResult result);
+    ClaimAnswer answerOf(const ClaimKey &key, std::uint64_t fingerprint, ClaimResult result, std::uint64_t number);
+    ClaimAnswer unavailable() const;
+    void settle(const ClaimKey &key, std::uint64_t number, const ClaimOutcome &outcome);
+    void pushEnd(ClaimRecordKind kind, const ClaimKey &key, std::uint64_t number, StoredAnswer answer);
+    RecordId nextId();
+
+    boost::asio::any_io_executor control;
+    const Platform &platform;
+    Options options;
+    LogTail tail;
+    LogAppender appender;
+    ClaimTable claimTable;
+    std::map<RecordId, std::shared_ptr<Waiting>> waiting;
+    std::uint64_t sequence = 0;
+    std::size_t unsettled = 0;
+    bool positioned = false;
+};
+
+} // namespace flamingosaddle
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -6,7 +6,10 @@
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/controller.h>
 #include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/http/callerhandler.h>
+#include <flamingosaddle/http/keyregistry.h>
 #include <flamingosaddle/http/server.h>
+#include <flamingosaddle/http/trafficgate.h>
 #include <flamingosaddle/platform/httpplatform.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -53,6 +56,26 @@
     return limits;
 }
 
+CallerOptions callerOptionsOf(const Settings &settings)
+{
+    CallerOptions options;
+    options.pool.connectTimeout = settings.connectTimeout;
+    options.pool.idleLimit = settings.backendIdleLimit;
+    options.headTimeout = settings.firstByteTimeout;
+    options.pieceTimeout = settings.progressTimeout;
+    return options;
+}
+
+DispatcherOptions dispatcherOptionsOf(const Settings &settings, std::uint64_t seed)
+{
+    DispatcherOptions options;
+    options.maxWaiting = settings.maxWaiting;
+    options.retryPercent = static_cast<std::uint32_t>(settings.retryPercent);
+    options.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
+    options.seed = seed;
+    return options;
+}
+
 } // namespace
 
 class Daemon::Implementation
@@ -62,6 +85,7 @@
         : settings(settings)
         , seed(randomSeed())
         , workers(settings.trafficThreads)
+        , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor())
         , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
               ControllerOptions{instanceIdOf(settings, this->seed), settings.dataCentre, settings.freshnessLimit, this->seed},
               this->controllerHooks())
@@ -80,11 +104,11 @@
 
     Result<void> bind()
     {
+        BOOST_OUTCOME_TRY(handler, this->callerHandlerBuilder().build());
+        this->callerHandler = std::move(handler);
         HttpServer::Builder callers;
         callers.listenOn(this->settings.listen).limits(limitsOf(this->settings)).contexts(this->workers.contexts());
-        callers.handler([this](HttpExchange &exchange) {
-            return this->handleCaller(exchange);
-        });
+        callers.handler(this->callerHandler->handler());
         BOOST_OUTCOME_TRY(callerListener, callers.start());
         this->callerServer = std::move(callerListener);
         HttpServer::Builder admin;
@@ -125,15 +149,21 @@
         hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
             this->board.publish(std::move(snapshot));
         };
-        hooks.setServers = [](const std::vector<BackendServer> &) {};
-        hooks.keyWithdrawn = [](const KeyId &) {};
+        hooks.setServers = [this](const std::vector<BackendServer> &servers) {
+            this->gate.setServers(servers);
+        };
+        hooks.keyWithdrawn = [this](const KeyId &id) {
+            this->keys.cut(id);
+        };
         return hooks;
     }
 
-    boost::asio::awaitable<void> handleCaller(HttpExchange &exchange)
+    CallerHandler::Builder callerHandlerBuilder()
     {
-        const Result<void> ignored = co_await exchange.respond(jsonResponse(503, "{}"));
-        static_cast<void>(ignored);
+        CallerHandler::Builder builder;
+        builder.board(&this->board).gate(&this->gate).keys(&this->keys).keySecret(this->settings.keySecret);
+        builder.options(callerOptionsOf(this->settings)).contexts(this->workers.contexts());
+        return builder;
     }
 
     TrafficStatus trafficStatus() const
@@ -141,6 +171,8 @@
         TrafficStatus status;
         status.callerConnections = this->callerServer->connectionCount();
         status.activeExchanges = this->callerServer->activeExchangeCount();
+        status.waiting = this->gate.waitingCount();
+        status.running = this->gate.runningCount();
         status.draining = this->draining;
         return status;
     }
@@ -193,9 +225,12 @@
     SnapshotBoard board;
     boost::asio::io_context controlContext{1};
     WorkerThreads workers;
+    KeyRegistry keys;
+    TrafficGate gate;
     Controller controller;
     AdminHandler adminHandler;
     boost::asio::signal_set signals;
+    std::unique_ptr<CallerHandler> callerHandler;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> adminServer;
     bool draining = false;
--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -1,5 +1,7 @@
 #include "fakeplatform.h"
 
+#include <flamingosaddle/base/clock.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
