--- a/include/flamingosaddle/http/message.h
+++ b/include/flamingosaddle/http/message.h
@@ -15,6 +15,11 @@
     friend bool operator==(const HttpHeader &, const HttpHeader &) = default;
 };
 
+/**
+ * Compares two names of header fields, without regard to case.
+ */
+bool equalHeaderNames(std::string_view left, std::string_view right);
+
 /**
  * Header fields in the order of the message. Names compare without regard to case.
  */
--- /dev/null
+++ b/include/flamingosaddle/http/ssesplitter.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace flamingosaddle
+{
+
+/**
+ * Cuts the body of a streamed completion into whole server-sent events, counts the tokens in them and notices the end mark
+ * `[DONE]`. An event counts as one token unless it carries a finish reason, no choice, or only the role at the start.
+ */
+class SseSplitter
+{
+public:
+    static constexpr std::size_t maxEventBytes = std::size_t{1024} * 1024;
+
+    struct Batch {
+        std::string_view events; ///< whole events before the end mark; valid until the next call of feed()
+        std::uint32_t tokens = 0; ///< in them
+    };
+
+    // Commands.
+    /** Takes in the next bytes of the body. What comes after the end mark is ignored. */
+    Batch feed(std::string_view piece);
+
+    // Queries.
+    bool isDone() const; ///< whether the end mark came
+    bool isOverflown() const; ///< whether an event is larger than maxEventBytes; the stream cannot be relayed then
+    const std::string &usage() const; ///< data of the last event that reports the usage, or an empty text
+
+private:
+    struct Event {
+        std::string_view data; // of its first data line
+        bool hasData = false;
+    };
+
+    Batch scan(std::string_view text);
+    void endEvent(const Event &event, Batch &batch);
+    bool isToken(std::string_view data);
+
+    std::string ready;
+    std::string pending; // the beginning of an event
+    std::string usageData;
+    std::uint64_t tokensSeen = 0;
+    bool done = false;
+    bool overflown = false;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/base/trace.cpp
@@ -0,0 +1,190 @@
+#include <flamingosaddle/base/trace.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::size_t wordDigits = 16;
+constexpr std::size_t traceparentSize = 55; // 2 version, 32 trace, 16 span, 2 flags, 3 dashes
+constexpr unsigned int sampledFlag = 1;
+constexpr int serverSpanKind = 2; // SPAN_KIND_SERVER
+
+std::uint64_t randomWord()
+{
+    thread_local std::mt19937_64 engine{std::random_device{}()};
+    std::uint64_t word = 0;
+    while (word == 0) {
+        word = engine();
+    }
+    return word;
+}
+
+std::string hexOf(std::uint64_t word)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    std::string text(wordDigits, '0');
+    for (std::size_t i = 0; i < wordDigits; ++i) {
+        text[wordDigits - 1 - i] = digits[(word >> (4 * i)) & 0x0f];
+    }
+    return text;
+}
+
+bool isLowerHex(std::string_view text)
+{
+    return text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+std::uint64_t wordOf(std::string_view digits)
+{
+    std::uint64_t word = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), word, 16);
+    return word;
+}
+
+nlohmann::json attribute(std::string_view name, std::string_view value)
+{
+    return {{"key", name}, {"value", {{"stringValue", value}}}};
+}
+
+std::string unixNanoseconds(TimePoint time, std::chrono::nanoseconds unixTimeAtZero)
+{
+    return std::to_string((time.time_since_epoch() + unixTimeAtZero).count());
+}
+
+} // namespace
+
+std::string TraceId::hex() const
+{
+    return hexOf(this->high) + hexOf(this->low);
+}
+
+std::optional<TraceContext> TraceContext::parse(std::string_view text)
+{
+    // Later versions may append fields after another dash.
+    const bool known = text.substr(0, 2) == "00";
+    if (text.size() < traceparentSize || (known && text.size() != traceparentSize) || text.substr(0, 2) == "ff") {
+        return std::nullopt;
+    }
+    if (text[2] != '-' || text[35] != '-' || text[52] != '-' || (text.size() > traceparentSize && text[55] != '-')) {
+        return std::nullopt;
+    }
+    for (const auto &[first, size] : {std::pair{0, 2}, {3, 32}, {36, 16}, {53, 2}}) {
+        if (!isLowerHex(text.substr(static_cast<std::size_t>(first), static_cast<std::size_t>(size)))) {
+            return std::nullopt;
+        }
+    }
+    TraceContext context;
+    context.trace = {wordOf(text.substr(3, wordDigits)), wordOf(text.substr(3 + wordDigits, wordDigits))};
+    context.span = SpanId{wordOf(text.substr(36, wordDigits))};
+    context.sampled = (wordOf(text.substr(53, 2)) & sampledFlag) != 0;
+    if (context.trace == TraceId() || context.span == SpanId()) {
+        return std::nullopt;
+    }
+    return context;
+}
+
+std::string TraceContext::format() const
+{
+    return "00-" + this->trace.hex() + "-" + hexOf(static_cast<std::uint64_t>(this->span)) + (this->sampled ? "-01" : "-00");
+}
+
+std::string otlpJsonLine(const Span &span, std::string_view serviceName, std::chrono::nanoseconds unixTimeAtZero)
+{
+    nlohmann::json attributes = nlohmann::json::array();
+    for (const SpanAttribute &entry : span.attributes) {
+        attributes.push_back(attribute(entry.name, entry.value));
+    }
+    nlohmann::json record = {{"traceId", span.trace.hex()}, {"spanId", hexOf(static_cast<std::uint64_t>(span.id))},
+        {"name", span.name}, {"kind", serverSpanKind}, {"startTimeUnixNano", unixNanoseconds(span.start, unixTimeAtZero)},
+        {"endTimeUnixNano", unixNanoseconds(span.end, unixTimeAtZero)}, {"attributes", attributes}};
+    if (span.parent != SpanId()) {
+        record["parentSpanId"] = hexOf(static_cast<std::uint64_t>(span.parent));
+    }
+    const nlohmann::json resource = {{"attributes", nlohmann::json::array({attribute("service.name", serviceName)})}};
+    const nlohmann::json scope = {{"spans", nlohmann::json::array({record})}};
+    const nlohmann::json entry = {{"resource", resource}, {"scopeSpans", nlohmann::json::array({scope})}};
+    const nlohmann::json line = {{"resourceSpans", nlohmann::json::array({entry})}};
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Tracer::Tracer(SpanExporter exporter, double sampledFraction)
+    : exporter(std::move(exporter))
+    , sampledFraction(sampledFraction)
+{
+}
+
+TraceContext Tracer::begin(std::string_view traceparent) const
+{
+    if (const std::optional<TraceContext> given = TraceContext::parse(traceparent)) {
+        return *given;
+    }
+    TraceContext context;
+    context.trace = {randomWord(), randomWord()};
+    // The low word is random, so that every hop that looks at it decides alike.
+    constexpr double wordRange = 18446744073709551616.0;
+    context.sampled = this->exporter && static_cast<double>(context.trace.low) < this->sampledFraction * wordRange;
+    return context;
+}
+
+void Tracer::record(const Span &span) const
+{
+    if (this->exporter) {
+        this->exporter(span);
+    }
+}
+
+ActiveSpan::ActiveSpan(const Tracer &tracer, const TraceContext &parent, std::string_view name)
+    : tracer(tracer)
+    , sampled(parent.sampled)
+{
+    this->span.trace = parent.trace;
+    this->span.id = SpanId{randomWord()};
+    this->span.parent = parent.span;
+    if (this->sampled) {
+        this->span.name = name;
+        this->span.start = RuntimeClock::now();
+    }
+}
+
+ActiveSpan::~ActiveSpan()
+{
+    this->end();
+}
+
+void ActiveSpan::add(std::string_view name, std::string_view value)
+{
+    if (this->sampled) {
+        this->span.attributes.push_back({std::string(name), std::string(value)});
+    }
+}
+
+void ActiveSpan::end()
+{
+    if (!this->sampled || this->ended) {
+        return;
+    }
+    this->ended = true;
+    this->span.end = RuntimeClock::now();
+    this->tracer.record(this->span);
+}
+
+TraceContext ActiveSpan::context() const
+{
+    return {this->span.trace, this->span.id, this->sampled};
+}
+
+std::string randomHexId()
+{
+    return hexOf(randomWord()) + hexOf(randomWord());
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/answerrelay.cpp
@@ -0,0 +1,321 @@
+#include "answerrelay.h"
+
+#include "backendheaders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view eventStreamType = "text/event-stream";
+constexpr std::string_view endMarkEvent = "data: [DONE]\n\n";
+
+AttemptResult answered()
+{
+    AttemptResult result;
+    result.outcome = AttemptResult::Outcome::Answered;
+    result.end = AttemptEnd::Completed;
+    result.anyByteSent = true;
+    return result;
+}
+
+AttemptResult callerGone()
+{
+    AttemptResult result;
+    result.outcome = AttemptResult::Outcome::CallerGone;
+    result.end = AttemptEnd::CallerGone;
+    result.anyByteSent = true;
+    return result;
+}
+
+Error brokenStream(const std::string &detail)
+{
+    return {ErrorKind::Protocol, "the stream of the backend server " + detail, "send the request again"};
+}
+
+} // namespace
+
+AnswerRelay::AnswerRelay(
+    const CallerEnvironment &environment, HttpExchange &exchange, const RequestProfile &profile, RequestOutcome &outcome)
+    : environment(environment)
+    , exchange(exchange)
+    , profile(profile)
+    , outcome(outcome)
+{
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::relay(BackendCall &call, TrafficGrant &grant)
+{
+    if (call.head().headers.find("Content-Type").starts_with(eventStreamType)) {
+        co_return co_await this->relayStream(call, grant);
+    }
+    if (this->streamBegun) {
+        const std::string detail = "could not be resumed: status " + std::to_string(call.head().status);
+        AttemptResult result = this->failed(brokenStream(detail));
+        result.end = AttemptEnd::ServerError;
+        co_return result;
+    }
+    co_return co_await this->relayWhole(call, grant);
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::relayStream(BackendCall &call, TrafficGrant &grant)
+{
+    this->eventStream = true;
+    SseSplitter splitter;
+    std::string piece;
+    while (true) {
+        const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
+        if (!more.has_value()) {
+            co_return this->failed(more.error());
+        }
+        if (!more.value()) {
+            break;
+        }
+        const SseSplitter::Batch batch = splitter.feed(piece);
+        if (splitter.isOverflown()) {
+            co_return this->failed(brokenStream("has too large an event"));
+        }
+        if (batch.events.empty()) {
+            continue;
+        }
+        this->noteFirstToken(grant);
+        if (batch.tokens > 0) {
+            grant.tokens(batch.tokens);
+        }
+        const Result<void> written = co_await this->passOn(call, batch.events);
+        if (!written.has_value()) {
+            co_return callerGone();
+        }
+        this->outcome.tokens += batch.tokens;
+    }
+    if (!splitter.isDone()) {
+        co_return this->failed(brokenStream("ended without its end mark"));
+    }
+    const Result<TokenUsage> reported = parseUsage(splitter.usage());
+    if (reported.has_value()) {
+        this->usage = reported.value();
+    }
+    co_return co_await this->endEvents();
+}
+
+asio::awaitable<Result<void>> AnswerRelay::passOn(const BackendCall &call, std::string_view piece)
+{
+    if (!this->streamBegun) {
+        this->streamBegun = true;
+        this->outcome.status = call.head().status;
+        const Result<void> begun
+            = co_await this->exchange.beginStream(call.head().status, this->answerHeaders(call.head().headers));
+        if (!begun.has_value()) {
+            co_return begun;
+        }
+    } else if (!this->midStreamNoted) {
+        this->midStreamNoted = true;
+        this->environment.step(RequestStep::MidStream);
+    }
+    this->keep(piece);
+    co_return co_await this->exchange.writePiece(piece);
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::endEvents()
+{
+    this->environment.step(RequestStep::LastByte);
+    if (!this->streamBegun) {
+        // A stream of the end mark alone.
+        this->streamBegun = true;
+        this->outcome.status = 200;
+        HttpHeaders headers = this->callerHeaders;
+        headers.set("Content-Type", std::string(eventStreamType));
+        const Result<void> begun = co_await this->exchange.beginStream(200, std::move(headers));
+        if (!begun.has_value()) {
+            co_return callerGone();
+        }
+    }
+    this->keep(endMarkEvent);
+    const Result<void> marked = co_await this->exchange.writePiece(endMarkEvent);
+    if (!marked.has_value()) {
+        co_return callerGone();
+    }
+    const Result<void> ended = co_await this->exchange.endStream();
+    co_return ended.has_value() ? answered() : callerGone();
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::relayWhole(BackendCall &call, TrafficGrant &grant)
+{
+    HttpResponse response;
+    response.status = call.head().status;
+    response.headers = this->answerHeaders(call.head().headers);
+    this->noteFirstToken(grant);
+    std::string piece;
+    while (true) {
+        const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
+        if (!more.has_value()) {
+            co_return this->failed(more.error());
+        }
+        if (!more.value()) {
+            break;
+        }
+        response.body.append(piece);
+        if (response.body.size() > this->environment.options.maxBufferedAnswerBytes) {
+            co_return co_await this->relayLarge(call, std::move(response));
+        }
+    }
+    if (this->isWorthRetry(response.status)) {
+        const Error error(ErrorKind::Refused, "it answered with status " + std::to_string(response.status), "come back later");
+        AttemptResult result = this->failed(error);
+        result.end = AttemptEnd::ServerError;
+        this->held = std::move(response);
+        co_return result;
+    }
+    const Result<TokenUsage> reported = parseUsage(this->profile.model.isEmpty() ? std::string_view() : response.body);
+    if (reported.has_value()) {
+        this->usage = reported.value();
+        this->outcome.tokens = reported.value().completionTokens;
+        grant.tokens(static_cast<std::uint32_t>(reported.value().completionTokens));
+    }
+    co_return co_await this->answerWhole(std::move(response));
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::answerWhole(HttpResponse response)
+{
+    this->environment.step(RequestStep::LastByte);
+    this->outcome.status = response.status;
+    if (this->keepsAnswer) {
+        this->kept = response;
+    }
+    const Result<void> written = co_await this->exchange.respond(std::move(response));
+    co_return written.has_value() ? answered() : callerGone();
+}
+
+asio::awaitable<AttemptResult> AnswerRelay::relayLarge(BackendCall &call, HttpResponse begun)
+{
+    this->keepsAnswer = false;
+    this->streamBegun = true;
+    this->outcome.status = begun.status;
+    Result<void> written = co_await this->exchange.beginStream(begun.status, std::move(begun.headers));
+    std::string piece = std::move(begun.body);
+    while (written.has_value()) {
+        written = co_await this->exchange.writePiece(piece);
+        const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
+        if (!more.has_value()) {
+            co_return this->failed(more.error());
+        }
+        if (!more.value()) {
+            this->environment.step(RequestStep::LastByte);
+            written = co_await this->exchange.endStream();
+            co_return written.has_value() ? answered() : callerGone();
+        }
+    }
+    co_return callerGone();
+}
+
+AttemptResult AnswerRelay::failed(const Error &error) const
+{
+    if (error.kind() == ErrorKind::Cancelled || this->exchange.isPeerGone()) {
+        return callerGone();
+    }
+    AttemptResult result;
+    result.anyByteSent = true;
+    result.error = error;
+    // A server that answered and fell silent may be well behind a path that is not; one that broke off may have died.
+    result.end = error.kind() == ErrorKind::ConnectionLost ? AttemptEnd::ServerFailed : AttemptEnd::ServerError;
+    return result;
+}
+
+bool AnswerRelay::isWorthRetry(int status) const
+{
+    const bool passing = status == 429 || status == 502 || status == 503 || status == 504;
+    return this->profile.idempotent && (passing || (status == 500 && !this->profile.model.isEmpty()));
+}
+
+void AnswerRelay::noteFirstToken(TrafficGrant &grant)
+{
+    grant.firstToken();
+    if (!this->outcome.firstToken.has_value()) {
+        this->outcome.firstToken = RuntimeClock::now();
+        this->environment.step(RequestStep::FirstToken);
+    }
+}
+
+HttpHeaders AnswerRelay::answerHeaders(const HttpHeaders &fromBackend) const
+{
+    HttpHeaders headers = headersForCaller(fromBackend);
+    for (const HttpHeader &field : this->callerHeaders.fields()) {
+        headers.add(field.name, field.value);
+    }
+    return headers;
+}
+
+void AnswerRelay::keep(std::string_view piece)
+{
+    if (!this->keepsAnswer) {
+        return;
+    }
+    if (!this->kept.has_value()) {
+        this->kept = HttpResponse();
+        this->kept->headers.add("Content-Type", std::string(eventStreamType));
+    }
+    this->kept->body.append(piece);
+    if (this->kept->body.size() > this->environment.options.maxBufferedAnswerBytes) {
+        this->keepsAnswer = false;
+        this->kept.reset();
+    }
+}
+
+void AnswerRelay::setCallerHeaders(HttpHeaders headers)
+{
+    this->callerHeaders = std::move(headers);
+}
+
+void AnswerRelay::keepAnswer()
+{
+    this->keepsAnswer = true;
+}
+
+bool AnswerRelay::hasBegun() const
+{
+    return this->streamBegun;
+}
+
+bool AnswerRelay::isResumable() const
+{
+    return this->eventStream && this->profile.idempotent && !this->profile.model.isEmpty();
+}
+
+std::uint64_t AnswerRelay::resumePosition() const
+{
+    return this->outcome.tokens;
+}
+
+const std::optional<HttpResponse> &AnswerRelay::heldAnswer() const
+{
+    return this->held;
+}
+
+const std::optional<HttpResponse> &AnswerRelay::keptAnswer() const
+{
+    return this->kept;
+}
+
+const std::optional<TokenUsage> &AnswerRelay::reportedUsage() const
+{
+    return this->usage;
+}
+
+Duration AnswerRelay::timeLeft() const
+{
+    const TimePoint deadline = this->profile.arrival + this->profile.requestClass.deadline;
+    return std::max(Duration::zero(), deadline - RuntimeClock::now());
+}
+
+Duration AnswerRelay::pieceTimeout() const
+{
+    return std::min(this->environment.options.pieceTimeout, this->timeLeft());
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/callerexchange.cpp
@@ -0,0 +1,358 @@
+#include "callerexchange.h"
+
+#include "backendheaders.h"
+#include "connectionkeys.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr const char *requestIdHeader = "X-Request-Id";
+constexpr const char *traceHeader = "traceparent";
+
+auto noConfiguration()
+{
+    return fail(ErrorKind::Unavailable, "this instance has no configuration yet", "come back later");
+}
+
+std::string modelList(const RoutingSnapshot &snapshot, const ClientAccountId &account)
+{
+    nlohmann::json list = nlohmann::json::array();
+    const Revised<ClientAccount> *found = snapshot.config().findClientAccount(account);
+    for (const ModelName &model : snapshot.models()) {
+        if (found != nullptr
+            && std::find(found->value.models.begin(), found->value.models.end(), model) != found->value.models.end()) {
+            list.push_back({{"id", model.text()}, {"object", "model"}, {"created", 0}, {"owned_by", "flamingosaddle"}});
+        }
+    }
+    return nlohmann::json{{"object", "list"}, {"data", list}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+CallerExchange::CallerExchange(const CallerEnvironment &environment, HttpExchange &exchange, BackendPool &pool)
+    : environment(environment)
+    , exchange(exchange)
+    , pool(pool)
+    , span(environment.tracer, environment.tracer.begin(exchange.request().headers.find(traceHeader)), "caller")
+    , relay(environment, exchange, this->routed.profile, this->outcome)
+{
+    this->outcome.arrival = RuntimeClock::now();
+    this->outcome.requestId = randomHexId();
+    HttpHeaders headers;
+    headers.add(requestIdHeader, this->outcome.requestId);
+    headers.add(traceHeader, this->span.context().format());
+    this->relay.setCallerHeaders(std::move(headers));
+}
+
+CallerExchange::~CallerExchange()
+{
+    // The coroutine was destroyed while it ran, or a hook threw.
+    this->settleClaim(ClaimOutcome::State::Unknown);
+}
+
+asio::awaitable<void> CallerExchange::run()
+{
+    this->exchange.onGone([this]() {
+        this->signal.setGone();
+    });
+    this->environment.step(RequestStep::Accept);
+    const Result<void> admitted = this->admit();
+    if (admitted.has_value()) {
+        co_await this->serve();
+    } else {
+        co_await this->refuse(refusalOf(admitted.error()));
+    }
+    this->outcome.end = RuntimeClock::now();
+    if (!this->outcome.whole) {
+        this->outcome.wastedTokens = this->outcome.tokens;
+    }
+    this->reportUsage();
+    this->span.add("client_account", this->outcome.clientAccount.text());
+    this->span.add("class", this->outcome.className.text());
+    this->span.add("status", std::to_string(this->outcome.status));
+    this->span.end();
+    if (this->environment.hooks.outcome) {
+        this->environment.hooks.outcome(this->outcome);
+    }
+}
+
+Result<void> CallerExchange::admit()
+{
+    const std::shared_ptr<const RoutingSnapshot> snapshot = this->environment.board->current();
+    if (!snapshot) {
+        return noConfiguration();
+    }
+    BOOST_OUTCOME_TRY(decided, this->environment.router.route(*snapshot, this->exchange.request(), this->outcome.arrival));
+    this->routed = std::move(decided);
+    this->outcome.clientAccount = this->routed.profile.clientAccount;
+    this->outcome.className = this->routed.profile.requestClass.name;
+    BOOST_OUTCOME_TRYV(this->registerKey());
+    this->environment.step(RequestStep::Authenticate);
+    return done();
+}
+
+Result<void> CallerExchange::registerKey()
+{
+    if (this->routed.key.isEmpty()) {
+        return done();
+    }
+    rememberKey(this->exchange, *this->environment.keys, this->routed.key);
+    // A withdrawal that was published before the registration may have cut this key's connections already.
+    if (this->environment.board->current()->isWithdrawn(this->routed.key)) {
+        return fail(ErrorKind::Unauthorized, "the key was withdrawn", "ask an operator for a new one");
+    }
+    return done();
+}
+
+asio::awaitable<void> CallerExchange::serve()
+{
+    if (this->routed.target == RoutedRequest::Target::ModelList) {
+        co_await this->answerModels();
+        co_return;
+    }
+    const bool mine = co_await this->claim();
+    if (mine) {
+        co_await this->waitAndRun();
+    }
+}
+
+asio::awaitable<void> CallerExchange::answerModels()
+{
+    const std::shared_ptr<const RoutingSnapshot> snapshot = this->environment.board->current();
+    co_await this->respond(jsonResponse(200, modelList(*snapshot, this->routed.profile.clientAccount)));
+}
+
+asio::awaitable<bool> CallerExchange::claim()
+{
+    const std::string_view idempotencyKey = this->exchange.request().headers.find("Idempotency-Key");
+    if (this->routed.profile.idempotent || idempotencyKey.empty() || !this->environment.hooks.claim) {
+        co_return true;
+    }
+    ActiveSpan claimSpan(this->environment.tracer, this->span.context(), "claim");
+    ClaimRequest request;
+    request.clientAccount = this->routed.profile.clientAccount;
+    request.idempotencyKey = std::string(idempotencyKey);
+    request.fingerprint = this->routed.profile.fingerprint;
+    request.requestId = this->outcome.requestId;
+    ClaimAnswer answer = co_await this->environment.hooks.claim(std::move(request));
+    claimSpan.end();
+    this->environment.step(RequestStep::Claim);
+    co_return co_await this->takeClaimAnswer(std::move(answer));
+}
+
+asio::awaitable<bool> CallerExchange::takeClaimAnswer(ClaimAnswer answer)
+{
+    if (ClaimRun *run = std::get_if<ClaimRun>(&answer)) {
+        this->settle = std::move(run->settle);
+        this->relay.keepAnswer();
+        co_return true;
+    }
+    if (ClaimAnswered *answered = std::get_if<ClaimAnswered>(&answer)) {
+        co_await this->respond(std::move(answered->answer));
+        co_return false;
+    }
+    RefusalAnswer refusal;
+    if (std::holds_alternative<ClaimStarted>(answer)) {
+        refusal = refusalOf(Error(ErrorKind::Conflict, "a request with this idempotency key was started, its outcome is unknown",
+            "find out whether it has run; it is not run again"));
+        refusal.runState = RunState::Unknown;
+    } else if (const ClaimUnavailable *unavailable = std::get_if<ClaimUnavailable>(&answer)) {
+        refusal = refusalOf(Error(ErrorKind::Unavailable, "idempotency keys cannot be checked at present", "come back later"));
+        refusal.retryAfter = unavailable->retryAfter;
+    } else {
+        refusal = refusalOf(Error(ErrorKind::InvalidRequest, "the idempotency key was used for another request",
+            "use a key of its own for each request"));
+    }
+    co_await this->refuse(std::move(refusal));
+    co_return false;
+}
+
+asio::awaitable<void> CallerExchange::waitAndRun()
+{
+    this->environment.step(RequestStep::Queue);
+    ActiveSpan queueSpan(this->environment.tracer, this->span.context(), "queue");
+    TrafficGate::Answer answer = co_await this->environment.gate->acquire(this->routed.profile, this->signal);
+    queueSpan.end();
+    if (const Refusal *refusal = std::get_if<Refusal>(&answer)) {
+        this->settleClaim(ClaimOutcome::State::NotRun);
+        co_await this->refuse(refusalOf(*refusal));
+        co_return;
+    }
+    co_await this->runAttempts(std::get<TrafficGrant>(std::move(answer)));
+}
+
+asio::awaitable<void> CallerExchange::runAttempts(TrafficGrant grant)
+{
+    while (true) {
+        AttemptResult result = co_await this->attempt(grant);
+        if (result.outcome != AttemptResult::Outcome::Failed) {
+            grant.finish(result.end);
+            if (result.outcome == AttemptResult::Outcome::Answered) {
+                this->finishAnswered();
+            }
+            co_return;
+        }
+        if (!this->mayRunAgain()) {
+            grant.finish(result.end);
+            Refusal refusal;
+            refusal.reason = RefusalReason::RetriesExhausted;
+            refusal.runState = RunState::Unknown;
+            co_await this->giveUp(std::move(result), refusal);
+            co_return;
+        }
+        const std::optional<Refusal> refusal = co_await grant.retry(result.end, result.anyByteSent, this->signal);
+        if (refusal.has_value()) {
+            co_await this->giveUp(std::move(result), *refusal);
+            co_return;
+        }
+    }
+}
+
+bool CallerExchange::mayRunAgain() const
+{
+    return !this->relay.hasBegun() || this->relay.isResumable();
+}
+
+asio::awaitable<AttemptResult> CallerExchange::attempt(TrafficGrant &grant)
+{
+    ++this->outcome.attempts;
+    AttemptResult result;
+    const std::shared_ptr<const RoutingSnapshot> snapshot = this->environment.board->current();
+    const Revised<BackendServer> *server = snapshot->config().findBackendServer(grant.server());
+    if (server == nullptr) {
+        result.error = Error(ErrorKind::Unreachable, "the backend server was removed", "come back later");
+        co_return result;
+    }
+    ActiveSpan attemptSpan(this->environment.tracer, this->span.context(), "backend-server");
+    attemptSpan.add("server", grant.server().text());
+    const BackendPool::Order order = this->orderFor(server->value.endpoint, attemptSpan.context());
+    const auto step = [this](RequestStep reached) {
+        this->environment.step(reached);
+    };
+    BackendPool::Answer answer = co_await this->pool.call(order, this->signal, step);
+    if (const BackendFailure *failure = std::get_if<BackendFailure>(&answer)) {
+        result.outcome
+            = failure->end == AttemptEnd::CallerGone ? AttemptResult::Outcome::CallerGone : AttemptResult::Outcome::Failed;
+        result.end = failure->end;
+        result.anyByteSent = failure->anyByteSent;
+        result.error = failure->error;
+        co_return result;
+    }
+    result = co_await this->relay.relay(std::get<BackendCall>(answer), grant);
+    co_return result;
+}
+
+BackendPool::Order CallerExchange::orderFor(const Endpoint &endpoint, const TraceContext &trace) const
+{
+    const HttpRequest &request = this->exchange.request();
+    const RequestProfile &profile = this->routed.profile;
+    BackendPool::Order order;
+    order.endpoint = endpoint;
+    order.idempotent = profile.idempotent;
+    order.request.method = request.method;
+    order.request.target = request.target;
+    order.request.headers = headersForBackend(request.headers, this->outcome.requestId, trace, profile.requestClass.tier);
+    order.request.body = this->relay.hasBegun() ? withResumePosition(request.body, this->relay.resumePosition()) : request.body;
+    // A whole completion begins only when it is complete, so nothing but its deadline bounds the wait.
+    const bool wholeCompletion = !profile.model.isEmpty() && !this->routed.stream;
+    const Duration left = this->relay.timeLeft();
+    order.headTimeout = wholeCompletion ? left : std::min(left, this->environment.options.headTimeout);
+    return order;
+}
+
+asio::awaitable<void> CallerExchange::giveUp(AttemptResult result, Refusal refusal)
+{
+    const bool mayHaveRun = refusal.runState == RunState::Unknown;
+    this->settleClaim(mayHaveRun ? ClaimOutcome::State::Unknown : ClaimOutcome::State::NotRun);
+    if (this->relay.hasBegun()) {
+        this->outcome.runState = RunState::Unknown;
+        this->outcome.refusal = refusal.reason;
+        // The body stays without its end mark: the connection closes after this exchange.
+        this->exchange.closeAfter();
+        if (this->relay.isResumable() || this->routed.stream) {
+            const Result<void> ignored
+                = co_await this->exchange.writePiece(errorEvent(refusalAfter(result.error, refusal).error));
+        }
+        co_return;
+    }
+    if (this->relay.heldAnswer().has_value()) {
+        HttpResponse held = *this->relay.heldAnswer();
+        co_await this->respond(std::move(held));
+        co_return;
+    }
+    co_await this->refuse(refusalAfter(result.error, refusal));
+}
+
+asio::awaitable<void> CallerExchange::refuse(RefusalAnswer answer)
+{
+    this->outcome.runState = answer.runState;
+    this->outcome.refusal = answer.reason;
+    if (this->signal.isGone()) {
+        co_return;
+    }
+    co_await this->respond(renderRefusal(answer));
+    this->outcome.whole = false;
+}
+
+asio::awaitable<void> CallerExchange::respond(HttpResponse response)
+{
+    this->outcome.status = response.status;
+    response.headers.set(requestIdHeader, this->outcome.requestId);
+    response.headers.set(traceHeader, this->span.context().format());
+    const Result<void> written = co_await this->exchange.respond(std::move(response));
+    this->outcome.whole = written.has_value();
+}
+
+void CallerExchange::finishAnswered()
+{
+    this->outcome.whole = true;
+    this->settleClaim(this->relay.keptAnswer().has_value() ? ClaimOutcome::State::Answered : ClaimOutcome::State::Unknown);
+}
+
+void CallerExchange::settleClaim(ClaimOutcome::State state)
+{
+    const std::function<void(ClaimOutcome)> once = std::exchange(this->settle, nullptr);
+    if (!once) {
+        return;
+    }
+    ClaimOutcome claimed;
+    claimed.state = state;
+    if (state == ClaimOutcome::State::Answered) {
+        claimed.answer = *this->relay.keptAnswer();
+    }
+    once(std::move(claimed));
+}
+
+void CallerExchange::reportUsage() const
+{
+    const RequestProfile &profile = this->routed.profile;
+    const bool worked = this->relay.reportedUsage().has_value() || this->outcome.tokens > 0;
+    if (!this->environment.hooks.usage || profile.model.isEmpty() || !worked) {
+        return;
+    }
+    UsageEvent event;
+    event.clientAccount = profile.clientAccount;
+    event.model = profile.model;
+    event.requestId = this->outcome.requestId;
+    event.promptTokens = profile.promptTokens;
+    event.completionTokens = this->outcome.tokens;
+    // The engine that resumed a stream knows its own part only.
+    if (this->relay.reportedUsage().has_value() && this->outcome.attempts == 1) {
+        event.promptTokens = this->relay.reportedUsage()->promptTokens;
+        event.completionTokens = this->relay.reportedUsage()->completionTokens;
+        event.reported = true;
+    }
+    this->environment.hooks.usage(event);
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/callerhandler.cpp
@@ -0,0 +1,119 @@
+#include <flamingosaddle/http/callerhandler.h>
+
+#include "callerenvironment.h"
+#include "callerexchange.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace asio = boost::asio;
+
+class CallerHandler::Implementation
+{
+public:
+    explicit Implementation(CallerEnvironment environment)
+        : environment(std::move(environment))
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange &exchange)
+    {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        BackendPool &pool = *this->environment.pools.at(&executor.context());
+        CallerExchange callerExchange(this->environment, exchange, pool);
+        co_await callerExchange.run();
+    }
+
+private:
+    CallerEnvironment environment;
+};
+
+CallerHandler::CallerHandler(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{
+}
+
+CallerHandler::~CallerHandler() = default;
+
+asio::awaitable<void> CallerHandler::handle(HttpExchange &exchange) const
+{
+    return this->implementation->handle(exchange);
+}
+
+HttpHandler CallerHandler::handler() const
+{
+    return [this](HttpExchange &exchange) {
+        return this->handle(exchange);
+    };
+}
+
+CallerHandler::Builder &CallerHandler::Builder::board(const SnapshotBoard *board)
+{
+    this->snapshotBoard = board;
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::gate(TrafficGate *gate)
+{
+    this->trafficGate = gate;
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::keys(KeyRegistry *keys)
+{
+    this->keyRegistry = keys;
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::keySecret(std::string secret)
+{
+    this->secret = std::move(secret);
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::options(CallerOptions options)
+{
+    this->callerOptions = std::move(options);
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::hooks(CallerHooks hooks)
+{
+    this->callerHooks = std::move(hooks);
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::tracer(Tracer tracer)
+{
+    this->requestTracer = std::move(tracer);
+    return *this;
+}
+
+CallerHandler::Builder &CallerHandler::Builder::contexts(std::vector<asio::io_context *> contexts)
+{
+    this->executionContexts = std::move(contexts);
+    return *this;
+}
+
+Result<std::unique_ptr<CallerHandler>> CallerHandler::Builder::build()
+{
+    if (this->snapshotBoard == nullptr || this->trafficGate == nullptr || this->keyRegistry == nullptr
+        || this->executionContexts.empty()) {
+        return fail(ErrorKind::Internal, "a caller handler needs a board, a gate, a key registry and contexts",
+            "set all of them on the builder");
+    }
+    CallerEnvironment environment{this->snapshotBoard, this->trafficGate, this->keyRegistry,
+        RequestRouter(this->secret, this->callerOptions.openClass), this->callerOptions, this->callerHooks, this->requestTracer,
+        {}};
+    for (const asio::io_context *context : this->executionContexts) {
+        environment.pools.emplace(context, std::make_unique<BackendPool>(this->callerOptions.pool));
+    }
+    auto implementation = std::make_unique<Implementation>(std::move(environment));
+    return std::unique_ptr<CallerHandler>(new CallerHandler(std::move(implementation)));
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/connectionkeys.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <flamingosaddle/http/keyregistry.h>
+#include <flamingosaddle/http/server.h>
+
+namespace flamingosaddle
+{
+
+/**
+ * Registers the connection of @p exchange under @p key for as long as the connection lives. Repetitions change nothing.
+ */
+void rememberKey(HttpExchange &exchange, KeyRegistry &registry, const KeyId &key);
+
+} // namespace flamingosaddle
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -15,13 +15,6 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-bool equalNames(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-        return lowerCase(a) == lowerCase(b);
-    });
-}
-
 std::string decodePercent(std::string_view text)
 {
     std::string decoded;
@@ -44,6 +37,13 @@
 
 } // namespace
 
+bool equalHeaderNames(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
+        return lowerCase(a) == lowerCase(b);
+    });
+}
+
 HttpHeaders::HttpHeaders(std::initializer_list<HttpHeader> fields)
     : list(fields)
 {
@@ -63,14 +63,14 @@
 void HttpHeaders::remove(std::string_view name)
 {
     std::erase_if(this->list, [name](const HttpHeader &field) {
-        return equalNames(field.name, name);
+        return equalHeaderNames(field.name, name);
     });
 }
 
 std::string_view HttpHeaders::find(std::string_view name) const
 {
     for (const HttpHeader &field : this->list) {
-        if (equalNames(field.name, name)) {
+        if (equalHeaderNames(field.name, name)) {
             return field.value;
         }
     }
@@ -80,7 +80,7 @@
 bool HttpHeaders::has(std::string_view name) const
 {
     return std::any_of(this->list.begin(), this->list.end(), [name](const HttpHeader &field) {
-        return equalNames(field.name, name);
+        return equalHeaderNames(field.name, name);
     });
 }
 
--- /dev/null
+++ b/src/http/refusal.cpp
@@ -0,0 +1,109 @@
+#include "refusal.h"
+
+#include <flamingosaddle/http/errorresponse.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds defaultRetryAfter{1};
+constexpr int badGateway = 502;
+constexpr int gatewayTimeout = 504;
+
+Error errorOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::Overloaded:
+        return {ErrorKind::Overloaded, "there is no capacity to meet the target of the request's class", "come back later"};
+    case RefusalReason::Evicted:
+        return {ErrorKind::Overloaded, "the request gave its place to one of a higher tier", "come back later"};
+    case RefusalReason::DeadlineMissed:
+        return {ErrorKind::Timeout, "the deadline of the request's class passed", "come back later, or use another class"};
+    case RefusalReason::NoServer:
+        return {ErrorKind::Unavailable, "no backend server can take the request at present", "come back later"};
+    case RefusalReason::Quarantined:
+        return {
+            ErrorKind::InvalidRequest, "backend servers failed while they ran this request", "change it before sending it again"};
+    case RefusalReason::RetriesExhausted:
+        return {ErrorKind::ConnectionLost, "backend servers failed to answer the request", "come back later"};
+    case RefusalReason::Draining:
+        return {ErrorKind::Unavailable, "this instance is shutting down", "send the request again on a new connection"};
+    case RefusalReason::Cancelled:
+        return {ErrorKind::Cancelled, "the request was cancelled", "send it again if its answer is still wanted"};
+    }
+    return {ErrorKind::Internal, "the request was refused", "come back later"};
+}
+
+int statusOf(const Error &error)
+{
+    // A deadline on this side is not the caller's slowness.
+    return error.kind() == ErrorKind::Timeout ? gatewayTimeout : httpStatus(error.kind());
+}
+
+} // namespace
+
+RefusalAnswer refusalOf(const Error &error)
+{
+    RefusalAnswer answer;
+    answer.status = httpStatus(error.kind());
+    answer.error = error;
+    if (error.kind() == ErrorKind::Unavailable || error.kind() == ErrorKind::Overloaded) {
+        answer.retryAfter = defaultRetryAfter;
+    }
+    return answer;
+}
+
+RefusalAnswer refusalOf(const Refusal &refusal)
+{
+    RefusalAnswer answer;
+    answer.error = errorOf(refusal.reason);
+    answer.status = statusOf(answer.error);
+    answer.runState = refusal.runState;
+    answer.reason = refusal.reason;
+    if (refusal.reason != RefusalReason::Quarantined) {
+        answer.retryAfter = std::max(refusal.retryAfter, defaultRetryAfter);
+    }
+    return answer;
+}
+
+RefusalAnswer refusalAfter(const Error &failure, const Refusal &refusal)
+{
+    RefusalAnswer answer = refusalOf(refusal);
+    if (refusal.reason != RefusalReason::RetriesExhausted) {
+        return answer;
+    }
+    const bool unknown = refusal.runState == RunState::Unknown;
+    const std::string remedy = unknown ? "find out whether it has run before sending it again" : "come back later";
+    const ErrorKind kind = failure.kind() == ErrorKind::Timeout ? ErrorKind::Timeout : ErrorKind::ConnectionLost;
+    answer.error = Error(kind, "the backend server gave no whole answer: " + failure.message(), remedy);
+    answer.status = kind == ErrorKind::Timeout ? gatewayTimeout : badGateway;
+    if (unknown) {
+        answer.retryAfter.reset();
+    }
+    return answer;
+}
+
+HttpResponse renderRefusal(const RefusalAnswer &answer)
+{
+    HttpResponse response = jsonResponse(answer.status, errorBody(answer.error));
+    response.headers.add(runStateHeader, answer.runState == RunState::NotRun ? notRunText : unknownRunText);
+    if (answer.retryAfter.has_value()) {
+        response.headers.add("Retry-After", std::to_string(answer.retryAfter->count()));
+    }
+    if (answer.error.kind() == ErrorKind::Unauthorized) {
+        response.headers.add("WWW-Authenticate", "Bearer");
+    }
+    return response;
+}
+
+std::string errorEvent(const Error &error)
+{
+    return "data: " + errorBody(error) + "\n\n";
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/requestrouter.cpp
@@ -0,0 +1,183 @@
+#include "requestrouter.h"
+
+#include "modelcall.h"
+
+#include <flamingosaddle/base/hash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::string_view bearerScheme = "Bearer ";
+constexpr const char *classHeader = "X-Flamingosaddle-Class";
+constexpr std::string_view modelListPath = "/v1/models";
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view completionPath = "/v1/completions";
+
+bool isSafe(std::string_view method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+template <typename T>
+bool contains(const std::vector<T> &list, const T &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+/** The scheme's name has no case. */
+bool hasBearer(std::string_view header)
+{
+    return header.size() > bearerScheme.size() && equalHeaderNames(header.substr(0, bearerScheme.size()), bearerScheme);
+}
+
+std::uint64_t fingerprintOf(const RoutedRequest &routed, const HttpRequest &request)
+{
+    std::uint64_t hash = hash64(routed.profile.clientAccount.text());
+    for (const std::string *part : {&request.method, &request.target, &request.body}) {
+        hash = hash64(*part, hash);
+    }
+    return hash;
+}
+
+Result<void> checkMethod(const HttpRequest &request, std::string_view method)
+{
+    if (request.method == method) {
+        return done();
+    }
+    return fail(ErrorKind::InvalidRequest, request.method + " is not served on " + std::string(request.path()),
+        "use " + std::string(method));
+}
+
+Result<RequestClass> chooseClass(const std::vector<RequestClass> *classes, std::string_view wanted)
+{
+    if (classes == nullptr || classes->empty()) {
+        return fail(ErrorKind::Forbidden, "the client account has no request class", "ask an operator to correct its template");
+    }
+    if (wanted.empty()) {
+        return classes->front();
+    }
+    std::string names;
+    for (const RequestClass &entry : *classes) {
+        if (entry.name.text() == wanted) {
+            return entry;
+        }
+        names += (names.empty() ? "" : ", ") + entry.name.text();
+    }
+    return fail(ErrorKind::InvalidRequest, "the client account has no class '" + std::string(wanted) + "'",
+        std::string("set ") + classHeader + " to one of: " + names);
+}
+
+} // namespace
+
+RequestRouter::RequestRouter(std::string keySecret, RequestClass openClass)
+    : keySecret(std::move(keySecret))
+    , openClass(std::move(openClass))
+{
+}
+
+Result<RoutedRequest> RequestRouter::route(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const
+{
+    RoutedRequest routed;
+    routed.profile.arrival = now;
+    const std::string_view path = request.path();
+    const bool modelList = path == modelListPath;
+    const bool model = path == chatPath || path == completionPath;
+    const Route *route = modelList || model ? nullptr : snapshot.findRoute(path);
+    if (!modelList && !model && route == nullptr) {
+        return fail(ErrorKind::NotFound, "nothing is served on this path", "use /v1/chat/completions or a configured route");
+    }
+    if (route != nullptr && route->open) {
+        routed.profile.requestClass = this->openClass;
+    } else {
+        BOOST_OUTCOME_TRYV(this->admitAccount(snapshot, request, now, routed));
+    }
+    if (modelList) {
+        routed.target = RoutedRequest::Target::ModelList;
+        BOOST_OUTCOME_TRYV(checkMethod(request, "GET"));
+    } else if (model) {
+        BOOST_OUTCOME_TRYV(this->routeToModel(snapshot, request, routed));
+    } else {
+        BOOST_OUTCOME_TRYV(this->routeToService(snapshot, *route, request, routed));
+    }
+    routed.profile.fingerprint = fingerprintOf(routed, request);
+    return routed;
+}
+
+Result<const ClientKey *> RequestRouter::authenticate(
+    const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const
+{
+    const std::string_view header = request.headers.find("Authorization");
+    if (!hasBearer(header)) {
+        return fail(ErrorKind::Unauthorized, "the request carries no key", "send it as Authorization: Bearer KEY");
+    }
+    const ClientKey *key = snapshot.findKey(KeyDigest::of(header.substr(bearerScheme.size()), this->keySecret));
+    if (key == nullptr) {
+        return fail(ErrorKind::Unauthorized, "the key is unknown or was withdrawn", "ask an operator for a new one");
+    }
+    if (now > snapshot.freshUntil()) {
+        return fail(
+            ErrorKind::Unavailable, "this instance cannot tell at present whether the key is still valid", "come back later");
+    }
+    return key;
+}
+
+Result<void> RequestRouter::admitAccount(
+    const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now, RoutedRequest &routed) const
+{
+    BOOST_OUTCOME_TRY(key, this->authenticate(snapshot, request, now));
+    const Revised<ClientAccount> *account = snapshot.config().findClientAccount(key->clientAccount);
+    if (account == nullptr) {
+        return fail(ErrorKind::Forbidden, "the client account of the key does not exist", "ask an operator for a new key");
+    }
+    BOOST_OUTCOME_TRY(chosen, chooseClass(snapshot.classesOf(key->clientAccount), request.headers.find(classHeader)));
+    routed.key = key->id;
+    routed.profile.clientAccount = key->clientAccount;
+    routed.profile.clientAccountShare = account->value.share;
+    routed.profile.requestClass = std::move(chosen);
+    return done();
+}
+
+Result<void> RequestRouter::routeToModel(const RoutingSnapshot &snapshot, const HttpRequest &request, RoutedRequest &routed) const
+{
+    BOOST_OUTCOME_TRYV(checkMethod(request, "POST"));
+    BOOST_OUTCOME_TRY(call, inspectModelCall(request.body));
+    const ClientAccount &account = snapshot.config().findClientAccount(routed.profile.clientAccount)->value;
+    if (!contains(account.models, call.model)) {
+        if (!contains(snapshot.models(), call.model)) {
+            return fail(ErrorKind::NotFound, "there is no model '" + call.model.text() + "'", "choose one of /v1/models");
+        }
+        return fail(ErrorKind::Forbidden, "the client account may not use model '" + call.model.text() + "'",
+            "choose one of /v1/models, or ask an operator to permit it");
+    }
+    routed.target = RoutedRequest::Target::Model;
+    routed.stream = call.stream;
+    routed.profile.model = call.model;
+    routed.profile.prefixHash = call.prefixHash;
+    routed.profile.promptTokens = call.promptTokens;
+    routed.profile.idempotent = routed.profile.requestClass.idempotent;
+    return done();
+}
+
+Result<void> RequestRouter::routeToService(
+    const RoutingSnapshot &snapshot, const Route &route, const HttpRequest &request, RoutedRequest &routed) const
+{
+    if (!route.open) {
+        const ClientAccount &account = snapshot.config().findClientAccount(routed.profile.clientAccount)->value;
+        if (!contains(account.services, route.service)) {
+            return fail(ErrorKind::Forbidden, "the client account may not use service '" + route.service.text() + "'",
+                "ask an operator to permit it");
+        }
+    }
+    routed.target = RoutedRequest::Target::Service;
+    routed.profile.service = route.service;
+    routed.profile.idempotent = isSafe(request.method) || (route.idempotent && routed.profile.requestClass.idempotent);
+    return done();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/requestrouter.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <flamingosaddle/base/result.h>
+#include <flamingosaddle/control/routingsnapshot.h>
+#include <flamingosaddle/http/message.h>
+#include <flamingosaddle/traffic/types.h>
+
+#include <string>
+
+namespace flamingosaddle
+{
+
+/**
+ * Where a request goes and for whom it runs.
+ */
+struct RoutedRequest {
+    enum class Target {
+        ModelList, ///< answered here
+        Model,
+        Service,
+    };
+
+    Target target = Target::Service;
+    KeyId key; ///< empty on a route open to all
+    RequestProfile profile;
+    bool stream = false;
+
+    friend bool operator==(const RoutedRequest &, const RoutedRequest &) = default;
+};
+
+/**
+ * Decides for whom a request runs and where it goes. Pure: the configuration and the time are arguments.
+ */
+class RequestRouter
+{
+public:
+    RequestRouter(std::string keySecret, RequestClass openClass);
+
+    /**
+     * Fails with NotFound, Unauthorized, Forbidden, InvalidRequest, or with Unavailable when the configuration may miss a
+     * withdrawal of the key.
+     */
+    Result<RoutedRequest> route(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const;
+
+private:
+    Result<const ClientKey *> authenticate(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const;
+    Result<void> admitAccount(
+        const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now, RoutedRequest &routed) const;
+    Result<void> routeToModel(const RoutingSnapshot &snapshot, const HttpRequest &request, RoutedRequest &routed) const;
+    Result<void> routeToService(
+        const RoutingSnapshot &snapshot, const Route &route, const HttpRequest &request, RoutedRequest &routed) const;
+
+    std::string keySecret;
+    RequestClass openClass;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/http/ssesplitter.cpp
@@ -0,0 +1,161 @@
+#include <flamingosaddle/http/ssesplitter.h>
+
+#include <cstring>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::string_view dataField = "data:";
+constexpr std::string_view endMark = "[DONE]";
+
+std::size_t skipBlanks(std::string_view text, std::size_t position)
+{
+    while (position < text.size() && (text[position] == ' ' || text[position] == '\t')) {
+        ++position;
+    }
+    return position;
+}
+
+bool contains(std::string_view text, std::string_view part)
+{
+    return memmem(text.data(), text.size(), part.data(), part.size()) != nullptr;
+}
+
+/**
+ * The first character of the value of a JSON member, or 0. A quoted name cannot stand inside a JSON string, where its
+ * quotes would be escaped.
+ */
+char firstOfValue(std::string_view json, std::string_view quotedName)
+{
+    const void *found = memmem(json.data(), json.size(), quotedName.data(), quotedName.size());
+    if (found == nullptr) {
+        return 0;
+    }
+    std::size_t position = static_cast<std::size_t>(static_cast<const char *>(found) - json.data()) + quotedName.size();
+    position = skipBlanks(json, position);
+    if (position >= json.size() || json[position] != ':') {
+        return 0;
+    }
+    position = skipBlanks(json, position + 1);
+    return position < json.size() ? json[position] : '\0';
+}
+
+bool isEmptyValue(std::string_view json, std::string_view quotedName, char opening, char closing)
+{
+    const void *found = memmem(json.data(), json.size(), quotedName.data(), quotedName.size());
+    if (found == nullptr) {
+        return false;
+    }
+    const std::size_t start = static_cast<std::size_t>(static_cast<const char *>(found) - json.data()) + quotedName.size();
+    const std::size_t open = json.find(opening, start);
+    return open != std::string_view::npos && open + 1 < json.size() && json[open + 1] == closing;
+}
+
+/** The event that opens a chat stream names the role and holds no text. */
+bool isOpening(std::string_view data)
+{
+    return contains(data, "\"role\"") && (!contains(data, "\"content\"") || isEmptyValue(data, "\"content\"", '"', '"'));
+}
+
+} // namespace
+
+SseSplitter::Batch SseSplitter::feed(std::string_view piece)
+{
+    if (this->done || this->overflown) {
+        return {};
+    }
+    std::string_view text = piece;
+    if (!this->pending.empty()) {
+        this->pending.append(piece);
+        std::swap(this->pending, this->ready);
+        this->pending.clear();
+        text = this->ready;
+    }
+    const Batch batch = this->scan(text);
+    if (!this->done) {
+        this->pending.append(text.substr(batch.events.size()));
+        this->overflown = this->pending.size() > maxEventBytes;
+    }
+    return batch;
+}
+
+SseSplitter::Batch SseSplitter::scan(std::string_view text)
+{
+    Batch batch;
+    Event event;
+    std::size_t position = 0;
+    while (!this->done && position < text.size()) {
+        const void *newline = std::memchr(text.data() + position, '\n', text.size() - position);
+        if (newline == nullptr) {
+            break;
+        }
+        const auto end = static_cast<std::size_t>(static_cast<const char *>(newline) - text.data());
+        std::string_view line = text.substr(position, end - position);
+        position = end + 1;
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (!line.empty()) {
+            if (!event.hasData && line.starts_with(dataField)) {
+                event = {line.substr(skipBlanks(line, dataField.size())), true};
+            }
+            continue;
+        }
+        this->endEvent(event, batch);
+        event = {};
+        if (!this->done) {
+            batch.events = text.substr(0, position);
+        }
+    }
+    return batch;
+}
+
+void SseSplitter::endEvent(const Event &event, Batch &batch)
+{
+    if (!event.hasData) {
+        return;
+    }
+    if (event.data == endMark) {
+        this->done = true;
+        return;
+    }
+    if (this->isToken(event.data)) {
+        ++batch.tokens;
+        ++this->tokensSeen;
+    } else if (firstOfValue(event.data, "\"usage\"") == '{') {
+        this->usageData = event.data;
+    }
+}
+
+bool SseSplitter::isToken(std::string_view data)
+{
+    const char reason = firstOfValue(data, "\"finish_reason\"");
+    if (reason == '"') {
+        return false;
+    }
+    if (reason == 0 && isEmptyValue(data, "\"choices\"", '[', ']')) {
+        return false;
+    }
+    return this->tokensSeen > 0 || !isOpening(data);
+}
+
+bool SseSplitter::isDone() const
+{
+    return this->done;
+}
+
+bool SseSplitter::isOverflown() const
+{
+    return this->overflown;
+}
+
+const std::string &SseSplitter::usage() const
+{
+    return this->usageData;
+}
+
+} // namespace flamingosaddle
