Claims for non-idempotent requests: the first start in the log runs

Keys are remembered by the log's own time, which one record moves on by at most a minute: with the plain maximum a single wrong clock would have made every key forgotten, and a forgotten key runs twice. When the table is full new keys are refused rather than old ones forgotten.

--- /dev/null
+++ b/src/state/claimrecord.cpp
@@ -0,0 +1,119 @@
+#include <flamingosaddle/state/claimstate.h>
+
+#include "recordfields.h"
+
+#include <utility>
+
+namespace flamingosaddle
+{
+
+template <>
+struct EnumNames<ClaimRecordKind> {
+    static constexpr std::array values{
+        std::pair{ClaimRecordKind::Start, "start"},
+        std::pair{ClaimRecordKind::Outcome, "outcome"},
+        std::pair{ClaimRecordKind::Abandon, "abandon"},
+    };
+};
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<ClaimKey> value)
+{
+    archive.required("clientAccount", value.clientAccount);
+    archive.required("hash", value.keyHash);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<StoredAnswer> value)
+{
+    archive.required("status", value.status);
+    archive.optional("contentType", value.contentType);
+    archive.optional("body", value.body);
+    archive.optional("bodyStored", value.bodyStored);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<ClaimRecord> value)
+{
+    archive.required("id", value.id);
+    archive.required("kind", value.kind);
+    archive.required("key", value.key);
+    archive.required("at", value.writtenAt);
+    archive.optional("fingerprint", value.fingerprint);
+    archive.optional("claim", value.claim);
+    archive.optional("answer", value.answer);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<Claim> value)
+{
+    archive.required("key", value.key);
+    archive.required("winner", value.winner);
+    archive.required("number", value.number);
+    archive.required("fingerprint", value.fingerprint);
+    archive.required("startedAt", value.startedAt);
+    archive.optional("answer", value.answer);
+}
+
+namespace
+{
+
+bool isText(const std::string &body)
+{
+    // A JSON text cannot carry any other bytes unchanged.
+    const std::string quoted = writeJson(body);
+    const Json parsed = Json::parse(quoted, nullptr, false);
+    return parsed.is_string() && parsed.get_ref<const std::string &>() == body;
+}
+
+struct ClaimSnapshot {
+    std::uint64_t next = 0;
+    std::chrono::seconds time{};
+    std::vector<Claim> claims;
+};
+
+} // namespace
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<ClaimSnapshot> value)
+{
+    archive.required("next", value.next);
+    archive.required("time", value.time);
+    archive.required("claims", value.claims);
+}
+
+std::string encodeClaimRecord(ClaimRecord record)
+{
+    std::string &body = record.answer.body;
+    if (body.size() > maxStoredAnswerBytes || !isText(body)) {
+        body.clear();
+        record.answer.bodyStored = false;
+    }
+    return encodeRecord(record);
+}
+
+Result<ClaimRecord> decodeClaimRecord(std::string_view text)
+{
+    Result<ClaimRecord> record = decodeRecord<ClaimRecord>(text);
+    if (record.has_value() && record.value().answer.body.size() > maxStoredAnswerBytes) {
+        return fail(ErrorKind::Protocol, "field 'answer.body' is over its limit", instanceRecordFormat.remedy);
+    }
+    return record;
+}
+
+std::string encodeClaimSnapshot(const ClaimTable &table)
+{
+    return encodeRecord(ClaimSnapshot{table.nextOffset(), table.logTime(), table.claims()});
+}
+
+Result<ClaimTable> decodeClaimSnapshot(std::string_view text, ClaimLimits limits)
+{
+    Result<ClaimSnapshot> decoded = decodeRecord<ClaimSnapshot>(text, snapshotFormat);
+    if (decoded.has_error()) {
+        return fail(decoded.error());
+    }
+    ClaimSnapshot snapshot = std::move(decoded).value();
+    return ClaimTable::restore(limits, std::move(snapshot.claims), snapshot.time, snapshot.next);
+}
+
+} // namespace flamingosaddle
--- a/src/state/recordcodec.cpp
+++ b/src/state/recordcodec.cpp
@@ -3,14 +3,6 @@
 namespace flamingosaddle
 {
 
-namespace
-{
-
-// Durations are added to points of time counted in nanoseconds, which must not overflow.
-constexpr std::uint64_t maxMilliseconds = std::uint64_t{1} << 40;
-
-} // namespace
-
 RecordReader::RecordReader(const Json &object, const RecordFormat &format, std::optional<Error> &failure)
     : object(object)
     , format(format)
@@ -122,11 +114,6 @@
     }
 }
 
-void RecordReader::read(const Json &json, std::chrono::milliseconds &value, const char *field)
-{
-    value = std::chrono::milliseconds(this->readNumber(json, maxMilliseconds, field));
-}
-
 std::uint64_t RecordReader::readNumber(const Json &json, std::uint64_t max, const char *field)
 {
     if (!json.is_number_unsigned() || json.get<std::uint64_t>() > max) {
--- a/src/state/recordcodec.h
+++ b/src/state/recordcodec.h
@@ -57,6 +57,9 @@
 inline constexpr RecordFormat instanceRecordFormat{
     ErrorKind::Protocol, "pass over the record and check the version of the instance that wrote it", std::size_t{1} << 20, true};
 
+// Durations are added to points of time counted in nanoseconds, which must not overflow.
+inline constexpr std::uint64_t maxDurationCount = std::uint64_t{1} << 40;
+
 /**
  * The names of an enumeration's values in records: a specialisation has `static constexpr std::array values` of pairs.
  */
@@ -68,6 +71,10 @@
 template <typename T>
 inline constexpr bool isOptional<std::optional<T>> = true;
 template <typename T>
+inline constexpr bool isDuration = false;
+template <typename Rep, typename Period>
+inline constexpr bool isDuration<std::chrono::duration<Rep, Period>> = true;
+template <typename T>
 inline constexpr bool isVector = false;
 template <typename T>
 inline constexpr bool isVector<std::vector<T>> = true;
@@ -116,7 +123,7 @@
             return value.text();
         } else if constexpr (std::is_same_v<T, KeyDigest>) {
             return value.hex();
-        } else if constexpr (std::is_same_v<T, std::chrono::milliseconds>) {
+        } else if constexpr (isDuration<T>) {
             return value.count();
         } else if constexpr (std::is_enum_v<T>) {
             return enumName(value);
@@ -207,7 +214,6 @@
     void read(const Json &json, double &value, const char *field);
     void read(const Json &json, Endpoint &value, const char *field);
     void read(const Json &json, KeyDigest &value, const char *field);
-    void read(const Json &json, std::chrono::milliseconds &value, const char *field);
     std::uint64_t readNumber(const Json &json, std::uint64_t max, const char *field);
 
     template <typename T>
@@ -219,6 +225,8 @@
             std::string text;
             this->read(json, text, field);
             value = T(std::move(text));
+        } else if constexpr (isDuration<T>) {
+            value = T(this->readNumber(json, maxDurationCount, field));
         } else if constexpr (std::is_enum_v<T>) {
             this->readEnum(json, value, field);
         } else if constexpr (std::is_integral_v<T>) {
--- /dev/null
+++ b/tests/state/claim_test.cpp
@@ -0,0 +1,178 @@
+#include <flamingosaddle/state/claimstate.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::seconds begin = 1'000'000s;
+
+ClaimRecord startRecord(const std::string &key, std::uint64_t sequence, std::chrono::seconds at = begin)
+{
+    ClaimRecord record;
+    record.id = {{InstanceId("i"), 1}, sequence};
+    record.key = {ClientAccountId("a"), std::hash<std::string>{}(key)};
+    record.fingerprint = 7;
+    record.writtenAt = at;
+    return record;
+}
+
+ClaimRecord finishRecord(const ClaimRecord &start, ClaimRecordKind kind, std::uint64_t claim, const std::string &body = "{}")
+{
+    ClaimRecord record = start;
+    record.kind = kind;
+    record.claim = claim;
+    record.answer = {200, "application/json", body, true};
+    return record;
+}
+
+class ClaimTest : public testing::Test
+{
+protected:
+    ClaimResult apply(const ClaimRecord &record)
+    {
+        return this->table.apply(this->table.nextOffset(), record);
+    }
+
+    const ClaimRecord first = startRecord("k", 1);
+    const ClaimRecord second = startRecord("k", 2);
+    ClaimTable table{ClaimLimits{1h, 1min, 3, 100}};
+};
+
+ClaimRecord anyRecord()
+{
+    const auto full = [](std::uint64_t end) {
+        return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(0, end));
+    };
+    ClaimRecord record = startRecord("k" + std::to_string(full(4)), full(60), begin + std::chrono::seconds(full(9000)));
+    if (full(3) == 0) {
+        const auto kind = full(3) == 0 ? ClaimRecordKind::Abandon : ClaimRecordKind::Outcome;
+        record = finishRecord(record, kind, full(40), std::string(full(60), 'x'));
+    }
+    return record;
+}
+
+} // namespace
+
+TEST_F(ClaimTest, TheFirstStartInTheLogWinsAndItsRepetitionDoesNotRunAgain)
+{
+    EXPECT_EQ(this->apply(this->first), ClaimResult::Won);
+    EXPECT_EQ(this->apply(this->second), ClaimResult::AlreadyStarted);
+    EXPECT_EQ(this->apply(this->first), ClaimResult::Ignored);
+    EXPECT_EQ(this->table.find(this->first.key)->winner, this->first.id);
+}
+
+TEST_F(ClaimTest, ARepetitionIsAnsweredFromTheFirstOutcome)
+{
+    this->apply(this->first);
+    EXPECT_EQ(this->apply(finishRecord(this->first, ClaimRecordKind::Outcome, 1, "paid")), ClaimResult::Recorded);
+    EXPECT_EQ(this->apply(finishRecord(this->first, ClaimRecordKind::Outcome, 1, "other")), ClaimResult::Ignored);
+    EXPECT_EQ(this->apply(this->second), ClaimResult::Answered);
+    EXPECT_EQ(this->table.find(this->first.key)->answer->body, "paid");
+}
+
+TEST_F(ClaimTest, AnAbandonedClaimFreesTheKeyAndALateOutcomeOfItCountsForNothing)
+{
+    this->apply(this->first);
+    EXPECT_EQ(this->apply(finishRecord(this->first, ClaimRecordKind::Abandon, 1)), ClaimResult::Recorded);
+    EXPECT_EQ(this->apply(this->second), ClaimResult::Won);
+    EXPECT_EQ(this->apply(finishRecord(this->first, ClaimRecordKind::Outcome, 1)), ClaimResult::Ignored);
+    EXPECT_FALSE(this->table.find(this->first.key)->answer.has_value());
+}
+
+TEST_F(ClaimTest, AKeyThatWasUsedForAnotherRequestIsRefused)
+{
+    this->apply(this->first);
+    ClaimRecord other = this->second;
+    other.fingerprint = 8;
+    EXPECT_EQ(this->apply(other), ClaimResult::OtherRequest);
+}
+
+TEST_F(ClaimTest, AKeyIsRememberedForTheRetentionInLogTime)
+{
+    this->apply(this->first);
+    for (std::uint64_t minute = 1; minute < 60; ++minute) {
+        EXPECT_EQ(this->apply(startRecord("k", 1 + minute, begin + std::chrono::minutes(minute))), ClaimResult::AlreadyStarted);
+    }
+    EXPECT_EQ(this->apply(startRecord("k", 100, begin + 1h)), ClaimResult::Won);
+}
+
+TEST_F(ClaimTest, OneWrongClockForgetsNothing)
+{
+    this->apply(this->first);
+    EXPECT_EQ(this->apply(startRecord("x", 2, begin + 1000h)), ClaimResult::Won);
+    EXPECT_EQ(this->table.logTime(), begin + 1min);
+    EXPECT_EQ(this->apply(startRecord("k", 3, begin - 1000h)), ClaimResult::AlreadyStarted);
+}
+
+TEST_F(ClaimTest, FullOfKeysItRefusesNewOnesAndForgetsNone)
+{
+    for (const char *key : {"a", "b", "c"}) {
+        EXPECT_EQ(this->apply(startRecord(key, 1)), ClaimResult::Won);
+    }
+    EXPECT_EQ(this->apply(startRecord("d", 2)), ClaimResult::Full);
+    EXPECT_EQ(this->apply(startRecord("a", 2)), ClaimResult::AlreadyStarted);
+}
+
+TEST_F(ClaimTest, StoredBodiesAreBounded)
+{
+    this->apply(this->first);
+    this->apply(startRecord("x", 2));
+    this->apply(finishRecord(this->first, ClaimRecordKind::Outcome, 1, std::string(80, 'y')));
+    this->apply(finishRecord(startRecord("x", 2), ClaimRecordKind::Outcome, 2, std::string(30, 'z')));
+    EXPECT_EQ(this->table.storedBytes(), 80U);
+    EXPECT_FALSE(this->table.find(startRecord("x", 2).key)->answer->bodyStored);
+}
+
+TEST(ClaimRecord, ReadsBackAndLeavesOutABodyThatIsTooLargeOrNoText)
+{
+    const ClaimRecord record = finishRecord(startRecord("k", 1), ClaimRecordKind::Outcome, 1, "\"\n\u00e9");
+    EXPECT_EQ(decodeClaimRecord(encodeClaimRecord(record)).value(), record);
+    for (const std::string &body : {std::string(maxStoredAnswerBytes + 1, 'x'), std::string("\xff\xfe")}) {
+        const auto decoded
+            = decodeClaimRecord(encodeClaimRecord(finishRecord(startRecord("k", 1), ClaimRecordKind::Outcome, 1, body)));
+        EXPECT_FALSE(decoded.value().answer.bodyStored);
+        EXPECT_TRUE(decoded.value().answer.body.empty());
+    }
+    EXPECT_TRUE(rc::check("random bytes", [](const std::string &bytes) {
+        RC_ASSERT(decodeClaimRecord(bytes).has_error());
+        RC_ASSERT(decodeClaimSnapshot(bytes, {}).has_error());
+    }));
+}
+
+TEST(ClaimProperties, AKeyNeverRunsTwiceWithinItsRetentionAndEveryReaderAgrees)
+{
+    EXPECT_TRUE(rc::check("any records, duplicates, a snapshot at any offset", [] {
+        const ClaimLimits limits{1h, 1min, 3, 100};
+        const auto log = *rc::gen::container<std::vector<ClaimRecord>>(200, rc::gen::exec(anyRecord));
+        const auto cut = *rc::gen::inRange<std::size_t>(0, log.size());
+        ClaimTable whole(limits);
+        ClaimTable resumed(limits);
+        std::map<ClaimKey, std::chrono::seconds> started;
+        for (std::size_t offset = 0; offset < log.size(); ++offset) {
+            if (offset == cut) {
+                resumed = decodeClaimSnapshot(encodeClaimSnapshot(whole), limits).value();
+            }
+            const ClaimResult result = whole.apply(offset, log[offset]);
+            if (result == ClaimResult::Won) {
+                const auto earlier = started.find(log[offset].key);
+                RC_ASSERT(earlier == started.end() || whole.logTime() - earlier->second >= limits.retention);
+                started[log[offset].key] = whole.logTime();
+            } else if (result == ClaimResult::Recorded && log[offset].kind == ClaimRecordKind::Abandon) {
+                started.erase(log[offset].key);
+            }
+            if (offset >= cut) {
+                RC_ASSERT(resumed.apply(offset, log[offset]) == result);
+                RC_ASSERT(resumed.apply(offset, log[offset]) == ClaimResult::Ignored);
+            }
+            RC_ASSERT(whole.size() <= limits.maxClaims && whole.storedBytes() <= limits.maxStoredBytes);
+        }
+        RC_ASSERT(resumed.claims() == whole.claims());
+    }));
+}
