--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -18,9 +18,11 @@
         {"headers", {{{"name", "Accept"}, {"value", "*/*"}}}}, {"body", ""}, {"end", end}};
 }
 
-Json audit(const Json &runs)
+Json audit(const std::vector<Json> &runs)
 {
-    return {{"runs", runs}};
+    Json result;
+    result["runs"] = runs;
+    return result;
 }
 
 std::string chat(const char *text)
@@ -56,7 +58,7 @@
 
 TEST(CheckRunAtMostOnce, AcceptsDistinctAndRepeatableRuns)
 {
-    const Json runs = {run("POST", "r1", "k1", "whole"), run("POST", "r2", "", "whole"), run("GET", "r3", "", "whole"),
+    const std::vector<Json> runs = {run("POST", "r1", "k1", "whole"), run("POST", "r2", "", "whole"), run("GET", "r3", "", "whole"),
         run("GET", "r3", "", "whole"), run("POST", "r4", "", "notRun")};
     EXPECT_EQ(checkRunAtMostOnce({audit(runs), audit({run("POST", "r4", "", "whole")})}), Violations{});
 }
@@ -80,7 +82,7 @@
     inTarget["target"] = "/deposits?key=secret-key";
     Json inBody = run("GET", "r3", "", "whole");
     inBody["body"] = "secret-key";
-    const Json runs = {inHeader, inTarget, inBody, run("GET", "r4", "", "whole")};
+    const std::vector<Json> runs = {inHeader, inTarget, inBody, run("GET", "r4", "", "whole")};
     EXPECT_EQ(checkNoKeySeen({audit(runs)}, {"secret-key", "other-key"}).size(), 3U);
     EXPECT_EQ(checkNoKeySeen({audit(runs)}, {"other-key"}), Violations{});
 }
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace flamingosaddle::process
@@ -17,22 +16,6 @@
 constexpr Duration conditionPollInterval = std::chrono::milliseconds(10);
 constexpr const char *keySecret = "a secret of the process tests";
 
-Endpoint endpointIn(const std::string &line, const std::string &prefix)
-{
-    const std::size_t begin = line.find(prefix);
-    if (begin == std::string::npos) {
-        throw std::runtime_error("no '" + prefix + "' in '" + line + "'");
-    }
-    std::istringstream rest(line.substr(begin + prefix.size()));
-    std::string text;
-    rest >> text;
-    const Result<Endpoint> endpoint = Endpoint::parse(text);
-    if (endpoint.has_error()) {
-        throw std::runtime_error(endpoint.error().text());
-    }
-    return endpoint.value();
-}
-
 std::string temporaryDirectory()
 {
     std::string path = (std::filesystem::temp_directory_path() / "flamingosaddle-test-XXXXXX").string();
@@ -80,17 +63,6 @@
     return true;
 }
 
-Standin::Standin(const ChildCommand &command)
-    : process(command)
-    , address(endpointIn(this->process.waitForLine("listening ", startTimeout), "listening "))
-{
-}
-
-void Standin::setFaults(const Json &faults) const
-{
-    jsonOf(call(this->address, postRequest("/admin/faults", faults)));
-}
-
 BackendProcess::BackendProcess(Json configuration, std::vector<std::string> flags, const std::string &auditFile)
     : standin(backendCommand(configuration, flags, auditFile))
     , auditFile(auditFile)
@@ -118,7 +90,9 @@
     for (auto &[run, entry] : runs) {
         list.push_back(std::move(entry));
     }
-    return {{"runs", std::move(list)}};
+    Json result;
+    result["runs"] = std::move(list);
+    return result;
 }
 
 DaemonProcess::DaemonProcess(
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "checkers.h"
-#include "childprocess.h"
-#include "testclient.h"
+#include "standin.h"
 
 #include <deque>
 #include <functional>
@@ -12,23 +11,11 @@
 namespace flamingosaddle::process
 {
 
-constexpr Duration startTimeout = std::chrono::seconds(20);
 constexpr Duration conditionTimeout = std::chrono::seconds(15);
 
 /** Looks at @p condition again and again until it holds; answers whether it did before the timeout. */
 bool waitUntil(const std::function<bool()> &condition, Duration timeout = conditionTimeout);
 
-/** A stand-in, from the line on which it tells its address. */
-struct Standin {
-    explicit Standin(const ChildCommand &command);
-
-    /** Switches faults on or off. */
-    void setFaults(const Json &faults) const;
-
-    ChildProcess process;
-    Endpoint address;
-};
-
 struct BackendProcess {
     BackendProcess(Json configuration, std::vector<std::string> flags, const std::string &auditFile);
 
--- a/tests/standins/backendfront.cpp
+++ b/tests/standins/backendfront.cpp
@@ -45,7 +45,7 @@
 boost::asio::awaitable<void> BackendFront::serve(HttpExchange &exchange, CallWait &wait)
 {
     if (this->activeFaults.down) {
-        exchange.abortHandle()();
+        co_await wait.closeUnanswered(exchange);
         co_return;
     }
     const HttpRequest &request = exchange.request();
@@ -72,7 +72,7 @@
     }
     if (wait.isCallerGone() || takeOne(this->activeFaults.closeBeforeAnswer)) {
         this->audit.end(run, RunEnd::NotRun);
-        exchange.abortHandle()();
+        co_await wait.closeUnanswered(exchange);
         co_return;
     }
     if (this->activeFaults.status != 0) {
--- a/tests/standins/callwait.cpp
+++ b/tests/standins/callwait.cpp
@@ -41,6 +41,15 @@
     this->timer.cancel();
 }
 
+boost::asio::awaitable<void> CallWait::closeUnanswered(HttpExchange &exchange)
+{
+    // The server answers by itself when a handler returns without an answer while the connection is still open.
+    exchange.abortHandle()();
+    while (!this->callerGone) {
+        co_await this->untilWoken();
+    }
+}
+
 bool CallWait::isCallerGone() const
 {
     return this->callerGone;
--- a/tests/standins/callwait.h
+++ b/tests/standins/callwait.h
@@ -27,6 +27,8 @@
     boost::asio::awaitable<void> until(TimePoint deadline);
     boost::asio::awaitable<void> untilWoken();
     void wake();
+    /** Closes the connection of the exchange without an answer. */
+    boost::asio::awaitable<void> closeUnanswered(HttpExchange &exchange);
 
     // Queries.
     bool isCallerGone() const;
--- a/tests/standins/engineservice.cpp
+++ b/tests/standins/engineservice.cpp
@@ -99,7 +99,7 @@
     }
     const bool isAnswered = co_await writer.finish();
     if (call.loseAnswer) {
-        call.exchange.abortHandle()();
+        co_await call.wait.closeUnanswered(call.exchange);
         co_return RunEnd::AnswerLost;
     }
     co_return isAnswered ? RunEnd::Whole : RunEnd::Cancelled;
@@ -111,7 +111,7 @@
     if (request.stream && this->front.faults().truncateCleanly) {
         co_await writer.endEarly();
     } else {
-        call.exchange.abortHandle()();
+        co_await call.wait.closeUnanswered(call.exchange);
     }
 }
 
--- a/tests/standins/plainservice.cpp
+++ b/tests/standins/plainservice.cpp
@@ -19,7 +19,7 @@
     }
     if (call.loseAnswer) {
         this->front.runs().end(call.run, RunEnd::AnswerLost);
-        call.exchange.abortHandle()();
+        co_await call.wait.closeUnanswered(call.exchange);
         co_return;
     }
     const std::string text = body.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/tests/standins/platformservice.cpp
+++ b/tests/standins/platformservice.cpp
@@ -74,7 +74,7 @@
         co_await wait->until(start);
     }
     if (this->faults.of(interface).down) {
-        exchange.abortHandle()();
+        co_await wait->closeUnanswered(exchange);
         co_return;
     }
     HttpResponse response;
@@ -85,7 +85,7 @@
     }
     const bool isLost = request.method == "POST" && this->faults.takeLostAnswer(interface);
     if (isLost || this->faults.of(interface).down) {
-        exchange.abortHandle()();
+        co_await wait->closeUnanswered(exchange);
         co_return;
     }
     const Result<void> ignored = co_await exchange.respond(response);
