--- a/tests/process/checkers.cpp
+++ b/tests/process/checkers.cpp
@@ -70,8 +70,9 @@
                 continue;
             }
             ++runs["request id " + run.at("requestId").get<std::string>()];
-            if (run.at("idempotencyKey") != "") {
-                ++runs["idempotency key " + run.at("idempotencyKey").get<std::string>()];
+            const std::string idempotencyKey = run.at("idempotencyKey");
+            if (!idempotencyKey.empty()) {
+                ++runs["idempotency key " + idempotencyKey];
             }
         }
     }
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -58,8 +58,8 @@
 
 TEST(CheckRunAtMostOnce, AcceptsDistinctAndRepeatableRuns)
 {
-    const std::vector<Json> runs = {run("POST", "r1", "k1", "whole"), run("POST", "r2", "", "whole"), run("GET", "r3", "", "whole"),
-        run("GET", "r3", "", "whole"), run("POST", "r4", "", "notRun")};
+    const std::vector<Json> runs = {run("POST", "r1", "k1", "whole"), run("POST", "r2", "", "whole"),
+        run("GET", "r3", "", "whole"), run("GET", "r3", "", "whole"), run("POST", "r4", "", "notRun")};
     EXPECT_EQ(checkRunAtMostOnce({audit(runs), audit({run("POST", "r4", "", "whole")})}), Violations{});
 }
 
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -23,7 +23,9 @@
 {
     std::vector<std::string> result;
     for (const auto &[name, value] : command.environment) {
-        result.push_back(name + "=" + value);
+        std::string &entry = result.emplace_back(name);
+        entry += '=';
+        entry += value;
     }
     for (char **entry = environ; *entry != nullptr; ++entry) {
         const std::string text = *entry;
--- a/tests/standins/logstore.cpp
+++ b/tests/standins/logstore.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t maxReadBytes = 4 * 1024 * 1024; ///< of one answer
+constexpr std::size_t maxReadBytes = 4UL * 1024 * 1024; ///< of one answer
 
 } // namespace
 
