Deadline guard: an order or a report is never sent after its lease, also by a process that was stopped

A check of the lease before the write is void when the process is stopped between the two. The kernel timer that is armed before the check shuts the socket down before user code runs on.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -53,17 +53,23 @@
     virtual bool isReusable() const = 0;
     /** Whether the server has closed an idle connection, or sent bytes that nobody asked for. */
     virtual bool isStale() const = 0;
+    virtual int nativeHandle() const = 0; ///< of the socket
 };
 
 struct FetchOptions {
     Duration connectTimeout = std::chrono::seconds(1);
     Duration timeout = std::chrono::seconds(5); ///< for the whole exchange after connecting
     std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
+    /**
+     * How long the request may still be sent, asked once connected. When it answers zero, or when the time is over before
+     * the first byte, nothing is sent, also when the process was stopped after asking. Empty: no limit.
+     */
+    std::function<Duration()> permission;
 };
 
 /**
- * One request on a connection of its own. Fails with Unreachable when nothing was sent, otherwise with Timeout,
- * ConnectionLost, TooLarge or Protocol.
+ * One request on a connection of its own. Fails with Unreachable, or with Cancelled when the permission was over, when
+ * nothing was sent; otherwise with Timeout, ConnectionLost, TooLarge or Protocol.
  */
 boost::asio::awaitable<Result<HttpResponse>> fetch(Endpoint endpoint, HttpRequest request, FetchOptions options = {});
 
--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/base/result.h>
 
@@ -117,7 +118,7 @@
 
 /**
  * The platform's interfaces. Each hook runs one call; its failure kind tells whether the action may have taken effect:
- * Unreachable and Refused mean that it has not, anything else that nobody knows.
+ * Unreachable, Refused and Cancelled mean that it has not, anything else that nobody knows.
  */
 struct Platform {
     template <typename T>
@@ -134,8 +135,13 @@
     std::function<Answer<LogBounds>(LogStream stream)> bounds;
     std::function<Answer<std::vector<InstanceEntry>>()> instances;
     std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
-    std::function<Answer<void>(PlatformOrder order)> order;
-    std::function<Answer<void>(UsageReport report)> reportUsage;
+    /**
+     * Sends an order while @p permission answers a time above zero: how much longer the lease is held, as
+     * FetchOptions::permission. Fails with Cancelled when it was over and nothing was sent.
+     */
+    std::function<Answer<void>(PlatformOrder order, std::function<Duration()> permission)> order;
+    /** Sends a report, with a permission as for an order. */
+    std::function<Answer<void>(UsageReport report, std::function<Duration()> permission)> reportUsage;
 };
 
 } // namespace flamingosaddle
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "clientconnection.h"
 
 #include <flamingosaddle/http/client.h>
+#include <flamingosaddle/http/deadlineguard.h>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -26,6 +27,9 @@
 
 Error nothingSent(const Error &error)
 {
+    if (error.kind() == ErrorKind::Cancelled) {
+        return error;
+    }
     return {ErrorKind::Unreachable, error.message(), "send the request again"};
 }
 
@@ -49,6 +53,22 @@
     TimePoint deadline;
 };
 
+asio::awaitable<Result<void>> sendPermitted(
+    HttpConnection &connection, const HttpRequest &request, TimeLimit limit, const std::function<Duration()> &permission)
+{
+    if (!permission) {
+        const Result<void> sent = co_await connection.send(request, limit.left());
+        co_return sent;
+    }
+    // The guard comes before the check, so that a stop of the process between check and write is covered.
+    const DeadlineGuard guard(connection.nativeHandle(), permission());
+    if (!guard.isArmed() || permission() <= Duration::zero()) {
+        co_return fail(ErrorKind::Cancelled, "the permission to send was over", "nothing was sent; ask for a new permission");
+    }
+    const Result<void> sent = co_await connection.send(request, limit.left());
+    co_return sent;
+}
+
 asio::awaitable<Result<void>> readWholeBody(HttpConnection &connection, TimeLimit limit, std::size_t maxBytes, std::string &body)
 {
     std::string piece;
@@ -102,7 +122,7 @@
     HttpConnection &connection = *connected.value();
     const TimeLimit limit(options.timeout);
     request.headers.set("Connection", "close");
-    const Result<void> sent = co_await connection.send(request, limit.left());
+    const Result<void> sent = co_await sendPermitted(connection, request, limit, options.permission);
     if (!sent.has_value()) {
         co_return fail(connection.anyByteSent() ? sent.error() : nothingSent(sent.error()));
     }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -291,9 +291,13 @@
         return true;
     }
     char byte = 0;
-    const ssize_t count
-        = ::recv(const_cast<tcp::socket &>(this->socket).native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = ::recv(this->nativeHandle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
     return !(count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+int ClientConnection::nativeHandle() const
+{
+    return const_cast<tcp::socket &>(this->socket).native_handle();
+}
+
 } // namespace flamingosaddle
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -30,6 +30,7 @@
     bool anyByteSent() const override;
     bool isReusable() const override;
     bool isStale() const override;
+    int nativeHandle() const override;
 
 private:
     struct Parser;
--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -70,9 +70,11 @@
 /**
  * Sends one call and answers the body of a 200 answer.
  */
-Platform::Answer<std::string> call(HttpPlatformOptions options, HttpRequest request, Duration wait = Duration::zero())
+Platform::Answer<std::string> call(
+    HttpPlatformOptions options, HttpRequest request, Duration wait = Duration::zero(), std::function<Duration()> permission = {})
 {
     FetchOptions fetchOptions;
+    fetchOptions.permission = std::move(permission);
     fetchOptions.connectTimeout = options.connectTimeout;
     fetchOptions.timeout = options.timeout + wait;
     Result<HttpResponse> response = co_await fetch(options.endpoint, std::move(request), fetchOptions);
@@ -141,10 +143,12 @@
     co_return platformcodec::decodeMachines(answer.value());
 }
 
-Platform::Answer<void> send(HttpPlatformOptions options, std::string target, std::string body)
+Platform::Answer<void> send(
+    HttpPlatformOptions options, std::string target, std::string body, std::function<Duration()> permission)
 {
     HttpRequest request = postRequest(std::move(target), std::move(body));
-    const Result<std::string> answer = co_await call(std::move(options), std::move(request));
+    const Result<std::string> answer
+        = co_await call(std::move(options), std::move(request), Duration::zero(), std::move(permission));
     if (answer.has_error()) {
         co_return fail(answer.error());
     }
@@ -171,11 +175,12 @@
     platform.backendMachines = [options](DataCentre dataCentre) {
         return listMachines(options, std::move(dataCentre));
     };
-    platform.order = [options](const PlatformOrder &order) {
-        return send(options, dataCentreTarget(order.dataCentre, "orders"), platformcodec::encodeOrder(order));
+    platform.order = [options](const PlatformOrder &order, std::function<Duration()> permission) {
+        return send(
+            options, dataCentreTarget(order.dataCentre, "orders"), platformcodec::encodeOrder(order), std::move(permission));
     };
-    platform.reportUsage = [options](const UsageReport &report) {
-        return send(options, "/usage-reports", platformcodec::encodeUsageReport(report));
+    platform.reportUsage = [options](const UsageReport &report, std::function<Duration()> permission) {
+        return send(options, "/usage-reports", platformcodec::encodeUsageReport(report), std::move(permission));
     };
     return platform;
 }
--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -37,6 +37,11 @@
     return fail(ErrorKind::Unreachable, "the log is down", "wait until it is back");
 }
 
+auto permissionOver()
+{
+    return fail(ErrorKind::Cancelled, "the permission to send was over", "ask for a new one");
+}
+
 auto lostAnswer()
 {
     return fail(ErrorKind::Timeout, "no answer came", "ask whether the call took effect");
@@ -62,11 +67,11 @@
     platform.backendMachines = [this](DataCentre dataCentre) {
         return this->backendMachines(std::move(dataCentre));
     };
-    platform.order = [this](PlatformOrder order) {
-        return this->order(std::move(order));
+    platform.order = [this](PlatformOrder order, std::function<Duration()> permission) {
+        return this->order(std::move(order), std::move(permission));
     };
-    platform.reportUsage = [this](UsageReport report) {
-        return this->reportUsage(std::move(report));
+    platform.reportUsage = [this](UsageReport report, std::function<Duration()> permission) {
+        return this->reportUsage(std::move(report), std::move(permission));
     };
     return platform;
 }
@@ -128,8 +133,11 @@
     co_return found;
 }
 
-Platform::Answer<void> FakePlatform::order(PlatformOrder order)
+Platform::Answer<void> FakePlatform::order(PlatformOrder order, std::function<Duration()> permission)
 {
+    if (permission() <= Duration::zero()) {
+        co_return permissionOver();
+    }
     const standins::DeskAnswer answer = this->machines.order(order.dataCentre.text(),
         {order.id, toString(order.kind), order.server, order.model, order.cheap, order.fencing, order.holder});
     if (takeFault(this->loseOrderAnswers)) {
@@ -141,8 +149,11 @@
     co_return done();
 }
 
-Platform::Answer<void> FakePlatform::reportUsage(UsageReport report)
+Platform::Answer<void> FakePlatform::reportUsage(UsageReport report, std::function<Duration()> permission)
 {
+    if (permission() <= Duration::zero()) {
+        co_return permissionOver();
+    }
     this->usageReports.push_back(std::move(report));
     if (takeFault(this->loseUsageAnswers)) {
         co_return lostAnswer();
--- a/tests/control/fakeplatform.h
+++ b/tests/control/fakeplatform.h
@@ -38,8 +38,8 @@
     Platform::Answer<LogBatch> read(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait);
     Platform::Answer<LogBounds> bounds(LogStream stream);
     Platform::Answer<std::vector<BackendMachine>> backendMachines(DataCentre dataCentre);
-    Platform::Answer<void> order(PlatformOrder order);
-    Platform::Answer<void> reportUsage(UsageReport report);
+    Platform::Answer<void> order(PlatformOrder order, std::function<Duration()> permission);
+    Platform::Answer<void> reportUsage(UsageReport report, std::function<Duration()> permission);
     LogBounds boundsOf(LogStream stream) const;
 };
 
