--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/base/result.h>
+#include <flamingosaddle/state/order.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -78,31 +79,6 @@
     friend bool operator==(const BackendMachine &, const BackendMachine &) = default;
 };
 
-enum class OrderKind {
-    StartServer,
-    StopServer,
-    LoadModel, ///< load a model, an adapter or a version
-    ChangeRole,
-};
-
-const char *toString(OrderKind kind);
-
-/**
- * An order to the backend server interface or to an engine.
- */
-struct PlatformOrder {
-    std::string id; ///< the same when the order is asked after
-    OrderKind kind = OrderKind::StartServer;
-    DataCentre dataCentre;
-    std::string server; ///< the machine to stop or to change; empty for StartServer
-    std::string model;
-    bool cheap = false;
-    std::uint64_t fencing = 0; ///< epoch of the lease under which it was decided
-    std::string holder; ///< instance that holds the lease
-
-    friend bool operator==(const PlatformOrder &, const PlatformOrder &) = default;
-};
-
 struct UsageReport {
     std::string clientAccount;
     std::uint64_t window = 0; ///< start of the window, seconds of the platform's time
--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -26,21 +26,6 @@
     return "";
 }
 
-const char *toString(OrderKind kind)
-{
-    switch (kind) {
-    case OrderKind::StartServer:
-        return "startServer";
-    case OrderKind::StopServer:
-        return "stopServer";
-    case OrderKind::LoadModel:
-        return "loadModel";
-    case OrderKind::ChangeRole:
-        return "changeRole";
-    }
-    return "";
-}
-
 } // namespace flamingosaddle
 
 namespace flamingosaddle::platformcodec
--- a/src/state/recordcodec.h
+++ b/src/state/recordcodec.h
@@ -66,6 +66,19 @@
 template <typename Enum>
 struct EnumNames;
 
+/**
+ * The name of @p value in records; empty for a value that has none.
+ */
+template <typename Enum>
+const char *enumName(Enum value)
+{
+    const auto &names = EnumNames<Enum>::values;
+    const auto *found = std::find_if(names.begin(), names.end(), [value](const auto &entry) {
+        return entry.first == value;
+    });
+    return found == names.end() ? "" : found->second;
+}
+
 template <typename T>
 inline constexpr bool isOptional = false;
 template <typename T>
@@ -137,16 +150,6 @@
     }
 
 private:
-    template <typename Enum>
-    static const char *enumName(Enum value)
-    {
-        const auto &names = EnumNames<Enum>::values;
-        const auto *found = std::find_if(names.begin(), names.end(), [value](const auto &entry) {
-            return entry.first == value;
-        });
-        return found == names.end() ? "" : found->second;
-    }
-
     Json object = Json::object();
 };
 
