--- /dev/null
+++ b/src/state/membership.cpp
@@ -0,0 +1,193 @@
+#include <flamingosaddle/state/membership.h>
+
+#include <flamingosaddle/base/hash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+void end(Member &member, TimePoint now)
+{
+    member.state = MemberState::Gone;
+    member.heardAt = now;
+}
+
+bool isStale(const Member &known, const Heartbeat &heartbeat)
+{
+    if (heartbeat.from.number != known.last.from.number) {
+        return heartbeat.from.number < known.last.from.number;
+    }
+    return known.isFinal || heartbeat.sequence <= known.last.sequence;
+}
+
+} // namespace
+
+const char *toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Joining:
+        return "joining";
+    case MemberState::Serving:
+        return "serving";
+    case MemberState::Draining:
+        return "draining";
+    case MemberState::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+Membership::Membership(Heartbeat self, MembershipTiming timing)
+    : own(std::move(self))
+    , timing(timing)
+{
+}
+
+// Commands.
+
+void Membership::setOwnState(MemberState state)
+{
+    this->own.state = state;
+}
+
+Heartbeat Membership::nextHeartbeat()
+{
+    ++this->own.sequence;
+    return this->own;
+}
+
+HeartbeatResult Membership::apply(const Heartbeat &heartbeat, TimePoint now)
+{
+    if (heartbeat.from.instance == this->own.from.instance) {
+        return HeartbeatResult::Own;
+    }
+    const auto known = this->table.find(heartbeat.from.instance);
+    if (known != this->table.end() && isStale(known->second, heartbeat)) {
+        return HeartbeatResult::Stale;
+    }
+    const bool isNew = known == this->table.end() || known->second.last.from != heartbeat.from;
+    if (isNew) {
+        this->endOthersAt(heartbeat.address, heartbeat.from.instance, now);
+    }
+    const bool isFarewell = heartbeat.state == MemberState::Gone;
+    this->table[heartbeat.from.instance] = {heartbeat, heartbeat.state, isFarewell, now};
+    return HeartbeatResult::Accepted;
+}
+
+void Membership::endOthersAt(const Endpoint &address, const InstanceId &except, TimePoint now)
+{
+    for (auto &[instance, member] : this->table) {
+        if (instance != except && member.last.address == address && member.state != MemberState::Gone) {
+            end(member, now);
+        }
+    }
+}
+
+void Membership::setSeeds(std::vector<Seed> seeds)
+{
+    this->seeds = std::move(seeds);
+}
+
+void Membership::advance(TimePoint now)
+{
+    std::erase_if(this->table, [this, now](const auto &entry) {
+        return entry.second.state == MemberState::Gone && this->deadlineOf(entry.second) <= now;
+    });
+    for (auto &[instance, member] : this->table) {
+        if (member.state != MemberState::Gone && this->deadlineOf(member) <= now) {
+            end(member, now);
+        }
+    }
+}
+
+// Queries.
+
+const Heartbeat &Membership::self() const
+{
+    return this->own;
+}
+
+const Member *Membership::find(const InstanceId &instance) const
+{
+    const auto found = this->table.find(instance);
+    return found == this->table.end() ? nullptr : &found->second;
+}
+
+const std::map<InstanceId, Member> &Membership::members() const
+{
+    return this->table;
+}
+
+bool Membership::isLeaving(const InstanceId &instance) const
+{
+    return std::any_of(this->seeds.begin(), this->seeds.end(), [&instance](const Seed &seed) {
+        return seed.instance == instance && seed.leaving;
+    });
+}
+
+std::vector<Heartbeat> Membership::serving() const
+{
+    std::vector<Heartbeat> serving;
+    for (const auto &[instance, member] : this->table) {
+        if (member.state == MemberState::Serving && !this->isLeaving(instance)) {
+            serving.push_back(member.last);
+        }
+    }
+    return serving;
+}
+
+std::vector<Endpoint> Membership::contacts() const
+{
+    std::vector<Endpoint> contacts;
+    for (const Seed &seed : this->seeds) {
+        const Member *member = this->find(seed.instance);
+        const bool isLive = member != nullptr && member->state != MemberState::Gone;
+        if (!isLive && !seed.leaving && seed.instance != this->own.from.instance) {
+            contacts.push_back(seed.address);
+        }
+    }
+    return contacts;
+}
+
+std::vector<Incarnation> Membership::relays(const DataCentre &dataCentre, std::size_t count) const
+{
+    const std::uint64_t key = hash64(dataCentre.text());
+    std::vector<std::pair<std::uint64_t, Incarnation>> weighted;
+    std::vector<Heartbeat> candidates = this->serving();
+    if (this->own.state == MemberState::Serving) {
+        candidates.push_back(this->own);
+    }
+    for (const Heartbeat &candidate : candidates) {
+        if (candidate.dataCentre == dataCentre) {
+            weighted.emplace_back(rendezvousWeight(candidate.from.text(), key), candidate.from);
+        }
+    }
+    std::sort(weighted.rbegin(), weighted.rend());
+    std::vector<Incarnation> relays;
+    for (std::size_t i = 0; i < std::min(count, weighted.size()); ++i) {
+        relays.push_back(weighted[i].second);
+    }
+    return relays;
+}
+
+TimePoint Membership::deadlineOf(const Member &member) const
+{
+    return member.heardAt + (member.state == MemberState::Gone ? this->timing.forgetAfter : this->timing.silentAfter);
+}
+
+std::optional<TimePoint> Membership::nextDeadline() const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[instance, member] : this->table) {
+        const TimePoint deadline = this->deadlineOf(member);
+        earliest = std::min(earliest.value_or(deadline), deadline);
+    }
+    return earliest;
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/state/membership_test.cpp
@@ -0,0 +1,175 @@
+#include <flamingosaddle/state/membership.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+Heartbeat heartbeat(const std::string &instance, std::uint64_t number, std::uint64_t sequence,
+    MemberState state = MemberState::Serving, std::uint16_t port = 0)
+{
+    // Instances have addresses of their own unless a test says otherwise.
+    const auto ownPort = static_cast<std::uint16_t>(1000 + instance.back());
+    return {{InstanceId(instance), number}, sequence, state, {"127.0.0.1", port == 0 ? ownPort : port}, DataCentre("d0")};
+}
+
+class MembershipTest : public testing::Test
+{
+protected:
+    HeartbeatResult apply(const Heartbeat &received)
+    {
+        return this->membership.apply(received, this->now);
+    }
+
+    MemberState stateOf(const std::string &instance) const
+    {
+        return this->membership.find(InstanceId(instance))->state;
+    }
+
+    Membership membership{heartbeat("self", 1, 0), {3s, 10min}};
+    TimePoint now{1h};
+};
+
+std::uint64_t anyBelow(std::uint64_t end)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(0, end));
+}
+
+} // namespace
+
+TEST_F(MembershipTest, FollowsTheStatesOfAnInstance)
+{
+    EXPECT_EQ(this->apply(heartbeat("i1", 1, 1, MemberState::Joining)), HeartbeatResult::Accepted);
+    EXPECT_TRUE(this->membership.serving().empty());
+    this->apply(heartbeat("i1", 1, 2));
+    EXPECT_EQ(this->membership.serving().size(), 1U);
+    this->apply(heartbeat("i1", 1, 3, MemberState::Draining));
+    EXPECT_TRUE(this->membership.serving().empty());
+    EXPECT_EQ(this->apply(heartbeat("self", 9, 3)), HeartbeatResult::Own);
+}
+
+TEST_F(MembershipTest, IgnoresOlderSequencesAndIncarnations)
+{
+    this->apply(heartbeat("i1", 2, 5));
+    EXPECT_EQ(this->apply(heartbeat("i1", 2, 5, MemberState::Draining)), HeartbeatResult::Stale);
+    EXPECT_EQ(this->apply(heartbeat("i1", 2, 4, MemberState::Draining)), HeartbeatResult::Stale);
+    EXPECT_EQ(this->apply(heartbeat("i1", 1, 9, MemberState::Draining)), HeartbeatResult::Stale);
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Serving);
+    EXPECT_EQ(this->apply(heartbeat("i1", 3, 1, MemberState::Joining)), HeartbeatResult::Accepted);
+}
+
+TEST_F(MembershipTest, AnotherInstanceOnTheAddressReplacesTheOldOne)
+{
+    this->apply(heartbeat("i1", 1, 1, MemberState::Serving, 7000));
+    this->apply(heartbeat("i2", 1, 1, MemberState::Serving, 7000));
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Gone);
+    EXPECT_EQ(this->apply(heartbeat("i1", 1, 1, MemberState::Serving, 7000)), HeartbeatResult::Stale);
+    EXPECT_EQ(this->stateOf("i2"), MemberState::Serving);
+    EXPECT_EQ(this->membership.serving().size(), 1U);
+}
+
+TEST_F(MembershipTest, ALateHeartbeatOfAPredecessorOnTheAddressDoesNotLast)
+{
+    this->apply(heartbeat("i2", 1, 1, MemberState::Serving, 7000));
+    this->apply(heartbeat("i1", 1, 9, MemberState::Serving, 7000));
+    this->apply(heartbeat("i2", 1, 2, MemberState::Serving, 7000));
+    EXPECT_EQ(this->stateOf("i2"), MemberState::Serving);
+    this->now += 3s;
+    this->apply(heartbeat("i2", 1, 3, MemberState::Serving, 7000));
+    this->membership.advance(this->now);
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Gone);
+}
+
+TEST_F(MembershipTest, ASilentMemberIsGoneUntilItIsHeardAgain)
+{
+    this->apply(heartbeat("i1", 1, 1));
+    EXPECT_EQ(this->membership.nextDeadline(), this->now + 3s);
+    this->membership.advance(this->now + 2999ms);
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Serving);
+    this->now += 3s;
+    this->membership.advance(this->now);
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Gone);
+    EXPECT_EQ(this->apply(heartbeat("i1", 1, 2)), HeartbeatResult::Accepted);
+    EXPECT_EQ(this->stateOf("i1"), MemberState::Serving);
+}
+
+TEST_F(MembershipTest, AFarewellIsFinalAndLaterForgotten)
+{
+    this->apply(heartbeat("i1", 1, 1, MemberState::Gone));
+    EXPECT_EQ(this->apply(heartbeat("i1", 1, 2)), HeartbeatResult::Stale);
+    this->membership.advance(this->now + 10min);
+    EXPECT_EQ(this->membership.find(InstanceId("i1")), nullptr);
+    EXPECT_FALSE(this->membership.nextDeadline().has_value());
+}
+
+TEST_F(MembershipTest, TheListSaysWhomToContactAndResurrectsNobody)
+{
+    this->apply(heartbeat("i1", 1, 1));
+    this->apply(heartbeat("i2", 1, 1, MemberState::Gone));
+    const auto address = [](const std::string &instance) {
+        return heartbeat(instance, 1, 1).address;
+    };
+    this->membership.setSeeds({{InstanceId("i1"), address("i1"), true}, {InstanceId("i2"), address("i2")},
+        {InstanceId("i3"), address("i3")}, {InstanceId("i4"), address("i4"), true}, {InstanceId("self"), address("self")}});
+    EXPECT_EQ(this->membership.contacts(), (std::vector<Endpoint>{address("i2"), address("i3")}));
+    EXPECT_EQ(this->stateOf("i2"), MemberState::Gone);
+    EXPECT_EQ(this->membership.find(InstanceId("i3")), nullptr);
+    EXPECT_TRUE(this->membership.serving().empty());
+}
+
+TEST_F(MembershipTest, HeartbeatsOfThisInstanceCountUpAndCarryItsState)
+{
+    this->membership.setOwnState(MemberState::Draining);
+    EXPECT_EQ(this->membership.nextHeartbeat(), heartbeat("self", 1, 1, MemberState::Draining));
+    EXPECT_EQ(this->membership.nextHeartbeat().sequence, 2U);
+}
+
+TEST_F(MembershipTest, AllInstancesChooseTheSameRelays)
+{
+    Membership other(heartbeat("i1", 1, 0), {3s, 10min});
+    this->apply(heartbeat("i1", 1, 1));
+    other.apply(heartbeat("self", 1, 1), this->now);
+    for (const char *instance : {"i2", "i3", "i4"}) {
+        this->apply(heartbeat(instance, 1, 1));
+        other.apply(heartbeat(instance, 1, 1), this->now);
+    }
+    const auto relays = this->membership.relays(DataCentre("d0"), 2);
+    EXPECT_EQ(relays.size(), 2U);
+    EXPECT_EQ(relays, other.relays(DataCentre("d0"), 2));
+    EXPECT_TRUE(this->membership.relays(DataCentre("d1"), 2).empty());
+}
+
+TEST(MembershipProperties, HeartbeatsInAnyOrderNeverBringBackWhatIsOver)
+{
+    EXPECT_TRUE(rc::check("reordered, repeated and late heartbeats, lists and silence", [] {
+        Membership membership(heartbeat("self", 1, 0), {3s, 10min});
+        TimePoint now{1h};
+        std::map<InstanceId, std::uint64_t> newest;
+        std::set<Incarnation> over;
+        for (int step = 0; step < 200; ++step) {
+            now += std::chrono::milliseconds(anyBelow(1500));
+            membership.advance(now);
+            membership.setSeeds({{InstanceId("i1"), heartbeat("i1", 1, 1).address}});
+            const Heartbeat received = heartbeat("i" + std::to_string(anyBelow(4)), anyBelow(5), anyBelow(100),
+                static_cast<MemberState>(anyBelow(4)), static_cast<std::uint16_t>(7000 + anyBelow(3)));
+            const HeartbeatResult result = membership.apply(received, now);
+            if (result == HeartbeatResult::Accepted) {
+                RC_ASSERT(received.from.number >= newest[received.from.instance]);
+                RC_ASSERT(!over.contains(received.from));
+                newest[received.from.instance] = received.from.number;
+            }
+            for (const auto &[instance, member] : membership.members()) {
+                RC_ASSERT(member.state == MemberState::Gone || now - member.heardAt < 3s);
+                if (member.isFinal) {
+                    over.insert(member.last.from);
+                }
+            }
+        }
+    }));
+}
