--- a/include/flamingosaddle/control/claimdesk.h
+++ b/include/flamingosaddle/control/claimdesk.h
@@ -2,7 +2,7 @@
 
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/control/logappender.h>
-#include <flamingosaddle/control/logtail.h>
+#include <flamingosaddle/control/logreplica.h>
 #include <flamingosaddle/http/claim.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/claimstate.h>
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace flamingosaddle
 {
@@ -44,9 +45,6 @@
     /** The hook for callers' requests. It may be called from any thread, as long as the control thread runs. */
     ClaimHook hook();
 
-    /** Starts from the state of the stream as of a snapshot, when the log no longer holds its beginning. */
-    void restore(ClaimTable table);
-
     /** Reads the stream until stop(). The object has to outlive the coroutine. */
     boost::asio::awaitable<void> runTail();
     /** Appends outcomes until stop(). The object has to outlive the coroutine. */
@@ -61,8 +59,8 @@
     struct Waiting;
 
     boost::asio::awaitable<ClaimAnswer> claim(ClaimRequest request);
-    boost::asio::awaitable<Result<std::uint64_t>> position();
-    void takeBatch(const LogBatch &batch);
+    Result<void> restore(std::string_view text);
+    void takeRecord(const LogRecord &record);
     void takeResult(std::uint64_t offset, const ClaimRecord &record, ClaimResult result);
     ClaimAnswer answerOf(const ClaimKey &key, std::uint64_t fingerprint, ClaimResult result, std::uint64_t number);
     ClaimAnswer unavailable() const;
@@ -73,13 +71,12 @@
     boost::asio::any_io_executor control;
     const Platform &platform;
     Options options;
-    LogTail tail;
+    LogReplica replica;
     LogAppender appender;
     ClaimTable claimTable;
     std::map<RecordId, std::shared_ptr<Waiting>> waiting;
     std::uint64_t sequence = 0;
     std::size_t unsettled = 0;
-    bool positioned = false;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/control/configtail.h
+++ b/include/flamingosaddle/control/configtail.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/control/logtail.h>
+#include <flamingosaddle/control/logreplica.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/configstate.h>
 
@@ -55,22 +55,17 @@
     std::uint64_t undecodableCount() const;
 
 private:
-    boost::asio::awaitable<Result<std::uint64_t>> position();
-    boost::asio::awaitable<Result<void>> loadSnapshot();
-    void takeBatch(const LogBatch &batch, TimePoint sentAt);
-    void noteReadTo(std::uint64_t headOffset, TimePoint sentAt);
-    void noteGap();
-    void applyRecord(ConfigState &target, std::uint64_t offset, std::string_view body);
-    void replaceState(ConfigState next);
-
-    const Platform &platform;
+    Result<void> restore(std::string_view text);
+    void apply(std::uint64_t offset, std::string_view body);
+    void noteHead(TimePoint sentAt);
+    void publish();
+
     std::function<void()> onAdvance;
-    LogTail tail;
+    LogReplica replica;
+    ConfigState working; // ahead of `current` while a batch is being applied
     std::shared_ptr<const ConfigState> current;
     std::optional<TimePoint> readAt;
     std::uint64_t undecodable = 0;
-    bool gap = false;
-    bool snapshotSought = false;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/control/leasekeeper.h
+++ b/include/flamingosaddle/control/leasekeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/control/logtail.h>
+#include <flamingosaddle/control/logreplica.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/leaseholder.h>
 #include <flamingosaddle/state/leasestate.h>
@@ -14,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string_view>
 
 namespace flamingosaddle
 {
@@ -40,9 +41,6 @@
     /** The roles that this instance is a candidate for. One that is no longer named is given up. */
     void setRoles(const std::set<Role> &roles);
 
-    /** Starts from the state of the stream as of a snapshot, when the log no longer holds its beginning. */
-    void restore(LeaseTable table);
-
     /** Reads the stream until stop(). The object has to outlive the coroutine. */
     boost::asio::awaitable<void> runTail();
     /** Claims, renews and gives up until stop(). The object has to outlive the coroutine. */
@@ -64,8 +62,7 @@
         std::optional<TimePoint> claimAt; ///< when this instance claims the free role
     };
 
-    boost::asio::awaitable<Result<std::uint64_t>> position();
-    void takeBatch(const LogBatch &batch, TimePoint sentAt);
+    Result<void> restore(std::string_view text);
     void takeRecord(const LogRecord &record);
     boost::asio::awaitable<void> tend(const Role &role);
     std::optional<LeaseRecord> dueRecord(Seat &seat, const Role &role, TimePoint now);
@@ -74,12 +71,11 @@
 
     const Platform &platform;
     Options options;
-    LogTail tail;
+    LogReplica replica;
     LeaseTable leaseTable;
     std::map<Role, Seat> seats;
     std::minstd_rand random;
     std::uint64_t sequence = 0;
-    bool positioned = false;
     bool stopped = false;
 };
 
--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -23,9 +23,13 @@
     Config,
     ConfigSnapshot,
     Leases,
+    LeasesSnapshot,
     Orders,
+    OrdersSnapshot,
     Usage,
+    UsageSnapshot,
     Claims,
+    ClaimsSnapshot,
 };
 
 /**
--- a/src/control/claimdesk.cpp
+++ b/src/control/claimdesk.cpp
@@ -31,17 +31,18 @@
     : control(control)
     , platform(platform)
     , options(std::move(options))
-    , tail(platform, LogStream::Claims,
-          LogTailHooks{
+    , replica(platform, LogStream::Claims, LogStream::ClaimsSnapshot,
+          LogReplicaHooks{
               [this] {
-                  return this->position();
+                  return this->claimTable.nextOffset();
               },
-              [this](const LogBatch &batch, TimePoint) {
-                  this->takeBatch(batch);
+              [this](std::string_view text) {
+                  return this->restore(text);
               },
-              [this] {
-                  this->positioned = false;
+              [this](const LogRecord &record) {
+                  this->takeRecord(record);
               },
+              {},
           },
           this->options.seed)
     , appender(platform, LogStream::Claims, LogAppenderOptions{}, this->options.seed)
@@ -61,16 +62,9 @@
     };
 }
 
-void ClaimDesk::restore(ClaimTable table)
-{
-    if (table.nextOffset() > this->claimTable.nextOffset()) {
-        this->claimTable = std::move(table);
-    }
-}
-
 boost::asio::awaitable<void> ClaimDesk::runTail()
 {
-    return this->tail.run();
+    return this->replica.run();
 }
 
 boost::asio::awaitable<void> ClaimDesk::runAppender()
@@ -80,7 +74,7 @@
 
 void ClaimDesk::stop()
 {
-    this->tail.stop();
+    this->replica.stop();
     this->appender.stop();
 }
 
@@ -104,7 +98,7 @@
                                                                              : ClaimResult::AlreadyStarted;
         co_return this->answerOf(key, request.fingerprint, result, known->number);
     }
-    if (!this->tail.isLogAnswering()) {
+    if (!this->replica.isLogAnswering()) {
         co_return this->unavailable();
     }
     ClaimRecord record;
@@ -129,37 +123,24 @@
     co_return this->answerOf(key, request.fingerprint, *pending->result, pending->number);
 }
 
-boost::asio::awaitable<Result<std::uint64_t>> ClaimDesk::position()
+Result<void> ClaimDesk::restore(std::string_view text)
 {
-    if (!this->positioned) {
-        const Result<LogBounds> bounds = co_await this->platform.bounds(LogStream::Claims);
-        if (bounds.has_error()) {
-            co_return fail(bounds.error());
-        }
-        if (bounds.value().firstOffset > this->claimTable.nextOffset()) {
-            // Without the records before, a claim that lost could look like one that won.
-            co_return fail(
-                ErrorKind::Trimmed, "the log no longer holds the beginning of the claims", "restore the claims from a snapshot");
-        }
-        this->positioned = true;
+    BOOST_OUTCOME_TRY(table, decodeClaimSnapshot(text, this->options.limits));
+    if (table.nextOffset() > this->claimTable.nextOffset()) {
+        this->claimTable = std::move(table);
     }
-    co_return this->claimTable.nextOffset();
+    return done();
 }
 
-void ClaimDesk::takeBatch(const LogBatch &batch)
+void ClaimDesk::takeRecord(const LogRecord &record)
 {
-    for (const LogRecord &record : batch.records) {
-        if (record.offset < this->claimTable.nextOffset()) {
-            continue;
-        }
-        const Result<ClaimRecord> decoded = decodeClaimRecord(record.body);
-        if (decoded.has_error()) {
-            this->claimTable.skip(record.offset);
-            continue;
-        }
-        const ClaimResult result = this->claimTable.apply(record.offset, decoded.value());
-        this->takeResult(record.offset, decoded.value(), result);
+    const Result<ClaimRecord> decoded = decodeClaimRecord(record.body);
+    if (decoded.has_error()) {
+        this->claimTable.skip(record.offset);
+        return;
     }
+    const ClaimResult result = this->claimTable.apply(record.offset, decoded.value());
+    this->takeResult(record.offset, decoded.value(), result);
 }
 
 void ClaimDesk::takeResult(std::uint64_t offset, const ClaimRecord &record, ClaimResult result)
--- a/src/control/configtail.cpp
+++ b/src/control/configtail.cpp
@@ -1,25 +1,25 @@
 #include <flamingosaddle/control/configtail.h>
 
-#include <flamingosaddle/base/log.h>
-
 #include <utility>
 
 namespace flamingosaddle
 {
 
 ConfigTail::ConfigTail(const Platform &platform, std::function<void()> onAdvance, std::uint64_t seed)
-    : platform(platform)
-    , onAdvance(std::move(onAdvance))
-    , tail(platform, LogStream::Config,
-          LogTailHooks{
+    : onAdvance(std::move(onAdvance))
+    , replica(platform, LogStream::Config, LogStream::ConfigSnapshot,
+          LogReplicaHooks{
               [this] {
-                  return this->position();
+                  return this->working.nextOffset();
               },
-              [this](const LogBatch &batch, TimePoint sentAt) {
-                  this->takeBatch(batch, sentAt);
+              [this](std::string_view text) {
+                  return this->restore(text);
               },
-              [this] {
-                  this->noteGap();
+              [this](const LogRecord &record) {
+                  this->apply(record.offset, record.body);
+              },
+              [this](std::uint64_t, TimePoint sentAt) {
+                  this->noteHead(sentAt);
               },
           },
           seed)
@@ -29,31 +29,31 @@
 
 boost::asio::awaitable<void> ConfigTail::run()
 {
-    return this->tail.run();
+    return this->replica.run();
 }
 
 void ConfigTail::stop()
 {
-    this->tail.stop();
+    this->replica.stop();
 }
 
 bool ConfigTail::applyForwarded(std::uint64_t offset, std::string_view body)
 {
-    if (offset != this->current->nextOffset()) {
+    if (offset != this->working.nextOffset()) {
         return false;
     }
-    ConfigState next = *this->current;
-    this->applyRecord(next, offset, body);
-    this->replaceState(std::move(next));
+    this->apply(offset, body);
+    this->publish();
     return true;
 }
 
 bool ConfigTail::adoptSnapshot(const ConfigState &snapshot)
 {
-    if (snapshot.nextOffset() <= this->current->nextOffset()) {
+    if (snapshot.nextOffset() <= this->working.nextOffset()) {
         return false;
     }
-    this->replaceState(snapshot);
+    this->working = snapshot;
+    this->publish();
     return true;
 }
 
@@ -69,7 +69,7 @@
 
 bool ConfigTail::hasGap() const
 {
-    return this->gap;
+    return this->replica.hasGap();
 }
 
 std::uint64_t ConfigTail::undecodableCount() const
@@ -77,93 +77,35 @@
     return this->undecodable;
 }
 
-boost::asio::awaitable<Result<std::uint64_t>> ConfigTail::position()
+Result<void> ConfigTail::restore(std::string_view text)
 {
-    if (!this->snapshotSought) {
-        const Result<void> loaded = co_await this->loadSnapshot();
-        if (loaded.has_error()) {
-            co_return fail(loaded.error());
-        }
-        this->snapshotSought = true;
-    }
-    co_return this->current->nextOffset();
+    BOOST_OUTCOME_TRY(snapshot, decodeConfigSnapshot(text));
+    this->adoptSnapshot(snapshot);
+    return done();
 }
 
-boost::asio::awaitable<Result<void>> ConfigTail::loadSnapshot()
+void ConfigTail::apply(std::uint64_t offset, std::string_view body)
 {
-    const Result<LogBounds> bounds = co_await this->platform.bounds(LogStream::ConfigSnapshot);
-    if (bounds.has_error()) {
-        co_return fail(bounds.error());
-    }
-    if (bounds.value().headOffset == bounds.value().firstOffset) {
-        co_return done();
-    }
-    const std::uint64_t newest = bounds.value().headOffset - 1;
-    const Result<LogBatch> batch = co_await this->platform.read(LogStream::ConfigSnapshot, newest, std::chrono::milliseconds(0));
-    if (batch.has_error()) {
-        co_return fail(batch.error());
-    }
-    for (const LogRecord &record : batch.value().records) {
-        const Result<ConfigState> snapshot = decodeConfigSnapshot(record.body);
-        if (snapshot.has_value()) {
-            this->adoptSnapshot(snapshot.value());
-        } else {
-            logStateChange(LogLevel::Error, "control", "config snapshot is unreadable", {{"error", snapshot.error().text()}});
-        }
-    }
-    co_return done();
-}
-
-void ConfigTail::takeBatch(const LogBatch &batch, TimePoint sentAt)
-{
-    this->gap = false;
-    if (batch.records.empty()) {
-        this->noteReadTo(batch.headOffset, sentAt);
-        this->onAdvance();
-        return;
-    }
-    // A peer may have forwarded records while the read was under way: only what is still ahead is applied.
-    ConfigState next = *this->current;
-    for (const LogRecord &record : batch.records) {
-        if (record.offset >= next.nextOffset()) {
-            this->applyRecord(next, record.offset, record.body);
-        }
-    }
-    this->current = std::make_shared<const ConfigState>(std::move(next));
-    this->noteReadTo(batch.headOffset, sentAt);
-    this->onAdvance();
-}
-
-void ConfigTail::noteReadTo(std::uint64_t headOffset, TimePoint sentAt)
-{
-    if (headOffset <= this->current->nextOffset()) {
-        this->readAt = sentAt;
+    const Result<ConfigChange> change = decodeConfigChange(body);
+    if (change.has_value()) {
+        this->working.apply(offset, change.value());
+    } else {
+        ++this->undecodable;
+        this->working.skip(offset);
     }
 }
 
-void ConfigTail::noteGap()
+void ConfigTail::noteHead(TimePoint sentAt)
 {
-    if (!this->gap) {
-        logStateChange(LogLevel::Error, "control", "config records were trimmed before they were read");
-    }
-    this->gap = true;
-    this->snapshotSought = false;
+    this->readAt = sentAt;
+    this->publish();
 }
 
-void ConfigTail::applyRecord(ConfigState &target, std::uint64_t offset, std::string_view body)
+void ConfigTail::publish()
 {
-    const Result<ConfigChange> change = decodeConfigChange(body);
-    if (change.has_error()) {
-        ++this->undecodable;
-        target.skip(offset);
-        return;
+    if (this->working.nextOffset() != this->current->nextOffset()) {
+        this->current = std::make_shared<const ConfigState>(this->working);
     }
-    target.apply(offset, change.value());
-}
-
-void ConfigTail::replaceState(ConfigState next)
-{
-    this->current = std::make_shared<const ConfigState>(std::move(next));
     this->onAdvance();
 }
 
--- a/src/control/leasekeeper.cpp
+++ b/src/control/leasekeeper.cpp
@@ -11,16 +11,19 @@
 LeaseKeeper::LeaseKeeper(const Platform &platform, Options options)
     : platform(platform)
     , options(std::move(options))
-    , tail(platform, LogStream::Leases,
-          LogTailHooks{
+    , replica(platform, LogStream::Leases, LogStream::LeasesSnapshot,
+          LogReplicaHooks{
               [this] {
-                  return this->position();
+                  return this->leaseTable.nextOffset();
               },
-              [this](const LogBatch &batch, TimePoint sentAt) {
-                  this->takeBatch(batch, sentAt);
+              [this](std::string_view text) {
+                  return this->restore(text);
               },
-              [this] {
-                  this->positioned = false;
+              [this](const LogRecord &record) {
+                  this->takeRecord(record);
+              },
+              [this](std::uint64_t head, TimePoint sentAt) {
+                  this->leaseTable.noteHead(head, sentAt);
               },
           },
           this->options.seed)
@@ -39,16 +42,9 @@
     }
 }
 
-void LeaseKeeper::restore(LeaseTable table)
-{
-    if (table.nextOffset() > this->leaseTable.nextOffset()) {
-        this->leaseTable = std::move(table);
-    }
-}
-
 boost::asio::awaitable<void> LeaseKeeper::runTail()
 {
-    return this->tail.run();
+    return this->replica.run();
 }
 
 boost::asio::awaitable<void> LeaseKeeper::runKeeper()
@@ -69,7 +65,7 @@
 void LeaseKeeper::stop()
 {
     this->stopped = true;
-    this->tail.stop();
+    this->replica.stop();
 }
 
 boost::asio::awaitable<void> LeaseKeeper::releaseAll()
@@ -106,38 +102,17 @@
     return this->leaseTable;
 }
 
-boost::asio::awaitable<Result<std::uint64_t>> LeaseKeeper::position()
+Result<void> LeaseKeeper::restore(std::string_view text)
 {
-    if (!this->positioned) {
-        const Result<LogBounds> bounds = co_await this->platform.bounds(LogStream::Leases);
-        if (bounds.has_error()) {
-            co_return fail(bounds.error());
-        }
-        if (bounds.value().firstOffset > this->leaseTable.nextOffset()) {
-            // Without the records before, a reader could accept a claim that every other reader refuses.
-            co_return fail(
-                ErrorKind::Trimmed, "the log no longer holds the beginning of the leases", "restore the leases from a snapshot");
-        }
-        this->positioned = true;
-    }
-    co_return this->leaseTable.nextOffset();
-}
-
-void LeaseKeeper::takeBatch(const LogBatch &batch, TimePoint sentAt)
-{
-    for (const LogRecord &record : batch.records) {
-        this->takeRecord(record);
-    }
-    if (batch.headOffset <= this->leaseTable.nextOffset()) {
-        this->leaseTable.noteHead(batch.headOffset, sentAt);
+    BOOST_OUTCOME_TRY(table, decodeLeaseSnapshot(text, this->options.timing, RuntimeClock::now()));
+    if (table.nextOffset() > this->leaseTable.nextOffset()) {
+        this->leaseTable = std::move(table);
     }
+    return done();
 }
 
 void LeaseKeeper::takeRecord(const LogRecord &record)
 {
-    if (record.offset < this->leaseTable.nextOffset()) {
-        return;
-    }
     const Result<LeaseRecord> decoded = decodeLeaseRecord(record.body);
     if (decoded.has_error()) {
         this->leaseTable.skip(record.offset);
--- /dev/null
+++ b/src/control/logreplica.cpp
@@ -0,0 +1,121 @@
+#include <flamingosaddle/control/logreplica.h>
+
+#include <flamingosaddle/base/log.h>
+
+#include <utility>
+
+namespace flamingosaddle
+{
+
+LogReplica::LogReplica(const Platform &platform, LogStream stream, LogStream snapshots, LogReplicaHooks hooks, std::uint64_t seed)
+    : platform(platform)
+    , stream(stream)
+    , snapshots(snapshots)
+    , hooks(std::move(hooks))
+    , tail(platform, stream,
+          LogTailHooks{
+              [this] {
+                  return this->position();
+              },
+              [this](const LogBatch &batch, TimePoint sentAt) {
+                  this->takeBatch(batch, sentAt);
+              },
+              [this] {
+                  this->positioned = false;
+              },
+          },
+          seed)
+{
+}
+
+boost::asio::awaitable<void> LogReplica::run()
+{
+    return this->tail.run();
+}
+
+void LogReplica::stop()
+{
+    this->tail.stop();
+}
+
+bool LogReplica::isLogAnswering() const
+{
+    return this->tail.isLogAnswering();
+}
+
+bool LogReplica::hasGap() const
+{
+    return this->gap;
+}
+
+boost::asio::awaitable<Result<std::uint64_t>> LogReplica::position()
+{
+    if (this->positioned) {
+        co_return this->hooks.nextOffset();
+    }
+    const Result<void> loaded = co_await this->loadSnapshot();
+    if (loaded.has_error()) {
+        co_return fail(loaded.error());
+    }
+    const Result<LogBounds> bounds = co_await this->platform.bounds(this->stream);
+    if (bounds.has_error()) {
+        co_return fail(bounds.error());
+    }
+    if (bounds.value().firstOffset > this->hooks.nextOffset()) {
+        co_return fail(this->noteGap());
+    }
+    this->positioned = true;
+    this->gap = false;
+    co_return this->hooks.nextOffset();
+}
+
+boost::asio::awaitable<Result<void>> LogReplica::loadSnapshot()
+{
+    const Result<LogBounds> bounds = co_await this->platform.bounds(this->snapshots);
+    if (bounds.has_error()) {
+        co_return fail(bounds.error());
+    }
+    if (bounds.value().headOffset == bounds.value().firstOffset) {
+        co_return done();
+    }
+    const std::uint64_t newest = bounds.value().headOffset - 1;
+    const Result<LogBatch> batch = co_await this->platform.read(this->snapshots, newest, std::chrono::milliseconds(0));
+    if (batch.has_error()) {
+        co_return fail(batch.error());
+    }
+    for (const LogRecord &record : batch.value().records) {
+        const Result<void> restored = this->hooks.restore(record.body);
+        if (restored.has_error()) {
+            logStateChange(LogLevel::Error, "control", "snapshot is unreadable",
+                {{"stream", toString(this->snapshots)}, {"error", restored.error().text()}});
+        }
+    }
+    co_return done();
+}
+
+void LogReplica::takeBatch(const LogBatch &batch, TimePoint sentAt)
+{
+    for (const LogRecord &record : batch.records) {
+        // The state may have moved on by other means while the read was under way.
+        if (record.offset >= this->hooks.nextOffset()) {
+            this->hooks.apply(record);
+        }
+    }
+    if (this->hooks.atHead && batch.headOffset <= this->hooks.nextOffset()) {
+        this->hooks.atHead(batch.headOffset, sentAt);
+    }
+}
+
+Error LogReplica::noteGap()
+{
+    if (!this->gap) {
+        logStateChange(
+            LogLevel::Error, "control", "records were trimmed before they were read", {{"stream", toString(this->stream)}});
+    }
+    this->gap = true;
+    return {ErrorKind::Trimmed,
+        std::string("the log no longer holds the beginning of ") + toString(this->stream) + " and no snapshot covers it",
+        "raise the log's retention; an instance that is up to date writes a snapshot"};
+}
+
+} // namespace flamingosaddle
--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -16,12 +16,20 @@
         return "config-snapshot";
     case LogStream::Leases:
         return "leases";
+    case LogStream::LeasesSnapshot:
+        return "leases-snapshot";
     case LogStream::Orders:
         return "orders";
+    case LogStream::OrdersSnapshot:
+        return "orders-snapshot";
     case LogStream::Usage:
         return "usage";
+    case LogStream::UsageSnapshot:
+        return "usage-snapshot";
     case LogStream::Claims:
         return "claims";
+    case LogStream::ClaimsSnapshot:
+        return "claims-snapshot";
     }
     return "";
 }
--- a/tests/standins/logstore.h
+++ b/tests/standins/logstore.h
@@ -60,8 +60,9 @@
 
     void applyRetention(Stream &stream) const;
 
-    std::map<std::string, Stream, std::less<>> streams{
-        {"config", {}}, {"config-snapshot", {}}, {"leases", {}}, {"orders", {}}, {"usage", {}}, {"claims", {}}};
+    std::map<std::string, Stream, std::less<>> streams{{"config", {}}, {"config-snapshot", {}}, {"leases", {}},
+        {"leases-snapshot", {}}, {"orders", {}}, {"orders-snapshot", {}}, {"usage", {}}, {"usage-snapshot", {}}, {"claims", {}},
+        {"claims-snapshot", {}}};
     std::size_t retention = 0;
     Json appends = Json::array();
 };
