--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -59,6 +59,7 @@
     std::chrono::milliseconds orderLifetime{2000};
     std::chrono::milliseconds usageFlushInterval{1000};
     std::chrono::milliseconds usageWindow{60000};
+    std::size_t snapshotEveryRecords = 500;
     std::chrono::milliseconds drainTimeout{60000};
 
     // Observation.
--- a/include/flamingosaddle/control/claimdesk.h
+++ b/include/flamingosaddle/control/claimdesk.h
@@ -54,6 +54,7 @@
     // Queries.
     const ClaimTable &table() const;
     std::size_t unsettledCount() const; ///< claims of this instance whose request is running
+    std::size_t unappendedCount() const; ///< records that the log has not taken yet
 
 private:
     struct Waiting;
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -1,14 +1,20 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/claimdesk.h>
 #include <flamingosaddle/control/configtail.h>
+#include <flamingosaddle/control/leasekeeper.h>
 #include <flamingosaddle/control/routingsnapshot.h>
+#include <flamingosaddle/control/snapshotkeeper.h>
+#include <flamingosaddle/control/usagedesk.h>
 #include <flamingosaddle/platform/platform.h>
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,12 +23,15 @@
 {
 
 struct ControllerOptions {
-    InstanceId instanceId;
+    Incarnation self;
     DataCentre dataCentre;
     Duration freshnessLimit = std::chrono::seconds(5);
+    LeaseTiming leaseTiming;
+    Duration usageFlushInterval = std::chrono::seconds(1);
+    std::chrono::seconds usageWindow{60};
+    std::uint64_t snapshotEveryRecords = 500;
+    std::function<std::chrono::seconds()> wallTime; ///< since the epoch
     std::uint64_t seed = 1;
-
-    friend bool operator==(const ControllerOptions &, const ControllerOptions &) = default;
 };
 
 /**
@@ -35,7 +44,7 @@
 };
 
 /**
- * Owns all control state of an instance. Every function is called on the thread that runs @p context.
+ * Owns all control state of an instance. Every function is called on the thread that runs @p context, but for claimHook().
  */
 class Controller
 {
@@ -47,20 +56,38 @@
     void start();
     void stop();
 
+    /**
+     * Hands over what has to outlive the instance, for a shutdown: waits for @p limit at most until the log has taken the
+     * usage counts and the outcomes of claims, then gives up the leases.
+     */
+    boost::asio::awaitable<void> handOver(Duration limit);
+
     /** Takes a key out of use at once, before the log has the record. Idempotent. */
     void withdrawKey(const KeyId &id);
 
+    /** Counts what a request used. */
+    void countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals);
+
+    /** Decides whether named non-idempotent requests run; for the traffic threads. */
+    ClaimHook claimHook();
+
     // Queries.
     bool isReady() const; ///< whether the configuration was read to its end once
     TimePoint freshUntil() const;
     const ConfigTail &configTail() const;
+    const LeaseKeeper &leaseKeeper() const;
+    const UsageDesk &usageDesk() const;
+    const ClaimDesk &claimDesk() const;
     const std::set<KeyId> &tombstones() const;
     const ControllerOptions &options() const;
 
 private:
+    std::vector<SnapshotSource> snapshotSources();
+    void spawn(boost::asio::awaitable<void> coroutine);
     void configAdvanced();
     void publishSnapshot();
     void announceWithdrawals(const ConfigState &before, const ConfigState &after);
+    bool hasUnappended() const;
 
     boost::asio::io_context &context;
     Platform platform;
@@ -70,6 +97,10 @@
     std::shared_ptr<const ConfigState> publishedState;
     TimePoint publishedFreshness;
     ConfigTail tail;
+    LeaseKeeper leases;
+    UsageDesk usage;
+    ClaimDesk claims;
+    SnapshotKeeper snapshots;
 };
 
 } // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/control/snapshotkeeper.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/leasekeeper.h>
+#include <flamingosaddle/platform/platform.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * A state that is written as snapshots, so that an instance can start when the log no longer holds the first records.
+ */
+struct SnapshotSource {
+    LogStream snapshots = LogStream::ConfigSnapshot;
+    std::function<std::uint64_t()> nextOffset; ///< of the state
+    std::function<std::string()> encode;
+};
+
+/**
+ * Appends snapshots while it holds the lease of the role. The lease only saves repetitions: a snapshot states a prefix of
+ * the log, so that one from an instance that is no longer in charge is as true as any, and an older one than the state in
+ * force is ignored by every reader. Lives on the control thread.
+ */
+class SnapshotKeeper
+{
+public:
+    struct Options {
+        Role role = Role("snapshots");
+        std::uint64_t everyRecords = 500; ///< records after which a stream gets a new snapshot
+        Duration interval = std::chrono::seconds(1); ///< between two looks at what is due
+    };
+
+    SnapshotKeeper(const Platform &platform, const LeaseKeeper &leases, std::vector<SnapshotSource> sources, Options options);
+
+    // Commands.
+
+    /** Writes until stop(). The object has to outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    void stop();
+
+    // Queries.
+    std::uint64_t writtenCount() const;
+
+private:
+    struct Entry {
+        SnapshotSource source;
+        std::uint64_t covered = 0; ///< next offset of the last snapshot that this process wrote
+    };
+
+    boost::asio::awaitable<void> writeIfDue(Entry &entry);
+
+    const Platform &platform;
+    const LeaseKeeper &leases;
+    std::vector<Entry> entries;
+    Options options;
+    std::uint64_t written = 0;
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -94,7 +94,7 @@
     const TrafficStatus traffic = this->trafficStatus();
     const ConfigTail &tail = this->controller.configTail();
     const nlohmann::json body = {
-        {"instance", this->controller.options().instanceId.text()},
+        {"instance", this->controller.options().self.instance.text()},
         {"dataCentre", this->controller.options().dataCentre.text()},
         {"ready", this->controller.isReady()},
         {"draining", traffic.draining},
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -28,6 +28,7 @@
 {
 
 constexpr std::chrono::milliseconds drainPollInterval(10);
+constexpr std::chrono::seconds handOverLimit(5);
 
 InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
 {
@@ -76,6 +77,29 @@
     return options;
 }
 
+std::chrono::milliseconds wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+ControllerOptions controllerOptionsOf(const Settings &settings, std::uint64_t seed)
+{
+    ControllerOptions options;
+    options.self = {instanceIdOf(settings, seed), static_cast<std::uint64_t>(wallMilliseconds().count())};
+    options.dataCentre = settings.dataCentre;
+    options.freshnessLimit = settings.freshnessLimit;
+    options.leaseTiming.duration = settings.leaseDuration;
+    options.leaseTiming.longestOrderLife = settings.orderLifetime;
+    options.usageFlushInterval = settings.usageFlushInterval;
+    options.usageWindow = std::chrono::duration_cast<std::chrono::seconds>(settings.usageWindow);
+    options.snapshotEveryRecords = settings.snapshotEveryRecords;
+    options.wallTime = [] {
+        return std::chrono::duration_cast<std::chrono::seconds>(wallMilliseconds());
+    };
+    options.seed = seed;
+    return options;
+}
+
 } // namespace
 
 class Daemon::Implementation
@@ -87,8 +111,7 @@
         , workers(settings.trafficThreads)
         , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor())
         , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
-              ControllerOptions{instanceIdOf(settings, this->seed), settings.dataCentre, settings.freshnessLimit, this->seed},
-              this->controllerHooks())
+              controllerOptionsOf(settings, this->seed), this->controllerHooks())
         , adminHandler(this->controller, this->metrics,
               [this] {
                   return this->trafficStatus();
@@ -158,11 +181,28 @@
         return hooks;
     }
 
+    CallerHooks callerHooks()
+    {
+        CallerHooks hooks;
+        hooks.claim = this->controller.claimHook();
+        hooks.usage = [this](const UsageEvent &event) {
+            boost::asio::post(this->controlContext, [this, account = event.clientAccount, totals = totalsOf(event)] {
+                this->controller.countUsage(account, totals);
+            });
+        };
+        return hooks;
+    }
+
+    static UsageTotals totalsOf(const UsageEvent &event)
+    {
+        return {1, event.promptTokens, event.completionTokens};
+    }
+
     CallerHandler::Builder callerHandlerBuilder()
     {
         CallerHandler::Builder builder;
         builder.board(&this->board).gate(&this->gate).keys(&this->keys).keySecret(this->settings.keySecret);
-        builder.options(callerOptionsOf(this->settings)).contexts(this->workers.contexts());
+        builder.options(callerOptionsOf(this->settings)).contexts(this->workers.contexts()).hooks(this->callerHooks());
         return builder;
     }
 
@@ -209,6 +249,7 @@
         while (this->callerServer->connectionCount() > 0 && RuntimeClock::now() < deadline) {
             co_await delay(drainPollInterval);
         }
+        co_await this->controller.handOver(handOverLimit);
         logStateChange(LogLevel::Info, "app", "drained");
         this->controlContext.stop();
     }
--- a/src/control/claimdesk.cpp
+++ b/src/control/claimdesk.cpp
@@ -88,6 +88,11 @@
     return this->unsettled;
 }
 
+std::size_t ClaimDesk::unappendedCount() const
+{
+    return this->appender.bufferedCount();
+}
+
 boost::asio::awaitable<ClaimAnswer> ClaimDesk::claim(ClaimRequest request)
 {
     const ClaimKey key{request.clientAccount, hash64(request.idempotencyKey)};
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,6 +1,6 @@
 #include <flamingosaddle/control/controller.h>
 
-#include <flamingosaddle/base/log.h>
+#include <flamingosaddle/control/delay.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +10,53 @@
 namespace flamingosaddle
 {
 
+namespace
+{
+
+const Role usageRole("usage");
+const Role snapshotRole("snapshots");
+constexpr std::chrono::milliseconds handOverPollInterval(10);
+
+LeaseKeeper::Options leaseOptions(const ControllerOptions &options)
+{
+    LeaseKeeper::Options lease;
+    lease.self = options.self;
+    lease.timing = options.leaseTiming;
+    lease.seed = options.seed;
+    return lease;
+}
+
+UsageDesk::Options usageOptions(const ControllerOptions &options)
+{
+    UsageDesk::Options usage;
+    usage.self = options.self;
+    usage.role = usageRole;
+    usage.windowLength = options.usageWindow;
+    usage.flushInterval = options.usageFlushInterval;
+    usage.wallTime = options.wallTime;
+    usage.seed = options.seed;
+    return usage;
+}
+
+ClaimDesk::Options claimOptions(const ControllerOptions &options)
+{
+    ClaimDesk::Options claims;
+    claims.self = options.self;
+    claims.wallTime = options.wallTime;
+    claims.seed = options.seed;
+    return claims;
+}
+
+SnapshotKeeper::Options snapshotOptions(const ControllerOptions &options)
+{
+    SnapshotKeeper::Options snapshots;
+    snapshots.role = snapshotRole;
+    snapshots.everyRecords = options.snapshotEveryRecords;
+    return snapshots;
+}
+
+} // namespace
+
 Controller::Controller(boost::asio::io_context &context, Platform platform, ControllerOptions options, ControllerHooks hooks)
     : context(context)
     , platform(std::move(platform))
@@ -21,6 +68,10 @@
               this->configAdvanced();
           },
           this->controllerOptions.seed)
+    , leases(this->platform, leaseOptions(this->controllerOptions))
+    , usage(this->platform, this->leases, usageOptions(this->controllerOptions))
+    , claims(context.get_executor(), this->platform, claimOptions(this->controllerOptions))
+    , snapshots(this->platform, this->leases, this->snapshotSources(), snapshotOptions(this->controllerOptions))
 {
 }
 
@@ -28,12 +79,37 @@
 
 void Controller::start()
 {
-    boost::asio::co_spawn(this->context, this->tail.run(), boost::asio::detached);
+    this->leases.setRoles({usageRole, snapshotRole});
+    this->spawn(this->tail.run());
+    this->spawn(this->leases.runTail());
+    this->spawn(this->leases.runKeeper());
+    this->spawn(this->usage.runTail());
+    this->spawn(this->usage.runAppender());
+    this->spawn(this->usage.runFlush());
+    this->spawn(this->usage.runReporter());
+    this->spawn(this->claims.runTail());
+    this->spawn(this->claims.runAppender());
+    this->spawn(this->snapshots.run());
 }
 
 void Controller::stop()
 {
     this->tail.stop();
+    this->leases.stop();
+    this->usage.stop();
+    this->claims.stop();
+    this->snapshots.stop();
+}
+
+boost::asio::awaitable<void> Controller::handOver(Duration limit)
+{
+    const TimePoint deadline = RuntimeClock::now() + limit;
+    this->usage.flush();
+    while (this->hasUnappended() && RuntimeClock::now() < deadline) {
+        co_await delay(handOverPollInterval);
+    }
+    this->snapshots.stop();
+    co_await this->leases.releaseAll();
 }
 
 void Controller::withdrawKey(const KeyId &id)
@@ -46,6 +122,16 @@
     this->hooks.keyWithdrawn(id);
 }
 
+void Controller::countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals)
+{
+    this->usage.count(clientAccount, totals);
+}
+
+ClaimHook Controller::claimHook()
+{
+    return this->claims.hook();
+}
+
 bool Controller::isReady() const
 {
     return this->publishedState != nullptr && this->tail.lastReadAt().has_value();
@@ -62,6 +148,21 @@
     return this->tail;
 }
 
+const LeaseKeeper &Controller::leaseKeeper() const
+{
+    return this->leases;
+}
+
+const UsageDesk &Controller::usageDesk() const
+{
+    return this->usage;
+}
+
+const ClaimDesk &Controller::claimDesk() const
+{
+    return this->claims;
+}
+
 const std::set<KeyId> &Controller::tombstones() const
 {
     return this->earlyTombstones;
@@ -72,6 +173,57 @@
     return this->controllerOptions;
 }
 
+std::vector<SnapshotSource> Controller::snapshotSources()
+{
+    const auto source = [](LogStream stream, std::function<std::uint64_t()> nextOffset, std::function<std::string()> encode) {
+        return SnapshotSource{stream, std::move(nextOffset), std::move(encode)};
+    };
+    return {
+        source(
+            LogStream::ConfigSnapshot,
+            [this] {
+                return this->tail.state()->nextOffset();
+            },
+            [this] {
+                return encodeConfigSnapshot(*this->tail.state());
+            }),
+        source(
+            LogStream::LeasesSnapshot,
+            [this] {
+                return this->leases.table().nextOffset();
+            },
+            [this] {
+                return encodeLeaseSnapshot(this->leases.table());
+            }),
+        source(
+            LogStream::UsageSnapshot,
+            [this] {
+                return this->usage.ledger().nextOffset();
+            },
+            [this] {
+                return encodeUsageSnapshot(this->usage.ledger());
+            }),
+        source(
+            LogStream::ClaimsSnapshot,
+            [this] {
+                return this->claims.table().nextOffset();
+            },
+            [this] {
+                return encodeClaimSnapshot(this->claims.table());
+            }),
+    };
+}
+
+void Controller::spawn(boost::asio::awaitable<void> coroutine)
+{
+    boost::asio::co_spawn(this->context, std::move(coroutine), boost::asio::detached);
+}
+
+bool Controller::hasUnappended() const
+{
+    return this->usage.unflushedCount() + this->usage.unappendedCount() + this->claims.unappendedCount() > 0;
+}
+
 void Controller::configAdvanced()
 {
     const std::shared_ptr<const ConfigState> before = this->publishedState;
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -69,14 +69,24 @@
         return hooks;
     }
 
+    static ControllerOptions testOptions()
+    {
+        ControllerOptions options;
+        options.self = {InstanceId("i1"), 1};
+        options.dataCentre = DataCentre("a");
+        options.wallTime = [] {
+            return std::chrono::seconds(0);
+        };
+        return options;
+    }
+
     PausedClock paused;
     FakePlatform platform;
     boost::asio::io_context context;
     std::shared_ptr<const RoutingSnapshot> snapshot;
     std::vector<BackendServer> servers;
     std::vector<KeyId> withdrawn;
-    Controller controller{context, platform.hooks(),
-        ControllerOptions{InstanceId("i1"), DataCentre("a"), std::chrono::seconds(5), 1}, recordingHooks()};
+    Controller controller{this->context, this->platform.hooks(), testOptions(), this->recordingHooks()};
 };
 
 } // namespace
