--- a/cmake/FlamingosaddleTargets.cmake
+++ b/cmake/FlamingosaddleTargets.cmake
@@ -4,6 +4,8 @@
 target_compile_options(flamingosaddle_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 # g++ 12 warns wrongly about std::string concatenation (its bug 105651).
 target_compile_options(flamingosaddle_options INTERFACE -Wno-restrict)
+# g++ 12 pairs a coroutine frame's operator new and delete wrongly once the coroutine is inlined.
+target_compile_options(flamingosaddle_options INTERFACE -Wno-mismatched-new-delete)
 # Boost 1.74 Asio uses std::exchange without including <utility>.
 target_compile_options(flamingosaddle_options INTERFACE "SHELL:-include utility")
 target_compile_definitions(flamingosaddle_options INTERFACE BOOST_ASIO_NO_DEPRECATED)
