--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/base/result.h>
+#include <flamingosaddle/state/order.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -21,9 +23,13 @@
     Config,
     ConfigSnapshot,
     Leases,
+    LeasesSnapshot,
     Orders,
+    OrdersSnapshot,
     Usage,
+    UsageSnapshot,
     Claims,
+    ClaimsSnapshot,
 };
 
 /**
@@ -78,31 +84,6 @@
     friend bool operator==(const BackendMachine &, const BackendMachine &) = default;
 };
 
-enum class OrderKind {
-    StartServer,
-    StopServer,
-    LoadModel, ///< load a model, an adapter or a version
-    ChangeRole,
-};
-
-const char *toString(OrderKind kind);
-
-/**
- * An order to the backend server interface or to an engine.
- */
-struct PlatformOrder {
-    std::string id; ///< the same when the order is asked after
-    OrderKind kind = OrderKind::StartServer;
-    DataCentre dataCentre;
-    std::string server; ///< the machine to stop or to change; empty for StartServer
-    std::string model;
-    bool cheap = false;
-    std::uint64_t fencing = 0; ///< epoch of the lease under which it was decided
-    std::string holder; ///< instance that holds the lease
-
-    friend bool operator==(const PlatformOrder &, const PlatformOrder &) = default;
-};
-
 struct UsageReport {
     std::string clientAccount;
     std::uint64_t window = 0; ///< start of the window, seconds of the platform's time
@@ -117,7 +98,7 @@
 
 /**
  * The platform's interfaces. Each hook runs one call; its failure kind tells whether the action may have taken effect:
- * Unreachable and Refused mean that it has not, anything else that nobody knows.
+ * Unreachable, Refused and Cancelled mean that it has not, anything else that nobody knows.
  */
 struct Platform {
     template <typename T>
@@ -134,8 +115,13 @@
     std::function<Answer<LogBounds>(LogStream stream)> bounds;
     std::function<Answer<std::vector<InstanceEntry>>()> instances;
     std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
-    std::function<Answer<void>(PlatformOrder order)> order;
-    std::function<Answer<void>(UsageReport report)> reportUsage;
+    /**
+     * Sends an order while @p permission answers a time above zero: how much longer the lease is held, as
+     * FetchOptions::permission. Fails with Cancelled when it was over and nothing was sent.
+     */
+    std::function<Answer<void>(PlatformOrder order, std::function<Duration()> permission)> order;
+    /** Sends a report, with a permission as for an order. */
+    std::function<Answer<void>(UsageReport report, std::function<Duration()> permission)> reportUsage;
 };
 
 } // namespace flamingosaddle
