Tests of the caller's side against fake engines and services

They show: no key, cookie or foreign field reaches a backend server; every refusal has its status, remedy and run state; a broken stream is resumed at its token position or ends without its end mark; a non-idempotent request is sent once; a withdrawn key cuts running and kept-alive connections.

--- /dev/null
+++ b/tests/http/callerfixture.cpp
@@ -0,0 +1,229 @@
+#include "callerfixture.h"
+
+#include <flamingosaddle/base/timer.h>
+#include <flamingosaddle/state/configstate.h>
+
+#include <nlohmann/json.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace flamingosaddle::test
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+void apply(ConfigState &state, ConfigChangeBody body)
+{
+    ConfigChange change;
+    change.id = ChangeId("change-" + std::to_string(state.nextOffset()));
+    change.body = std::move(body);
+    const ChangeResult result = state.apply(state.nextOffset(), change);
+    if (result.outcome != ChangeOutcome::Accepted) {
+        throw std::logic_error(result.detail);
+    }
+}
+
+BackendServer serverOf(const std::string &id, const Endpoint &endpoint, BackendKind kind)
+{
+    BackendServer server;
+    server.id = BackendServerId(id);
+    server.endpoint = endpoint;
+    server.dataCentre = DataCentre("d");
+    server.kind = kind;
+    if (kind == BackendKind::Engine) {
+        server.models = {ModelName("m"), ModelName("hidden")};
+    } else {
+        server.service = ServiceName("s");
+    }
+    return server;
+}
+
+void applyAccount(ConfigState &state)
+{
+    RequestClass chat;
+    chat.name = ClassName("chat");
+    chat.tier = 1;
+    RequestClass once;
+    once.name = ClassName("once");
+    once.idempotent = false;
+    apply(state, PutTemplate{{TemplateName("t"), 1, {chat, once}}});
+    ClientAccount account;
+    account.id = ClientAccountId("a");
+    account.templateName = TemplateName("t");
+    account.models = {ModelName("m")};
+    account.services = {ServiceName("s")};
+    apply(state, PutClientAccount{account});
+    apply(state, GiveKey{{KeyId("k"), account.id, KeyDigest::of(validKey, secret)}});
+    apply(state, PutRoute{{RouteId("r"), "/s", ServiceName("s"), false, false}});
+    apply(state, PutRoute{{RouteId("o"), "/open", ServiceName("s"), true, false}});
+}
+
+std::string event(const std::string &json)
+{
+    return "data: " + json + "\n\n";
+}
+
+std::vector<std::string> streamEvents(int from, int tokens)
+{
+    std::vector<std::string> events{event(R"({"choices":[{"delta":{"role":"assistant","content":""}}]})")};
+    for (int i = from; i < tokens; ++i) {
+        events.push_back(event(R"({"choices":[{"delta":{"content":"t)" + std::to_string(i) + R"("},"finish_reason":null}]})"));
+    }
+    events.push_back(event(R"({"choices":[{"delta":{},"finish_reason":"stop"}]})"));
+    events.push_back(event(R"({"choices":[],"usage":{"prompt_tokens":11,"completion_tokens":)" + std::to_string(tokens) + "}}"));
+    events.push_back(event("[DONE]"));
+    return events;
+}
+
+asio::awaitable<void> stream(HttpExchange &exchange, int tokens, int breakAfter)
+{
+    const int from = nlohmann::json::parse(exchange.request().body).value("flamingosaddle_resume_tokens", 0);
+    const std::vector<std::string> events = streamEvents(from, tokens);
+    HttpHeaders headers;
+    headers.add("Content-Type", "text/event-stream");
+    Result<void> written = co_await exchange.beginStream(200, std::move(headers));
+    for (std::size_t i = 0; i < events.size() && written.has_value(); ++i) {
+        if (from == 0 && breakAfter >= 0 && i == static_cast<std::size_t>(breakAfter) + 1) {
+            // The half of an event must not reach the caller.
+            written = co_await exchange.writePiece(events[i].substr(0, events[i].size() / 2));
+            exchange.abortHandle()();
+            co_return;
+        }
+        written = co_await exchange.writePiece(events[i]);
+    }
+    written = co_await exchange.endStream();
+}
+
+} // namespace
+
+FakeBackend::FakeBackend(Answer answer)
+    : server([this, answer = std::move(answer)](HttpExchange &exchange) {
+        {
+            const std::scoped_lock lock(this->mutex);
+            this->received.push_back(exchange.request());
+        }
+        return answer(exchange);
+    })
+{
+}
+
+Endpoint FakeBackend::endpoint() const
+{
+    return this->server.endpoint();
+}
+
+std::vector<HttpRequest> FakeBackend::requests() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->received;
+}
+
+FakeBackend::Answer streamOf(int tokens, int breakAfter)
+{
+    return [tokens, breakAfter](HttpExchange &exchange) {
+        return stream(exchange, tokens, breakAfter);
+    };
+}
+
+asio::awaitable<void> staySilent(HttpExchange &exchange)
+{
+    Timer gone(co_await asio::this_coro::executor, TimePoint::max());
+    exchange.onGone([&gone]() {
+        gone.cancel();
+    });
+    boost::system::error_code ignored;
+    co_await gone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+CallerSetup::CallerSetup(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
+    CallerHooks hooks, CallerOptions options)
+    : config(std::make_shared<ConfigState>())
+{
+    applyAccount(*this->config);
+    for (const FakeBackend *engine : engines) {
+        const std::string id = "e" + std::to_string(this->config->nextOffset());
+        apply(*this->config, PutBackendServer{serverOf(id, engine->endpoint(), BackendKind::Engine)});
+    }
+    for (const FakeBackend *service : services) {
+        const std::string id = "s" + std::to_string(this->config->nextOffset());
+        apply(*this->config, PutBackendServer{serverOf(id, service->endpoint(), BackendKind::Service)});
+    }
+    this->publish(TimePoint::max());
+    this->gate = std::make_unique<TrafficGate>(Dispatcher(DispatcherOptions()), this->thread.context.get_executor());
+    this->gate->setServers(backendServersOf(*this->config));
+    this->handler = std::move(CallerHandler::Builder()
+                                  .board(&this->board)
+                                  .gate(this->gate.get())
+                                  .keys(&this->keys)
+                                  .keySecret(secret)
+                                  .options(std::move(options))
+                                  .hooks(std::move(hooks))
+                                  .contexts({&this->thread.context})
+                                  .build()
+                                  .value());
+    this->server = std::move(HttpServer::Builder()
+                                 .listenOn({"127.0.0.1", 0})
+                                 .handler(this->handler->handler())
+                                 .contexts({&this->thread.context})
+                                 .start()
+                                 .value());
+}
+
+CallerSetup::~CallerSetup()
+{
+    // What runs ends on its own thread before the objects that it uses go.
+    this->server->stop();
+    while (this->server->connectionCount() > 0) {
+        std::this_thread::yield();
+    }
+}
+
+void CallerSetup::publish(TimePoint freshUntil)
+{
+    this->board.publish(std::make_shared<RoutingSnapshot>(this->config, std::set<KeyId>(), freshUntil));
+}
+
+void CallerSetup::withdrawKey()
+{
+    this->config = std::make_shared<ConfigState>(*this->config);
+    apply(*this->config, WithdrawKey{KeyId("k")});
+    this->publish(TimePoint::max());
+    this->keys.cut(KeyId("k"));
+}
+
+std::string CallerSetup::exchange(const std::string &request) const
+{
+    RawClient client(this->endpoint());
+    client.send(request);
+    return client.readAll();
+}
+
+Endpoint CallerSetup::endpoint() const
+{
+    return this->server->localEndpoint();
+}
+
+std::string requestText(const std::string &line, const std::string &body, const std::string &headers)
+{
+    return line + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers
+        + "\r\n" + body;
+}
+
+std::string chatRequest(const std::string &headers)
+{
+    const std::string body = R"({"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]})";
+    return requestText("POST /v1/chat/completions", body, std::string("Authorization: Bearer ") + validKey + "\r\n" + headers);
+}
+
+int statusOf(const std::string &answer)
+{
+    constexpr std::size_t statusPosition = 9;
+    return answer.size() < statusPosition + 3 ? 0 : std::stoi(answer.substr(statusPosition, 3));
+}
+
+} // namespace flamingosaddle::test
