--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -1,6 +1,10 @@
 #include "fakeplatform.h"
 
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/clock.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace flamingosaddle
 {
@@ -11,6 +15,13 @@
 constexpr std::chrono::milliseconds pollInterval(1);
 constexpr std::size_t readLimit = 1000;
 
+// The platform stands outside of the process, so a paused clock does not keep it from seeing an append.
+boost::asio::awaitable<void> outsideDelay(std::chrono::milliseconds duration)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 // Takes one of @p count faults; answers whether there was one.
 bool takeFault(std::uint32_t &count)
 {
@@ -26,6 +37,11 @@
     return fail(ErrorKind::Unreachable, "the log is down", "wait until it is back");
 }
 
+auto permissionOver()
+{
+    return fail(ErrorKind::Cancelled, "the permission to send was over", "ask for a new one");
+}
+
 auto lostAnswer()
 {
     return fail(ErrorKind::Timeout, "no answer came", "ask whether the call took effect");
@@ -51,11 +67,11 @@
     platform.backendMachines = [this](DataCentre dataCentre) {
         return this->backendMachines(std::move(dataCentre));
     };
-    platform.order = [this](PlatformOrder order) {
-        return this->order(std::move(order));
+    platform.order = [this](PlatformOrder order, std::function<Duration()> permission) {
+        return this->order(std::move(order), std::move(permission));
     };
-    platform.reportUsage = [this](UsageReport report) {
-        return this->reportUsage(std::move(report));
+    platform.reportUsage = [this](UsageReport report, std::function<Duration()> permission) {
+        return this->reportUsage(std::move(report), std::move(permission));
     };
     return platform;
 }
@@ -82,7 +98,7 @@
     }
     const TimePoint deadline = RuntimeClock::now() + wait;
     while (this->boundsOf(stream).headOffset <= from && RuntimeClock::now() < deadline && !this->logDown) {
-        co_await delay(pollInterval);
+        co_await outsideDelay(pollInterval);
     }
     if (this->logDown) {
         co_return downError();
@@ -117,8 +133,11 @@
     co_return found;
 }
 
-Platform::Answer<void> FakePlatform::order(PlatformOrder order)
+Platform::Answer<void> FakePlatform::order(PlatformOrder order, std::function<Duration()> permission)
 {
+    if (permission() <= Duration::zero()) {
+        co_return permissionOver();
+    }
     const standins::DeskAnswer answer = this->machines.order(order.dataCentre.text(),
         {order.id, toString(order.kind), order.server, order.model, order.cheap, order.fencing, order.holder});
     if (takeFault(this->loseOrderAnswers)) {
@@ -130,8 +149,11 @@
     co_return done();
 }
 
-Platform::Answer<void> FakePlatform::reportUsage(UsageReport report)
+Platform::Answer<void> FakePlatform::reportUsage(UsageReport report, std::function<Duration()> permission)
 {
+    if (permission() <= Duration::zero()) {
+        co_return permissionOver();
+    }
     this->usageReports.push_back(std::move(report));
     if (takeFault(this->loseUsageAnswers)) {
         co_return lostAnswer();
