--- a/tests/process/checkers.cpp
+++ b/tests/process/checkers.cpp
@@ -85,6 +85,24 @@
     return violations;
 }
 
+Violations checkNotRun(const std::vector<Json> &backendAudits, const std::vector<std::string> &requestIds)
+{
+    const std::set<std::string> refused(requestIds.begin(), requestIds.end());
+    Violations violations;
+    if (refused.contains("")) {
+        violations.emplace_back("a refusal has no request id");
+    }
+    for (const Json &audit : backendAudits) {
+        for (const Json &run : audit.at("runs")) {
+            const std::string requestId = run.at("requestId");
+            if (run.at("end") != "notRun" && !requestId.empty() && refused.contains(requestId)) {
+                violations.push_back("request id " + requestId + " was refused as not run and ran");
+            }
+        }
+    }
+    return violations;
+}
+
 Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys)
 {
     Violations violations;
--- a/tests/process/checkers.h
+++ b/tests/process/checkers.h
@@ -22,6 +22,9 @@
  */
 Violations checkRunAtMostOnce(const std::vector<Json> &backendAudits);
 
+/** No request that was refused as not run, by the request ids of the refusals, was run by a backend server. */
+Violations checkNotRun(const std::vector<Json> &backendAudits, const std::vector<std::string> &requestIds);
+
 /** No backend server received one of the callers' keys, in a header, the target or the body. */
 Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys);
 
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -74,6 +74,14 @@
     EXPECT_EQ(checkRunAtMostOnce({audit({run("POST", "r1", "k", "whole"), run("POST", "r2", "k", "running")})}).size(), 1U);
 }
 
+TEST(CheckNotRun, FindsARefusedRequestThatRan)
+{
+    const std::vector<Json> audits = {audit({run("POST", "r1", "", "cancelled"), run("POST", "r2", "", "notRun")})};
+    EXPECT_EQ(checkNotRun(audits, {"r2", "r3"}), Violations{});
+    EXPECT_EQ(checkNotRun(audits, {"r1"}).size(), 1U);
+    EXPECT_EQ(checkNotRun(audits, {""}).size(), 1U);
+}
+
 TEST(CheckNoKeySeen, FindsAKeyInHeaderTargetAndBody)
 {
     Json inHeader = run("GET", "r1", "", "whole");
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -154,7 +154,9 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, outputPipe, STDOUT_FILENO);
-    posix_spawn_file_actions_adddup2(&actions, outputPipe, STDERR_FILENO);
+    if (command.capturesErrors) {
+        posix_spawn_file_actions_adddup2(&actions, outputPipe, STDERR_FILENO);
+    }
     const int result = ::posix_spawn(
         &this->pid, command.program.c_str(), &actions, nullptr, pointersTo(arguments).data(), pointersTo(environment).data());
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -19,6 +19,7 @@
     std::string program;
     std::vector<std::string> arguments;
     std::map<std::string, std::string> environment; ///< added to that of the test
+    bool capturesErrors = true; ///< whether stderr goes to the captured output, too
 
     friend bool operator==(const ChildCommand &, const ChildCommand &) = default;
 };
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -122,7 +123,7 @@
 
 Cluster::Cluster()
     : directory(temporaryDirectory())
-    , platformStandin(ChildCommand{STANDIN_PLATFORM, {}, {}})
+    , platformStandin(ChildCommand{.program = STANDIN_PLATFORM, .arguments = {}, .environment = {}})
 {
 }
 
@@ -159,11 +160,13 @@
     ChildCommand command;
     command.program = FLAMINGOSADDLE_CLI;
     command.arguments = {"--platform", this->platformStandin.address.text()};
-    if (!admins.empty()) {
+    const bool namesAdmins = std::find(arguments.begin(), arguments.end(), "--admin") != arguments.end();
+    if (!admins.empty() && !namesAdmins) {
         command.arguments.insert(command.arguments.end(), {"--admin", admins});
     }
     command.arguments.insert(command.arguments.end(), arguments.begin(), arguments.end());
     command.environment = {{"FLAMINGOSADDLE_KEY_SECRET", keySecret}, {"USER", "operator"}};
+    command.capturesErrors = false;
     return std::make_unique<ChildProcess>(command);
 }
 
--- /dev/null
+++ b/tests/process/loadrun.cpp
@@ -0,0 +1,183 @@
+#include "loadrun.h"
+
+#include <algorithm>
+#include <array>
+
+namespace flamingosaddle::process
+{
+
+namespace
+{
+
+constexpr unsigned streamTokens = 60;
+constexpr unsigned plainTokens = 20;
+constexpr std::array kinds{LoadKind::StreamedChat, LoadKind::Deposit, LoadKind::PlainChat, LoadKind::Lookup};
+
+HttpRequest requestOf(LoadKind kind, const std::string &name)
+{
+    switch (kind) {
+    case LoadKind::StreamedChat:
+        return chatRequest(name, streamTokens, true);
+    case LoadKind::PlainChat:
+        return chatRequest(name, plainTokens, false);
+    case LoadKind::Lookup:
+        return getRequest("/catalogue/" + name);
+    case LoadKind::Deposit:
+        break;
+    }
+    HttpRequest deposit = postRequest("/deposits/" + name, {{"amount", 250}});
+    deposit.headers.set("Idempotency-Key", name);
+    return deposit;
+}
+
+Violations checkContent(LoadKind kind, const HttpRequest &request, const std::string &body)
+{
+    switch (kind) {
+    case LoadKind::StreamedChat:
+        return checkStreamedAnswer(chatPath, request.body, body);
+    case LoadKind::PlainChat:
+        return checkPlainAnswer(chatPath, request.body, body);
+    case LoadKind::Lookup:
+    case LoadKind::Deposit:
+        break;
+    }
+    const Json answer = Json::parse(body, nullptr, false);
+    const bool isOwn
+        = answer.is_object() && answer.value("target", "") == request.target && answer.value("echo", "") == request.body;
+    return isOwn ? Violations{} : Violations{"the answer to " + request.target + " is " + body.substr(0, 80)};
+}
+
+bool isWhole(const LoadOutcome &outcome)
+{
+    return outcome.status == 200 && outcome.violations.empty();
+}
+
+bool isNotRun(const LoadOutcome &outcome)
+{
+    return outcome.failure == ErrorKind::Unreachable || (outcome.status >= 400 && outcome.runState == "not-run");
+}
+
+} // namespace
+
+LoadRun::LoadRun(const std::deque<DaemonProcess> &daemons, std::string key, unsigned callersPerDaemon)
+    : key(std::move(key))
+{
+    for (const DaemonProcess &daemon : daemons) {
+        this->targets.push_back({daemon.instanceId, daemon.caller});
+    }
+    for (std::size_t target = 0; target < this->targets.size(); ++target) {
+        for (unsigned caller = 0; caller < callersPerDaemon; ++caller) {
+            this->threads.emplace_back([this, target, caller]() {
+                this->runCaller(target, caller);
+            });
+        }
+    }
+}
+
+LoadRun::~LoadRun()
+{
+    this->finish();
+}
+
+bool LoadRun::waitForAnswers(const std::vector<std::string> &instanceIds, unsigned count)
+{
+    std::vector<unsigned> goals;
+    for (const std::string &instanceId : instanceIds) {
+        goals.push_back(this->answered(instanceId) + count);
+    }
+    return waitUntil([&]() {
+        for (std::size_t index = 0; index < instanceIds.size(); ++index) {
+            if (this->answered(instanceIds[index]) < goals[index]) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+std::vector<LoadOutcome> LoadRun::finish()
+{
+    this->stopping = true;
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+    return this->outcomes;
+}
+
+void LoadRun::runCaller(std::size_t target, unsigned caller)
+{
+    for (unsigned index = caller; !this->stopping; ++index) {
+        const LoadKind kind = kinds[index % kinds.size()];
+        const std::string name = this->targets[target].instanceId + "-" + std::to_string(caller) + "-" + std::to_string(index);
+        const LoadOutcome outcome = this->send(this->targets[target], kind, name);
+        this->record(outcome);
+        if (kind == LoadKind::Deposit && !isWhole(outcome)) {
+            this->record(this->send(this->targets[(target + 1) % this->targets.size()], kind, name));
+        }
+    }
+}
+
+LoadOutcome LoadRun::send(const Target &target, LoadKind kind, const std::string &name) const
+{
+    LoadOutcome outcome;
+    outcome.instanceId = target.instanceId;
+    outcome.kind = kind;
+    const HttpRequest request = withKey(requestOf(kind, name), this->key);
+    const Result<HttpResponse> response = call(target.caller, request, std::chrono::seconds(30));
+    if (response.has_error()) {
+        outcome.failure = response.error().kind();
+        outcome.detail = name + ": " + response.error().text();
+        return outcome;
+    }
+    const HttpResponse &answer = response.value();
+    outcome.status = answer.status;
+    outcome.requestId = answer.headers.find("X-Request-Id");
+    outcome.runState = answer.headers.find("X-Flamingosaddle-Run-State");
+    outcome.detail = name + ": " + std::to_string(answer.status) + " " + answer.body.substr(0, 160);
+    if (answer.status == 200) {
+        outcome.violations = checkContent(kind, request, answer.body);
+    }
+    return outcome;
+}
+
+void LoadRun::record(LoadOutcome outcome)
+{
+    const std::lock_guard lock(this->mutex);
+    this->outcomes.push_back(std::move(outcome));
+}
+
+unsigned LoadRun::answered(const std::string &instanceId)
+{
+    const std::lock_guard lock(this->mutex);
+    return static_cast<unsigned>(
+        std::count_if(this->outcomes.begin(), this->outcomes.end(), [&instanceId](const LoadOutcome &outcome) {
+            return outcome.instanceId == instanceId && isWhole(outcome);
+        }));
+}
+
+Violations unservedRequests(const std::vector<LoadOutcome> &outcomes)
+{
+    Violations violations;
+    for (const LoadOutcome &outcome : outcomes) {
+        if (isWhole(outcome) || isNotRun(outcome)) {
+            continue;
+        }
+        violations.push_back(outcome.instanceId + ": " + outcome.detail);
+        violations.insert(violations.end(), outcome.violations.begin(), outcome.violations.end());
+    }
+    return violations;
+}
+
+std::vector<std::string> notRunRequestIds(const std::vector<LoadOutcome> &outcomes)
+{
+    std::vector<std::string> ids;
+    for (const LoadOutcome &outcome : outcomes) {
+        if (outcome.status >= 400 && outcome.runState == "not-run") {
+            ids.push_back(outcome.requestId);
+        }
+    }
+    return ids;
+}
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/process/loadrun.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cluster.h"
+
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace flamingosaddle::process
+{
+
+enum class LoadKind {
+    StreamedChat,
+    PlainChat,
+    Lookup, ///< idempotent call of a plain service
+    Deposit, ///< not idempotent, with an idempotency key
+};
+
+/**
+ * What a caller saw of one request.
+ */
+struct LoadOutcome {
+    std::string instanceId; ///< the daemon that it was sent to
+    LoadKind kind = LoadKind::StreamedChat;
+    int status = 0; ///< 0 when there was no whole answer
+    std::optional<ErrorKind> failure; ///< of the connection
+    std::string requestId;
+    std::string runState; ///< of a refusal
+    std::string detail; ///< for the reader of a failed test
+    Violations violations; ///< of the answer's content
+
+    friend bool operator==(const LoadOutcome &, const LoadOutcome &) = default;
+};
+
+/**
+ * Callers on threads of their own, a few for each daemon, that send requests of every kind until they are told to stop.
+ * A caller whose deposit got no answer sends it once more, with the same idempotency key, to the next daemon.
+ */
+class LoadRun
+{
+public:
+    LoadRun(const std::deque<DaemonProcess> &daemons, std::string key, unsigned callersPerDaemon);
+    ~LoadRun();
+    LoadRun(const LoadRun &) = delete;
+    LoadRun &operator=(const LoadRun &) = delete;
+
+    // Commands.
+    /** Waits until each of the daemons has given @p count more whole answers. */
+    bool waitForAnswers(const std::vector<std::string> &instanceIds, unsigned count);
+    /** Lets every caller finish its request; answers all outcomes. */
+    std::vector<LoadOutcome> finish();
+
+private:
+    struct Target {
+        std::string instanceId;
+        Endpoint caller;
+    };
+
+    void runCaller(std::size_t target, unsigned caller);
+    LoadOutcome send(const Target &target, LoadKind kind, const std::string &name) const;
+    void record(LoadOutcome outcome);
+    unsigned answered(const std::string &instanceId);
+
+    std::vector<Target> targets;
+    std::string key;
+    std::atomic<bool> stopping = false;
+    std::mutex mutex;
+    std::vector<LoadOutcome> outcomes;
+    std::vector<std::thread> threads;
+};
+
+/** The outcomes that are neither a whole right answer nor a refusal which says that nothing ran. */
+Violations unservedRequests(const std::vector<LoadOutcome> &outcomes);
+
+/** The request ids of the refusals that said that nothing ran. */
+std::vector<std::string> notRunRequestIds(const std::vector<LoadOutcome> &outcomes);
+
+} // namespace flamingosaddle::process
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -1,42 +1,9 @@
-#include "cluster.h"
-
-#include <gtest/gtest.h>
+#include "standardcluster.h"
 
 using namespace flamingosaddle;
 using namespace flamingosaddle::process;
 
-namespace
-{
-
-/** Four daemons in three data centres before two engines and a plain service, configured by the CLI. */
-class ProcessPath : public testing::Test
-{
-protected:
-    void SetUp() override
-    {
-        this->cluster.addEngine("engine-a", "dc-a");
-        this->cluster.addEngine("engine-b", "dc-b");
-        this->cluster.addService("bookings-c", "dc-c");
-        this->cluster.addDaemon("dc-a", "i1");
-        this->cluster.addDaemon("dc-a", "i2");
-        this->cluster.addDaemon("dc-b", "i3");
-        this->cluster.addDaemon("dc-c", "i4");
-        this->cluster.publishStandardConfiguration();
-        this->key = this->cluster.giveKey("bakery");
-        ASSERT_FALSE(this->key.key.empty());
-        this->cluster.waitUntilServing(this->key);
-    }
-
-    void TearDown() override
-    {
-        EXPECT_EQ(this->cluster.check(), Violations{});
-    }
-
-    Cluster cluster;
-    GivenKey key;
-};
-
-} // namespace
+using ProcessPath = StandardCluster;
 
 TEST_F(ProcessPath, EveryDaemonStreamsAWholeAnswer)
 {
@@ -64,9 +31,9 @@
 {
     HttpRequest deposit = withKey(postRequest("/deposits/17", {{"amount", 250}}), this->key.key);
     deposit.headers.set("Idempotency-Key", "deposit-17");
-    const Json first = jsonOf(call(this->cluster.daemons()[0].caller, deposit));
+    const Json first = jsonOf(call(this->daemon(0).caller, deposit));
     EXPECT_EQ(first.value("echo", ""), deposit.body);
-    const auto second = call(this->cluster.daemons()[3].caller, deposit);
+    const auto second = call(this->daemon(3).caller, deposit);
     ASSERT_TRUE(second.has_value()) << second.error().text();
     unsigned runs = 0;
     for (const Json &audit : this->cluster.backendAudits()) {
@@ -91,7 +58,7 @@
 
 TEST_F(ProcessPath, RefusalsSayThatNothingRan)
 {
-    const Endpoint &caller = this->cluster.daemons()[0].caller;
+    const Endpoint &caller = this->daemon(0).caller;
     const auto withoutKey = call(caller, chatRequest("a", 4, false));
     ASSERT_TRUE(withoutKey.has_value());
     EXPECT_EQ(withoutKey.value().status, 401);
--- /dev/null
+++ b/tests/process/standardcluster.cpp
@@ -0,0 +1,42 @@
+#include "standardcluster.h"
+
+namespace flamingosaddle::process
+{
+
+void StandardCluster::SetUp()
+{
+    const std::vector<std::string> pace{"--token-interval-us", "2000"};
+    this->cluster.addEngine("engine-a", "dc-a", pace);
+    this->cluster.addEngine("engine-b", "dc-b", pace);
+    this->cluster.addService("bookings-b", "dc-b");
+    this->cluster.addService("bookings-c", "dc-c");
+    this->cluster.addDaemon("dc-a", "i1");
+    this->cluster.addDaemon("dc-a", "i2");
+    this->cluster.addDaemon("dc-b", "i3");
+    this->cluster.addDaemon("dc-c", "i4");
+    this->cluster.publishStandardConfiguration();
+    this->key = this->cluster.giveKey("bakery");
+    ASSERT_FALSE(this->key.key.empty());
+    this->cluster.waitUntilServing(this->key);
+}
+
+void StandardCluster::TearDown()
+{
+    EXPECT_EQ(this->cluster.check(), Violations{});
+    if (!HasFailure()) {
+        return;
+    }
+    for (const DaemonProcess &daemon : this->cluster.daemons()) {
+        const std::string output = daemon.process.output();
+        constexpr std::size_t shownBytes = 3000;
+        const std::size_t begin = output.size() > shownBytes ? output.size() - shownBytes : 0;
+        std::cerr << "--- " << daemon.instanceId << '\n' << output.substr(begin) << '\n';
+    }
+}
+
+DaemonProcess &StandardCluster::daemon(std::size_t index)
+{
+    return this->cluster.daemons()[index];
+}
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/process/standardcluster.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace flamingosaddle::process
+{
+
+/**
+ * Four daemons in three data centres before two engines and two plain services, configured by the CLI. Every invariant
+ * that the stand-ins' audits show is checked at the end of each test.
+ */
+class StandardCluster : public testing::Test
+{
+protected:
+    void SetUp() override;
+    void TearDown() override;
+
+    DaemonProcess &daemon(std::size_t index);
+
+    Cluster cluster;
+    GivenKey key;
+};
+
+} // namespace flamingosaddle::process
--- a/tests/process/standinprograms_test.cpp
+++ b/tests/process/standinprograms_test.cpp
@@ -17,12 +17,12 @@
 {
     std::vector<std::string> arguments{"--kind", "engine", "--model", "m"};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
-    return {STANDIN_BACKEND, arguments, {}};
+    return {.program = STANDIN_BACKEND, .arguments = arguments, .environment = {}};
 }
 
 ChildCommand platform()
 {
-    return {STANDIN_PLATFORM, {}, {}};
+    return {.program = STANDIN_PLATFORM, .arguments = {}, .environment = {}};
 }
 
 HttpRequest chat(const std::string &text, unsigned tokens, bool stream)
@@ -135,7 +135,7 @@
 
 TEST(StandinBackend, CountsEveryRunOfAPlainCall)
 {
-    const Standin standin(ChildCommand{STANDIN_BACKEND, {"--kind", "service"}, {}});
+    const Standin standin(ChildCommand{.program = STANDIN_BACKEND, .arguments = {"--kind", "service"}, .environment = {}});
     HttpRequest deposit = postRequest("/deposits/1", {{"amount", 5}});
     deposit.headers.set("Idempotency-Key", "k");
     EXPECT_EQ(jsonOf(call(standin.address, deposit)).at("runsOfIdempotencyKey"), 1);
