--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -64,7 +64,7 @@
     return true;
 }
 
-BackendProcess::BackendProcess(Json configuration, std::vector<std::string> flags, const std::string &auditFile)
+BackendProcess::BackendProcess(Json configuration, const std::vector<std::string> &flags, const std::string &auditFile)
     : standin(backendCommand(configuration, flags, auditFile))
     , auditFile(auditFile)
     , configuration(std::move(configuration))
@@ -133,16 +133,16 @@
     std::filesystem::remove_all(this->directory, ignored);
 }
 
-BackendProcess &Cluster::addEngine(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags)
+BackendProcess &Cluster::addEngine(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags)
 {
     Json configuration = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "engine"}, {"models", {"baraka-8b"}}, {"slots", 8}};
-    return this->backends.emplace_back(std::move(configuration), std::move(flags), this->directory + "/" + id + ".jsonl");
+    return this->backends.emplace_back(std::move(configuration), flags, this->directory + "/" + id + ".jsonl");
 }
 
-BackendProcess &Cluster::addService(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags)
+BackendProcess &Cluster::addService(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags)
 {
     Json configuration = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "service"}, {"service", "bookings"}, {"slots", 64}};
-    return this->backends.emplace_back(std::move(configuration), std::move(flags), this->directory + "/" + id + ".jsonl");
+    return this->backends.emplace_back(std::move(configuration), flags, this->directory + "/" + id + ".jsonl");
 }
 
 DaemonProcess &Cluster::addDaemon(
@@ -262,7 +262,7 @@
 
 std::string Cluster::writeFile(const Json &content)
 {
-    const std::string path = this->directory + "/change-" + std::to_string(++this->fileCount) + ".json";
+    std::string path = this->directory + "/change-" + std::to_string(++this->fileCount) + ".json";
     std::ofstream(path) << content.dump();
     return path;
 }
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -17,7 +17,7 @@
 bool waitUntil(const std::function<bool()> &condition, Duration timeout = conditionTimeout);
 
 struct BackendProcess {
-    BackendProcess(Json configuration, std::vector<std::string> flags, const std::string &auditFile);
+    BackendProcess(Json configuration, const std::vector<std::string> &flags, const std::string &auditFile);
 
     std::string id() const;
     /** Every run so far, also after the process has ended. */
@@ -68,8 +68,8 @@
     Cluster &operator=(const Cluster &) = delete;
 
     // Commands.
-    BackendProcess &addEngine(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags = {});
-    BackendProcess &addService(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags = {});
+    BackendProcess &addEngine(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags = {});
+    BackendProcess &addService(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags = {});
     /** Starts a daemon and waits until it has told its addresses. */
     DaemonProcess &addDaemon(
         const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags = {});
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -1,5 +1,7 @@
 #include "standardcluster.h"
 
+#include <algorithm>
+
 using namespace flamingosaddle;
 using namespace flamingosaddle::process;
 
@@ -35,6 +37,7 @@
             operators.push_back(this->cluster.startCli(arguments));
         }
         std::vector<int> exitCodes;
+        exitCodes.reserve(operators.size());
         for (const auto &process : operators) {
             exitCodes.push_back(process->waitForEnd(std::chrono::seconds(30)).value_or(-1));
         }
--- a/tests/process/loadrun.cpp
+++ b/tests/process/loadrun.cpp
@@ -82,6 +82,7 @@
 bool LoadRun::waitForAnswers(const std::vector<std::string> &instanceIds, unsigned count)
 {
     std::vector<unsigned> goals;
+    goals.reserve(instanceIds.size());
     for (const std::string &instanceId : instanceIds) {
         goals.push_back(this->answered(instanceId) + count);
     }
