--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -16,27 +16,20 @@
         return "config-snapshot";
     case LogStream::Leases:
         return "leases";
+    case LogStream::LeasesSnapshot:
+        return "leases-snapshot";
     case LogStream::Orders:
         return "orders";
+    case LogStream::OrdersSnapshot:
+        return "orders-snapshot";
     case LogStream::Usage:
         return "usage";
+    case LogStream::UsageSnapshot:
+        return "usage-snapshot";
     case LogStream::Claims:
         return "claims";
-    }
-    return "";
-}
-
-const char *toString(OrderKind kind)
-{
-    switch (kind) {
-    case OrderKind::StartServer:
-        return "startServer";
-    case OrderKind::StopServer:
-        return "stopServer";
-    case OrderKind::LoadModel:
-        return "loadModel";
-    case OrderKind::ChangeRole:
-        return "changeRole";
+    case LogStream::ClaimsSnapshot:
+        return "claims-snapshot";
     }
     return "";
 }
