--- a/include/flamingosaddle/state/configstate.h
+++ b/include/flamingosaddle/state/configstate.h
@@ -117,9 +117,9 @@
     std::uint64_t revisionOf(const ConfigChangeBody &change) const;
 
     /**
-     * Whether a withdrawn key had this digest.
+     * Whether a key with this digest was ever given, withdrawn or not.
      */
-    bool isWithdrawn(const KeyDigest &digest) const;
+    bool wasGiven(const KeyDigest &digest) const;
 
     /**
      * What became of the change, while it is among the last maxRememberedChanges.
@@ -157,7 +157,7 @@
     std::map<BackendServerId, Revised<BackendServer>> backendServerTable;
     std::map<KeyId, Revised<ClientKey>> keyTable;
     std::set<KeyId> withdrawnKeyTable;
-    std::set<std::uint64_t> withdrawnDigestPrefixes; // KeyDigest::prefix() of withdrawn keys
+    std::set<std::uint64_t> givenDigestPrefixes; // KeyDigest::prefix() of every key that was ever given
     std::deque<ChangeResult> recentResults; // ascending offsets
     std::map<ChangeId, std::uint64_t> recentOffsets; // of the record that decided
     std::uint64_t next = 0;
--- a/src/state/configsnapshot.cpp
+++ b/src/state/configsnapshot.cpp
@@ -67,7 +67,7 @@
     std::vector<Revised<BackendServer>> backendServers;
     std::vector<Revised<ClientKey>> keys;
     std::vector<KeyId> withdrawnKeys;
-    std::vector<std::uint64_t> withdrawnDigests;
+    std::vector<std::uint64_t> givenDigests;
     std::vector<ChangeResult> results;
 };
 
@@ -82,7 +82,7 @@
     archive.required("backendServers", value.backendServers);
     archive.required("keys", value.keys);
     archive.required("withdrawnKeys", value.withdrawnKeys);
-    archive.required("withdrawnDigests", value.withdrawnDigests);
+    archive.required("givenDigests", value.givenDigests);
     archive.required("results", value.results);
 }
 
@@ -99,7 +99,7 @@
         snapshot.backendServers = valuesOf(state.backendServerTable);
         snapshot.keys = valuesOf(state.keyTable);
         snapshot.withdrawnKeys.assign(state.withdrawnKeyTable.begin(), state.withdrawnKeyTable.end());
-        snapshot.withdrawnDigests.assign(state.withdrawnDigestPrefixes.begin(), state.withdrawnDigestPrefixes.end());
+        snapshot.givenDigests.assign(state.givenDigestPrefixes.begin(), state.givenDigestPrefixes.end());
         snapshot.results.assign(state.recentResults.begin(), state.recentResults.end());
         return snapshot;
     }
@@ -117,7 +117,7 @@
         fill(state.backendServerTable, snapshot.backendServers);
         fill(state.keyTable, snapshot.keys);
         state.withdrawnKeyTable.insert(snapshot.withdrawnKeys.begin(), snapshot.withdrawnKeys.end());
-        state.withdrawnDigestPrefixes.insert(snapshot.withdrawnDigests.begin(), snapshot.withdrawnDigests.end());
+        state.givenDigestPrefixes.insert(snapshot.givenDigests.begin(), snapshot.givenDigests.end());
         for (const ChangeResult &result : snapshot.results) {
             state.remember(result);
         }
--- a/src/state/configstate.cpp
+++ b/src/state/configstate.cpp
@@ -90,11 +90,7 @@
 
 void ConfigState::withdraw(const KeyId &id)
 {
-    const auto given = this->keyTable.find(id);
-    if (given != this->keyTable.end()) {
-        this->withdrawnDigestPrefixes.insert(given->second.value.digest.prefix());
-        this->keyTable.erase(given);
-    }
+    this->keyTable.erase(id);
     this->withdrawnKeyTable.insert(id);
 }
 
@@ -145,6 +141,7 @@
 void ConfigState::put(const GiveKey &change)
 {
     this->keyTable[change.value.id] = {change.value, this->next};
+    this->givenDigestPrefixes.insert(change.value.digest.prefix());
 }
 
 void ConfigState::put(const WithdrawKey &change)
@@ -189,9 +186,9 @@
     return this->withdrawnKeyTable.contains(id);
 }
 
-bool ConfigState::isWithdrawn(const KeyDigest &digest) const
+bool ConfigState::wasGiven(const KeyDigest &digest) const
 {
-    return this->withdrawnDigestPrefixes.contains(digest.prefix());
+    return this->givenDigestPrefixes.contains(digest.prefix());
 }
 
 const std::map<TemplateKey, Revised<Template>> &ConfigState::templates() const
--- a/src/state/configvalidation.cpp
+++ b/src/state/configvalidation.cpp
@@ -176,7 +176,7 @@
     {
         const ClientKey &key = change.value;
         BOOST_OUTCOME_TRYV(validate(key));
-        if (this->state.isWithdrawn(key.id) || this->state.isWithdrawn(key.digest)) {
+        if (this->state.isWithdrawn(key.id)) {
             return invalid("id", "names a withdrawn key", "give a new key under a new id");
         }
         if (this->state.findKey(key.id) != nullptr) {
@@ -185,10 +185,8 @@
         if (this->state.findClientAccount(key.clientAccount) == nullptr) {
             return invalid("clientAccount", "names no client account", "create the client account first");
         }
-        for (const auto &[id, given] : this->state.keys()) {
-            if (given.value.digest == key.digest) {
-                return invalid("digest", "belongs to key '" + id.text() + "'", "generate another key");
-            }
+        if (this->state.wasGiven(key.digest)) {
+            return invalid("digest", "belongs to a key that was given before", "generate another key");
         }
         return done();
     }
--- a/tests/state/configstate_test.cpp
+++ b/tests/state/configstate_test.cpp
@@ -120,7 +120,7 @@
     EXPECT_EQ(this->state.findKey(KeyId("k0")), nullptr);
 }
 
-TEST_F(ConfigStateTest, AWithdrawnDigestIsNotGivenUnderAnotherId)
+TEST_F(ConfigStateTest, ADigestIsNotGivenUnderAnotherIdWithdrawnOrNot)
 {
     ClientKey key = samples::clientKey();
     EXPECT_EQ(this->apply(change("c1", GiveKey{key})), ChangeOutcome::Accepted);
