--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -120,6 +120,10 @@
         int status = 0;
         ::waitpid(this->pid, &status, 0);
         this->ended = exitCodeOf(status);
+        std::unique_lock lock(this->mutex);
+        this->outputGrew.wait(lock, [this]() {
+            return this->outputClosed;
+        });
     }
     return this->ended;
 }
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -43,7 +43,8 @@
     void wake();
     /** SIGKILL, and waits for the end. */
     void kill();
-    /** Waits for the end; the exit code, minus the number of the signal that ended it, or nothing when it goes on. */
+    /** Waits for the end and the whole output; the exit code, minus the number of the signal that ended it, or nothing when it
+     * goes on. */
     std::optional<int> waitForEnd(Duration timeout);
     /** Waits for a whole line of output that begins with @p prefix; answers the line, or an empty text. */
     std::string waitForLine(const std::string &prefix, Duration timeout);
