--- a/src/cli/keycommands.cpp
+++ b/src/cli/keycommands.cpp
@@ -55,7 +55,7 @@
 bool wasGivenBefore(const ConfigState &config, const ChangeId &change, const ClientKey &key)
 {
     const auto result = config.resultOf(change);
-    if (!result.has_value() || result->outcome != ChangeOutcome::Accepted || config.isWithdrawn(key.digest)) {
+    if (!result.has_value() || result->outcome != ChangeOutcome::Accepted || config.isWithdrawn(key.id)) {
         return false;
     }
     const Revised<ClientKey> *inForce = config.findKey(key.id);
