--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -14,7 +14,7 @@
 
 namespace po = boost::program_options;
 
-constexpr std::int64_t maxTimeoutMilliseconds = 3600 * 1000;
+constexpr std::int64_t maxTimeoutMilliseconds = 3600000;
 constexpr std::size_t maxChangeIdBytes = 100; // leaves room for the number of a change in its file
 constexpr const char *helpRemedy = "see flamingosaddle --help";
 
