--- /dev/null
+++ b/benchmark/http/benchengine.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "callerfixture.h"
+
+#include <flamingosaddle/base/clock.h>
+
+#include <cstddef>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace flamingosaddle::bench
+{
+
+struct StreamShape {
+    int tokens = 1;
+    Duration interval{}; ///< between two tokens; 0 writes them as fast as the connection takes them
+
+    friend bool operator==(const StreamShape &, const StreamShape &) = default;
+};
+
+/** An engine whose tokens carry the time at which they were written. */
+test::FakeBackend::Answer stampedStream(StreamShape shape);
+
+/** Engines with one thread each. */
+std::vector<std::unique_ptr<test::FakeBackend>> engines(std::size_t count, StreamShape shape);
+
+/** Calls @p visit with the age of each token in a piece of a stream. */
+template <typename Visit>
+void visitTokenAges(std::string_view piece, const Visit &visit)
+{
+    constexpr std::string_view mark = "\"content\":\"";
+    const TimePoint now = RuntimeClock::now();
+    for (std::size_t at = piece.find(mark); at != std::string_view::npos; at = piece.find(mark, at + 1)) {
+        const std::string stamp(piece.substr(at + mark.size(), 24));
+        visit(now - TimePoint(Duration(std::strtoll(stamp.c_str(), nullptr, 10))));
+    }
+}
+
+} // namespace flamingosaddle::bench
--- a/tests/http/callerfixture.cpp
+++ b/tests/http/callerfixture.cpp
@@ -35,6 +35,7 @@
     server.endpoint = endpoint;
     server.dataCentre = DataCentre("d");
     server.kind = kind;
+    server.slots = 4096;
     if (kind == BackendKind::Engine) {
         server.models = {ModelName("m"), ModelName("hidden")};
     } else {
--- a/tests/http/callerfixture.h
+++ b/tests/http/callerfixture.h
@@ -63,10 +63,10 @@
 
     KeyRegistry keys;
     SnapshotBoard board;
+    ContextThread thread; ///< that serves the callers
 
 private:
     std::shared_ptr<ConfigState> config;
-    ContextThread thread;
     std::unique_ptr<TrafficGate> gate;
     std::unique_ptr<CallerHandler> handler;
     std::unique_ptr<HttpServer> server;
--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -3,7 +3,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <pthread.h>
+
 #include <array>
+#include <ctime>
 
 namespace flamingosaddle::test
 {
@@ -26,6 +29,16 @@
     this->thread.join();
 }
 
+std::chrono::nanoseconds ContextThread::cpuTime()
+{
+    clockid_t clock{};
+    timespec time{};
+    if (pthread_getcpuclockid(this->thread.native_handle(), &clock) != 0 || clock_gettime(clock, &time) != 0) {
+        return std::chrono::nanoseconds::zero();
+    }
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 TestServer::TestServer(HttpHandler handler, HttpServerLimits limits)
 {
     auto started = HttpServer::Builder()
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -31,6 +32,11 @@
 
     boost::asio::io_context context{1};
 
+    /**
+     * Processor time that the thread has used.
+     */
+    std::chrono::nanoseconds cpuTime();
+
     /**
      * Starts a coroutine on the thread.
      */
