--- a/include/flamingosaddle/state/configstate.h
+++ b/include/flamingosaddle/state/configstate.h
@@ -64,8 +64,8 @@
  * - A published template version never changes.
  * - A client account names an existing template version; a key names an existing client account.
  * - Two routes never have the same path prefix.
- * - A key is given once and never changes. Withdrawn, neither its id nor its digest is ever given again, also when the
- *   withdrawal comes before the gift.
+ * - A key is given once and never changes. Neither its id nor its digest is ever given again, also when its
+ *   withdrawal comes before the record that gives it.
  * - Removing a client account withdraws its keys.
  */
 class ConfigState
@@ -141,15 +141,15 @@
     void remember(const ChangeResult &result);
     void withdraw(const KeyId &id);
 
-    void put(const PutTemplate &change);
-    void put(const PutClientAccount &change);
-    void put(const RemoveClientAccount &change);
-    void put(const PutRoute &change);
-    void put(const RemoveRoute &change);
-    void put(const PutBackendServer &change);
-    void put(const RemoveBackendServer &change);
-    void put(const GiveKey &change);
-    void put(const WithdrawKey &change);
+    void perform(const PutTemplate &change);
+    void perform(const PutClientAccount &change);
+    void perform(const RemoveClientAccount &change);
+    void perform(const PutRoute &change);
+    void perform(const RemoveRoute &change);
+    void perform(const PutBackendServer &change);
+    void perform(const RemoveBackendServer &change);
+    void perform(const GiveKey &change);
+    void perform(const WithdrawKey &change);
 
     std::map<TemplateKey, Revised<Template>> templateTable;
     std::map<ClientAccountId, Revised<ClientAccount>> clientAccountTable;
--- a/include/flamingosaddle/state/leasestate.h
+++ b/include/flamingosaddle/state/leasestate.h
@@ -17,7 +17,8 @@
  *
  * Safety: at no moment do two holders both believe that they hold the same role, and the orders that one of them has
  * sent have ended before the next one believes it, as long as every clock runs at a rate within the drift bound,
- * however long an append, a read or a process is delayed. The argument:
+ * however long an append, a read or a process is delayed. A clock that stops while its machine is suspended is not within
+ * the bound. The argument:
  * - The holder's time starts before it sends a record and ends one lease duration later on its clock. It counts only
  *   once the holder has read the record back and found it accepted.
  * - A follower waits from the moment at which it read the holder's last accepted record, which is later. Its wait is
--- a/src/state/configstate.cpp
+++ b/src/state/configstate.cpp
@@ -64,10 +64,10 @@
         result.detail = checked.error().text();
     } else {
         result.outcome = ChangeOutcome::Accepted;
-        const auto putBody = [this](const auto &body) {
-            this->put(body);
+        const auto performBody = [this](const auto &body) {
+            this->perform(body);
         };
-        std::visit(putBody, change.body);
+        std::visit(performBody, change.body);
     }
     this->remember(result);
     return result;
@@ -94,17 +94,17 @@
     this->withdrawnKeyTable.insert(id);
 }
 
-void ConfigState::put(const PutTemplate &change)
+void ConfigState::perform(const PutTemplate &change)
 {
     this->templateTable[{change.value.name, change.value.version}] = {change.value, this->next};
 }
 
-void ConfigState::put(const PutClientAccount &change)
+void ConfigState::perform(const PutClientAccount &change)
 {
     this->clientAccountTable[change.value.id] = {change.value, this->next};
 }
 
-void ConfigState::put(const RemoveClientAccount &change)
+void ConfigState::perform(const RemoveClientAccount &change)
 {
     std::vector<KeyId> keysOfAccount;
     for (const auto &[id, key] : this->keyTable) {
@@ -118,33 +118,33 @@
     this->clientAccountTable.erase(change.id);
 }
 
-void ConfigState::put(const PutRoute &change)
+void ConfigState::perform(const PutRoute &change)
 {
     this->routeTable[change.value.id] = {change.value, this->next};
 }
 
-void ConfigState::put(const RemoveRoute &change)
+void ConfigState::perform(const RemoveRoute &change)
 {
     this->routeTable.erase(change.id);
 }
 
-void ConfigState::put(const PutBackendServer &change)
+void ConfigState::perform(const PutBackendServer &change)
 {
     this->backendServerTable[change.value.id] = {change.value, this->next};
 }
 
-void ConfigState::put(const RemoveBackendServer &change)
+void ConfigState::perform(const RemoveBackendServer &change)
 {
     this->backendServerTable.erase(change.id);
 }
 
-void ConfigState::put(const GiveKey &change)
+void ConfigState::perform(const GiveKey &change)
 {
     this->keyTable[change.value.id] = {change.value, this->next};
     this->givenDigestPrefixes.insert(change.value.digest.prefix());
 }
 
-void ConfigState::put(const WithdrawKey &change)
+void ConfigState::perform(const WithdrawKey &change)
 {
     this->withdraw(change.id);
 }
@@ -299,10 +299,15 @@
     if (known == this->recentOffsets.end()) {
         return std::nullopt;
     }
-    return *std::lower_bound(this->recentResults.begin(), this->recentResults.end(), known->second,
+    const auto found = std::lower_bound(this->recentResults.begin(), this->recentResults.end(), known->second,
         [](const ChangeResult &result, std::uint64_t offset) {
             return result.offset < offset;
         });
+    // A damaged snapshot may hold results in any order.
+    if (found == this->recentResults.end() || found->id != id) {
+        return std::nullopt;
+    }
+    return *found;
 }
 
 const std::deque<ChangeResult> &ConfigState::history() const
