--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -63,7 +64,7 @@
     return true;
 }
 
-BackendProcess::BackendProcess(Json configuration, std::vector<std::string> flags, const std::string &auditFile)
+BackendProcess::BackendProcess(Json configuration, const std::vector<std::string> &flags, const std::string &auditFile)
     : standin(backendCommand(configuration, flags, auditFile))
     , auditFile(auditFile)
     , configuration(std::move(configuration))
@@ -122,7 +123,7 @@
 
 Cluster::Cluster()
     : directory(temporaryDirectory())
-    , platformStandin(ChildCommand{STANDIN_PLATFORM, {}, {}})
+    , platformStandin(ChildCommand{.program = STANDIN_PLATFORM, .arguments = {}, .environment = {}})
 {
 }
 
@@ -132,16 +133,16 @@
     std::filesystem::remove_all(this->directory, ignored);
 }
 
-BackendProcess &Cluster::addEngine(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags)
+BackendProcess &Cluster::addEngine(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags)
 {
     Json configuration = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "engine"}, {"models", {"baraka-8b"}}, {"slots", 8}};
-    return this->backends.emplace_back(std::move(configuration), std::move(flags), this->directory + "/" + id + ".jsonl");
+    return this->backends.emplace_back(std::move(configuration), flags, this->directory + "/" + id + ".jsonl");
 }
 
-BackendProcess &Cluster::addService(const std::string &id, const std::string &dataCentre, std::vector<std::string> flags)
+BackendProcess &Cluster::addService(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags)
 {
     Json configuration = {{"id", id}, {"dataCentre", dataCentre}, {"kind", "service"}, {"service", "bookings"}, {"slots", 64}};
-    return this->backends.emplace_back(std::move(configuration), std::move(flags), this->directory + "/" + id + ".jsonl");
+    return this->backends.emplace_back(std::move(configuration), flags, this->directory + "/" + id + ".jsonl");
 }
 
 DaemonProcess &Cluster::addDaemon(
@@ -159,11 +160,13 @@
     ChildCommand command;
     command.program = FLAMINGOSADDLE_CLI;
     command.arguments = {"--platform", this->platformStandin.address.text()};
-    if (!admins.empty()) {
+    const bool namesAdmins = std::find(arguments.begin(), arguments.end(), "--admin") != arguments.end();
+    if (!admins.empty() && !namesAdmins) {
         command.arguments.insert(command.arguments.end(), {"--admin", admins});
     }
     command.arguments.insert(command.arguments.end(), arguments.begin(), arguments.end());
     command.environment = {{"FLAMINGOSADDLE_KEY_SECRET", keySecret}, {"USER", "operator"}};
+    command.capturesErrors = false;
     return std::make_unique<ChildProcess>(command);
 }
 
@@ -259,7 +262,7 @@
 
 std::string Cluster::writeFile(const Json &content)
 {
-    const std::string path = this->directory + "/change-" + std::to_string(++this->fileCount) + ".json";
+    std::string path = this->directory + "/change-" + std::to_string(++this->fileCount) + ".json";
     std::ofstream(path) << content.dump();
     return path;
 }
