Properties of the traffic decisions

Each invariant is stated as itself and checked after every step of random runs against the test's own account: no refusal or eviction while a lower tier waits, one server at a time, slots, leaving and reclaimed servers, not-run only of what was not sent, a non-idempotent request sent once, retries within the budget, quarantine, no free slot beside waiting work, floors' periods, shares by weight.

--- /dev/null
+++ b/tests/traffic/dispatcherworld.cpp
@@ -0,0 +1,278 @@
+#include "dispatcherworld.h"
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr int tierCount = 3;
+constexpr double minRetries = 3.0;
+
+std::vector<BackendServer> initialServers()
+{
+    std::vector<BackendServer> servers;
+    for (int i = 0; i < 6; ++i) {
+        BackendServer server;
+        server.id = BackendServerId("s" + std::to_string(i));
+        server.dataCentre = DataCentre(i < 3 ? "a" : "b");
+        server.models = {ModelName(i % 2 == 0 ? "even" : "odd")};
+        server.slots = 1 + i % 3;
+        server.cheap = i >= 4;
+        servers.push_back(server);
+    }
+    return servers;
+}
+
+} // namespace
+
+DispatcherWorld::DispatcherWorld(WorldSettings settings)
+    : settings(settings)
+    , dispatcher(settings.options)
+    , servers(initialServers())
+{
+    this->dispatcher.setServers(this->servers, this->now);
+}
+
+void DispatcherWorld::step(std::uint32_t choice)
+{
+    const std::uint32_t detail = choice / 16;
+    const std::uint32_t kind = choice % 16;
+    if (kind < 8) {
+        this->submit(detail);
+    } else if (kind < 14) {
+        this->endOne(detail);
+    } else if (kind == 14) {
+        this->reconfigure(detail);
+    } else {
+        this->now += std::chrono::milliseconds(detail % 5000);
+    }
+    this->dispatch();
+}
+
+void DispatcherWorld::submit(std::uint32_t choice)
+{
+    RequestProfile profile;
+    profile.clientAccount = ClientAccountId("c" + std::to_string(choice % 4));
+    profile.clientAccountShare = 1.0 + choice % 2;
+    profile.requestClass.tier = static_cast<int>(choice / 4 % tierCount);
+    profile.requestClass.name = ClassName("t" + std::to_string(profile.requestClass.tier));
+    profile.requestClass.floorShare = profile.requestClass.tier == 0 ? 0.0 : this->settings.floorShare;
+    profile.requestClass.cheapAllowed = profile.requestClass.tier > 0;
+    profile.requestClass.firstTokenTarget = this->settings.firstTokenTarget;
+    profile.model = ModelName(choice / 12 % 2 == 0 ? "even" : "odd");
+    profile.idempotent = choice / 24 % 2 == 0;
+    profile.fingerprint = choice / 48 % 8;
+    profile.promptTokens = choice / 48 % 500;
+    profile.arrival = this->now;
+    const auto answer = this->dispatcher.submit(profile, this->now);
+    if (const auto *refusal = std::get_if<Refusal>(&answer)) {
+        this->checkRefused(profile, *refusal);
+    } else {
+        const bool isNew = this->tracked.emplace(std::get<Ticket>(answer), Tracked{profile, {}, false}).second;
+        this->expect(isNew, "a ticket names one request");
+    }
+}
+
+void DispatcherWorld::checkRefused(const RequestProfile &profile, const Refusal &refusal)
+{
+    this->expect(refusal.runState == RunState::NotRun, "a request refused at once did not run");
+    this->expect(refusal.retryAfter >= std::chrono::seconds(1), "a refusal says when to come back");
+    if (refusal.reason == RefusalReason::Overloaded) {
+        const int tier = profile.requestClass.tier;
+        // Where no forecast misses the target, only the full queue refuses, and then any lower tier has to go first.
+        const bool byFullQueue = this->settings.firstTokenTarget >= profile.requestClass.deadline;
+        this->expect(
+            this->waitingBelow(tier, byFullQueue ? nullptr : &profile.model) == 0, "no refusal while a lower tier waits");
+    }
+}
+
+void DispatcherWorld::dispatch()
+{
+    this->dispatcher.dispatch(this->now, this->decisions);
+    for (const Rejection &rejection : this->decisions.rejections) {
+        this->noteRejection(rejection);
+    }
+    for (const Assignment &assignment : this->decisions.assignments) {
+        this->noteAssignment(assignment);
+    }
+    this->checkAfterDispatch();
+}
+
+void DispatcherWorld::noteRejection(const Rejection &rejection)
+{
+    const auto found = this->tracked.find(rejection.ticket);
+    this->expect(found != this->tracked.end() && found->second.server.isEmpty(), "only waiting requests are rejected");
+    if (found == this->tracked.end()) {
+        return;
+    }
+    const Tracked request = found->second;
+    this->tracked.erase(found);
+    this->expect(request.sent || rejection.refusal.runState == RunState::NotRun, "what was never sent did not run");
+    this->expect(!request.sent || rejection.refusal.runState == RunState::Unknown, "not-run is said only of what was not sent");
+    if (rejection.refusal.reason == RefusalReason::Evicted) {
+        const int tier = request.profile.requestClass.tier;
+        this->expect(this->waitingBelow(tier, &request.profile.model) == 0, "no eviction while a lower tier waits");
+    }
+}
+
+void DispatcherWorld::noteAssignment(const Assignment &assignment)
+{
+    const auto found = this->tracked.find(assignment.ticket);
+    this->expect(
+        found != this->tracked.end() && found->second.server.isEmpty(), "only waiting requests are assigned, to one server");
+    const BackendServer *server = this->configured(assignment.server);
+    this->expect(server != nullptr, "only configured servers get work");
+    if (found == this->tracked.end() || server == nullptr) {
+        return;
+    }
+    Tracked &request = found->second;
+    const RequestProfile &profile = request.profile;
+    this->expect(this->mayRunOn(profile, *server), "only permitted servers that neither leave nor are reclaimed get work");
+    this->expect(!request.sent || profile.idempotent, "a non-idempotent request is sent once");
+    if (profile.fingerprint != 0) {
+        const std::uint32_t lost = this->deaths[profile.fingerprint];
+        this->expect(lost < this->settings.options.quarantineDeaths, "a quarantined request is not started");
+        this->expect(assignment.suspect == (lost > 0), "a suspect is marked");
+    }
+    request.server = assignment.server;
+    this->expect(this->running(server->id) <= server->slots, "slots are never exceeded");
+    ++this->startCount;
+}
+
+void DispatcherWorld::checkAfterDispatch()
+{
+    std::size_t waiting = 0;
+    for (const auto &[ticket, request] : this->tracked) {
+        if (!request.server.isEmpty()) {
+            continue;
+        }
+        ++waiting;
+        const RequestProfile &profile = request.profile;
+        const bool slotFree = std::any_of(this->servers.begin(), this->servers.end(), [&](const BackendServer &server) {
+            return !server.cheap && this->mayRunOn(profile, server) && this->running(server.id) < server.slots;
+        });
+        this->expect(!slotFree || this->settings.measuresSpeeds, "nothing waits while a permitted slot is free");
+        this->expect(profile.arrival + profile.requestClass.deadline > this->now, "nothing waits beyond its deadline");
+        for (const Assignment &assignment : this->decisions.assignments) {
+            const RequestProfile &started = this->tracked.at(assignment.ticket).profile;
+            const bool passedOver = this->settings.floorShare == 0.0 && started.model == profile.model
+                && started.requestClass.tier > profile.requestClass.tier
+                && this->mayRunOn(profile, *this->configured(assignment.server));
+            this->expect(!passedOver, "no lower tier starts in front of a higher one, but for floors");
+        }
+    }
+    this->expect(waiting == this->dispatcher.waitingCount(), "the count of waiting requests is right");
+    this->expect(this->tracked.size() - waiting == this->dispatcher.runningCount(), "the count of running requests is right");
+    for (const BackendServer &server : this->servers) {
+        this->expect(this->running(server.id) == this->dispatcher.inFlight(server.id), "the count in flight is right");
+    }
+}
+
+void DispatcherWorld::endOne(std::uint32_t choice)
+{
+    if (this->tracked.empty()) {
+        return;
+    }
+    auto item = this->tracked.begin();
+    std::advance(item, choice % this->tracked.size());
+    const Ticket ticket = item->first;
+    Tracked &request = item->second;
+    if (request.server.isEmpty()) {
+        this->dispatcher.cancel(ticket, this->now);
+        this->tracked.erase(item);
+    } else if (choice / 64 % 2 == 0) {
+        if (this->settings.measuresSpeeds) {
+            this->dispatcher.firstToken(ticket, this->now);
+        }
+        this->dispatcher.tokens(ticket, choice / 128 % 300, this->now);
+        this->dispatcher.finish(ticket, AttemptEnd::Completed, this->now);
+        this->retryAllowance.try_emplace(request.profile.clientAccount.text(), minRetries).first->second
+            += this->settings.options.retryPercent / 100.0;
+        this->tracked.erase(item);
+    } else {
+        this->retryOne(ticket, choice / 128);
+    }
+}
+
+void DispatcherWorld::retryOne(Ticket ticket, std::uint32_t choice)
+{
+    constexpr AttemptEnd ends[] = {AttemptEnd::NotSent, AttemptEnd::ServerError, AttemptEnd::ServerFailed};
+    Tracked &request = this->tracked.at(ticket);
+    const AttemptEnd end = ends[choice % 3];
+    const bool reclaimed
+        = this->zoneExcluded && this->configured(request.server) != nullptr && this->configured(request.server)->cheap;
+    request.sent = request.sent || end != AttemptEnd::NotSent;
+    request.server = BackendServerId();
+    if (end == AttemptEnd::ServerFailed && !reclaimed) {
+        ++this->deaths[request.profile.fingerprint];
+        this->now += std::chrono::seconds(3); // later than a word of the same death could be repeated
+    }
+    const std::optional<Refusal> refusal = this->dispatcher.retry(ticket, end, end != AttemptEnd::NotSent, this->now);
+    if (refusal.has_value()) {
+        const bool isTrue = (refusal->runState == RunState::NotRun) == !request.sent;
+        this->expect(isTrue, "a refused retry says whether the request was sent");
+        this->tracked.erase(ticket);
+        return;
+    }
+    double &allowance = this->retryAllowance.try_emplace(request.profile.clientAccount.text(), minRetries).first->second;
+    allowance -= 1.0;
+    this->expect(allowance > -1e-6, "retries stay within the budget");
+    this->expect(!request.sent || request.profile.idempotent, "a non-idempotent request that was sent is not retried");
+}
+
+void DispatcherWorld::reconfigure(std::uint32_t choice)
+{
+    if (choice % 4 == 0) {
+        this->zoneExcluded = !this->zoneExcluded;
+        const DataCentre zone("b");
+        this->zoneExcluded ? this->dispatcher.excludeDataCentre(zone, this->now)
+                           : this->dispatcher.includeDataCentre(zone, this->now);
+        return;
+    }
+    BackendServer &server = this->servers[choice / 4 % this->servers.size()];
+    server.leaving = !server.leaving;
+    this->dispatcher.setServers(this->servers, this->now);
+}
+
+void DispatcherWorld::expect(bool holds, const std::string &invariant)
+{
+    if (!holds) {
+        this->found.push_back(invariant);
+    }
+}
+
+bool DispatcherWorld::mayRunOn(const RequestProfile &profile, const BackendServer &server) const
+{
+    const bool reclaimed = this->zoneExcluded && server.cheap;
+    return !server.leaving && !reclaimed && (!server.cheap || profile.requestClass.cheapAllowed)
+        && server.models.front() == profile.model;
+}
+
+std::uint32_t DispatcherWorld::running(const BackendServerId &server) const
+{
+    return static_cast<std::uint32_t>(std::count_if(this->tracked.begin(), this->tracked.end(), [&](const auto &item) {
+        return item.second.server == server;
+    }));
+}
+
+std::size_t DispatcherWorld::waitingBelow(int tier, const ModelName *model) const
+{
+    return static_cast<std::size_t>(std::count_if(this->tracked.begin(), this->tracked.end(), [&](const auto &item) {
+        const RequestProfile &profile = item.second.profile;
+        const bool sameModel = model == nullptr || profile.model == *model;
+        return item.second.server.isEmpty() && sameModel && profile.requestClass.tier > tier;
+    }));
+}
+
+const BackendServer *DispatcherWorld::configured(const BackendServerId &id) const
+{
+    const auto found = std::find_if(this->servers.begin(), this->servers.end(), [&](const BackendServer &server) {
+        return server.id == id;
+    });
+    return found == this->servers.end() ? nullptr : &*found;
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/traffic/dispatcherworld.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <flamingosaddle/traffic/dispatcher.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+struct WorldSettings {
+    DispatcherOptions options;
+    double floorShare = 0.0; ///< of the lower tiers
+    std::chrono::milliseconds firstTokenTarget{2000};
+    bool measuresSpeeds = false; ///< whether servers can be found slow, which takes slots from them
+};
+
+/**
+ * Drives a dispatcher through steps that a number each decides, and keeps its own account of what was submitted, what
+ * runs where and what was sent. Every breach of an invariant is noted in words.
+ */
+class DispatcherWorld
+{
+public:
+    explicit DispatcherWorld(WorldSettings settings);
+
+    // Commands.
+
+    void step(std::uint32_t choice);
+
+    // Queries.
+
+    const std::vector<std::string> &breaches() const
+    {
+        return this->found;
+    }
+
+    std::uint64_t starts() const
+    {
+        return this->startCount;
+    }
+
+private:
+    struct Tracked {
+        RequestProfile profile;
+        BackendServerId server; // where it runs; empty while it waits
+        bool sent = false;
+    };
+
+    void submit(std::uint32_t choice);
+    void checkRefused(const RequestProfile &profile, const Refusal &refusal);
+    void dispatch();
+    void noteAssignment(const Assignment &assignment);
+    void noteRejection(const Rejection &rejection);
+    void checkAfterDispatch();
+    void endOne(std::uint32_t choice);
+    void retryOne(Ticket ticket, std::uint32_t choice);
+    void reconfigure(std::uint32_t choice);
+    void expect(bool holds, const std::string &invariant);
+    bool mayRunOn(const RequestProfile &profile, const BackendServer &server) const;
+    std::uint32_t running(const BackendServerId &server) const;
+    std::size_t waitingBelow(int tier, const ModelName *model) const;
+    const BackendServer *configured(const BackendServerId &server) const;
+
+    WorldSettings settings;
+    Dispatcher dispatcher;
+    Decisions decisions;
+    std::vector<BackendServer> servers;
+    bool zoneExcluded = false;
+    std::map<Ticket, Tracked> tracked;
+    std::map<std::string, double> retryAllowance; // by client account
+    std::map<std::uint64_t, std::uint32_t> deaths; // by fingerprint
+    std::vector<std::string> found;
+    std::uint64_t startCount = 0;
+    TimePoint now;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/traffic/guards_test.cpp
@@ -0,0 +1,136 @@
+#include <flamingosaddle/traffic/admission.h>
+#include <flamingosaddle/traffic/quarantine.h>
+#include <flamingosaddle/traffic/retrybudget.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+TEST(RetryBudget, AllowsNoMoreThanItsFractionOfSuccessesAndAFloor)
+{
+    EXPECT_TRUE(rc::check("retries <= floor + fraction * successes", []() {
+        const auto steps = *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+        RetryBudget budget(0.1);
+        double allowed = RetryBudget::minRetries;
+        double retries = 0;
+        for (const bool success : steps) {
+            if (success) {
+                budget.noteSuccess(0);
+                allowed += 0.1;
+            } else {
+                retries += budget.take(0) ? 1 : 0;
+            }
+            RC_ASSERT(retries <= allowed + 1e-9);
+        }
+    }));
+}
+
+TEST(Quarantine, LetsNoRequestCostMoreThanTwoServersOverAllInstances)
+{
+    EXPECT_TRUE(rc::check("two servers die of a request that is sent again and again", []() {
+        const auto tries = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+        std::vector<Quarantine> instances(4, Quarantine(2));
+        std::uint64_t deaths = 0;
+        TimePoint now;
+        for (const int instance : tries) {
+            now += 3s;
+            const Quarantine::Verdict verdict = instances[instance].verdict(7, now);
+            if (verdict == Quarantine::Verdict::Clear || verdict == Quarantine::Verdict::Suspect) {
+                ++deaths;
+                for (Quarantine &told : instances) {
+                    told.noteDeath(7, 100 + deaths, now);
+                }
+            }
+        }
+        RC_ASSERT(deaths <= 2U);
+    }));
+}
+
+TEST(Quarantine, RunsASuspectOnceAtATime)
+{
+    Quarantine quarantine(2);
+    quarantine.noteDeath(7, 1, TimePoint());
+    EXPECT_EQ(quarantine.verdict(7, TimePoint()), Quarantine::Verdict::Suspect);
+    quarantine.noteStart(7);
+    EXPECT_EQ(quarantine.verdict(7, TimePoint()), Quarantine::Verdict::Busy);
+    quarantine.noteEnd(7);
+    quarantine.notePeerRun(7, TimePoint(10s), TimePoint());
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(9s)), Quarantine::Verdict::Busy);
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(10s)), Quarantine::Verdict::Suspect);
+}
+
+TEST(Quarantine, CountsARepeatedWordOfOneDeathOnce)
+{
+    Quarantine quarantine(2);
+    quarantine.noteDeath(7, 1, TimePoint());
+    quarantine.noteDeath(7, 1, TimePoint(1s));
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(1s)), Quarantine::Verdict::Suspect);
+    quarantine.noteDeath(7, 1, TimePoint(10s));
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(10s)), Quarantine::Verdict::Refused);
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(10s) + Quarantine::expiry), Quarantine::Verdict::Clear);
+}
+
+TEST(Quarantine, HoldsABoundedNumberOfRequests)
+{
+    Quarantine quarantine(2);
+    for (std::uint64_t fingerprint = 1; fingerprint <= 2 * Quarantine::capacity; ++fingerprint) {
+        quarantine.noteDeath(fingerprint, 1, TimePoint(std::chrono::milliseconds(fingerprint)));
+    }
+    EXPECT_EQ(quarantine.size(), Quarantine::capacity);
+    EXPECT_EQ(quarantine.verdict(2 * Quarantine::capacity, TimePoint(60s)), Quarantine::Verdict::Suspect);
+}
+
+namespace
+{
+
+rc::Gen<QueueSituation> anySituation()
+{
+    const auto number = []() {
+        return rc::gen::map(rc::gen::inRange(0, 100), [](int value) {
+            return static_cast<double>(value);
+        });
+    };
+    return rc::gen::build<QueueSituation>(rc::gen::set(&QueueSituation::slots, number()),
+        rc::gen::set(&QueueSituation::holdSeconds, rc::gen::just(std::optional(2.0))),
+        rc::gen::set(&QueueSituation::higherWaiting, number()), rc::gen::set(&QueueSituation::tierWaiting, number()),
+        rc::gen::set(&QueueSituation::ownWaiting, number()), rc::gen::set(&QueueSituation::higherArrivalsPerSecond, number()),
+        rc::gen::set(&QueueSituation::classWaiting, number()));
+}
+
+} // namespace
+
+TEST(Admission, ForecastsNoShorterWaitBehindMoreWork)
+{
+    EXPECT_TRUE(rc::check("the wait grows with what is ahead and shrinks with slots and floors", []() {
+        const QueueSituation situation = *anySituation();
+        QueueSituation busier = situation;
+        busier.higherWaiting += *rc::gen::inRange(0, 10);
+        busier.tierWaiting += *rc::gen::inRange(0, 10);
+        busier.ownWaiting += *rc::gen::inRange(0, 10);
+        RC_ASSERT(forecastWait(busier).waitSeconds >= forecastWait(situation).waitSeconds);
+        QueueSituation floored = situation;
+        floored.floorShare = 0.2;
+        RC_ASSERT(forecastWait(floored).waitSeconds <= forecastWait(situation).waitSeconds);
+        if (situation.slots > 0) {
+            QueueSituation larger = situation;
+            larger.slots += 1;
+            RC_ASSERT(forecastWait(larger).waitSeconds <= forecastWait(situation).waitSeconds);
+        }
+    }));
+}
+
+TEST(Admission, AdmitsWhatStartsAtOnceAndSaysWhenToComeBack)
+{
+    QueueSituation situation;
+    situation.slots = 10;
+    situation.freeSlots = 1;
+    situation.holdSeconds = 10.0;
+    EXPECT_EQ(forecastWait(situation).waitSeconds, 0.0);
+    situation.freeSlots = 0;
+    situation.higherWaiting = 9;
+    EXPECT_DOUBLE_EQ(forecastWait(situation).waitSeconds, 10.0);
+    EXPECT_FALSE(meetsTarget(forecastWait(situation), 2000ms));
+    EXPECT_EQ(retryAfter(forecastWait(situation), 2000ms), 8s);
+}
--- /dev/null
+++ b/tests/traffic/servers_test.cpp
@@ -0,0 +1,152 @@
+#include <flamingosaddle/traffic/selection.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+BackendServer serverOf(int number, const std::string &zone, bool cheap, std::uint32_t slots = 8)
+{
+    BackendServer server;
+    server.id = BackendServerId("s" + std::to_string(number));
+    server.dataCentre = DataCentre(zone);
+    server.models = {ModelName("m")};
+    server.slots = slots;
+    server.cheap = cheap;
+    return server;
+}
+
+std::vector<BackendServer> manyServers(int count)
+{
+    std::vector<BackendServer> servers;
+    servers.reserve(count);
+    for (int i = 0; i < count; ++i) {
+        servers.push_back(serverOf(i, i % 2 == 0 ? "a" : "b", false));
+    }
+    return servers;
+}
+
+SelectionRequest anyRequest()
+{
+    return SelectionRequest{0, true, 0, noServer};
+}
+
+} // namespace
+
+TEST(ServerPool, KeepsALostZonesWorkWithinTheSlotsElsewhere)
+{
+    EXPECT_TRUE(rc::check("requests on the cheap servers of one zone fit elsewhere", []() {
+        const auto cheapSlots = *rc::gen::inRange(1U, 20U);
+        const auto otherSlots = *rc::gen::inRange(1U, 10U);
+        const auto ends = *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+        ServerPool pool;
+        pool.setServers({serverOf(0, "a", true, cheapSlots), serverOf(1, "b", false, otherSlots)});
+        Selector selector(1);
+        const ServerIndex cheap = *pool.find(BackendServerId("s0"));
+        const ServerIndex other = *pool.find(BackendServerId("s1"));
+        for (const bool end : ends) {
+            if (end && pool.server(cheap).inFlight > 0) {
+                pool.release(cheap, 0, 1.0);
+            } else if (const ServerIndex server = selector.select(pool, anyRequest(), TimePoint()); server != noServer) {
+                pool.acquire(server, 0, 1.0);
+            }
+            RC_ASSERT(pool.server(cheap).inFlight <= otherSlots);
+            const bool full = pool.server(other).inFlight == otherSlots;
+            const bool cheapFull = pool.server(cheap).inFlight == std::min(cheapSlots, otherSlots);
+            RC_ASSERT((selector.select(pool, anyRequest(), TimePoint()) == noServer) == (full && cheapFull));
+        }
+    }));
+}
+
+TEST(ServerPool, CountsPeersButLeavesEachInstanceItsEvenPart)
+{
+    ServerPool pool;
+    pool.setServers({serverOf(0, "a", false, 8)});
+    pool.report(ServerReport{BackendServerId("s0"), 8, 0, TimePoint(1s)});
+    EXPECT_FALSE(pool.availability(0).reliable);
+    pool.setInstanceCount(4);
+    EXPECT_TRUE(pool.availability(0).reliable);
+    pool.acquire(0, 0, 1.0);
+    pool.acquire(0, 0, 1.0);
+    EXPECT_FALSE(pool.availability(0).reliable);
+    pool.report(ServerReport{BackendServerId("s0"), 0, 0, TimePoint()});
+    EXPECT_FALSE(pool.availability(0).reliable) << "an older report changes nothing";
+    pool.report(ServerReport{BackendServerId("s0"), 5, 0, TimePoint(2s)});
+    EXPECT_TRUE(pool.availability(0).reliable);
+}
+
+TEST(Selector, PassesOverStragglersUntilTheyAreDueForAnotherTry)
+{
+    ServerPool pool;
+    pool.setServers(manyServers(5));
+    for (int round = 0; round < 20; ++round) {
+        for (ServerIndex server = 0; server < 5; ++server) {
+            pool.noteInterToken(server, server == 0 ? 200ms : 50ms, TimePoint());
+        }
+    }
+    Selector selector(1);
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_NE(selector.select(pool, anyRequest(), TimePoint()), 0U);
+    }
+    EXPECT_TRUE(pool.isStraggler(0, TimePoint()));
+    EXPECT_FALSE(pool.isStraggler(0, TimePoint() + ServerPool::probeInterval));
+}
+
+TEST(Selector, PrefersOtherServersAfterAFailure)
+{
+    EXPECT_TRUE(rc::check("neither the failed server nor one that failed lately is taken while there are others", []() {
+        const auto failed = *rc::gen::inRange(0U, 6U);
+        const auto broken = *rc::gen::inRange(0U, 6U);
+        ServerPool pool;
+        pool.setServers(manyServers(6));
+        pool.noteFailure(broken, TimePoint());
+        Selector selector(*rc::gen::arbitrary<std::uint64_t>());
+        SelectionRequest request = anyRequest();
+        request.failedServer = failed;
+        const ServerIndex chosen = selector.select(pool, request, TimePoint());
+        RC_ASSERT(chosen != failed);
+        RC_ASSERT(chosen != broken);
+        RC_ASSERT(pool.server(chosen).zone != pool.server(failed).zone);
+    }));
+}
+
+TEST(Selector, SendsOnePrefixToOneServerUntilThatIsBusierThanItsBound)
+{
+    ServerPool pool;
+    pool.setServers(manyServers(10));
+    Selector selector(1);
+    SelectionRequest request = anyRequest();
+    request.prefixHash = 42;
+    const ServerIndex home = selector.select(pool, request, TimePoint());
+    EXPECT_EQ(selector.select(pool, request, TimePoint()), home);
+    std::map<ServerIndex, int> chosen;
+    for (int i = 0; i < 40; ++i) {
+        const ServerIndex server = selector.select(pool, request, TimePoint());
+        pool.acquire(server, 0, 100.0);
+        ++chosen[server];
+    }
+    EXPECT_GE(chosen[home], 4);
+    EXPECT_LE(chosen[home], 6) << "the load of 40 on 10 servers is bounded at 1.25 of its mean, rounded up";
+}
+
+TEST(Selector, DoesNotHerdOnOneStaleReport)
+{
+    ServerPool pool;
+    pool.setServers(manyServers(10));
+    for (int i = 1; i < 10; ++i) {
+        pool.report(ServerReport{BackendServerId("s" + std::to_string(i)), 2, 5000, TimePoint(1s)});
+    }
+    std::set<ServerIndex> chosen;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        Selector selector(seed);
+        chosen.insert(selector.select(pool, anyRequest(), TimePoint(1s)));
+    }
+    EXPECT_GT(chosen.size(), 4U);
+}
