--- /dev/null
+++ b/benchmark/traffic/scenarios.cpp
@@ -0,0 +1,282 @@
+#include "scenarios.h"
+
+#include "simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace flamingosaddle::simulation
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct Policy {
+    std::string name;
+    std::function<DispatcherPolicies()> make;
+};
+
+Policy ours()
+{
+    return Policy{"flamingosaddle", []() {
+                      return DispatcherPolicies();
+                  }};
+}
+
+Policy firstInFirstOut()
+{
+    return Policy{"first in first out", []() {
+                      DispatcherPolicies policies;
+                      policies.admit = [](const WaitForecast &, std::chrono::milliseconds) {
+                          return true;
+                      };
+                      policies.serveBefore = [](const QueueHead &left, const QueueHead &right) {
+                          return left.arrival < right.arrival;
+                      };
+                      policies.mayEvict = false;
+                      return policies;
+                  }};
+}
+
+Policy roundRobin()
+{
+    return Policy{"round robin", []() {
+                      DispatcherPolicies policies;
+                      policies.chooseServer = [last = noServer](const std::vector<ServerView> &views) mutable {
+                          const auto distance = [&](const ServerView &view) {
+                              return static_cast<ServerIndex>(view.server - last - 1);
+                          };
+                          const auto next
+                              = std::min_element(views.begin(), views.end(), [&](const auto &left, const auto &right) {
+                                    return distance(left) < distance(right);
+                                });
+                          last = next->server;
+                          return static_cast<std::size_t>(next - views.begin());
+                      };
+                      return policies;
+                  }};
+}
+
+// The same choice at all instances for the same load, as a plain search for the least makes it.
+Policy leastInFlight(const std::string &name, bool withPeers)
+{
+    return Policy{name, [withPeers]() {
+                      DispatcherPolicies policies;
+                      policies.chooseServer = [withPeers](const std::vector<ServerView> &views) {
+                          const auto load = [&](const ServerView &view) {
+                              return std::pair(view.inFlight + (withPeers ? view.peersInFlight : 0), view.server);
+                          };
+                          const auto least
+                              = std::min_element(views.begin(), views.end(), [&](const auto &left, const auto &right) {
+                                    return load(left) < load(right);
+                                });
+                          return static_cast<std::size_t>(least - views.begin());
+                      };
+                      return policies;
+                  }};
+}
+
+Policy unlimitedRetries()
+{
+    Policy policy = leastInFlight("unlimited retries", false);
+    policy.make = [make = policy.make]() {
+        DispatcherPolicies policies = make();
+        policies.mayRetry = [](std::uint32_t) {
+            return true;
+        };
+        return policies;
+    };
+    return policy;
+}
+
+ClassLoad classLoad(int tier, double part, std::chrono::milliseconds target, double floorShare)
+{
+    ClassLoad load;
+    load.requestClass.name = ClassName("tier" + std::to_string(tier));
+    load.requestClass.tier = tier;
+    load.requestClass.firstTokenTarget = target;
+    load.requestClass.deadline = 30 * target;
+    load.requestClass.floorShare = floorShare;
+    load.part = part;
+    load.patience = 4 * target;
+    return load;
+}
+
+std::vector<ClassLoad> threeTiers()
+{
+    return {classLoad(0, 0.2, 2s, 0.0), classLoad(1, 0.4, 5s, 0.1), classLoad(2, 0.4, 30s, 0.05)};
+}
+
+Settings settingsOf(const Policy &policy)
+{
+    Settings settings;
+    settings.instances = 4;
+    settings.classes = threeTiers();
+    settings.policies = policy.make;
+    return settings;
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+// What each account would get of the tokens that its tier was served in all, by the fair division of max-min.
+std::map<std::uint32_t, double> entitledTokens(const Results &results, int tier, std::uint32_t accounts)
+{
+    std::map<std::uint32_t, double> entitled;
+    std::vector<std::pair<double, std::uint32_t>> demands;
+    double left = 0.0;
+    for (std::uint32_t account = 0; account < accounts; ++account) {
+        const auto found = results.byAccount.find({tier, account});
+        if (found != results.byAccount.end()) {
+            demands.emplace_back(static_cast<double>(found->second.offeredTokens), account);
+            left += static_cast<double>(found->second.servedTokens);
+        }
+    }
+    std::sort(demands.begin(), demands.end());
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        const double part = std::min(demands[i].first, left / static_cast<double>(demands.size() - i));
+        entitled[demands[i].second] = part;
+        left -= part;
+    }
+    return entitled;
+}
+
+double worstShare(const Results &results, std::uint32_t accounts)
+{
+    std::map<std::uint32_t, double> entitled;
+    std::map<std::uint32_t, double> served;
+    for (const auto &[tier, outcome] : results.byTier) {
+        for (const auto &[account, tokens] : entitledTokens(results, tier, accounts)) {
+            entitled[account] += tokens;
+        }
+    }
+    for (const auto &[key, outcome] : results.byAccount) {
+        served[key.second] += static_cast<double>(outcome.servedTokens);
+    }
+    double worst = 1.0;
+    for (const auto &[account, tokens] : entitled) {
+        worst = std::min(worst, tokens > 0.0 ? served[account] / tokens : 1.0);
+    }
+    return worst;
+}
+
+double attainment(const Results &results, int tier)
+{
+    const Outcome &outcome = results.byTier.at(tier);
+    return static_cast<double>(outcome.inTime) / static_cast<double>(outcome.offered);
+}
+
+double ratio(double part, double whole)
+{
+    return whole > 0.0 ? part / whole : 0.0;
+}
+
+// The longest time without a start of a class with a floor, by its floor's period.
+double longestGapByPeriod(const Results &results, const Settings &settings)
+{
+    FloorCredits floors;
+    for (const ClassLoad &load : settings.classes) {
+        floors.addClass(static_cast<ClassIndex>(load.requestClass.tier), load.requestClass.floorShare);
+    }
+    const double startsPerSecond = static_cast<double>(results.starts) / settings.duration.count() / settings.instances;
+    double worst = 0.0;
+    for (const auto &[tier, gap] : results.longestGapSeconds) {
+        const std::uint64_t period = floors.period(static_cast<ClassIndex>(tier));
+        worst = period > 0 ? std::max(worst, gap * startsPerSecond / static_cast<double>(period)) : worst;
+    }
+    return worst;
+}
+
+void addOverload(std::vector<Figure> &figures, const Policy &policy)
+{
+    const std::string row = "overload";
+    Settings settings = settingsOf(policy);
+    settings.load = 2.0;
+    settings.burstFactor = 10.0;
+    const Results results = Simulation(settings).run();
+    for (const auto &[tier, outcome] : results.byTier) {
+        figures.push_back({row, policy.name, "attainment of tier " + std::to_string(tier), attainment(results, tier)});
+    }
+    figures.push_back({row, policy.name, "worst-served account by its share", worstShare(results, settings.accounts)});
+    figures.push_back({row, policy.name, "longest gap of a class by its floor's period", longestGapByPeriod(results, settings)});
+    figures.push_back({row, policy.name, "wasted tokens", ratio(results.wastedTokens, results.generatedTokens)});
+    double goodTokens = 0.0;
+    for (const auto &[tier, outcome] : results.byTier) {
+        goodTokens += static_cast<double>(outcome.servedTokens);
+    }
+    figures.push_back({row, policy.name, "goodput in tokens a second", goodTokens / settings.duration.count()});
+}
+
+void addStragglers(std::vector<Figure> &figures, const Policy &policy)
+{
+    Settings settings = settingsOf(policy);
+    settings.servers = 20;
+    settings.load = 0.6;
+    const double usual = quantile(Simulation(settings).run().firstTokenSeconds, 0.95);
+    settings.slowServers = settings.servers / 5;
+    const double slowed = quantile(Simulation(settings).run().firstTokenSeconds, 0.95);
+    figures.push_back({"stragglers", policy.name, "p95 first token by that without", slowed / usual});
+    figures.push_back({"stragglers", policy.name, "p95 first token in seconds", slowed});
+}
+
+void addStaleReports(std::vector<Figure> &figures, const Policy &policy)
+{
+    Settings settings = settingsOf(policy);
+    settings.load = 0.6;
+    const Results results = Simulation(settings).run();
+    const double sum = std::accumulate(results.serverTokens.begin(), results.serverTokens.end(), 0.0);
+    const double busiest = *std::max_element(results.serverTokens.begin(), results.serverTokens.end());
+    const std::string row = "four instances, reports 2 s old";
+    figures.push_back({row, policy.name, "busiest to mean server, tokens of the run", busiest * settings.servers / sum});
+    figures.push_back({row, policy.name, "busiest to mean server, at a time", results.meanPeakLoad});
+    figures.push_back({row, policy.name, "p95 first token in seconds", quantile(results.firstTokenSeconds, 0.95)});
+}
+
+void addFailures(std::vector<Figure> &figures, const Policy &policy)
+{
+    Settings settings = settingsOf(policy);
+    settings.servers = 20;
+    settings.load = 0.6;
+    settings.failingServers = settings.servers / 10;
+    const Results results = Simulation(settings).run();
+    std::uint64_t answered = 0;
+    for (const auto &[tier, outcome] : results.byTier) {
+        answered += outcome.answered;
+    }
+    const double first = std::min(results.attempts, results.offered);
+    figures.push_back(
+        {"a tenth of the servers failing", policy.name, "load from retries", ratio(results.attempts - first, results.offered)});
+    figures.push_back({"a tenth of the servers failing", policy.name, "answered", ratio(answered, results.offered)});
+}
+
+} // namespace
+
+std::vector<Figure> runPolicyRows()
+{
+    std::vector<Figure> figures;
+    for (const Policy &policy : {ours(), firstInFirstOut()}) {
+        addOverload(figures, policy);
+    }
+    for (const Policy &policy : {ours(), roundRobin(), leastInFlight("least in flight without peers", false)}) {
+        addStragglers(figures, policy);
+    }
+    for (const Policy &policy : {ours(), roundRobin(), leastInFlight("least in flight without peers", false),
+             leastInFlight("least in flight with peers", true)}) {
+        addStaleReports(figures, policy);
+    }
+    for (const Policy &policy : {ours(), unlimitedRetries()}) {
+        addFailures(figures, policy);
+    }
+    return figures;
+}
+
+} // namespace flamingosaddle::simulation
--- /dev/null
+++ b/benchmark/traffic/simulation.cpp
@@ -0,0 +1,410 @@
+#include "simulation.h"
+
+#include <algorithm>
+#include <string>
+
+namespace flamingosaddle::simulation
+{
+
+namespace
+{
+
+constexpr std::uint32_t tokensPerEvent = 25;
+constexpr Duration exchangeInterval = std::chrono::seconds(1);
+constexpr Duration wordAge = std::chrono::seconds(2);
+constexpr Duration failureAfter = std::chrono::milliseconds(500);
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+BackendServerId serverId(std::uint32_t number)
+{
+    return BackendServerId("s" + std::to_string(number));
+}
+
+} // namespace
+
+Simulation::Simulation(Settings settings)
+    : settings(std::move(settings))
+    , random(this->settings.seed)
+{
+    this->engines.resize(this->settings.servers);
+    this->instances.resize(this->settings.instances);
+    this->results.serverTokens.resize(this->settings.servers, 0.0);
+    for (std::uint32_t i = 0; i < this->settings.instances; ++i) {
+        DispatcherOptions options = this->settings.options;
+        options.seed = this->settings.seed * 100 + i;
+        DispatcherPolicies policies = this->settings.policies ? this->settings.policies() : DispatcherPolicies();
+        this->instances[i].dispatcher = std::make_unique<Dispatcher>(options, std::move(policies));
+    }
+    this->addServers();
+}
+
+void Simulation::addServers()
+{
+    std::vector<BackendServer> servers;
+    for (std::uint32_t i = 0; i < this->settings.servers; ++i) {
+        BackendServer server;
+        server.id = serverId(i);
+        server.dataCentre = DataCentre(std::string(1, static_cast<char>('a' + i % 3)));
+        server.models = {ModelName("model")};
+        server.slots = this->settings.slots;
+        servers.push_back(server);
+        this->engines[i].slots = this->settings.slots;
+        this->engines[i].slowness = i < this->settings.slowServers ? 4.0 : 1.0;
+        this->engines[i].fails = i < this->settings.failingServers;
+    }
+    for (Instance &instance : this->instances) {
+        instance.dispatcher->setServers(servers, this->now);
+        instance.dispatcher->setInstanceCount(this->settings.instances);
+    }
+}
+
+Results Simulation::run()
+{
+    this->scheduleArrival();
+    this->schedule(this->now + exchangeInterval, EventKind::Exchange, 0);
+    const TimePoint end = TimePoint() + this->settings.duration;
+    while (!this->events.empty() && this->events.top().at < end) {
+        const Event event = this->events.top();
+        this->events.pop();
+        this->now = event.at;
+        this->handle(event);
+    }
+    if (this->loadSamples > 0) {
+        this->results.meanPeakLoad /= static_cast<double>(this->loadSamples);
+    }
+    return std::move(this->results);
+}
+
+void Simulation::schedule(TimePoint at, EventKind kind, std::uint32_t request, std::uint32_t tokens)
+{
+    const std::uint32_t attempt = request < this->requests.size() ? this->requests[request].attempt : 0;
+    this->events.push(Event{at, this->sequence++, kind, request, attempt, tokens});
+}
+
+double Simulation::requestsPerSecond() const
+{
+    double holdSeconds = 0.0;
+    for (const ClassLoad &load : this->settings.classes) {
+        FakeEngine busy;
+        busy.running = busy.slots;
+        holdSeconds += load.part * secondsOf(busy.prefill(load.meanPrompt) + busy.generate(load.meanOutput));
+    }
+    return this->settings.load * this->settings.servers * this->settings.slots / holdSeconds;
+}
+
+void Simulation::scheduleArrival()
+{
+    std::exponential_distribution<double> gap(this->requestsPerSecond());
+    this->schedule(this->now + durationOf(gap(this->random)), EventKind::Arrival, 0);
+}
+
+void Simulation::handle(const Event &event)
+{
+    if (event.kind == EventKind::Arrival) {
+        this->arrive();
+        this->scheduleArrival();
+        return;
+    }
+    if (event.kind == EventKind::Exchange) {
+        this->exchange();
+        this->sampleLoad();
+        this->schedule(this->now + exchangeInterval, EventKind::Exchange, 0);
+        return;
+    }
+    const Request &request = this->requests[event.request];
+    const bool ofCaller = event.kind == EventKind::Patience || event.kind == EventKind::Deadline;
+    if (request.stage == Stage::Over || (!ofCaller && event.attempt != request.attempt)) {
+        return;
+    }
+    switch (event.kind) {
+    case EventKind::FirstToken:
+        this->firstTokenCame(event.request);
+        break;
+    case EventKind::Tokens:
+        this->tokensCame(event.request, event.tokens);
+        break;
+    case EventKind::End:
+        this->answered(event.request);
+        break;
+    case EventKind::Failure:
+        this->failed(event.request);
+        break;
+    case EventKind::Patience:
+        if (request.firstToken == TimePoint()) {
+            this->abandon(event.request);
+        }
+        break;
+    case EventKind::Deadline:
+        this->abandon(event.request);
+        break;
+    case EventKind::Arrival:
+    case EventKind::Exchange:
+        break;
+    }
+    this->dispatch(this->requests[event.request].instance);
+}
+
+void Simulation::arrive()
+{
+    const double burst = this->settings.burstFactor;
+    std::uniform_real_distribution<double> accountDraw(0.0, burst + this->settings.accounts - 1.0);
+    const double drawn = accountDraw(this->random);
+    const auto account = drawn < burst ? 0U : 1U + static_cast<std::uint32_t>(drawn - burst);
+    std::uniform_real_distribution<double> classDraw(0.0, 1.0);
+    double left = classDraw(this->random);
+    std::uint32_t classNumber = 0;
+    while (classNumber + 1 < this->settings.classes.size() && left >= this->settings.classes[classNumber].part) {
+        left -= this->settings.classes[classNumber].part;
+        ++classNumber;
+    }
+    const ClassLoad &load = this->settings.classes[classNumber];
+    Request request;
+    request.profile = this->profileOf(load, account);
+    request.account = account;
+    request.classNumber = classNumber;
+    request.instance = static_cast<std::uint32_t>(this->random() % this->settings.instances);
+    std::exponential_distribution<double> length(1.0 / load.meanOutput);
+    request.output = std::clamp(static_cast<std::uint32_t>(length(this->random)), 5U, 8 * load.meanOutput);
+
+    const int tier = load.requestClass.tier;
+    for (Outcome *outcome : {&this->results.byTier[tier], &this->results.byAccount[{tier, account}]}) {
+        ++outcome->offered;
+        outcome->offeredTokens += request.output + request.profile.promptTokens;
+    }
+    ++this->results.offered;
+    const auto answer = this->instances[request.instance].dispatcher->submit(request.profile, this->now);
+    const std::uint32_t instance = request.instance;
+    if (const Ticket *ticket = std::get_if<Ticket>(&answer)) {
+        const auto number = static_cast<std::uint32_t>(this->requests.size());
+        request.ticket = *ticket;
+        this->requests.push_back(request);
+        this->instances[instance].requests.emplace(*ticket, number);
+        this->schedule(this->now + load.patience, EventKind::Patience, number);
+        this->schedule(this->now + load.requestClass.deadline, EventKind::Deadline, number);
+    }
+    this->dispatch(instance);
+}
+
+RequestProfile Simulation::profileOf(const ClassLoad &load, std::uint32_t account)
+{
+    RequestProfile profile;
+    profile.clientAccount = ClientAccountId("c" + std::to_string(account));
+    profile.requestClass = load.requestClass;
+    profile.model = ModelName("model");
+    profile.fingerprint = this->random() | 1U;
+    std::exponential_distribution<double> length(1.0 / load.meanPrompt);
+    profile.promptTokens = std::clamp(static_cast<std::uint32_t>(length(this->random)), 10U, 5 * load.meanPrompt);
+    profile.idempotent = true;
+    profile.arrival = this->now;
+    return profile;
+}
+
+void Simulation::dispatch(std::uint32_t instanceNumber)
+{
+    Instance &instance = this->instances[instanceNumber];
+    instance.dispatcher->dispatch(this->now, this->decisions);
+    for (const Rejection &rejection : this->decisions.rejections) {
+        const auto found = instance.requests.find(rejection.ticket);
+        this->requests[found->second].stage = Stage::Over;
+        instance.requests.erase(found);
+    }
+    for (const Assignment &assignment : this->decisions.assignments) {
+        this->startAttempt(instance.requests.at(assignment.ticket), assignment.server);
+    }
+}
+
+void Simulation::startAttempt(std::uint32_t number, const BackendServerId &server)
+{
+    Request &request = this->requests[number];
+    request.stage = Stage::AtEngine;
+    request.server = static_cast<std::uint32_t>(std::stoul(server.text().substr(1)));
+    request.generated = 0;
+    ++request.attempt;
+    ++this->results.attempts;
+    this->noteStart(request.profile.requestClass.tier);
+    FakeEngine &engine = this->engines[request.server];
+    if (engine.fails) {
+        this->schedule(this->now + failureAfter, EventKind::Failure, number);
+    } else if (engine.running < engine.slots) {
+        this->beginAtEngine(number);
+    } else {
+        engine.waiting.push_back(number);
+    }
+}
+
+void Simulation::beginAtEngine(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    FakeEngine &engine = this->engines[request.server];
+    ++engine.running;
+    request.running = true;
+    const TimePoint first = this->now + engine.prefill(request.profile.promptTokens);
+    this->schedule(first, EventKind::FirstToken, number);
+    TimePoint at = first;
+    for (std::uint32_t done = 0; done < request.output; done += tokensPerEvent) {
+        const std::uint32_t count = std::min(tokensPerEvent, request.output - done);
+        at += engine.generate(count);
+        this->schedule(at, EventKind::Tokens, number, count);
+    }
+    this->schedule(at, EventKind::End, number);
+}
+
+void Simulation::leaveEngine(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    FakeEngine &engine = this->engines[request.server];
+    if (!request.running) {
+        std::erase(engine.waiting, number);
+        return;
+    }
+    request.running = false;
+    --engine.running;
+    if (!engine.waiting.empty() && engine.running < engine.slots) {
+        const std::uint32_t next = engine.waiting.front();
+        engine.waiting.pop_front();
+        this->beginAtEngine(next);
+    }
+}
+
+void Simulation::firstTokenCame(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    request.firstToken = this->now;
+    this->instances[request.instance].dispatcher->firstToken(request.ticket, this->now);
+    this->results.generatedTokens += request.profile.promptTokens;
+}
+
+void Simulation::tokensCame(std::uint32_t number, std::uint32_t count)
+{
+    Request &request = this->requests[number];
+    request.generated += count;
+    this->results.generatedTokens += count;
+    this->results.serverTokens[request.server] += count;
+    this->instances[request.instance].dispatcher->tokens(request.ticket, count, this->now);
+}
+
+void Simulation::answered(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    this->leaveEngine(number);
+    request.stage = Stage::Over;
+    this->instances[request.instance].dispatcher->finish(request.ticket, AttemptEnd::Completed, this->now);
+    this->instances[request.instance].requests.erase(request.ticket);
+    const RequestClass &requestClass = request.profile.requestClass;
+    const Duration waited = request.firstToken - request.profile.arrival;
+    this->results.firstTokenSeconds.push_back(secondsOf(waited));
+    for (Outcome *outcome :
+        {&this->results.byTier[requestClass.tier], &this->results.byAccount[{requestClass.tier, request.account}]}) {
+        ++outcome->answered;
+        outcome->inTime += waited <= requestClass.firstTokenTarget ? 1 : 0;
+        outcome->servedTokens += request.generated + request.profile.promptTokens;
+    }
+}
+
+void Simulation::failed(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    this->waste(number);
+    request.stage = Stage::Waiting;
+    Dispatcher &dispatcher = *this->instances[request.instance].dispatcher;
+    if (dispatcher.retry(request.ticket, AttemptEnd::ServerFailed, true, this->now).has_value()) {
+        request.stage = Stage::Over;
+        this->instances[request.instance].requests.erase(request.ticket);
+    }
+}
+
+void Simulation::abandon(std::uint32_t number)
+{
+    Request &request = this->requests[number];
+    Dispatcher &dispatcher = *this->instances[request.instance].dispatcher;
+    if (request.stage == Stage::AtEngine) {
+        this->waste(number);
+        if (!this->engines[request.server].fails) {
+            this->leaveEngine(number);
+        }
+        dispatcher.finish(request.ticket, AttemptEnd::CallerGone, this->now);
+    } else {
+        dispatcher.cancel(request.ticket, this->now);
+    }
+    request.stage = Stage::Over;
+    this->instances[request.instance].requests.erase(request.ticket);
+}
+
+void Simulation::waste(std::uint32_t number)
+{
+    const Request &request = this->requests[number];
+    const bool prefilled = request.firstToken != TimePoint();
+    this->results.wastedTokens += request.generated + (prefilled ? request.profile.promptTokens : 0);
+}
+
+void Simulation::exchange()
+{
+    Word word;
+    word.at = this->now;
+    for (Instance &instance : this->instances) {
+        std::vector<std::uint32_t> &inFlight = word.inFlight.emplace_back();
+        for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
+            inFlight.push_back(instance.dispatcher->inFlight(serverId(server)));
+        }
+        instance.dispatcher->takeService(word.services.emplace_back());
+    }
+    this->words.push_back(std::move(word));
+    if (this->words.front().at + wordAge > this->now) {
+        return;
+    }
+    const Word old = std::move(this->words.front());
+    this->words.pop_front();
+    for (std::uint32_t to = 0; to < this->settings.instances; ++to) {
+        Dispatcher &dispatcher = *this->instances[to].dispatcher;
+        for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
+            ServerReport report{serverId(server), 0, 0, old.at};
+            for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
+                report.peersInFlight += from == to ? 0 : old.inFlight[from][server];
+            }
+            dispatcher.report(report);
+        }
+        for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
+            for (const ServiceReport &service : old.services[from]) {
+                if (from != to) {
+                    dispatcher.notePeerService(service);
+                }
+            }
+        }
+        this->dispatch(to);
+    }
+}
+
+void Simulation::noteStart(int tier)
+{
+    ++this->results.starts;
+    TimePoint &last = this->lastStart[tier];
+    double &longest = this->results.longestGapSeconds[tier];
+    longest = std::max(longest, secondsOf(this->now - last));
+    last = this->now;
+}
+
+void Simulation::sampleLoad()
+{
+    double busiest = 0.0;
+    double sum = 0.0;
+    for (const FakeEngine &engine : this->engines) {
+        const double load = static_cast<double>(engine.running + engine.waiting.size());
+        busiest = std::max(busiest, load);
+        sum += load;
+    }
+    if (sum > 0.0) {
+        this->results.meanPeakLoad += busiest * this->settings.servers / sum;
+        ++this->loadSamples;
+    }
+}
+
+} // namespace flamingosaddle::simulation
