--- /dev/null
+++ b/benchmark/traffic/decision_benchmark.cpp
@@ -0,0 +1,23 @@
+// The cost of one full decision: admit, schedule, select, and the end of a request.
+
+#include "allocationcounter.h"
+#include "decisionload.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace flamingosaddle::simulation;
+
+static void fullDecision(benchmark::State &state)
+{
+    DecisionLoad load;
+    const std::uint64_t before = allocationCount();
+    for (auto iteration : state) {
+        load.step();
+    }
+    const auto allocations = static_cast<double>(allocationCount() - before);
+    state.counters["allocations"] = benchmark::Counter(allocations / static_cast<double>(state.iterations()));
+    state.counters["waiting"] = static_cast<double>(load.waiting());
+}
+BENCHMARK(fullDecision)->Unit(benchmark::kMicrosecond)->Iterations(300000);
+
+BENCHMARK_MAIN();
--- a/include/flamingosaddle/traffic/policies.h
+++ b/include/flamingosaddle/traffic/policies.h
@@ -21,6 +21,7 @@
     ServeBefore serveBefore; ///< instead of floors, tiers and fair shares
     ChooseServer chooseServer; ///< instead of the rules of Selector
     MayRetry mayRetry; ///< instead of RetryBudget
+    bool judgesSpeed = true; ///< whether stragglers are passed over
     bool mayEvict = true; ///< whether a waiting request gives its place to one of a higher tier
 };
 
--- a/include/flamingosaddle/traffic/selection.h
+++ b/include/flamingosaddle/traffic/selection.h
@@ -37,15 +37,20 @@
  * Chooses the backend server for a request among those with a free slot.
  *
  * First the server of the highest rendezvous weight for the prompt's prefix, or the second, if it is no straggler and
- * its load is at most affinityBound times the mean: its cache may hold the prefix. Otherwise the better of two servers
- * drawn at random: servers that failed lately, stragglers and the server and data centre of the failed attempt come
- * last, then the one with fewer expected waiting tokens per slot. Drawing at random keeps instances that hold the same
- * old reports from choosing the same server.
+ * its load is at most affinityBound times the mean: its cache may hold the prefix. Otherwise the best of at most maxDraws
+ * servers drawn at random: servers that failed lately, stragglers and the server and data centre of the failed attempt
+ * come last, then the one on which this instance runs the fewest requests for its slots. Of several that are equal in
+ * this, the better of the first two drawn, by expected waiting tokens.
+ *
+ * What an instance runs itself it knows at once, what peers and engines report is old. So each instance spreads its own
+ * work evenly, and the reports decide only between two random servers: instances that hold the same old reports do not
+ * all choose the same server.
  */
 class Selector
 {
 public:
     static constexpr double affinityBound = 1.25;
+    static constexpr std::size_t maxDraws = 16;
 
     /** @param choose replaces the rules when it is set */
     explicit Selector(std::uint64_t seed, ChooseServer choose = {});
@@ -59,13 +64,15 @@
     // What speaks against a server; less is better.
     struct Penalty {
         int level = 0;
-        double expectedTokens = 0.0; // per slot
+        double ownLoad = 0.0; // requests per slot
+
+        friend auto operator<=>(const Penalty &, const Penalty &) = default;
     };
 
     ServerIndex byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
     ServerIndex byChoice(const ServerPool &pool, const SelectionRequest &request);
-    ServerIndex byTwoDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
-    ServerIndex byScan(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
+    ServerIndex byDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
+    ServerIndex bestOf(const ServerPool &pool, const SelectionRequest &request, TimePoint now, std::size_t draws);
     bool isWithinBound(const ServerPool &pool, TargetIndex target, const Candidate &candidate, TimePoint now) const;
     Penalty penalty(const ServerPool &pool, const SelectionRequest &request, ServerIndex server, TimePoint now) const;
 
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -48,6 +48,7 @@
     MovingAverage firstTokenSeconds{0.2};
     MovingAverage interTokenSeconds{0.2};
     TimePoint measuredAt;
+    Duration probeWait = std::chrono::seconds(0); ///< until a straggler is tried again
     double slowdown = 1.0; ///< against the median of the servers of its targets, at least 1
     std::uint32_t failures = 0; ///< in a row
     TimePoint avoidUntil;
@@ -79,7 +80,8 @@
 public:
     static constexpr double stragglerSlowdown = 2.0;
     static constexpr std::uint64_t minSamples = 5; ///< before a server is judged
-    static constexpr Duration probeInterval = std::chrono::seconds(60); ///< after which a straggler is tried again
+    static constexpr Duration firstProbeWait = std::chrono::seconds(30); ///< doubles with each try that finds it slow
+    static constexpr Duration longestProbeWait = std::chrono::minutes(8);
     static constexpr Duration firstBackoff = std::chrono::seconds(1); ///< after a failure; doubles with each in a row
     static constexpr Duration longestBackoff = std::chrono::seconds(30);
 
@@ -94,6 +96,9 @@
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
 
+    /** Whether servers are found to be stragglers, as they are from the start. */
+    void setSpeedJudged(bool judged);
+
     /** A request of @p tokens expected tokens starts on @p server. */
     void acquire(ServerIndex server, TargetIndex target, double tokens);
 
@@ -228,6 +233,7 @@
     std::pair<ModelName, ServiceName> targetKey; // kept so that a look-up copies into existing memory
     std::vector<double> scratch; // for medians
     std::uint32_t instanceCount = 0;
+    bool speedJudged = true;
 };
 
 } // namespace flamingosaddle
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -38,6 +38,7 @@
     if (!this->policies.admit) {
         this->policies.admit = meetsTarget;
     }
+    this->pool.setSpeedJudged(this->policies.judgesSpeed);
 }
 
 std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -1,7 +1,6 @@
 #include <flamingosaddle/traffic/selection.h>
 
 #include <algorithm>
-#include <tuple>
 
 namespace flamingosaddle
 {
@@ -41,7 +40,7 @@
         return this->byChoice(pool, request);
     }
     const ServerIndex affine = request.prefixHash == 0 ? noServer : this->byAffinity(pool, request, now);
-    return affine == noServer ? this->byTwoDraws(pool, request, now) : affine;
+    return affine == noServer ? this->byDraws(pool, request, now) : affine;
 }
 
 ServerIndex Selector::byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const
@@ -100,48 +99,38 @@
     return this->views.empty() ? noServer : this->views[this->choose(this->views)].server;
 }
 
-ServerIndex Selector::byTwoDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
+ServerIndex Selector::byDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
 {
-    const std::vector<std::uint32_t> &reliable = pool.free(request.target, false);
-    const std::vector<std::uint32_t> &cheap = pool.free(request.target, true);
-    const std::size_t count = reliable.size() + (request.cheapAllowed ? cheap.size() : 0);
+    const std::size_t count
+        = pool.free(request.target, false).size() + (request.cheapAllowed ? pool.free(request.target, true).size() : 0);
     if (count == 0) {
         return noServer;
     }
-    const auto serverAt = [&](std::size_t draw) {
-        const std::uint32_t position = draw < reliable.size() ? reliable[draw] : cheap[draw - reliable.size()];
-        return pool.candidates(request.target)[position].server;
-    };
-    const std::size_t firstDraw = this->random() % count;
-    const std::size_t secondDraw = count == 1 ? firstDraw : (firstDraw + 1 + this->random() % (count - 1)) % count;
-    const ServerIndex first = serverAt(firstDraw);
-    const ServerIndex second = serverAt(secondDraw);
-    const Penalty firstPenalty = this->penalty(pool, request, first, now);
-    const Penalty secondPenalty = this->penalty(pool, request, second, now);
-    if (std::min(firstPenalty.level, secondPenalty.level) > 0) {
-        return this->byScan(pool, request, now);
-    }
-    const bool firstIsBetter = std::tuple(firstPenalty.level, firstPenalty.expectedTokens)
-        <= std::tuple(secondPenalty.level, secondPenalty.expectedTokens);
-    return firstIsBetter ? first : second;
+    const ServerIndex drawn = this->bestOf(pool, request, now, std::min(count, maxDraws));
+    const bool isSpotless = this->penalty(pool, request, drawn, now).level == 0;
+    return isSpotless || count <= maxDraws ? drawn : this->bestOf(pool, request, now, count);
 }
 
-ServerIndex Selector::byScan(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const
+ServerIndex Selector::bestOf(const ServerPool &pool, const SelectionRequest &request, TimePoint now, std::size_t draws)
 {
+    const std::vector<std::uint32_t> &reliable = pool.free(request.target, false);
+    const std::vector<std::uint32_t> &cheap = pool.free(request.target, true);
+    const std::size_t count = reliable.size() + (request.cheapAllowed ? cheap.size() : 0);
     ServerIndex best = noServer;
     Penalty least;
-    for (const bool cheap : {false, true}) {
-        if (cheap && !request.cheapAllowed) {
-            continue;
-        }
-        for (const std::uint32_t position : pool.free(request.target, cheap)) {
-            const ServerIndex server = pool.candidates(request.target)[position].server;
-            const Penalty penalty = this->penalty(pool, request, server, now);
-            if (best == noServer
-                || std::tuple(penalty.level, penalty.expectedTokens) < std::tuple(least.level, least.expectedTokens)) {
-                best = server;
-                least = penalty;
-            }
+    std::size_t equals = 0;
+    // A run of neighbours from a random start: the lists are in no order that means anything.
+    std::size_t place = this->random() % count;
+    for (std::size_t i = 0; i < draws; ++i, place = place + 1 == count ? 0 : place + 1) {
+        const std::uint32_t position = place < reliable.size() ? reliable[place] : cheap[place - reliable.size()];
+        const ServerIndex server = pool.candidates(request.target)[position].server;
+        const Penalty penalty = this->penalty(pool, request, server, now);
+        if (best == noServer || penalty < least) {
+            best = server;
+            least = penalty;
+            equals = 1;
+        } else if (penalty == least && ++equals == 2 && expectedTokens(pool.server(server)) < expectedTokens(pool.server(best))) {
+            best = server;
         }
     }
     return best;
@@ -163,7 +152,7 @@
     if (pool.isStraggler(server, now)) {
         level += 2;
     }
-    return Penalty{level, expectedTokens(state)};
+    return Penalty{level, state.inFlight * state.slowdown / std::max(state.slots, 1U)};
 }
 
 } // namespace flamingosaddle
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -106,6 +106,11 @@
     this->rebuildTargets();
 }
 
+void ServerPool::setSpeedJudged(bool judged)
+{
+    this->speedJudged = judged;
+}
+
 void ServerPool::setInstanceCount(std::uint32_t count)
 {
     this->instanceCount = count;
@@ -114,7 +119,11 @@
 
 void ServerPool::acquire(ServerIndex index, TargetIndex target, double tokens)
 {
-    this->servers[index].ownTokens += tokens;
+    ServerState &state = this->servers[index];
+    if (state.slowdown >= stragglerSlowdown && state.inFlight == 0) {
+        state.probeWait = std::min(2 * state.probeWait, longestProbeWait);
+    }
+    state.ownTokens += tokens;
     this->changeInFlight(index, target, 1);
 }
 
--- a/src/traffic/serverpoolspeed.cpp
+++ b/src/traffic/serverpoolspeed.cpp
@@ -38,7 +38,7 @@
 bool ServerPool::isStraggler(ServerIndex index, TimePoint now) const
 {
     const ServerState &state = this->servers[index];
-    const bool probeDue = state.inFlight == 0 && now - state.measuredAt >= probeInterval;
+    const bool probeDue = state.inFlight == 0 && now - state.measuredAt >= state.probeWait;
     return state.slowdown >= stragglerSlowdown && !probeDue;
 }
 
@@ -48,7 +48,7 @@
     state.measuredAt = now;
     for (const ServerPlace &place : state.places) {
         Target &target = this->targets[place.target];
-        if (++target.observations >= 2 * target.candidates.size()) {
+        if (++target.observations >= 2 * target.candidates.size() && this->speedJudged) {
             target.observations = 0;
             this->judge(place.target);
         }
@@ -69,6 +69,7 @@
         const bool streams = state.interTokenSeconds.count() >= minSamples;
         const double slow = streams ? ratio(state.interTokenSeconds, interToken) : ratio(state.firstTokenSeconds, firstToken);
         state.slowdown = std::max(1.0, slow);
+        state.probeWait = state.slowdown < stragglerSlowdown ? Duration() : std::max(state.probeWait, firstProbeWait);
         this->refresh(candidate.server);
     }
 }
--- a/tests/traffic/invariants_test.cpp
+++ b/tests/traffic/invariants_test.cpp
@@ -48,6 +48,7 @@
 {
     WorldSettings settings;
     settings.options.maxWaiting = 4;
+    settings.options.reservePercent = 0;
     settings.floorShare = 0.2;
     settings.firstTokenTarget = std::chrono::hours(1);
     checkAnySteps(settings);
