--- a/cmake/FlamingosaddleTargets.cmake
+++ b/cmake/FlamingosaddleTargets.cmake
@@ -35,6 +35,8 @@
         set(ARG_TIMEOUT 60)
     endif()
     add_executable(${name} ${ARG_SOURCES})
+    # Tests compile faster this way; what they test keeps its own options.
+    target_compile_options(${name} PRIVATE $<$<CONFIG:Release>:-O1>)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} rapidcheck GTest::gtest GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=1" TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
--- a/tests/platform/httpplatform_test.cpp
+++ b/tests/platform/httpplatform_test.cpp
@@ -126,13 +126,37 @@
     EXPECT_EQ(platform.seen.target, "/data-centres/a%2F..%2Fb/machines");
 }
 
+namespace
+{
+
+Duration leaseHeld()
+{
+    return std::chrono::seconds(60);
+}
+
+Duration leaseOver()
+{
+    return Duration::zero();
+}
+
+} // namespace
+
+TEST(HttpPlatform, SendsNeitherOrderNorReportOnceTheLeaseIsOver)
+{
+    FixedPlatform platform;
+    platform.response = jsonResponse(200, "{}");
+    EXPECT_EQ(platform.await(platform.client().order(PlatformOrder{}, leaseOver)).error().kind(), ErrorKind::Cancelled);
+    EXPECT_EQ(platform.await(platform.client().reportUsage(UsageReport{}, leaseOver)).error().kind(), ErrorKind::Cancelled);
+    EXPECT_EQ(platform.seen.target, "/"); // nothing arrived
+}
+
 TEST(HttpPlatform, TellsARefusedOrderFromAnUnknownOne)
 {
     FixedPlatform platform;
     platform.response = jsonResponse(409, "{}");
-    EXPECT_EQ(platform.await(platform.client().order(PlatformOrder{})).error().kind(), ErrorKind::Refused);
+    EXPECT_EQ(platform.await(platform.client().order(PlatformOrder{}, leaseHeld)).error().kind(), ErrorKind::Refused);
     platform.response = jsonResponse(503, "{}");
-    EXPECT_EQ(platform.await(platform.client().reportUsage(UsageReport{})).error().kind(), ErrorKind::Unavailable);
+    EXPECT_EQ(platform.await(platform.client().reportUsage(UsageReport{}, leaseHeld)).error().kind(), ErrorKind::Unavailable);
     platform.response = jsonResponse(200, "<html>");
     EXPECT_EQ(platform.await(platform.client().instances()).error().kind(), ErrorKind::Protocol);
 }
