Fewer coroutine frames and one decision less for each relayed piece

Profile (perf, router thread, paced streams): two thirds of the time in the kernel's TCP, a third here: six coroutine frames and a first-token decision for every piece. Now three frames and one decision.

Ruled out: waiting for readability before reading, in place of the read that finds nothing (Asio 1.74 then calls epoll_ctl instead, one system call all the same).

--- a/benchmark/http/path_benchmark.cpp
+++ b/benchmark/http/path_benchmark.cpp
@@ -142,6 +142,7 @@
     measureFirstToken();
     measurePerToken();
     measureThroughput("paced", 120, 1, {400, std::chrono::milliseconds(10)});
+    measureThroughput("saturated", 400, 1, {400, std::chrono::milliseconds(10)});
     measureThroughput("unpaced", 32, 4, {20000, Duration::zero()});
     return 0;
 }
--- a/include/flamingosaddle/http/backendpool.h
+++ b/include/flamingosaddle/http/backendpool.h
@@ -55,6 +55,8 @@
     // Commands.
     /** As HttpConnection::readBody(). Fails with Cancelled when the caller goes. */
     boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout);
+    /** Gives the connection back after readBody() has answered false. */
+    void release();
 
 private:
     BackendPool &pool;
--- a/src/http/answerrelay.cpp
+++ b/src/http/answerrelay.cpp
@@ -69,12 +69,14 @@
     this->eventStream = true;
     SseSplitter splitter;
     std::string piece;
+    bool attemptBegun = false;
     while (true) {
         const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
         if (!more.has_value()) {
             co_return this->failed(more.error());
         }
         if (!more.value()) {
+            call.release();
             break;
         }
         const SseSplitter::Batch batch = splitter.feed(piece);
@@ -84,11 +86,24 @@
         if (batch.events.empty()) {
             continue;
         }
-        this->noteFirstToken(grant);
+        if (!attemptBegun) {
+            attemptBegun = true;
+            this->noteFirstToken(grant);
+        }
         if (batch.tokens > 0) {
             grant.tokens(batch.tokens);
         }
-        const Result<void> written = co_await this->passOn(call, batch.events);
+        if (!this->streamBegun) {
+            const Result<void> begun = co_await this->beginStream(call.head().status, this->answerHeaders(call.head().headers));
+            if (!begun.has_value()) {
+                co_return callerGone();
+            }
+        } else if (!this->midStreamNoted) {
+            this->midStreamNoted = true;
+            this->environment.step(RequestStep::MidStream);
+        }
+        this->keep(batch.events);
+        const Result<void> written = co_await this->exchange.writePiece(batch.events);
         if (!written.has_value()) {
             co_return callerGone();
         }
@@ -104,22 +119,11 @@
     co_return co_await this->endEvents();
 }
 
-asio::awaitable<Result<void>> AnswerRelay::passOn(const BackendCall &call, std::string_view piece)
+asio::awaitable<Result<void>> AnswerRelay::beginStream(int status, HttpHeaders headers)
 {
-    if (!this->streamBegun) {
-        this->streamBegun = true;
-        this->outcome.status = call.head().status;
-        const Result<void> begun
-            = co_await this->exchange.beginStream(call.head().status, this->answerHeaders(call.head().headers));
-        if (!begun.has_value()) {
-            co_return begun;
-        }
-    } else if (!this->midStreamNoted) {
-        this->midStreamNoted = true;
-        this->environment.step(RequestStep::MidStream);
-    }
-    this->keep(piece);
-    co_return co_await this->exchange.writePiece(piece);
+    this->streamBegun = true;
+    this->outcome.status = status;
+    co_return co_await this->exchange.beginStream(status, std::move(headers));
 }
 
 asio::awaitable<AttemptResult> AnswerRelay::endEvents()
@@ -127,11 +131,9 @@
     this->environment.step(RequestStep::LastByte);
     if (!this->streamBegun) {
         // A stream of the end mark alone.
-        this->streamBegun = true;
-        this->outcome.status = 200;
         HttpHeaders headers = this->callerHeaders;
         headers.set("Content-Type", std::string(eventStreamType));
-        const Result<void> begun = co_await this->exchange.beginStream(200, std::move(headers));
+        const Result<void> begun = co_await this->beginStream(200, std::move(headers));
         if (!begun.has_value()) {
             co_return callerGone();
         }
@@ -158,6 +160,7 @@
             co_return this->failed(more.error());
         }
         if (!more.value()) {
+            call.release();
             break;
         }
         response.body.append(piece);
@@ -195,9 +198,7 @@
 asio::awaitable<AttemptResult> AnswerRelay::relayLarge(BackendCall &call, HttpResponse begun)
 {
     this->keepsAnswer = false;
-    this->streamBegun = true;
-    this->outcome.status = begun.status;
-    Result<void> written = co_await this->exchange.beginStream(begun.status, std::move(begun.headers));
+    Result<void> written = co_await this->beginStream(begun.status, std::move(begun.headers));
     std::string piece = std::move(begun.body);
     while (written.has_value()) {
         written = co_await this->exchange.writePiece(piece);
@@ -206,6 +207,7 @@
             co_return this->failed(more.error());
         }
         if (!more.value()) {
+            call.release();
             this->environment.step(RequestStep::LastByte);
             written = co_await this->exchange.endStream();
             co_return written.has_value() ? answered() : callerGone();
--- a/src/http/answerrelay.h
+++ b/src/http/answerrelay.h
@@ -67,7 +67,7 @@
     boost::asio::awaitable<AttemptResult> relayLarge(BackendCall &call, HttpResponse begun);
     boost::asio::awaitable<AttemptResult> answerWhole(HttpResponse response);
     boost::asio::awaitable<AttemptResult> endEvents();
-    boost::asio::awaitable<Result<void>> passOn(const BackendCall &call, std::string_view piece);
+    boost::asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers);
 
     AttemptResult failed(const Error &error) const;
     bool isWorthRetry(int status) const;
--- a/src/http/backendpool.cpp
+++ b/src/http/backendpool.cpp
@@ -61,19 +61,16 @@
 
 asio::awaitable<Result<bool>> BackendCall::readBody(std::string &piece, Duration timeout)
 {
-    if (!this->connection) {
-        co_return false;
-    }
-    Result<bool> more = co_await this->connection->readBody(piece, timeout);
-    if (more.has_value() && more.value()) {
-        co_return more;
-    }
+    // Without a coroutine of its own: this runs for each piece of a stream.
+    return this->connection->readBody(piece, timeout);
+}
+
+void BackendCall::release()
+{
     this->listener.reset();
-    std::unique_ptr<HttpConnection> ended = std::move(this->connection);
-    if (more.has_value() && ended->isReusable()) {
-        this->pool.putIdle(this->endpoint, std::move(ended));
+    if (this->connection->isReusable()) {
+        this->pool.putIdle(this->endpoint, std::move(this->connection));
     }
-    co_return more;
 }
 
 BackendPool::BackendPool(BackendPoolOptions options)
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -166,18 +166,16 @@
     co_return done();
 }
 
-asio::awaitable<Result<void>> ClientConnection::readMore(Duration timeout)
+Result<void> ClientConnection::takeRead(const boost::system::error_code &error, std::size_t count)
 {
-    boost::system::error_code error;
-    this->watchdog.arm(timeout);
-    const std::size_t count
-        = co_await this->socket.async_read_some(asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
-    this->watchdog.disarm();
     if (error) {
-        co_return fail(this->failure(error));
+        const Error reason = this->failure(error);
+        this->watchdog.disarm();
+        return fail(reason);
     }
+    this->watchdog.disarm();
     this->input.append(this->readBuffer.data(), count);
-    co_return done();
+    return done();
 }
 
 Result<void> ClientConnection::parseInput()
@@ -214,6 +212,7 @@
 
 asio::awaitable<Result<HttpResponseHead>> ClientConnection::readHead(Duration timeout)
 {
+    boost::system::error_code error;
     while (true) {
         if (!this->parser) {
             this->parser = std::make_unique<Parser>();
@@ -232,7 +231,10 @@
             }
             continue;
         }
-        const Result<void> read = co_await this->readMore(timeout);
+        this->watchdog.arm(timeout);
+        const std::size_t count = co_await this->socket.async_read_some(
+            asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
+        const Result<void> read = this->takeRead(error, count);
         if (!read.has_value()) {
             co_return fail(read.error());
         }
@@ -243,6 +245,7 @@
 
 asio::awaitable<Result<bool>> ClientConnection::readBody(std::string &piece, Duration timeout)
 {
+    boost::system::error_code error;
     piece.clear();
     if (!this->parser || !this->parser->is_header_done()) {
         co_return fail(ErrorKind::Internal, "the head of the answer was not read", "call readHead() first");
@@ -261,7 +264,10 @@
             this->wholeAnswer = true;
             co_return false;
         }
-        const Result<void> read = co_await this->readMore(timeout);
+        this->watchdog.arm(timeout);
+        const std::size_t count = co_await this->socket.async_read_some(
+            asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
+        const Result<void> read = this->takeRead(error, count);
         if (!read.has_value()) {
             co_return fail(read.error());
         }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -37,7 +37,7 @@
     static constexpr std::size_t readBytes = std::size_t{16} * 1024;
 
     std::string headOf(const HttpRequest &request) const;
-    boost::asio::awaitable<Result<void>> readMore(Duration timeout);
+    Result<void> takeRead(const boost::system::error_code &error, std::size_t count);
     Result<void> parseInput();
     Error failure(const boost::system::error_code &error) const;
     bool finishHead();
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -236,7 +236,16 @@
         this->heldBack.body.append(piece);
         co_return done();
     }
-    co_return co_await this->write(this->chunk(piece));
+    // As write(), without a coroutine of its own: this runs for each piece of a stream.
+    const Buffers buffers = this->chunk(piece);
+    const Result<std::size_t> written = this->writeNow(buffers);
+    if (!written.has_value()) {
+        co_return fail(written.error());
+    }
+    if (written.value() == asio::buffer_size(buffers)) {
+        co_return done();
+    }
+    co_return co_await this->writeRest(buffers, written.value());
 }
 
 asio::awaitable<Result<void>> ServerConnection::endStream()
@@ -252,22 +261,31 @@
     co_return co_await this->write(gather(streamEnd));
 }
 
-asio::awaitable<Result<void>> ServerConnection::write(Buffers buffers)
+Result<std::size_t> ServerConnection::writeNow(const Buffers &buffers)
 {
     if (this->gone) {
-        co_return callerGone();
+        return callerGone();
     }
-    // The socket mostly takes everything at once; then nothing has to wait for the reactor.
     boost::system::error_code error;
     const std::size_t written = this->socket.write_some(buffers, error);
-    if (!error && written == asio::buffer_size(buffers)) {
-        co_return done();
-    }
     if (error && error != asio::error::would_block) {
         this->closeNow();
-        co_return callerGone();
+        return callerGone();
+    }
+    return written;
+}
+
+asio::awaitable<Result<void>> ServerConnection::write(Buffers buffers)
+{
+    // The socket mostly takes everything at once; then nothing has to wait for the reactor.
+    const Result<std::size_t> written = this->writeNow(buffers);
+    if (!written.has_value()) {
+        co_return fail(written.error());
+    }
+    if (written.value() == asio::buffer_size(buffers)) {
+        co_return done();
     }
-    co_return co_await this->writeRest(buffers, written);
+    co_return co_await this->writeRest(buffers, written.value());
 }
 
 asio::awaitable<Result<void>> ServerConnection::writeRest(Buffers buffers, std::size_t written)
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -107,6 +107,7 @@
     boost::asio::awaitable<void> runHandler();
     boost::asio::awaitable<void> refuse(const Error &error);
     boost::asio::awaitable<void> lingeringClose();
+    Result<std::size_t> writeNow(const Buffers &buffers);
     boost::asio::awaitable<Result<void>> write(Buffers buffers);
     boost::asio::awaitable<Result<void>> writeRest(Buffers buffers, std::size_t written);
     std::string headOf(int status, HttpHeaders headers, std::optional<std::size_t> contentLength);
--- a/tests/http/backendpool_test.cpp
+++ b/tests/http/backendpool_test.cpp
@@ -71,6 +71,9 @@
             EXPECT_TRUE(read.has_value());
             more = read.has_value() && read.value();
         }
+        if (readBody) {
+            call.release();
+        }
         co_return std::nullopt;
     }
 };
