A holder whose lease lapsed claims it again without the follower's wait

A holder whose renewal came late had to wait as long as a follower although the log names it, so that nobody held the role meanwhile (with the defaults 15 s). Nobody else can hold the role while the log names this process; the claim gets a new epoch and is refused, as any, when another record of the role comes first.

--- a/include/flamingosaddle/state/leaseholder.h
+++ b/include/flamingosaddle/state/leaseholder.h
@@ -26,8 +26,8 @@
     // Commands.
 
     /**
-     * A claim to append, when @p table permits one and no claim of this process is under way. The lease's time starts
-     * at @p now. @p sequence names the record.
+     * A claim to append, when @p table permits one or names this process as the holder, whose lease has lapsed, and no
+     * claim of this process is under way. The lease's time starts at @p now. @p sequence names the record.
      */
     std::optional<LeaseRecord> claim(const LeaseTable &table, std::uint64_t sequence, TimePoint now);
 
--- a/src/state/leaseholder.cpp
+++ b/src/state/leaseholder.cpp
@@ -38,12 +38,14 @@
 std::optional<LeaseRecord> LeaseHolder::claim(const LeaseTable &table, std::uint64_t sequence, TimePoint now)
 {
     const bool isUnderWay = this->claimSent.has_value() && now < *this->claimSent + this->timing.duration;
-    if (isUnderWay || this->isHeld(now) || !table.mayClaim(this->role, now)) {
+    const Lease *present = table.find(this->role);
+    // Nobody else can hold the role while the log names this process, so its own lapsed lease needs no wait.
+    const bool isOwn = present != nullptr && present->holder == this->self;
+    if (isUnderWay || this->isHeld(now) || !(isOwn || table.mayClaim(this->role, now))) {
         return std::nullopt;
     }
     this->drop();
     LeaseRecord record = this->makeRecord(LeaseRecordKind::Claim, sequence);
-    const Lease *present = table.find(this->role);
     record.revision = present == nullptr ? 0 : present->revision;
     this->remember(sequence, now);
     this->claimSent = now;
--- a/tests/state/lease_test.cpp
+++ b/tests/state/lease_test.cpp
@@ -176,6 +176,17 @@
     EXPECT_TRUE(this->other.isHeld(this->now));
 }
 
+TEST_F(LeaseTest, AHolderWhoseLeaseLapsedClaimsItAgainWithoutAWaitUnderANewEpoch)
+{
+    this->readHead();
+    this->append(this->holder.claim(this->table, 1, this->now));
+    this->now += 11s;
+    EXPECT_FALSE(this->other.claim(this->table, 1, this->now).has_value());
+    this->append(this->holder.claim(this->table, 2, this->now));
+    EXPECT_EQ(this->holder.remaining(this->now), 10s);
+    EXPECT_EQ(this->holder.epoch(), 2U);
+}
+
 TEST_F(LeaseTest, ASnapshotKeepsTheLeasesAndStartsTheWaitAnew)
 {
     this->readHead();
