--- a/benchmark/traffic/simulation.h
+++ b/benchmark/traffic/simulation.h
@@ -141,6 +141,7 @@
         std::vector<QueuePressure> pressures; // by instance
     };
 
+    static BackendServerId serverId(std::uint32_t number);
     void addServers();
     bool unfinished() const;
     void schedule(TimePoint at, EventKind kind, std::uint32_t request, std::uint32_t tokens = 0);
--- /dev/null
+++ b/benchmark/traffic/simulationexchange.cpp
@@ -0,0 +1,96 @@
+// What the simulated instances tell each other, and what is noted of the run.
+
+#include "simulation.h"
+
+#include <algorithm>
+
+namespace flamingosaddle::simulation
+{
+
+namespace
+{
+
+constexpr Duration wordAge = std::chrono::seconds(2);
+
+} // namespace
+
+BackendServerId Simulation::serverId(std::uint32_t number)
+{
+    return BackendServerId("s" + std::to_string(number));
+}
+
+void Simulation::exchange()
+{
+    Word word;
+    word.at = this->now;
+    for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
+        Dispatcher &dispatcher = *this->instances[from].dispatcher;
+        std::vector<std::uint32_t> &inFlight = word.inFlight.emplace_back();
+        for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
+            inFlight.push_back(dispatcher.inFlight(Simulation::serverId(server)));
+        }
+        dispatcher.takeService(word.services.emplace_back());
+        QueuePressure &pressure = word.pressures.emplace_back();
+        pressure.instance = InstanceId(std::to_string(from));
+        pressure.model = ModelName("model");
+        pressure.measuredAt = this->now;
+        dispatcher.pressure(pressure.model, pressure.service, this->now, pressure.waits);
+    }
+    this->words.push_back(std::move(word));
+    if (this->words.front().at + wordAge > this->now) {
+        return;
+    }
+    const Word old = std::move(this->words.front());
+    this->words.pop_front();
+    for (std::uint32_t to = 0; to < this->settings.instances; ++to) {
+        this->tell(old, to);
+        this->dispatch(to);
+    }
+}
+
+void Simulation::tell(const Word &word, std::uint32_t to)
+{
+    Instance &instance = this->instances[to];
+    for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
+        ServerReport report{Simulation::serverId(server), 0, 0, word.at};
+        for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
+            report.peersInFlight += from == to ? 0 : word.inFlight[from][server];
+        }
+        instance.dispatcher->report(report);
+    }
+    instance.peers.clear();
+    for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
+        if (from == to) {
+            continue;
+        }
+        instance.peers.push_back(word.pressures[from]);
+        for (const ServiceReport &service : word.services[from]) {
+            instance.dispatcher->notePeerService(service);
+        }
+    }
+}
+
+void Simulation::noteStart(int tier)
+{
+    std::uint64_t &last = this->lastStart[tier];
+    std::uint64_t &longest = this->results.longestGap[tier];
+    longest = std::max(longest, this->results.attempts - last);
+    last = this->results.attempts;
+}
+
+void Simulation::sampleLoad()
+{
+    double busiest = 0.0;
+    double sum = 0.0;
+    for (const FakeEngine &engine : this->engines) {
+        const double load = static_cast<double>(engine.running + engine.waiting.size());
+        busiest = std::max(busiest, load);
+        sum += load;
+    }
+    if (sum > 0.0) {
+        this->results.meanPeakLoad += busiest * this->settings.servers / sum;
+        ++this->loadSamples;
+    }
+}
+
+} // namespace flamingosaddle::simulation
--- a/include/flamingosaddle/traffic/fairqueue.h
+++ b/include/flamingosaddle/traffic/fairqueue.h
@@ -137,6 +137,11 @@
     using GroupIndex = std::uint32_t;
     using FlowIndex = std::uint32_t;
 
+    struct ActiveFlow {
+        FlowIndex flow = 0;
+        ShareIndex share = 0;
+    };
+
     // The requests of one class at one target, all on time or all late.
     struct Group {
         TargetIndex target = 0;
@@ -146,7 +151,7 @@
         bool cheapAllowed = true;
         std::uint32_t waiting = 0;
         std::uint32_t flowCount = 0;
-        std::vector<FlowIndex> active; // flows with waiting requests
+        std::vector<ActiveFlow> active; // flows with waiting requests
     };
 
     // The requests of one client account in one group, oldest first.
@@ -178,11 +183,11 @@
     void link(FlowIndex flow, RequestIndex request);
     void unlink(RequestIndex request);
     bool canStart(const Group &group, Availability available) const;
-    bool isBetter(FlowIndex left, FlowIndex right) const;
-    void improve(const Group &group, std::optional<FlowIndex> &best) const;
-    std::optional<FlowIndex> dueFlow(const Target &target, Availability available) const;
-    std::optional<FlowIndex> nextFlow(const Target &target, Availability available) const;
-    std::optional<FlowIndex> flowByPolicy(const Target &target, Availability available) const;
+    bool isEarlier(FlowIndex left, FlowIndex right) const;
+    void improve(const Group &group, std::optional<ActiveFlow> &best) const;
+    std::optional<ActiveFlow> dueFlow(const Target &target, Availability available) const;
+    std::optional<ActiveFlow> nextFlow(const Target &target, Availability available) const;
+    std::optional<ActiveFlow> flowByPolicy(const Target &target, Availability available) const;
     void makeLate(RequestIndex request);
 
     ServeBefore before;
--- a/include/flamingosaddle/traffic/fairshares.h
+++ b/include/flamingosaddle/traffic/fairshares.h
@@ -31,6 +31,8 @@
     LaneIndex lane(TargetIndex target, int tier);
     ShareIndex share(LaneIndex lane, AccountIndex account, double weight);
 
+    void setWeight(ShareIndex share, double weight);
+
     void addWaiting(ShareIndex share);
     void removeWaiting(ShareIndex share);
 
@@ -56,7 +58,7 @@
 
     double counter(ShareIndex share) const
     {
-        return this->shares[share].counter;
+        return this->counters[share];
     }
 
     AccountIndex account(ShareIndex share) const
@@ -113,7 +115,6 @@
     };
 
     struct Share {
-        double counter = 0.0;
         double weight = 1.0;
         LaneIndex lane = 0;
         AccountIndex account = 0;
@@ -124,6 +125,7 @@
 
     std::vector<Lane> lanes;
     std::vector<Share> shares;
+    std::vector<double> counters; // by share; apart from the rest, since the choice of the next request reads many
     std::vector<ShareIndex> unreportedShares;
     std::unordered_map<std::uint64_t, LaneIndex> laneIndices;
     std::unordered_map<std::uint64_t, ShareIndex> shareIndices;
--- a/include/flamingosaddle/traffic/selection.h
+++ b/include/flamingosaddle/traffic/selection.h
@@ -66,7 +66,11 @@
         int level = 0;
         double ownLoad = 0.0; // requests per slot
 
-        friend auto operator<=>(const Penalty &, const Penalty &) = default;
+        friend bool operator==(const Penalty &, const Penalty &) = default;
+        friend bool operator<(const Penalty &left, const Penalty &right)
+        {
+            return left.level != right.level ? left.level < right.level : left.ownLoad < right.ownLoad;
+        }
     };
 
     ServerIndex byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
--- a/src/traffic/fairqueue.cpp
+++ b/src/traffic/fairqueue.cpp
@@ -56,7 +56,7 @@
     }
     const Target &target = this->targets[index];
     while (target.waiting > 0) {
-        std::optional<FlowIndex> flow;
+        std::optional<ActiveFlow> flow;
         if (this->before) {
             flow = this->flowByPolicy(target, available);
         } else {
@@ -66,7 +66,7 @@
         if (!flow.has_value()) {
             return std::nullopt;
         }
-        const RequestIndex request = this->flows[*flow].head;
+        const RequestIndex request = this->flows[flow->flow].head;
         const QueueEntry &entry = this->nodes[request].entry;
         if (!this->before && !entry.late && entry.lateAt <= now) {
             this->makeLate(request);
@@ -117,7 +117,7 @@
         for (const GroupIndex index : this->targets[target].groups) {
             const Group &group = this->groups[index];
             if (group.cheapAllowed == cheapAllowed && group.waiting > 0) {
-                return this->flows[group.active.front()].head;
+                return this->flows[group.active.front().flow].head;
             }
         }
     }
@@ -140,9 +140,9 @@
         if (group.tier <= tier || (target.has_value() && group.target != *target)) {
             continue;
         }
-        for (const FlowIndex flow : group.active) {
-            if (!victim.has_value() || rank(flow) > rank(*victim)) {
-                victim = flow;
+        for (const ActiveFlow &active : group.active) {
+            if (!victim.has_value() || rank(active.flow) > rank(*victim)) {
+                victim = active.flow;
             }
         }
     }
@@ -160,11 +160,10 @@
         if (group.target != this->fairShares.laneTarget(lane) || group.tier != this->fairShares.laneTier(lane)) {
             continue;
         }
-        for (const FlowIndex flow : group.active) {
-            const ShareIndex other = this->flows[flow].share;
-            if (other != share && length(other) > longest) {
-                longest = length(other);
-                victim = flow;
+        for (const ActiveFlow &active : group.active) {
+            if (active.share != share && length(active.share) > longest) {
+                longest = length(active.share);
+                victim = active.flow;
             }
         }
     }
@@ -196,13 +195,14 @@
 
 FairQueue::FlowIndex FairQueue::flowOf(GroupIndex group, const QueueEntry &entry)
 {
-    const LaneIndex lane = this->fairShares.lane(entry.target, entry.tier);
-    const ShareIndex share = this->fairShares.share(lane, entry.account, entry.weight);
     const std::uint64_t key = (static_cast<std::uint64_t>(group) << 32) | entry.account;
     const auto found = this->flowIndices.find(key);
     if (found != this->flowIndices.end()) {
+        this->fairShares.setWeight(this->flows[found->second].share, entry.weight);
         return found->second;
     }
+    const LaneIndex lane = this->fairShares.lane(entry.target, entry.tier);
+    const ShareIndex share = this->fairShares.share(lane, entry.account, entry.weight);
     const auto index = static_cast<FlowIndex>(this->flows.size());
     this->flows.push_back(Flow{group, share, noRequest, noRequest, 0, 0});
     this->flowIndices.emplace(key, index);
@@ -229,7 +229,7 @@
     if (flow.waiting == 0) {
         flow.head = request;
         flow.activePosition = static_cast<std::uint32_t>(group.active.size());
-        group.active.push_back(index);
+        group.active.push_back(ActiveFlow{index, flow.share});
     } else {
         this->nodes[flow.tail].next = request;
     }
@@ -254,9 +254,9 @@
         this->fairShares.removeOnTime(flow.share);
     }
     if (flow.waiting == 0) {
-        const FlowIndex moved = group.active.back();
+        const ActiveFlow moved = group.active.back();
         group.active[flow.activePosition] = moved;
-        this->flows[moved].activePosition = flow.activePosition;
+        this->flows[moved.flow].activePosition = flow.activePosition;
         group.active.pop_back();
     }
 }
@@ -266,28 +266,26 @@
     return group.waiting > 0 && (available.reliable || (available.cheap && group.cheapAllowed));
 }
 
-bool FairQueue::isBetter(FlowIndex left, FlowIndex right) const
+bool FairQueue::isEarlier(FlowIndex left, FlowIndex right) const
 {
-    const double leftCounter = this->fairShares.counter(this->flows[left].share);
-    const double rightCounter = this->fairShares.counter(this->flows[right].share);
-    if (leftCounter != rightCounter) {
-        return leftCounter < rightCounter;
-    }
     const QueueEntry &first = this->nodes[this->flows[left].head].entry;
     const QueueEntry &second = this->nodes[this->flows[right].head].entry;
     return std::tuple(first.late, first.arrival) < std::tuple(second.late, second.arrival);
 }
 
-void FairQueue::improve(const Group &group, std::optional<FlowIndex> &best) const
+void FairQueue::improve(const Group &group, std::optional<ActiveFlow> &best) const
 {
-    for (const FlowIndex flow : group.active) {
-        if (!best.has_value() || this->isBetter(flow, *best)) {
-            best = flow;
+    double least = best.has_value() ? this->fairShares.counter(best->share) : std::numeric_limits<double>::infinity();
+    for (const ActiveFlow &active : group.active) {
+        const double counter = this->fairShares.counter(active.share);
+        if (counter < least || (counter == least && best.has_value() && this->isEarlier(active.flow, best->flow))) {
+            best = active;
+            least = counter;
         }
     }
 }
 
-std::optional<FairQueue::FlowIndex> FairQueue::dueFlow(const Target &target, Availability available) const
+std::optional<FairQueue::ActiveFlow> FairQueue::dueFlow(const Target &target, Availability available) const
 {
     const auto startable = [&](GroupIndex index, ClassIndex requestClass) {
         return this->groups[index].requestClass == requestClass && this->canStart(this->groups[index], available);
@@ -297,7 +295,7 @@
             return startable(index, requestClass);
         });
     });
-    std::optional<FlowIndex> best;
+    std::optional<ActiveFlow> best;
     for (const GroupIndex index : target.groups) {
         if (due != FloorCredits::none && startable(index, due)) {
             this->improve(this->groups[index], best);
@@ -306,9 +304,9 @@
     return best;
 }
 
-std::optional<FairQueue::FlowIndex> FairQueue::nextFlow(const Target &target, Availability available) const
+std::optional<FairQueue::ActiveFlow> FairQueue::nextFlow(const Target &target, Availability available) const
 {
-    std::optional<FlowIndex> best;
+    std::optional<ActiveFlow> best;
     const Group *level = nullptr;
     for (const GroupIndex index : target.groups) {
         const Group &group = this->groups[index];
@@ -326,9 +324,9 @@
     return best;
 }
 
-std::optional<FairQueue::FlowIndex> FairQueue::flowByPolicy(const Target &target, Availability available) const
+std::optional<FairQueue::ActiveFlow> FairQueue::flowByPolicy(const Target &target, Availability available) const
 {
-    std::optional<FlowIndex> best;
+    std::optional<ActiveFlow> best;
     const auto head = [this](FlowIndex index) {
         const Flow &flow = this->flows[index];
         const QueueEntry &entry = this->nodes[flow.head].entry;
@@ -339,9 +337,9 @@
         if (!this->canStart(group, available)) {
             continue;
         }
-        for (const FlowIndex flow : group.active) {
-            if (!best.has_value() || this->before(head(flow), head(*best))) {
-                best = flow;
+        for (const ActiveFlow &active : group.active) {
+            if (!best.has_value() || this->before(head(active.flow), head(best->flow))) {
+                best = active;
             }
         }
     }
--- a/src/traffic/fairshares.cpp
+++ b/src/traffic/fairshares.cpp
@@ -32,29 +32,35 @@
 
 ShareIndex FairShares::share(LaneIndex lane, AccountIndex account, double weight)
 {
-    const double usedWeight = std::max(weight, minWeight);
     const std::uint64_t key = pairKey(lane, account);
     const auto found = this->shareIndices.find(key);
     if (found != this->shareIndices.end()) {
-        Share &share = this->shares[found->second];
-        if (share.onTime > 0) {
-            this->lanes[lane].onTimeWeight += usedWeight - share.weight;
-        }
-        share.weight = usedWeight;
+        this->setWeight(found->second, weight);
         return found->second;
     }
     const auto index = static_cast<ShareIndex>(this->shares.size());
-    this->shares.push_back(Share{this->lanes[lane].virtualTime, usedWeight, lane, account, 0, 0, 0});
+    this->shares.push_back(Share{std::max(weight, minWeight), lane, account, 0, 0, 0});
+    this->counters.push_back(this->lanes[lane].virtualTime);
     this->unreportedShares.reserve(this->shares.capacity());
     this->shareIndices.emplace(key, index);
     return index;
 }
 
+void FairShares::setWeight(ShareIndex index, double weight)
+{
+    Share &share = this->shares[index];
+    const double usedWeight = std::max(weight, minWeight);
+    if (share.onTime > 0) {
+        this->lanes[share.lane].onTimeWeight += usedWeight - share.weight;
+    }
+    share.weight = usedWeight;
+}
+
 void FairShares::addWaiting(ShareIndex index)
 {
     Share &share = this->shares[index];
     if (share.waiting == 0) {
-        share.counter = std::max(share.counter, this->lanes[share.lane].virtualTime);
+        this->counters[index] = std::max(this->counters[index], this->lanes[share.lane].virtualTime);
     }
     ++share.waiting;
 }
@@ -93,13 +99,12 @@
 {
     const Share &share = this->shares[index];
     Lane &lane = this->lanes[share.lane];
-    lane.virtualTime = std::max(lane.virtualTime, share.counter);
+    lane.virtualTime = std::max(lane.virtualTime, this->counters[index]);
 }
 
 void FairShares::charge(ShareIndex index, double tokens)
 {
-    Share &share = this->shares[index];
-    share.counter += tokens / share.weight;
+    this->counters[index] += tokens / this->shares[index].weight;
 }
 
 void FairShares::noteServed(ShareIndex index, std::uint64_t tokens)
@@ -113,9 +118,10 @@
 
 void FairShares::notePeerService(ShareIndex index, std::uint64_t tokens)
 {
-    Share &share = this->shares[index];
-    const double limit = std::max(share.counter, this->lanes[share.lane].virtualTime + maxPeerLead);
-    share.counter = std::min(share.counter + static_cast<double>(tokens) / share.weight, limit);
+    const Share &share = this->shares[index];
+    double &counter = this->counters[index];
+    const double limit = std::max(counter, this->lanes[share.lane].virtualTime + maxPeerLead);
+    counter = std::min(counter + static_cast<double>(tokens) / share.weight, limit);
 }
 
 void FairShares::takeServed(const std::function<void(LaneIndex, ShareIndex, std::uint64_t)> &visit)
@@ -130,8 +136,7 @@
 
 double FairShares::lead(ShareIndex index) const
 {
-    const Share &share = this->shares[index];
-    return std::max(0.0, share.counter - this->lanes[share.lane].virtualTime);
+    return std::max(0.0, this->counters[index] - this->lanes[this->shares[index].lane].virtualTime);
 }
 
 } // namespace flamingosaddle
