Exchange between instances: frames, messages, server and link

Length-prefixed msgpack over TCP with a version byte. The length is checked before anything is read, and every unpack has limits, so that a frame that announces thousands of millions of elements asks for no memory. One connection for each direction: the link sends a hello, a greeting with all that may have been missed, and heartbeats; the server acknowledges each frame, so that both ends see a connection that went silent and close it. Frames count up from 0 on each connection, and an instance's connections count up too, so that a replayed frame and a replayed connection are refused; a message in the name of another instance is as well. Each refusal is counted and closes its connection only.

Backoff and delay() move from control to base, since peer needs them below control.

--- a/include/flamingosaddle/control/logtail.h
+++ b/include/flamingosaddle/control/logtail.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <flamingosaddle/base/backoff.h>
 #include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/control/backoff.h>
 #include <flamingosaddle/platform/platform.h>
 
 #include <boost/asio/awaitable.hpp>
--- /dev/null
+++ b/include/flamingosaddle/peer/frame.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <flamingosaddle/base/result.h>
+#include <flamingosaddle/peer/message.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/**
+ * Frames on a connection between instances: the length of what follows in four bytes, most significant first, one byte
+ * with the version of the protocol, and a msgpack array of the message's type, its sequence number and its fields.
+ */
+namespace flamingosaddle
+{
+
+struct PeerFrameFormat {
+    static constexpr std::uint8_t version = 1;
+    static constexpr std::size_t headerBytes = 4;
+    static constexpr std::size_t maxFrameBytes = std::size_t{2} << 20; ///< after the header
+};
+
+using PeerFrameHeader = std::array<unsigned char, PeerFrameFormat::headerBytes>;
+
+struct PeerFrame {
+    std::uint64_t sequence = 0; ///< counts the frames of one direction of a connection, from 0
+    PeerMessage message;
+
+    friend bool operator==(const PeerFrame &, const PeerFrame &) = default;
+};
+
+/**
+ * The whole frame with its header. Fails with TooLarge when it is over the limit: send the message in parts.
+ */
+Result<std::string> encodeFrame(const PeerFrame &frame);
+
+/**
+ * The number of bytes that follow the header. Fails with TooLarge or Protocol, before anything is read.
+ */
+Result<std::size_t> decodeFrameLength(const PeerFrameHeader &header);
+
+/**
+ * Reads what follows the header. Fails with Protocol for a foreign version and for anything that is no message. Never
+ * throws and never asks for more memory than a multiple of the frame's size, whatever the bytes.
+ */
+Result<PeerFrame> decodeFrame(std::string_view payload);
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/peer/message.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <flamingosaddle/base/id.h>
+#include <flamingosaddle/state/incarnation.h>
+#include <flamingosaddle/state/membership.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * What instances tell each other. No message holds a key, a digest of one, or another secret.
+ */
+namespace flamingosaddle
+{
+
+/**
+ * The first message on every connection: who speaks.
+ */
+struct HelloMessage {
+    Incarnation from;
+    DataCentre dataCentre;
+    std::uint64_t connection = 0; ///< counts the connections that the incarnation opened to this peer, from 1
+
+    friend bool operator==(const HelloMessage &, const HelloMessage &) = default;
+};
+
+struct TierPressure {
+    std::int32_t tier = 0;
+    std::uint32_t waiting = 0; ///< requests in the queue
+
+    friend bool operator==(const TierPressure &, const TierPressure &) = default;
+};
+
+struct ServerLoad {
+    BackendServerId server;
+    std::uint32_t inFlight = 0; ///< requests that the sender runs there
+
+    friend bool operator==(const ServerLoad &, const ServerLoad &) = default;
+};
+
+struct ServiceCount {
+    ClientAccountId clientAccount;
+    std::uint64_t tokens = 0; ///< served since the sender's last heartbeat
+
+    friend bool operator==(const ServiceCount &, const ServiceCount &) = default;
+};
+
+struct HeartbeatMessage {
+    Heartbeat member;
+    std::uint64_t configOffset = 0; ///< next offset of the config stream
+    std::vector<TierPressure> pressure;
+    std::vector<ServerLoad> loads;
+    std::vector<ServiceCount> services;
+
+    friend bool operator==(const HeartbeatMessage &, const HeartbeatMessage &) = default;
+};
+
+/**
+ * Keys that were withdrawn, perhaps before the log has the record.
+ */
+struct TombstonesMessage {
+    std::vector<KeyId> keys;
+
+    friend bool operator==(const TombstonesMessage &, const TombstonesMessage &) = default;
+};
+
+/**
+ * A backend server died while it ran the request of this fingerprint.
+ */
+struct DeathNotice {
+    std::uint64_t fingerprint = 0;
+    BackendServerId server;
+
+    friend bool operator==(const DeathNotice &, const DeathNotice &) = default;
+};
+
+/**
+ * A request that one death was seen of runs at the sender.
+ */
+struct SuspectNotice {
+    std::uint64_t fingerprint = 0;
+    std::chrono::milliseconds remaining{0}; ///< how long the notice holds, from its arrival on
+
+    friend bool operator==(const SuspectNotice &, const SuspectNotice &) = default;
+};
+
+struct QuarantinesMessage {
+    std::vector<DeathNotice> deaths;
+    std::vector<SuspectNotice> suspects;
+
+    friend bool operator==(const QuarantinesMessage &, const QuarantinesMessage &) = default;
+};
+
+struct ForwardedRecord {
+    std::uint64_t offset = 0;
+    std::string body;
+
+    friend bool operator==(const ForwardedRecord &, const ForwardedRecord &) = default;
+};
+
+/**
+ * Records of the config stream that the sender read from the log.
+ */
+struct ConfigRecordsMessage {
+    std::vector<ForwardedRecord> records;
+
+    friend bool operator==(const ConfigRecordsMessage &, const ConfigRecordsMessage &) = default;
+};
+
+/**
+ * A record of the usage stream, kept by the receiver until the log has it.
+ */
+struct UsageCopyMessage {
+    RecordId id;
+    std::string record;
+
+    friend bool operator==(const UsageCopyMessage &, const UsageCopyMessage &) = default;
+};
+
+/**
+ * The sender ends. What it holds is in the log or lost.
+ */
+struct LeaveMessage {
+    Incarnation from;
+
+    friend bool operator==(const LeaveMessage &, const LeaveMessage &) = default;
+};
+
+/**
+ * Sent back for each frame, so that the sender of it knows that the connection is alive.
+ */
+struct AckMessage {
+    std::uint64_t sequence = 0; ///< of the frame
+
+    friend bool operator==(const AckMessage &, const AckMessage &) = default;
+};
+
+using PeerMessage = std::variant<HelloMessage, HeartbeatMessage, TombstonesMessage, QuarantinesMessage, ConfigRecordsMessage,
+    UsageCopyMessage, LeaveMessage, AckMessage>;
+
+} // namespace flamingosaddle
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,10 +2,10 @@
 
 #include <flamingosaddle/app/adminhandler.h>
 #include <flamingosaddle/app/workerthreads.h>
+#include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/controller.h>
-#include <flamingosaddle/control/delay.h>
 #include <flamingosaddle/http/callerhandler.h>
 #include <flamingosaddle/http/keyregistry.h>
 #include <flamingosaddle/http/server.h>
--- a/src/control/backoff.cpp
+++ b/src/base/backoff.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/control/backoff.h>
+#include <flamingosaddle/base/backoff.h>
 
 #include <algorithm>
 
--- a/src/control/delay.cpp
+++ b/src/base/delay.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/delay.h>
 
 #include <flamingosaddle/base/timer.h>
 
--- a/src/cli/keycommands.cpp
+++ b/src/cli/keycommands.cpp
@@ -55,11 +55,8 @@
 bool wasGivenBefore(const ConfigState &config, const ChangeId &change, const ClientKey &key)
 {
     const auto result = config.resultOf(change);
-    if (!result.has_value() || result->outcome != ChangeOutcome::Accepted || config.isWithdrawn(key.digest)) {
-        return false;
-    }
-    const Revised<ClientKey> *inForce = config.findKey(key.id);
-    return inForce == nullptr || inForce->value.digest != key.digest;
+    const bool isAccepted = result.has_value() && result->outcome == ChangeOutcome::Accepted;
+    return isAccepted && !config.wasGiven(key.digest);
 }
 
 /**
--- a/src/cli/submitter.cpp
+++ b/src/cli/submitter.cpp
@@ -1,7 +1,7 @@
 #include <flamingosaddle/cli/submitter.h>
 
-#include <flamingosaddle/control/backoff.h>
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/backoff.h>
+#include <flamingosaddle/base/delay.h>
 
 #include <algorithm>
 #include <optional>
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,6 +1,6 @@
 #include <flamingosaddle/control/controller.h>
 
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/delay.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/control/leasekeeper.cpp
+++ b/src/control/leasekeeper.cpp
@@ -1,7 +1,7 @@
 #include <flamingosaddle/control/leasekeeper.h>
 
+#include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
-#include <flamingosaddle/control/delay.h>
 
 #include <utility>
 
--- a/src/control/snapshotkeeper.cpp
+++ b/src/control/snapshotkeeper.cpp
@@ -1,6 +1,6 @@
 #include <flamingosaddle/control/snapshotkeeper.h>
 
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/delay.h>
 
 #include <utility>
 
--- /dev/null
+++ b/src/peer/frame.cpp
@@ -0,0 +1,125 @@
+#include <flamingosaddle/peer/frame.h>
+
+#include "wire.h"
+
+#include <msgpack.hpp>
+
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::size_t maxDepth = 8;
+constexpr std::size_t maxElements = 65536;
+constexpr std::uint32_t frameFields = 3;
+constexpr unsigned bitsPerByte = 8;
+constexpr const char *versionRemedy = "run instances of neighbouring versions only; see docs/PROTOCOL.md";
+
+auto malformed(const std::string &complaint)
+{
+    return fail(ErrorKind::Protocol, complaint, versionRemedy);
+}
+
+/**
+ * The message of the alternative @p index.
+ */
+template <std::size_t alternative = 0>
+PeerMessage readMessage(std::size_t index, const msgpack::object &fields)
+{
+    if constexpr (alternative < std::variant_size_v<PeerMessage>) {
+        if (index == alternative) {
+            return wire::read<std::variant_alternative_t<alternative, PeerMessage>>(fields);
+        }
+        return readMessage<alternative + 1>(index, fields);
+    }
+    throw msgpack::type_error();
+}
+
+PeerFrame readFrame(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != frameFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *fields = object.via.array.ptr;
+    PeerFrame frame;
+    frame.sequence = fields[1].as<std::uint64_t>();
+    frame.message = readMessage(fields[0].as<std::size_t>(), fields[2]);
+    return frame;
+}
+
+void packFrame(msgpack::sbuffer &buffer, const PeerFrame &frame)
+{
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(frameFields);
+    packer.pack(frame.message.index());
+    packer.pack(frame.sequence);
+    const auto write = [&packer](const auto &message) {
+        wire::write(packer, message);
+    };
+    std::visit(write, frame.message);
+}
+
+std::string headerFor(std::size_t length)
+{
+    std::string header;
+    for (std::size_t i = PeerFrameFormat::headerBytes; i > 0; --i) {
+        header.push_back(static_cast<char>(length >> (bitsPerByte * (i - 1))));
+    }
+    return header;
+}
+
+} // namespace
+
+Result<std::string> encodeFrame(const PeerFrame &frame)
+{
+    msgpack::sbuffer buffer;
+    packFrame(buffer, frame);
+    const std::size_t length = buffer.size() + sizeof PeerFrameFormat::version;
+    if (length > PeerFrameFormat::maxFrameBytes) {
+        return fail(ErrorKind::TooLarge, "a peer message of " + std::to_string(length) + " bytes is over the limit",
+            "send it in several messages");
+    }
+    std::string bytes = headerFor(length);
+    bytes.push_back(static_cast<char>(PeerFrameFormat::version));
+    bytes.append(buffer.data(), buffer.size());
+    return bytes;
+}
+
+Result<std::size_t> decodeFrameLength(const PeerFrameHeader &header)
+{
+    std::size_t length = 0;
+    for (const unsigned char byte : header) {
+        length = (length << bitsPerByte) | byte;
+    }
+    if (length > PeerFrameFormat::maxFrameBytes) {
+        return fail(ErrorKind::TooLarge, "a peer announced a frame of " + std::to_string(length) + " bytes", versionRemedy);
+    }
+    if (length == 0) {
+        return malformed("a peer announced an empty frame");
+    }
+    return length;
+}
+
+Result<PeerFrame> decodeFrame(std::string_view payload)
+{
+    if (payload.empty() || static_cast<std::uint8_t>(payload.front()) != PeerFrameFormat::version) {
+        return malformed("a peer speaks another version of the protocol");
+    }
+    payload.remove_prefix(sizeof PeerFrameFormat::version);
+    const msgpack::unpack_limit limit(maxElements, 0, payload.size(), 0, 0, maxDepth);
+    try {
+        std::size_t offset = 0;
+        const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size(), offset, nullptr, nullptr, limit);
+        if (offset != payload.size()) {
+            return malformed("a peer sent bytes after the end of a message");
+        }
+        return readFrame(handle.get());
+    } catch (const std::exception &) {
+        return malformed("a peer sent a frame that holds no message");
+    }
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/peer/frameio.cpp
@@ -0,0 +1,111 @@
+#include "frameio.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+auto lost(const boost::system::error_code &error)
+{
+    return fail(ErrorKind::ConnectionLost, "the connection to a peer ended: " + error.message(), "it is opened again");
+}
+
+} // namespace
+
+SocketGuard::SocketGuard(PeerSocket socket)
+    : peerSocket(std::move(socket))
+    , timer(this->peerSocket.get_executor())
+{
+}
+
+void SocketGuard::closeAfter(Duration limit)
+{
+    const TimePoint before = this->deadline;
+    this->deadline = RuntimeClock::now() + limit;
+    // The watch looks again at the old deadline by itself.
+    if (this->deadline < before) {
+        this->timer.cancel();
+    }
+}
+
+void SocketGuard::close()
+{
+    this->open = false;
+    boost::system::error_code ignored;
+    this->peerSocket.close(ignored);
+    this->timer.cancel();
+}
+
+boost::asio::awaitable<void> SocketGuard::watch(std::shared_ptr<SocketGuard> guard)
+{
+    while (guard->open) {
+        if (RuntimeClock::now() >= guard->deadline) {
+            guard->timedOut = true;
+            guard->close();
+            break;
+        }
+        guard->timer.expires_at(guard->deadline);
+        boost::system::error_code ignored;
+        co_await guard->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+PeerSocket &SocketGuard::socket()
+{
+    return this->peerSocket;
+}
+
+bool SocketGuard::isOpen() const
+{
+    return this->open;
+}
+
+bool SocketGuard::isTimedOut() const
+{
+    return this->timedOut;
+}
+
+boost::asio::awaitable<Result<PeerFrame>> readFrame(SocketGuard &guard, std::size_t &bytes)
+{
+    PeerFrameHeader header{};
+    boost::system::error_code error;
+    co_await boost::asio::async_read(
+        guard.socket(), boost::asio::buffer(header), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error) {
+        co_return lost(error);
+    }
+    const Result<std::size_t> length = decodeFrameLength(header);
+    if (length.has_error()) {
+        co_return fail(length.error());
+    }
+    std::string payload(length.value(), '\0');
+    co_await boost::asio::async_read(
+        guard.socket(), boost::asio::buffer(payload), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error) {
+        co_return lost(error);
+    }
+    bytes = header.size() + payload.size();
+    co_return decodeFrame(payload);
+}
+
+boost::asio::awaitable<Result<void>> writeBytes(SocketGuard &guard, const std::string &bytes)
+{
+    boost::system::error_code error;
+    co_await boost::asio::async_write(
+        guard.socket(), boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error) {
+        co_return lost(error);
+    }
+    co_return done();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/peer/peerlink.cpp
@@ -0,0 +1,267 @@
+#include <flamingosaddle/peer/peerlink.h>
+
+#include "frameio.h"
+
+#include <flamingosaddle/base/backoff.h>
+#include <flamingosaddle/base/delay.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <string>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+} // namespace
+
+class PeerLink::Core
+{
+public:
+    Core(boost::asio::io_context &context, const PeerLinkOptions &options, PeerLinkHooks hooks)
+        : context(context)
+        , options(options)
+        , hooks(std::move(hooks))
+        , backoff(options.timing.firstRetryDelay, options.timing.longestRetryDelay, options.seed)
+        , wake(context)
+    {
+    }
+
+    /**
+     * Keeps a connection until stop().
+     */
+    static boost::asio::awaitable<void> run(std::shared_ptr<Core> core)
+    {
+        while (!core->stopped) {
+            const bool connected = co_await connect(core);
+            if (connected) {
+                boost::asio::co_spawn(core->context, readAcks(core, core->guard), boost::asio::detached);
+                co_await sendFrames(core, core->guard);
+                core->endConnection();
+            }
+            if (!core->stopped) {
+                co_await delay(core->backoff.next());
+            }
+        }
+    }
+
+    Result<void> send(PeerMessage message)
+    {
+        if (!this->established || !this->guard->isOpen()) {
+            return fail(ErrorKind::Unavailable, "there is no connection to " + this->options.peer.text(),
+                "the greeting of the next one brings it");
+        }
+        BOOST_OUTCOME_TRY(bytes, encodeFrame(PeerFrame{this->nextSequence, std::move(message)}));
+        if (this->queuedBytes + bytes.size() > this->options.timing.maxQueuedBytes) {
+            ++this->counts.overflows;
+            this->guard->close();
+            this->wake.cancel();
+            return fail(ErrorKind::Overloaded, "too much is waiting for " + this->options.peer.text(),
+                "the greeting of the next connection brings it");
+        }
+        ++this->nextSequence;
+        this->queuedBytes += bytes.size();
+        this->queue.push_back(std::move(bytes));
+        this->wake.cancel();
+        return done();
+    }
+
+    void stop()
+    {
+        this->stopped = true;
+        this->wake.cancel();
+        if (this->guard) {
+            this->guard->close();
+        }
+    }
+
+    bool isConnected() const
+    {
+        return this->established && this->guard->isOpen() && this->acknowledged;
+    }
+
+    const PeerLinkCounters &counters() const
+    {
+        return this->counts;
+    }
+
+private:
+    static boost::asio::awaitable<bool> connect(std::shared_ptr<Core> core)
+    {
+        auto guard = std::make_shared<SocketGuard>(tcp::socket(core->context));
+        core->guard = guard;
+        guard->closeAfter(core->options.timing.connectTimeout);
+        boost::asio::co_spawn(core->context, SocketGuard::watch(guard), boost::asio::detached);
+        const tcp::endpoint peer(boost::asio::ip::make_address(core->options.peer.address), core->options.peer.port);
+        boost::system::error_code error;
+        co_await guard->socket().async_connect(peer, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error || core->stopped) {
+            ++core->counts.failedConnects;
+            guard->close();
+            core->guard.reset();
+            co_return false;
+        }
+        guard->socket().set_option(tcp::no_delay(true), error);
+        guard->closeAfter(core->options.timing.silenceLimit());
+        core->beginConnection();
+        co_return true;
+    }
+
+    void beginConnection()
+    {
+        ++this->counts.connections;
+        this->established = true;
+        this->acknowledged = false;
+        this->nextSequence = 0;
+        this->nextHeartbeat = RuntimeClock::now();
+        this->queue.clear();
+        this->queuedBytes = 0;
+        this->sendOrClose(this->hooks.hello());
+        for (PeerMessage &message : this->hooks.greeting()) {
+            this->sendOrClose(std::move(message));
+        }
+    }
+
+    void endConnection()
+    {
+        this->counts.silent += this->guard->isTimedOut() ? 1 : 0;
+        this->guard->close();
+        this->guard.reset();
+        this->established = false;
+    }
+
+    /**
+     * A message that does not fit must not be left out silently: the peer would miss it for good.
+     */
+    void sendOrClose(PeerMessage message)
+    {
+        const Result<void> sent = this->send(std::move(message));
+        if (sent.has_error() && this->guard) {
+            this->guard->close();
+        }
+    }
+
+    static boost::asio::awaitable<void> sendFrames(std::shared_ptr<Core> core, std::shared_ptr<SocketGuard> guard)
+    {
+        while (guard->isOpen()) {
+            core->addHeartbeat();
+            while (!core->queue.empty() && guard->isOpen()) {
+                const std::string bytes = core->takeFromQueue();
+                const Result<void> written = co_await writeBytes(*guard, bytes);
+                if (written.has_error()) {
+                    co_return;
+                }
+            }
+            if (!guard->isOpen()) {
+                co_return;
+            }
+            core->wake.expires_at(core->nextHeartbeat);
+            boost::system::error_code ignored;
+            co_await core->wake.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+    }
+
+    void addHeartbeat()
+    {
+        if (RuntimeClock::now() < this->nextHeartbeat) {
+            return;
+        }
+        this->nextHeartbeat = RuntimeClock::now() + this->options.timing.heartbeatInterval;
+        this->sendOrClose(this->hooks.heartbeat());
+    }
+
+    std::string takeFromQueue()
+    {
+        std::string bytes = std::move(this->queue.front());
+        this->queue.pop_front();
+        this->queuedBytes -= bytes.size();
+        ++this->counts.frames;
+        this->counts.bytes += bytes.size();
+        return bytes;
+    }
+
+    /**
+     * Reads acknowledgements; the connection ends when one is missing or something else comes.
+     */
+    static boost::asio::awaitable<void> readAcks(std::shared_ptr<Core> core, std::shared_ptr<SocketGuard> guard)
+    {
+        std::uint64_t expected = 0;
+        while (guard->isOpen()) {
+            std::size_t bytes = 0;
+            const Result<PeerFrame> frame = co_await readFrame(*guard, bytes);
+            const bool isAck = frame.has_value() && frame.value().message == PeerMessage(AckMessage{expected});
+            if (!isAck) {
+                break;
+            }
+            ++expected;
+            core->acknowledged = true;
+            core->backoff.reset();
+            guard->closeAfter(core->options.timing.silenceLimit());
+        }
+        guard->close();
+        core->wake.cancel();
+    }
+
+    boost::asio::io_context &context;
+    PeerLinkOptions options;
+    PeerLinkHooks hooks;
+    PeerLinkCounters counts;
+    Backoff backoff;
+    Timer wake; // cancelled when there is something to send or the connection ended
+    std::shared_ptr<SocketGuard> guard; // of the present connection, also while it is being made
+    std::deque<std::string> queue; // frames of the present connection
+    std::size_t queuedBytes = 0;
+    std::uint64_t nextSequence = 0;
+    TimePoint nextHeartbeat;
+    bool established = false;
+    bool acknowledged = false;
+    bool stopped = false;
+};
+
+PeerLink::PeerLink(boost::asio::io_context &context, const PeerLinkOptions &options, PeerLinkHooks hooks)
+    : core(std::make_shared<Core>(context, options, std::move(hooks)))
+    , context(context)
+{
+}
+
+PeerLink::~PeerLink()
+{
+    this->core->stop();
+}
+
+void PeerLink::start()
+{
+    boost::asio::co_spawn(this->context, Core::run(this->core), boost::asio::detached);
+}
+
+void PeerLink::stop()
+{
+    this->core->stop();
+}
+
+Result<void> PeerLink::send(PeerMessage message)
+{
+    return this->core->send(std::move(message));
+}
+
+bool PeerLink::isConnected() const
+{
+    return this->core->isConnected();
+}
+
+const PeerLinkCounters &PeerLink::counters() const
+{
+    return this->core->counters();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/peer/peerserver.cpp
@@ -0,0 +1,285 @@
+#include <flamingosaddle/peer/peerserver.h>
+
+#include "frameio.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds acceptRetryDelay(50);
+
+/**
+ * What is kept of one connection.
+ */
+struct PeerConnection {
+    std::shared_ptr<SocketGuard> guard;
+    std::uint64_t nextSequence = 0;
+    HelloMessage hello;
+};
+
+/**
+ * Whether the message says of itself that another instance than that of the hello sent it.
+ */
+bool isForeign(const HelloMessage &hello, const PeerMessage &message)
+{
+    if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message)) {
+        return heartbeat->member.from != hello.from;
+    }
+    const auto *leave = std::get_if<LeaveMessage>(&message);
+    return leave != nullptr && leave->from != hello.from;
+}
+
+} // namespace
+
+class PeerServer::Core : public std::enable_shared_from_this<PeerServer::Core>
+{
+public:
+    Core(boost::asio::io_context &context, const PeerServerOptions &options, PeerMessageHook onMessage)
+        : context(context)
+        , acceptor(context)
+        , options(options)
+        , onMessage(std::move(onMessage))
+    {
+    }
+
+    Result<void> listen()
+    {
+        const auto address = boost::asio::ip::make_address(this->options.listen.address);
+        const tcp::endpoint endpoint(address, this->options.listen.port);
+        boost::system::error_code error;
+        this->acceptor.open(endpoint.protocol(), error);
+        if (!error) {
+            this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        }
+        if (!error) {
+            this->acceptor.bind(endpoint, error);
+        }
+        if (!error) {
+            this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return fail(ErrorKind::InvalidSetting,
+                "cannot listen on " + this->options.listen.text() + " for peers: " + error.message(),
+                "choose an address of this machine and a free port");
+        }
+        return done();
+    }
+
+    static boost::asio::awaitable<void> accept(std::shared_ptr<Core> core)
+    {
+        while (!core->stopped) {
+            tcp::socket socket(core->context);
+            boost::system::error_code error;
+            co_await core->acceptor.async_accept(socket, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            if (core->stopped) {
+                break;
+            }
+            if (error) {
+                // For instance no file descriptors: trying at once would only spin.
+                Timer pause(core->context, acceptRetryDelay);
+                co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+                continue;
+            }
+            core->open(std::move(socket));
+        }
+    }
+
+    void open(tcp::socket socket)
+    {
+        if (this->guards.size() >= this->options.maxConnections) {
+            ++this->counts.turnedAway;
+            return;
+        }
+        ++this->counts.connections;
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto guard = std::make_shared<SocketGuard>(std::move(socket));
+        guard->closeAfter(this->options.timing.silenceLimit());
+        this->guards.insert(guard);
+        boost::asio::co_spawn(this->context, SocketGuard::watch(guard), boost::asio::detached);
+        boost::asio::co_spawn(this->context, serve(this->shared_from_this(), guard), boost::asio::detached);
+    }
+
+    void stop()
+    {
+        this->stopped = true;
+        boost::system::error_code ignored;
+        this->acceptor.close(ignored);
+        for (const auto &guard : this->guards) {
+            guard->close();
+        }
+    }
+
+    Endpoint localEndpoint() const
+    {
+        boost::system::error_code ignored;
+        const tcp::endpoint local = this->acceptor.local_endpoint(ignored);
+        return Endpoint{local.address().to_string(), local.port()};
+    }
+
+    std::size_t connectionCount() const
+    {
+        return this->guards.size();
+    }
+
+    const PeerServerCounters &counters() const
+    {
+        return this->counts;
+    }
+
+private:
+    static boost::asio::awaitable<void> serve(std::shared_ptr<Core> core, std::shared_ptr<SocketGuard> guard)
+    {
+        PeerConnection connection;
+        connection.guard = guard;
+        while (guard->isOpen()) {
+            std::size_t bytes = 0;
+            const Result<PeerFrame> frame = co_await readFrame(*guard, bytes);
+            if (core->stopped || !core->take(connection, frame, bytes)) {
+                break;
+            }
+            const std::string ack = core->ackFor(frame.value());
+            const Result<void> written = co_await writeBytes(*guard, ack);
+            if (written.has_error()) {
+                break;
+            }
+        }
+        core->counts.silent += guard->isTimedOut() ? 1 : 0;
+        guard->close();
+        core->guards.erase(guard);
+    }
+
+    /**
+     * Counts and delivers one frame; answers whether the connection goes on.
+     */
+    bool take(PeerConnection &connection, const Result<PeerFrame> &frame, std::size_t bytes)
+    {
+        if (frame.has_error()) {
+            this->countRefusal(frame.error());
+            return false;
+        }
+        ++this->counts.frames;
+        this->counts.bytes += bytes;
+        if (frame.value().sequence != connection.nextSequence) {
+            ++this->counts.replayed;
+            return false;
+        }
+        ++connection.nextSequence;
+        connection.guard->closeAfter(this->options.timing.silenceLimit());
+        return this->deliver(connection, frame.value());
+    }
+
+    bool deliver(PeerConnection &connection, const PeerFrame &frame)
+    {
+        const auto *hello = std::get_if<HelloMessage>(&frame.message);
+        const bool isFirst = frame.sequence == 0;
+        if ((hello != nullptr) != isFirst || std::holds_alternative<AckMessage>(frame.message)) {
+            ++this->counts.malformed;
+            return false;
+        }
+        if (isFirst) {
+            connection.hello = *hello;
+            return this->admit(*hello);
+        }
+        if (isForeign(connection.hello, frame.message)) {
+            ++this->counts.malformed;
+            return false;
+        }
+        this->onMessage(connection.hello, frame.message);
+        return true;
+    }
+
+    /**
+     * A connection that was opened before, or that an older incarnation opened, brings nothing but old messages.
+     */
+    bool admit(const HelloMessage &hello)
+    {
+        const std::pair<std::uint64_t, std::uint64_t> opened(hello.from.number, hello.connection);
+        auto &newest = this->newestOpened[hello.from.instance];
+        if (opened <= newest) {
+            ++this->counts.replayed;
+            return false;
+        }
+        newest = opened;
+        return true;
+    }
+
+    void countRefusal(const Error &error)
+    {
+        this->counts.malformed += error.kind() == ErrorKind::Protocol ? 1 : 0;
+        this->counts.oversized += error.kind() == ErrorKind::TooLarge ? 1 : 0;
+    }
+
+    std::string ackFor(const PeerFrame &frame) const
+    {
+        PeerFrame ack;
+        ack.sequence = frame.sequence;
+        ack.message = AckMessage{frame.sequence};
+        return encodeFrame(ack).value();
+    }
+
+    boost::asio::io_context &context;
+    tcp::acceptor acceptor;
+    PeerServerOptions options;
+    PeerMessageHook onMessage;
+    PeerServerCounters counts;
+    std::set<std::shared_ptr<SocketGuard>> guards;
+    // Of each instance, the highest incarnation and connection number that was seen.
+    std::map<InstanceId, std::pair<std::uint64_t, std::uint64_t>> newestOpened;
+    bool stopped = false;
+};
+
+Result<std::unique_ptr<PeerServer>> PeerServer::start(
+    boost::asio::io_context &context, const PeerServerOptions &options, PeerMessageHook onMessage)
+{
+    auto core = std::make_shared<Core>(context, options, std::move(onMessage));
+    BOOST_OUTCOME_TRYV(core->listen());
+    boost::asio::co_spawn(context, Core::accept(core), boost::asio::detached);
+    return std::unique_ptr<PeerServer>(new PeerServer(std::move(core)));
+}
+
+PeerServer::PeerServer(std::shared_ptr<Core> core)
+    : core(std::move(core))
+{
+}
+
+PeerServer::~PeerServer()
+{
+    this->core->stop();
+}
+
+void PeerServer::stop()
+{
+    this->core->stop();
+}
+
+Endpoint PeerServer::localEndpoint() const
+{
+    return this->core->localEndpoint();
+}
+
+std::size_t PeerServer::connectionCount() const
+{
+    return this->core->connectionCount();
+}
+
+const PeerServerCounters &PeerServer::counters() const
+{
+    return this->core->counters();
+}
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/src/peer/wire.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include <flamingosaddle/peer/message.h>
+
+#include <msgpack.hpp>
+
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <vector>
+
+/**
+ * How values stand in msgpack: a structure is the array of its fields in the order of fieldsOf(), a list is an array.
+ * Reading throws msgpack::type_error for anything else.
+ */
+namespace flamingosaddle::wire
+{
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+template <typename T, typename Type>
+concept Is = std::same_as<std::remove_const_t<T>, Type>;
+
+template <typename T>
+inline constexpr bool isVector = false;
+template <typename T>
+inline constexpr bool isVector<std::vector<T>> = true;
+template <typename T>
+inline constexpr bool isId = false;
+template <typename Tag>
+inline constexpr bool isId<Id<Tag>> = true;
+
+auto fieldsOf(Is<Incarnation> auto &value)
+{
+    return std::tie(value.instance, value.number);
+}
+
+auto fieldsOf(Is<RecordId> auto &value)
+{
+    return std::tie(value.writer, value.sequence);
+}
+
+auto fieldsOf(Is<Heartbeat> auto &value)
+{
+    return std::tie(value.from, value.sequence, value.state, value.address, value.dataCentre);
+}
+
+auto fieldsOf(Is<TierPressure> auto &value)
+{
+    return std::tie(value.tier, value.waiting);
+}
+
+auto fieldsOf(Is<ServerLoad> auto &value)
+{
+    return std::tie(value.server, value.inFlight);
+}
+
+auto fieldsOf(Is<ServiceCount> auto &value)
+{
+    return std::tie(value.clientAccount, value.tokens);
+}
+
+auto fieldsOf(Is<DeathNotice> auto &value)
+{
+    return std::tie(value.fingerprint, value.server);
+}
+
+auto fieldsOf(Is<SuspectNotice> auto &value)
+{
+    return std::tie(value.fingerprint, value.remaining);
+}
+
+auto fieldsOf(Is<ForwardedRecord> auto &value)
+{
+    return std::tie(value.offset, value.body);
+}
+
+auto fieldsOf(Is<HelloMessage> auto &value)
+{
+    return std::tie(value.from, value.dataCentre, value.connection);
+}
+
+auto fieldsOf(Is<HeartbeatMessage> auto &value)
+{
+    return std::tie(value.member, value.configOffset, value.pressure, value.loads, value.services);
+}
+
+auto fieldsOf(Is<TombstonesMessage> auto &value)
+{
+    return std::tie(value.keys);
+}
+
+auto fieldsOf(Is<QuarantinesMessage> auto &value)
+{
+    return std::tie(value.deaths, value.suspects);
+}
+
+auto fieldsOf(Is<ConfigRecordsMessage> auto &value)
+{
+    return std::tie(value.records);
+}
+
+auto fieldsOf(Is<UsageCopyMessage> auto &value)
+{
+    return std::tie(value.id, value.record);
+}
+
+auto fieldsOf(Is<LeaveMessage> auto &value)
+{
+    return std::tie(value.from);
+}
+
+auto fieldsOf(Is<AckMessage> auto &value)
+{
+    return std::tie(value.sequence);
+}
+
+template <typename T>
+void write(Packer &packer, const T &value)
+{
+    if constexpr (std::is_integral_v<T> || std::is_same_v<T, std::string>) {
+        packer.pack(value);
+    } else if constexpr (isId<T> || std::is_same_v<T, Endpoint>) {
+        packer.pack(value.text());
+    } else if constexpr (std::is_same_v<T, std::chrono::milliseconds>) {
+        packer.pack(value.count());
+    } else if constexpr (std::is_enum_v<T>) {
+        packer.pack(static_cast<unsigned>(value));
+    } else if constexpr (isVector<T>) {
+        packer.pack_array(static_cast<std::uint32_t>(value.size()));
+        for (const auto &element : value) {
+            write(packer, element);
+        }
+    } else {
+        const auto fields = fieldsOf(value);
+        packer.pack_array(std::tuple_size_v<decltype(fields)>);
+        const auto writeEach = [&packer](const auto &...field) {
+            (write(packer, field), ...);
+        };
+        std::apply(writeEach, fields);
+    }
+}
+
+inline const msgpack::object_array &arrayOf(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    return object.via.array;
+}
+
+inline Endpoint readEndpoint(const msgpack::object &object)
+{
+    const auto endpoint = Endpoint::parse(object.as<std::string>());
+    if (endpoint.has_error()) {
+        throw msgpack::type_error();
+    }
+    return endpoint.value();
+}
+
+inline MemberState readState(const msgpack::object &object)
+{
+    const auto number = object.as<unsigned>();
+    if (number > static_cast<unsigned>(MemberState::Gone)) {
+        throw msgpack::type_error();
+    }
+    return static_cast<MemberState>(number);
+}
+
+template <typename T>
+T read(const msgpack::object &object);
+
+template <typename T>
+T readStructure(const msgpack::object &object)
+{
+    T value;
+    const auto fields = fieldsOf(value);
+    const msgpack::object_array &array = arrayOf(object);
+    if (array.size != std::tuple_size_v<decltype(fields)>) {
+        throw msgpack::type_error();
+    }
+    std::size_t index = 0;
+    const auto readEach = [&array, &index](auto &...field) {
+        ((field = read<std::remove_reference_t<decltype(field)>>(array.ptr[index++])), ...);
+    };
+    std::apply(readEach, fields);
+    return value;
+}
+
+template <typename T>
+T readList(const msgpack::object &object)
+{
+    T list;
+    const msgpack::object_array &array = arrayOf(object);
+    list.reserve(array.size);
+    for (std::uint32_t i = 0; i < array.size; ++i) {
+        list.push_back(read<typename T::value_type>(array.ptr[i]));
+    }
+    return list;
+}
+
+template <typename T>
+T read(const msgpack::object &object)
+{
+    if constexpr (std::is_integral_v<T> || std::is_same_v<T, std::string>) {
+        return object.as<T>();
+    } else if constexpr (isId<T>) {
+        return T(object.as<std::string>());
+    } else if constexpr (std::is_same_v<T, Endpoint>) {
+        return readEndpoint(object);
+    } else if constexpr (std::is_same_v<T, std::chrono::milliseconds>) {
+        return T(object.as<std::int64_t>());
+    } else if constexpr (std::is_same_v<T, MemberState>) {
+        return readState(object);
+    } else if constexpr (isVector<T>) {
+        return readList<T>(object);
+    } else {
+        return readStructure<T>(object);
+    }
+}
+
+} // namespace flamingosaddle::wire
--- /dev/null
+++ b/tests/peer/fixture.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "messages.h"
+
+#include <flamingosaddle/peer/peerlink.h>
+#include <flamingosaddle/peer/peerserver.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * A peer server on loopback and what came in.
+ */
+class PeerBench
+{
+public:
+    PeerBench()
+    {
+        this->listen(Endpoint{"127.0.0.1", 0});
+    }
+
+    ~PeerBench()
+    {
+        this->server->stop();
+    }
+
+    void listen(const Endpoint &endpoint)
+    {
+        PeerServerOptions options;
+        options.listen = endpoint;
+        options.timing = this->timing;
+        auto started = PeerServer::start(this->context, options, [this](const HelloMessage &, const PeerMessage &message) {
+            this->received.push_back(message);
+        });
+        this->server = std::move(started).value();
+    }
+
+    std::unique_ptr<PeerLink> link(const Endpoint &peer)
+    {
+        PeerLinkOptions options;
+        options.peer = peer;
+        options.timing = this->timing;
+        PeerLinkHooks hooks;
+        hooks.hello = [this] {
+            return sampleHello("sender", ++this->connections);
+        };
+        hooks.heartbeat = [] {
+            return sampleHeartbeatMessage("sender");
+        };
+        hooks.greeting = [this] {
+            return this->greeting;
+        };
+        auto link = std::make_unique<PeerLink>(this->context, options, hooks);
+        link->start();
+        return link;
+    }
+
+    /** Runs the context until @p isDone; the test's own timeout ends a run that never gets there. */
+    void runUntil(const std::function<bool()> &isDone)
+    {
+        while (!isDone()) {
+            this->context.restart();
+            this->context.run_one();
+        }
+    }
+
+    /** Runs what is ready, so that every coroutine waits for something. */
+    void settle()
+    {
+        this->context.restart();
+        this->context.poll();
+    }
+
+    boost::asio::ip::tcp::socket connect()
+    {
+        boost::asio::ip::tcp::socket socket(this->context);
+        const Endpoint local = this->server->localEndpoint();
+        socket.connect({boost::asio::ip::make_address(local.address), local.port});
+        return socket;
+    }
+
+    /** Opens a connection and writes @p bytes as they are. */
+    boost::asio::ip::tcp::socket connectAndWrite(const std::string &bytes)
+    {
+        boost::asio::ip::tcp::socket socket = this->connect();
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        return socket;
+    }
+
+    boost::asio::io_context context;
+    PeerTiming timing;
+    std::unique_ptr<PeerServer> server;
+    std::vector<PeerMessage> received;
+    std::vector<PeerMessage> greeting;
+    std::uint64_t connections = 0;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/tests/peer/frame_test.cpp
@@ -0,0 +1,124 @@
+#include "messages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace flamingosaddle;
+
+namespace
+{
+
+std::string payloadOf(const std::string &frame)
+{
+    return frame.substr(PeerFrameFormat::headerBytes);
+}
+
+PeerFrameHeader headerOf(const std::string &frame)
+{
+    PeerFrameHeader header{};
+    std::copy_n(frame.begin(), header.size(), header.begin());
+    return header;
+}
+
+HeartbeatMessage anyHeartbeat()
+{
+    HeartbeatMessage message = sampleHeartbeatMessage(*rc::gen::arbitrary<std::string>());
+    message.member.state
+        = *rc::gen::element(MemberState::Joining, MemberState::Serving, MemberState::Draining, MemberState::Gone);
+    message.configOffset = *rc::gen::arbitrary<std::uint64_t>();
+    for (const int tier : *rc::gen::arbitrary<std::vector<int>>()) {
+        message.pressure.push_back({tier, *rc::gen::arbitrary<std::uint32_t>()});
+    }
+    for (const std::string &server : *rc::gen::arbitrary<std::vector<std::string>>()) {
+        message.loads.push_back({BackendServerId(server), *rc::gen::arbitrary<std::uint32_t>()});
+        message.services.push_back({ClientAccountId(server), *rc::gen::arbitrary<std::uint64_t>()});
+    }
+    return message;
+}
+
+PeerMessage anyMessage()
+{
+    const auto text = *rc::gen::arbitrary<std::string>();
+    const auto number = *rc::gen::arbitrary<std::uint64_t>();
+    const Incarnation from{InstanceId(text), number};
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        return HelloMessage{from, DataCentre(text), number};
+    case 1:
+        return anyHeartbeat();
+    case 2:
+        return TombstonesMessage{{KeyId(text), KeyId("k")}};
+    case 3:
+        return QuarantinesMessage{{{number, BackendServerId(text)}}, {{number, std::chrono::milliseconds(number % 100000)}}};
+    case 4:
+        return ConfigRecordsMessage{{{number, text}, {number + 1, ""}}};
+    case 5:
+        return UsageCopyMessage{{from, number}, text};
+    case 6:
+        return LeaveMessage{from};
+    default:
+        return AckMessage{number};
+    }
+}
+
+} // namespace
+
+TEST(PeerFrame, EveryMessageReadsBackAsItself)
+{
+    EXPECT_TRUE(rc::check("decode inverts encode", [] {
+        const PeerFrame frame{*rc::gen::arbitrary<std::uint64_t>(), anyMessage()};
+        const auto bytes = encodeFrame(frame);
+        RC_ASSERT(bytes.has_value());
+        RC_ASSERT(decodeFrameLength(headerOf(bytes.value())).value() == bytes.value().size() - PeerFrameFormat::headerBytes);
+        const auto decoded = decodeFrame(payloadOf(bytes.value()));
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(decoded.value() == frame);
+    }));
+}
+
+TEST(PeerFrame, SurvivesAnyBytes)
+{
+    EXPECT_TRUE(rc::check("a payload is read or refused", [](const std::string &bytes) {
+        (void)decodeFrame(bytes);
+        (void)decodeFrame(std::string(1, static_cast<char>(PeerFrameFormat::version)) + bytes);
+    }));
+}
+
+TEST(PeerFrame, RefusesAnyTruncatedOrExtendedFrame)
+{
+    EXPECT_TRUE(rc::check("only whole frames are read", [] {
+        const std::string payload = payloadOf(frameBytes(1, anyMessage()));
+        const auto length = *rc::gen::inRange<std::size_t>(0, payload.size());
+        RC_ASSERT(decodeFrame(payload.substr(0, length)).has_error());
+        RC_ASSERT(decodeFrame(payload + "x").has_error());
+    }));
+}
+
+TEST(PeerFrame, SurvivesAnyFlippedByte)
+{
+    EXPECT_TRUE(rc::check("a damaged frame is read or refused", [] {
+        std::string payload = payloadOf(frameBytes(1, anyMessage()));
+        const auto at = *rc::gen::inRange<std::size_t>(0, payload.size());
+        payload[at] = *rc::gen::arbitrary<char>();
+        (void)decodeFrame(payload);
+    }));
+}
+
+TEST(PeerFrame, RefusesForeignVersionsAndAnnouncedGiants)
+{
+    std::string payload = payloadOf(frameBytes(0, AckMessage{0}));
+    payload[0] = static_cast<char>(PeerFrameFormat::version + 1);
+    EXPECT_EQ(decodeFrame(payload).error().kind(), ErrorKind::Protocol);
+    // Arrays, maps and byte strings that announce four thousand million elements.
+    for (const char *giant : {"\x01\xdd\xff\xff\xff\xff", "\x01\xdf\xff\xff\xff\xff", "\x01\xc6\xff\xff\xff\xff"}) {
+        EXPECT_EQ(decodeFrame(giant).error().kind(), ErrorKind::Protocol);
+    }
+    EXPECT_EQ(decodeFrameLength({0xff, 0xff, 0xff, 0xff}).error().kind(), ErrorKind::TooLarge);
+    EXPECT_EQ(decodeFrameLength({0, 0, 0, 0}).error().kind(), ErrorKind::Protocol);
+}
+
+TEST(PeerFrame, RefusesToWriteWhatNobodyWouldRead)
+{
+    const ConfigRecordsMessage large{{{0, std::string(PeerFrameFormat::maxFrameBytes, 'x')}}};
+    EXPECT_EQ(encodeFrame(PeerFrame{0, large}).error().kind(), ErrorKind::TooLarge);
+}
--- /dev/null
+++ b/tests/peer/messages.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <flamingosaddle/peer/frame.h>
+
+#include <string>
+
+namespace flamingosaddle
+{
+
+inline Heartbeat sampleHeartbeat(const std::string &instance)
+{
+    Heartbeat heartbeat;
+    heartbeat.from = Incarnation{InstanceId(instance), 7};
+    heartbeat.sequence = 3;
+    heartbeat.state = MemberState::Serving;
+    heartbeat.address = Endpoint{"127.0.0.1", 4000};
+    heartbeat.dataCentre = DataCentre("a");
+    return heartbeat;
+}
+
+inline HeartbeatMessage sampleHeartbeatMessage(const std::string &instance)
+{
+    HeartbeatMessage message;
+    message.member = sampleHeartbeat(instance);
+    message.configOffset = 9;
+    message.pressure.push_back({2, 40});
+    message.loads.push_back({BackendServerId("s1"), 5});
+    message.services.push_back({ClientAccountId("bakers"), 1200});
+    return message;
+}
+
+inline HelloMessage sampleHello(const std::string &instance, std::uint64_t connection)
+{
+    return HelloMessage{Incarnation{InstanceId(instance), 7}, DataCentre("a"), connection};
+}
+
+inline std::string frameBytes(std::uint64_t sequence, PeerMessage message)
+{
+    return encodeFrame(PeerFrame{sequence, std::move(message)}).value();
+}
+
+} // namespace flamingosaddle
