--- /dev/null
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <flamingosaddle/http/trafficgate.h>
+#include <flamingosaddle/peer/message.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * Translates between what instances tell each other of their traffic and the decisions behind the gate. Used on the control
+ * thread.
+ */
+class PeerTraffic
+{
+public:
+    /** @param gate outlives the object */
+    explicit PeerTraffic(TrafficGate &gate);
+
+    // Commands.
+
+    /** The backend servers whose load is described. */
+    void setServers(const std::vector<BackendServer> &servers);
+
+    /** Fills in what this instance runs and served since the last call. */
+    void describe(HeartbeatMessage &message);
+
+    void takeLoads(const std::vector<ServerLoad> &loads);
+    void takeServices(const std::vector<ServiceCount> &services);
+    void takeQuarantines(const QuarantinesMessage &message);
+    void takeServingCount(std::size_t count);
+
+private:
+    TrafficGate &gate;
+    std::vector<BackendServerId> servers;
+    std::vector<ServiceReport> served; // kept for its memory
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/control/claimdesk.h>
 #include <flamingosaddle/control/configtail.h>
 #include <flamingosaddle/control/leasekeeper.h>
+#include <flamingosaddle/control/peerexchange.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/control/snapshotkeeper.h>
 #include <flamingosaddle/control/usagedesk.h>
@@ -31,6 +32,8 @@
     std::chrono::seconds usageWindow{60};
     std::uint64_t snapshotEveryRecords = 500;
     std::function<std::chrono::seconds()> wallTime; ///< since the epoch
+    std::vector<Endpoint> seedPeers; ///< contacted besides the platform's list
+    PeerTiming peerTiming;
     std::uint64_t seed = 1;
 };
 
@@ -41,6 +44,11 @@
     std::function<void(std::shared_ptr<const RoutingSnapshot>)> publish;
     std::function<void(const std::vector<BackendServer> &)> setServers;
     std::function<void(const KeyId &)> keyWithdrawn; ///< running exchanges with the key have to end
+    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads and services
+    std::function<void(const std::vector<ServerLoad> &)> peerLoads;
+    std::function<void(const std::vector<ServiceCount> &)> peerServices;
+    std::function<void(const QuarantinesMessage &)> peerQuarantines;
+    std::function<void(std::size_t)> servingCount; ///< instances that serve, this one included
 };
 
 /**
@@ -53,6 +61,10 @@
     ~Controller();
 
     // Commands.
+
+    /** Listens for peers. Fails with InvalidSetting when the address cannot be bound. */
+    Result<void> listenForPeers(const Endpoint &endpoint);
+
     void start();
     void stop();
 
@@ -65,6 +77,12 @@
     /** Takes a key out of use at once, before the log has the record. Idempotent. */
     void withdrawKey(const KeyId &id);
 
+    /** Tells the peers that this instance takes no more requests. */
+    void beginDrain();
+
+    /** Tells the peers of requests during which backend servers died. */
+    void tellQuarantines(const QuarantinesMessage &message);
+
     /** Counts what a request used. */
     void countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals);
 
@@ -72,19 +90,22 @@
     ClaimHook claimHook();
 
     // Queries.
-    bool isReady() const; ///< whether the configuration was read to its end once
+    bool isReady() const; ///< whether the configuration was read to its end once, from the log or from peers
     TimePoint freshUntil() const;
     const ConfigTail &configTail() const;
     const LeaseKeeper &leaseKeeper() const;
     const UsageDesk &usageDesk() const;
     const ClaimDesk &claimDesk() const;
+    const PeerExchange &peerExchange() const;
     const std::set<KeyId> &tombstones() const;
     const ControllerOptions &options() const;
 
 private:
     std::vector<SnapshotSource> snapshotSources();
     void spawn(boost::asio::awaitable<void> coroutine);
+    PeerExchangeHooks peerHooks();
     void configAdvanced();
+    boost::asio::awaitable<void> runFreshness();
     void publishSnapshot();
     void announceWithdrawals(const ConfigState &before, const ConfigState &after);
     bool hasUnappended() const;
@@ -101,6 +122,8 @@
     UsageDesk usage;
     ClaimDesk claims;
     SnapshotKeeper snapshots;
+    PeerExchange peers;
+    bool stopped = false;
 };
 
 } // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/base/endpoint.h>
+#include <flamingosaddle/peer/peerlink.h>
+#include <flamingosaddle/peer/peerserver.h>
+#include <flamingosaddle/platform/platform.h>
+#include <flamingosaddle/state/membership.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * What the exchange asks of and tells the rest of the control side. Called on the control thread.
+ */
+struct PeerExchangeHooks {
+    std::function<std::uint64_t()> configOffset; ///< next offset of the config stream
+    std::function<bool()> readsLog; ///< whether this instance read the config stream to its end a short time ago
+    std::function<std::string()> configSnapshot;
+    std::function<std::vector<KeyId>()> tombstones; ///< that the log may not have yet
+    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads and services
+
+    std::function<void(const std::string &)> onConfigSnapshot;
+    std::function<void(const KeyId &)> onTombstone;
+    std::function<void(const std::vector<ServerLoad> &)> onLoads; ///< requests of all peers together, by backend server
+    std::function<void(const std::vector<ServiceCount> &)> onServices;
+    std::function<void(const QuarantinesMessage &)> onQuarantines;
+    std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
+};
+
+struct PeerExchangeOptions {
+    Incarnation self;
+    DataCentre dataCentre;
+    std::vector<Endpoint> seeds; ///< contacted besides the platform's list
+    PeerTiming timing;
+    MembershipTiming membership;
+    Duration listInterval = std::chrono::seconds(2); ///< between two looks at the platform's list
+    std::uint64_t seed = 1;
+};
+
+/**
+ * The exchange with the other instances: who they are, what they run, and what they know that this one may not. Lives on the
+ * control thread.
+ */
+class PeerExchange
+{
+public:
+    PeerExchange(
+        boost::asio::io_context &context, const Platform &platform, PeerExchangeOptions options, PeerExchangeHooks hooks);
+
+    // Commands.
+
+    /** Listens on @p endpoint. Fails with InvalidSetting when it cannot be bound. */
+    Result<void> listen(const Endpoint &endpoint);
+
+    /** Each runs until stop(); the object has to outlive the coroutines. */
+    boost::asio::awaitable<void> runTicks();
+    boost::asio::awaitable<void> runList();
+    void stop();
+
+    void setState(MemberState state);
+    void sendTombstone(const KeyId &id);
+    void sendQuarantines(const QuarantinesMessage &message);
+
+    // Queries.
+    Endpoint localEndpoint() const;
+    const Membership &membership() const;
+    /**
+     * Until when this instance last knew from its peers that it misses no withdrawn key. A peer that reads the log and is no
+     * further in it vouches for the moment of its heartbeat. While nobody reads the log, more than half of the known
+     * instances, this one included, have to agree on the offset. Nothing before the first such moment.
+     */
+    std::optional<TimePoint> lastAgreement() const;
+    /** Whether any other instance is known, listed or alive. */
+    bool hasOthers() const;
+    std::uint64_t sentBytes() const;
+
+private:
+    struct PeerConfig {
+        std::uint64_t offset = 0;
+        TimePoint heardAt;
+    };
+
+    void onMessage(const HelloMessage &from, const PeerMessage &message);
+    void take(const HelloMessage &from, const HeartbeatMessage &message);
+    void noteAgreement(const HeartbeatMessage &message, TimePoint now);
+    bool majorityAgrees(TimePoint now) const;
+    void helpIfBehind(const HeartbeatMessage &message);
+    bool isHelperOf(const HeartbeatMessage &message) const;
+    void refreshLinks();
+    void openLink(const Endpoint &endpoint);
+    PeerLinkHooks linkHooks();
+    HeartbeatMessage nextHeartbeat();
+    std::vector<PeerMessage> greeting() const;
+    void broadcast(const PeerMessage &message);
+    void passOnLoads();
+    void noteServingCount();
+
+    boost::asio::io_context &context;
+    const Platform &platform;
+    PeerExchangeOptions options;
+    PeerExchangeHooks hooks;
+    Membership members;
+    std::unique_ptr<PeerServer> server;
+    std::map<Endpoint, std::unique_ptr<PeerLink>> links;
+    std::map<InstanceId, std::vector<ServerLoad>> loads; ///< what each peer runs
+    std::set<BackendServerId> reportedServers; ///< whose load was passed on at the last heartbeat
+    std::map<InstanceId, PeerConfig> configs; ///< by each peer's last heartbeat
+    HeartbeatMessage current; ///< of this interval; all links send the same one
+    std::optional<TimePoint> agreedAt;
+    std::uint64_t connections = 0;
+    std::size_t servingCount = 0;
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/peer/frame.h
+++ b/include/flamingosaddle/peer/frame.h
@@ -19,7 +19,8 @@
 struct PeerFrameFormat {
     static constexpr std::uint8_t version = 1;
     static constexpr std::size_t headerBytes = 4;
-    static constexpr std::size_t maxFrameBytes = std::size_t{2} << 20; ///< after the header
+    static constexpr std::size_t maxFrameBytes = std::size_t{8}
+        << 20; ///< after the header; holds a snapshot of 12,000 backend servers twice
 };
 
 using PeerFrameHeader = std::array<unsigned char, PeerFrameFormat::headerBytes>;
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -43,6 +43,10 @@
 
 struct ServiceCount {
     ClientAccountId clientAccount;
+    ModelName model; ///< empty for a plain service
+    ServiceName service; ///< empty for a model
+    std::int32_t tier = 0;
+    std::uint64_t weightThousandths = 1000; ///< share of the client account
     std::uint64_t tokens = 0; ///< served since the sender's last heartbeat
 
     friend bool operator==(const ServiceCount &, const ServiceCount &) = default;
@@ -51,6 +55,7 @@
 struct HeartbeatMessage {
     Heartbeat member;
     std::uint64_t configOffset = 0; ///< next offset of the config stream
+    bool readsLog = false; ///< whether the sender read the config stream to its end within its freshness limit
     std::vector<TierPressure> pressure;
     std::vector<ServerLoad> loads;
     std::vector<ServiceCount> services;
@@ -110,6 +115,15 @@
     friend bool operator==(const ConfigRecordsMessage &, const ConfigRecordsMessage &) = default;
 };
 
+/**
+ * The sender's whole configuration, for a receiver that is behind and cannot read the log.
+ */
+struct ConfigSnapshotMessage {
+    std::string text; ///< of encodeConfigSnapshot()
+
+    friend bool operator==(const ConfigSnapshotMessage &, const ConfigSnapshotMessage &) = default;
+};
+
 /**
  * A record of the usage stream, kept by the receiver until the log has it.
  */
@@ -139,6 +153,6 @@
 };
 
 using PeerMessage = std::variant<HelloMessage, HeartbeatMessage, TombstonesMessage, QuarantinesMessage, ConfigRecordsMessage,
-    UsageCopyMessage, LeaveMessage, AckMessage>;
+    UsageCopyMessage, LeaveMessage, AckMessage, ConfigSnapshotMessage>;
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/peer/timing.h
+++ b/include/flamingosaddle/peer/timing.h
@@ -16,7 +16,7 @@
     Duration connectTimeout = std::chrono::seconds(1);
     Duration firstRetryDelay = std::chrono::milliseconds(100);
     Duration longestRetryDelay = std::chrono::seconds(5);
-    std::size_t maxQueuedBytes = std::size_t{8} << 20; ///< waiting on one connection
+    std::size_t maxQueuedBytes = std::size_t{16} << 20; ///< waiting on one connection
 
     Duration silenceLimit() const
     {
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -101,6 +101,7 @@
         {"configOffset", tail.state()->nextOffset()},
         {"configGap", tail.hasGap()},
         {"fresh", this->controller.freshUntil() > RuntimeClock::now()},
+        {"servingInstances", this->controller.peerExchange().membership().serving().size() + 1},
         {"callerConnections", traffic.callerConnections},
         {"activeExchanges", traffic.activeExchanges},
         {"waiting", traffic.waiting},
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/app/daemon.h>
 
 #include <flamingosaddle/app/adminhandler.h>
+#include <flamingosaddle/app/peertraffic.h>
 #include <flamingosaddle/app/workerthreads.h>
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
@@ -96,6 +97,8 @@
     options.wallTime = [] {
         return std::chrono::duration_cast<std::chrono::seconds>(wallMilliseconds());
     };
+    options.seedPeers = settings.seedPeers;
+    options.peerTiming.heartbeatInterval = settings.heartbeatInterval;
     options.seed = seed;
     return options;
 }
@@ -109,7 +112,8 @@
         : settings(settings)
         , seed(randomSeed())
         , workers(settings.trafficThreads)
-        , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor())
+        , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor(), this->gateHooks())
+        , peerTraffic(this->gate)
         , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
               controllerOptionsOf(settings, this->seed), this->controllerHooks())
         , adminHandler(this->controller, this->metrics,
@@ -127,6 +131,7 @@
 
     Result<void> bind()
     {
+        BOOST_OUTCOME_TRY(this->controller.listenForPeers(this->settings.peerListen));
         BOOST_OUTCOME_TRY(handler, this->callerHandlerBuilder().build());
         this->callerHandler = std::move(handler);
         HttpServer::Builder callers;
@@ -146,7 +151,8 @@
 
     Addresses addresses() const
     {
-        return {this->callerServer->localEndpoint(), this->adminServer->localEndpoint(), this->settings.peerListen};
+        return {this->callerServer->localEndpoint(), this->adminServer->localEndpoint(),
+            this->controller.peerExchange().localEndpoint()};
     }
 
     void run()
@@ -174,13 +180,55 @@
         };
         hooks.setServers = [this](const std::vector<BackendServer> &servers) {
             this->gate.setServers(servers);
+            this->peerTraffic.setServers(servers);
         };
         hooks.keyWithdrawn = [this](const KeyId &id) {
             this->keys.cut(id);
         };
+        this->addPeerHooks(hooks);
         return hooks;
     }
 
+    void addPeerHooks(ControllerHooks &hooks)
+    {
+        hooks.describeTraffic = [this](HeartbeatMessage &message) {
+            this->peerTraffic.describe(message);
+        };
+        hooks.peerLoads = [this](const std::vector<ServerLoad> &loads) {
+            this->peerTraffic.takeLoads(loads);
+        };
+        hooks.peerServices = [this](const std::vector<ServiceCount> &services) {
+            this->peerTraffic.takeServices(services);
+        };
+        hooks.peerQuarantines = [this](const QuarantinesMessage &message) {
+            this->peerTraffic.takeQuarantines(message);
+        };
+        hooks.servingCount = [this](std::size_t count) {
+            this->peerTraffic.takeServingCount(count);
+        };
+    }
+
+    // What the gate's decisions mean for other instances goes out by the control thread.
+    TrafficGateHooks gateHooks()
+    {
+        TrafficGateHooks hooks;
+        hooks.onDeath = [this](std::uint64_t fingerprint, const BackendServerId &server) {
+            this->tellQuarantines({{{fingerprint, server}}, {}});
+        };
+        hooks.onSuspect = [this](std::uint64_t fingerprint, TimePoint until) {
+            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(until - RuntimeClock::now());
+            this->tellQuarantines({{}, {{fingerprint, remaining}}});
+        };
+        return hooks;
+    }
+
+    void tellQuarantines(QuarantinesMessage message)
+    {
+        boost::asio::post(this->controlContext, [this, message = std::move(message)] {
+            this->controller.tellQuarantines(message);
+        });
+    }
+
     CallerHooks callerHooks()
     {
         CallerHooks hooks;
@@ -238,6 +286,7 @@
             return;
         }
         this->draining = true;
+        this->controller.beginDrain();
         logStateChange(LogLevel::Info, "app", "draining");
         boost::asio::co_spawn(this->controlContext, this->drain(), boost::asio::detached);
     }
@@ -268,6 +317,7 @@
     WorkerThreads workers;
     KeyRegistry keys;
     TrafficGate gate;
+    PeerTraffic peerTraffic;
     Controller controller;
     AdminHandler adminHandler;
     boost::asio::signal_set signals;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingosaddle
@@ -16,6 +17,8 @@
 const Role usageRole("usage");
 const Role snapshotRole("snapshots");
 constexpr std::chrono::milliseconds handOverPollInterval(10);
+// Parts of the freshness limit after which a snapshot with a later limit is published.
+constexpr int freshnessSteps = 8;
 
 LeaseKeeper::Options leaseOptions(const ControllerOptions &options)
 {
@@ -47,6 +50,17 @@
     return claims;
 }
 
+PeerExchangeOptions peerOptions(const ControllerOptions &options)
+{
+    PeerExchangeOptions peers;
+    peers.self = options.self;
+    peers.dataCentre = options.dataCentre;
+    peers.seeds = options.seedPeers;
+    peers.timing = options.peerTiming;
+    peers.seed = options.seed;
+    return peers;
+}
+
 SnapshotKeeper::Options snapshotOptions(const ControllerOptions &options)
 {
     SnapshotKeeper::Options snapshots;
@@ -72,11 +86,17 @@
     , usage(this->platform, this->leases, usageOptions(this->controllerOptions))
     , claims(context.get_executor(), this->platform, claimOptions(this->controllerOptions))
     , snapshots(this->platform, this->leases, this->snapshotSources(), snapshotOptions(this->controllerOptions))
+    , peers(context, this->platform, peerOptions(this->controllerOptions), this->peerHooks())
 {
 }
 
 Controller::~Controller() = default;
 
+Result<void> Controller::listenForPeers(const Endpoint &endpoint)
+{
+    return this->peers.listen(endpoint);
+}
+
 void Controller::start()
 {
     this->leases.setRoles({usageRole, snapshotRole});
@@ -90,10 +110,18 @@
     this->spawn(this->claims.runTail());
     this->spawn(this->claims.runAppender());
     this->spawn(this->snapshots.run());
+    this->spawn(this->peers.runTicks());
+    this->spawn(this->peers.runList());
+    this->spawn(this->runFreshness());
 }
 
 void Controller::stop()
 {
+    if (this->stopped) {
+        return;
+    }
+    this->stopped = true;
+    this->peers.stop();
     this->tail.stop();
     this->leases.stop();
     this->usage.stop();
@@ -120,6 +148,17 @@
     }
     this->publishSnapshot();
     this->hooks.keyWithdrawn(id);
+    this->peers.sendTombstone(id);
+}
+
+void Controller::beginDrain()
+{
+    this->peers.setState(MemberState::Draining);
+}
+
+void Controller::tellQuarantines(const QuarantinesMessage &message)
+{
+    this->peers.sendQuarantines(message);
 }
 
 void Controller::countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals)
@@ -134,13 +173,17 @@
 
 bool Controller::isReady() const
 {
-    return this->publishedState != nullptr && this->tail.lastReadAt().has_value();
+    const bool isFromPeers = this->peers.lastAgreement().has_value() && this->tail.state()->nextOffset() > 0;
+    return this->publishedState != nullptr && (this->tail.lastReadAt().has_value() || isFromPeers);
 }
 
 TimePoint Controller::freshUntil() const
 {
-    const std::optional<TimePoint> readAt = this->tail.lastReadAt();
-    return readAt ? *readAt + this->controllerOptions.freshnessLimit : TimePoint();
+    // An instance that never read the log and never heard a peer knows nothing.
+    const TimePoint read = this->tail.lastReadAt().value_or(TimePoint());
+    const TimePoint agreed = this->peers.lastAgreement().value_or(TimePoint());
+    const TimePoint newest = std::max(read, agreed);
+    return newest == TimePoint() ? newest : newest + this->controllerOptions.freshnessLimit;
 }
 
 const ConfigTail &Controller::configTail() const
@@ -163,6 +206,11 @@
     return this->claims;
 }
 
+const PeerExchange &Controller::peerExchange() const
+{
+    return this->peers;
+}
+
 const std::set<KeyId> &Controller::tombstones() const
 {
     return this->earlyTombstones;
@@ -224,13 +272,58 @@
     return this->usage.unflushedCount() + this->usage.unappendedCount() + this->claims.unappendedCount() > 0;
 }
 
+PeerExchangeHooks Controller::peerHooks()
+{
+    PeerExchangeHooks peerHooks;
+    peerHooks.configOffset = [this] {
+        return this->tail.state()->nextOffset();
+    };
+    peerHooks.readsLog = [this] {
+        const std::optional<TimePoint> readAt = this->tail.lastReadAt();
+        return readAt && RuntimeClock::now() - *readAt <= this->controllerOptions.freshnessLimit;
+    };
+    peerHooks.configSnapshot = [this] {
+        return encodeConfigSnapshot(*this->tail.state());
+    };
+    peerHooks.tombstones = [this] {
+        return std::vector<KeyId>(this->earlyTombstones.begin(), this->earlyTombstones.end());
+    };
+    peerHooks.onConfigSnapshot = [this](const std::string &text) {
+        const Result<ConfigState> snapshot = decodeConfigSnapshot(text);
+        if (snapshot.has_value()) {
+            this->tail.adoptSnapshot(snapshot.value());
+        }
+    };
+    peerHooks.onTombstone = [this](const KeyId &id) {
+        this->withdrawKey(id);
+    };
+    peerHooks.describeTraffic = this->hooks.describeTraffic;
+    peerHooks.onLoads = this->hooks.peerLoads;
+    peerHooks.onServices = this->hooks.peerServices;
+    peerHooks.onQuarantines = this->hooks.peerQuarantines;
+    peerHooks.onServingCount = this->hooks.servingCount;
+    return peerHooks;
+}
+
+boost::asio::awaitable<void> Controller::runFreshness()
+{
+    while (!this->stopped) {
+        if (this->isReady() && this->peers.membership().self().state == MemberState::Joining) {
+            this->peers.setState(MemberState::Serving);
+        }
+        this->configAdvanced();
+        co_await delay(this->controllerOptions.freshnessLimit / freshnessSteps);
+    }
+}
+
 void Controller::configAdvanced()
 {
     const std::shared_ptr<const ConfigState> before = this->publishedState;
     const std::shared_ptr<const ConfigState> after = this->tail.state();
     const bool changed = before != after;
     // The index of a snapshot costs a pass over the configuration, so freshness alone renews it in steps.
-    const bool freshnessMoved = this->freshUntil() - this->publishedFreshness > this->controllerOptions.freshnessLimit / 8;
+    const bool freshnessMoved
+        = this->freshUntil() - this->publishedFreshness > this->controllerOptions.freshnessLimit / freshnessSteps;
     if (!changed && !freshnessMoved) {
         return;
     }
--- a/src/control/logtail.cpp
+++ b/src/control/logtail.cpp
@@ -59,7 +59,8 @@
         co_return false;
     }
     const TimePoint sentAt = RuntimeClock::now();
-    const Result<LogBatch> batch = co_await this->platform.read(this->stream, from.value(), this->answering ? readWait : std::chrono::milliseconds(0));
+    const Result<LogBatch> batch
+        = co_await this->platform.read(this->stream, from.value(), this->answering ? readWait : std::chrono::milliseconds(0));
     if (this->stopped) {
         co_return false;
     }
--- /dev/null
+++ b/src/control/peerexchange.cpp
@@ -0,0 +1,339 @@
+#include <flamingosaddle/control/peerexchange.h>
+
+#include <flamingosaddle/base/delay.h>
+#include <flamingosaddle/base/hash.h>
+#include <flamingosaddle/base/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+Heartbeat firstHeartbeat(const PeerExchangeOptions &options)
+{
+    Heartbeat heartbeat;
+    heartbeat.from = options.self;
+    heartbeat.dataCentre = options.dataCentre;
+    return heartbeat;
+}
+
+std::vector<Seed> seedsOf(const std::vector<InstanceEntry> &entries)
+{
+    std::vector<Seed> seeds;
+    for (const InstanceEntry &entry : entries) {
+        const Result<Endpoint> address = Endpoint::parse(entry.peerAddress);
+        if (address.has_value()) {
+            seeds.push_back({entry.id, address.value(), entry.leaving});
+        }
+    }
+    return seeds;
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(
+    boost::asio::io_context &context, const Platform &platform, PeerExchangeOptions options, PeerExchangeHooks hooks)
+    : context(context)
+    , platform(platform)
+    , options(std::move(options))
+    , hooks(std::move(hooks))
+    , members(firstHeartbeat(this->options), this->options.membership)
+{
+}
+
+Result<void> PeerExchange::listen(const Endpoint &endpoint)
+{
+    PeerServerOptions serverOptions;
+    serverOptions.listen = endpoint;
+    serverOptions.timing = this->options.timing;
+    BOOST_OUTCOME_TRY(
+        started, PeerServer::start(this->context, serverOptions, [this](const HelloMessage &from, const PeerMessage &message) {
+            this->onMessage(from, message);
+        }));
+    this->server = std::move(started);
+    Heartbeat self = firstHeartbeat(this->options);
+    self.address = this->server->localEndpoint();
+    this->members = Membership(self, this->options.membership);
+    return done();
+}
+
+boost::asio::awaitable<void> PeerExchange::runTicks()
+{
+    while (!this->stopped) {
+        this->members.advance(RuntimeClock::now());
+        this->current = this->nextHeartbeat();
+        this->refreshLinks();
+        this->passOnLoads();
+        this->noteServingCount();
+        co_await delay(this->options.timing.heartbeatInterval);
+    }
+}
+
+boost::asio::awaitable<void> PeerExchange::runList()
+{
+    while (!this->stopped) {
+        const Result<std::vector<InstanceEntry>> listed = co_await this->platform.instances();
+        if (listed.has_value()) {
+            this->members.setSeeds(seedsOf(listed.value()));
+        }
+        co_await delay(this->options.listInterval);
+    }
+}
+
+void PeerExchange::stop()
+{
+    this->stopped = true;
+    this->broadcast(LeaveMessage{this->options.self});
+    for (const auto &[endpoint, link] : this->links) {
+        link->stop();
+    }
+    if (this->server) {
+        this->server->stop();
+    }
+}
+
+void PeerExchange::setState(MemberState state)
+{
+    this->members.setOwnState(state);
+}
+
+void PeerExchange::sendTombstone(const KeyId &id)
+{
+    this->broadcast(TombstonesMessage{{id}});
+}
+
+void PeerExchange::sendQuarantines(const QuarantinesMessage &message)
+{
+    this->broadcast(message);
+}
+
+Endpoint PeerExchange::localEndpoint() const
+{
+    return this->server ? this->server->localEndpoint() : Endpoint();
+}
+
+const Membership &PeerExchange::membership() const
+{
+    return this->members;
+}
+
+std::optional<TimePoint> PeerExchange::lastAgreement() const
+{
+    return this->agreedAt;
+}
+
+bool PeerExchange::hasOthers() const
+{
+    return !this->members.serving().empty() || !this->members.contacts().empty() || !this->options.seeds.empty();
+}
+
+std::uint64_t PeerExchange::sentBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[endpoint, link] : this->links) {
+        bytes += link->counters().bytes;
+    }
+    return bytes;
+}
+
+void PeerExchange::onMessage(const HelloMessage &from, const PeerMessage &message)
+{
+    if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message)) {
+        this->take(from, *heartbeat);
+    } else if (const auto *tombstones = std::get_if<TombstonesMessage>(&message)) {
+        for (const KeyId &id : tombstones->keys) {
+            this->hooks.onTombstone(id);
+        }
+    } else if (const auto *quarantines = std::get_if<QuarantinesMessage>(&message)) {
+        this->hooks.onQuarantines(*quarantines);
+    } else if (const auto *snapshot = std::get_if<ConfigSnapshotMessage>(&message)) {
+        this->hooks.onConfigSnapshot(snapshot->text);
+    } else if (std::holds_alternative<LeaveMessage>(message)) {
+        this->loads.erase(from.from.instance);
+    }
+}
+
+void PeerExchange::take(const HelloMessage &from, const HeartbeatMessage &message)
+{
+    const TimePoint now = RuntimeClock::now();
+    const HeartbeatResult result = this->members.apply(message.member, now);
+    if (result != HeartbeatResult::Accepted) {
+        return;
+    }
+    this->loads[from.from.instance] = message.loads;
+    this->hooks.onServices(message.services);
+    this->helpIfBehind(message);
+    this->configs[from.from.instance] = {message.configOffset, now};
+    this->noteAgreement(message, now);
+}
+
+void PeerExchange::noteAgreement(const HeartbeatMessage &message, TimePoint now)
+{
+    if (message.configOffset > this->hooks.configOffset()) {
+        return;
+    }
+    if (message.readsLog || this->majorityAgrees(now)) {
+        this->agreedAt = now;
+    }
+}
+
+bool PeerExchange::majorityAgrees(TimePoint now) const
+{
+    std::size_t known = 1;
+    std::size_t agreeing = 1;
+    for (const auto &[id, member] : this->members.members()) {
+        if (member.isFinal) {
+            continue;
+        }
+        ++known;
+        const auto config = this->configs.find(id);
+        const bool isHeard = config != this->configs.end() && now - config->second.heardAt <= this->options.timing.silenceLimit();
+        if (isHeard && config->second.offset <= this->hooks.configOffset()) {
+            ++agreeing;
+        }
+    }
+    return 2 * agreeing > known;
+}
+
+void PeerExchange::helpIfBehind(const HeartbeatMessage &message)
+{
+    const auto before = this->configs.find(message.member.from.instance);
+    // A peer that reads the log catches up between two heartbeats; one that stands still cannot read it.
+    const bool standsStill = before != this->configs.end() && before->second.offset == message.configOffset;
+    if (!standsStill || message.configOffset >= this->hooks.configOffset() || !this->isHelperOf(message)) {
+        return;
+    }
+    const auto link = this->links.find(message.member.address);
+    if (link != this->links.end()) {
+        // While there is no connection the next heartbeat leads here again.
+        const Result<void> ignored = link->second->send(ConfigSnapshotMessage{this->hooks.configSnapshot()});
+        static_cast<void>(ignored);
+    }
+}
+
+bool PeerExchange::isHelperOf(const HeartbeatMessage &message) const
+{
+    const std::uint64_t key = hash64(message.member.from.text());
+    const std::uint64_t own = rendezvousWeight(this->options.self.text(), key);
+    const std::vector<Heartbeat> serving = this->members.serving();
+    return std::none_of(serving.begin(), serving.end(), [&](const Heartbeat &other) {
+        const auto config = this->configs.find(other.from.instance);
+        const bool isAhead = config != this->configs.end() && config->second.offset > message.configOffset;
+        return isAhead && rendezvousWeight(other.from.text(), key) > own;
+    });
+}
+
+void PeerExchange::refreshLinks()
+{
+    std::set<Endpoint> wanted(this->options.seeds.begin(), this->options.seeds.end());
+    for (const Endpoint &contact : this->members.contacts()) {
+        wanted.insert(contact);
+    }
+    for (const auto &[id, member] : this->members.members()) {
+        if (member.state != MemberState::Gone) {
+            wanted.insert(member.last.address);
+        }
+    }
+    wanted.erase(this->localEndpoint());
+    std::erase_if(this->links, [&wanted](const auto &entry) {
+        return !wanted.contains(entry.first);
+    });
+    for (const Endpoint &endpoint : wanted) {
+        if (!this->links.contains(endpoint)) {
+            this->openLink(endpoint);
+        }
+    }
+}
+
+void PeerExchange::openLink(const Endpoint &endpoint)
+{
+    PeerLinkOptions linkOptions;
+    linkOptions.peer = endpoint;
+    linkOptions.timing = this->options.timing;
+    linkOptions.seed = hash64(endpoint.text(), this->options.seed);
+    auto link = std::make_unique<PeerLink>(this->context, linkOptions, this->linkHooks());
+    link->start();
+    this->links.emplace(endpoint, std::move(link));
+}
+
+PeerLinkHooks PeerExchange::linkHooks()
+{
+    PeerLinkHooks linkHooks;
+    linkHooks.hello = [this] {
+        return HelloMessage{this->options.self, this->options.dataCentre, ++this->connections};
+    };
+    linkHooks.heartbeat = [this] {
+        return this->current;
+    };
+    linkHooks.greeting = [this] {
+        return this->greeting();
+    };
+    return linkHooks;
+}
+
+HeartbeatMessage PeerExchange::nextHeartbeat()
+{
+    HeartbeatMessage message;
+    message.member = this->members.nextHeartbeat();
+    message.configOffset = this->hooks.configOffset();
+    message.readsLog = this->hooks.readsLog();
+    this->hooks.describeTraffic(message);
+    return message;
+}
+
+std::vector<PeerMessage> PeerExchange::greeting() const
+{
+    std::vector<PeerMessage> messages;
+    messages.emplace_back(TombstonesMessage{this->hooks.tombstones()});
+    return messages;
+}
+
+void PeerExchange::broadcast(const PeerMessage &message)
+{
+    for (const auto &[endpoint, link] : this->links) {
+        // A peer without a connection is told by the greeting of the next one.
+        const Result<void> ignored = link->send(message);
+        static_cast<void>(ignored);
+    }
+}
+
+void PeerExchange::passOnLoads()
+{
+    std::map<BackendServerId, std::uint32_t> sums;
+    for (const BackendServerId &id : this->reportedServers) {
+        sums[id] = 0;
+    }
+    this->reportedServers.clear();
+    for (const auto &[instance, serverLoads] : this->loads) {
+        const Member *member = this->members.find(instance);
+        if (member == nullptr || member->state == MemberState::Gone) {
+            continue;
+        }
+        for (const ServerLoad &load : serverLoads) {
+            sums[load.server] += load.inFlight;
+            this->reportedServers.insert(load.server);
+        }
+    }
+    std::vector<ServerLoad> all;
+    for (const auto &[server, inFlight] : sums) {
+        all.push_back({server, inFlight});
+    }
+    this->hooks.onLoads(all);
+}
+
+void PeerExchange::noteServingCount()
+{
+    const std::size_t count = this->members.serving().size() + 1;
+    if (count == this->servingCount) {
+        return;
+    }
+    this->servingCount = count;
+    this->hooks.onServingCount(count);
+    logStateChange(LogLevel::Info, "control", "serving instances changed", {{"count", std::to_string(count)}});
+}
+
+} // namespace flamingosaddle
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -61,7 +61,7 @@
 
 auto fieldsOf(Is<ServiceCount> auto &value)
 {
-    return std::tie(value.clientAccount, value.tokens);
+    return std::tie(value.clientAccount, value.model, value.service, value.tier, value.weightThousandths, value.tokens);
 }
 
 auto fieldsOf(Is<DeathNotice> auto &value)
@@ -86,7 +86,7 @@
 
 auto fieldsOf(Is<HeartbeatMessage> auto &value)
 {
-    return std::tie(value.member, value.configOffset, value.pressure, value.loads, value.services);
+    return std::tie(value.member, value.configOffset, value.readsLog, value.pressure, value.loads, value.services);
 }
 
 auto fieldsOf(Is<TombstonesMessage> auto &value)
@@ -104,6 +104,11 @@
     return std::tie(value.records);
 }
 
+auto fieldsOf(Is<ConfigSnapshotMessage> auto &value)
+{
+    return std::tie(value.text);
+}
+
 auto fieldsOf(Is<UsageCopyMessage> auto &value)
 {
     return std::tie(value.id, value.record);
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -66,6 +66,11 @@
         hooks.keyWithdrawn = [this](const KeyId &id) {
             this->withdrawn.push_back(id);
         };
+        hooks.describeTraffic = [](HeartbeatMessage &) {};
+        hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
+        hooks.peerServices = [](const std::vector<ServiceCount> &) {};
+        hooks.peerQuarantines = [](const QuarantinesMessage &) {};
+        hooks.servingCount = [](std::size_t) {};
         return hooks;
     }
 
