Refuse paths that a backend server may read as another one

A route open to all matched on the text of the path, so /open/../s would have reached the service behind a keyed route without a key when the service resolves dot segments. Paths with dot segments, empty segments or escaped separators are now refused. Properties: arbitrary bytes never break the server, and nothing but an open route runs without the key.

--- a/src/http/requestrouter.cpp
+++ b/src/http/requestrouter.cpp
@@ -36,6 +36,30 @@
     return header.size() > bearerScheme.size() && equalHeaderNames(header.substr(0, bearerScheme.size()), bearerScheme);
 }
 
+/**
+ * Whether a backend server may read @p path as another one than its text: dot segments, empty segments or escaped
+ * separators. Such a path could lead from an open route to one that needs a key.
+ */
+bool isAmbiguous(std::string_view path)
+{
+    std::string plain;
+    plain.reserve(path.size());
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        const std::string_view escape = path.substr(i, 3);
+        if (equalHeaderNames(escape, "%2e")) {
+            plain.push_back('.');
+            i += 2;
+        } else if (equalHeaderNames(escape, "%2f") || equalHeaderNames(escape, "%5c") || path[i] == '\\') {
+            return true;
+        } else {
+            plain.push_back(path[i]);
+        }
+    }
+    plain.push_back('/');
+    return plain.find("//") < plain.size() - 2 || plain.find("/./") != std::string::npos
+        || plain.find("/../") != std::string::npos;
+}
+
 std::uint64_t fingerprintOf(const RoutedRequest &routed, const HttpRequest &request)
 {
     std::uint64_t hash = hash64(routed.profile.clientAccount.text());
@@ -86,6 +110,10 @@
     RoutedRequest routed;
     routed.profile.arrival = now;
     const std::string_view path = request.path();
+    if (isAmbiguous(path)) {
+        return fail(
+            ErrorKind::InvalidRequest, "the path has dot segments, empty segments or escaped separators", "send it resolved");
+    }
     const bool modelList = path == modelListPath;
     const bool model = path == chatPath || path == completionPath;
     const Route *route = modelList || model ? nullptr : snapshot.findRoute(path);
--- a/tests/http/callerfixture.cpp
+++ b/tests/http/callerfixture.cpp
@@ -102,6 +102,13 @@
 
 } // namespace
 
+std::shared_ptr<ConfigState> exampleConfig()
+{
+    auto state = std::make_shared<ConfigState>();
+    applyAccount(*state);
+    return state;
+}
+
 FakeBackend::FakeBackend(Answer answer)
     : server([this, answer = std::move(answer)](HttpExchange &exchange) {
         {
@@ -143,9 +150,8 @@
 
 CallerSetup::CallerSetup(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
     CallerHooks hooks, CallerOptions options)
-    : config(std::make_shared<ConfigState>())
+    : config(exampleConfig())
 {
-    applyAccount(*this->config);
     for (const FakeBackend *engine : engines) {
         const std::string id = "e" + std::to_string(this->config->nextOffset());
         apply(*this->config, PutBackendServer{serverOf(id, engine->endpoint(), BackendKind::Engine)});
--- a/tests/http/callerfixture.h
+++ b/tests/http/callerfixture.h
@@ -17,6 +17,12 @@
 inline constexpr const char *secret = "secret";
 inline constexpr const char *validKey = "key-of-a";
 
+/**
+ * Client account "a" with the valid key and the classes "chat" and "once", which may use model "m" and service "s"; the
+ * route "/s" to the service and the open route "/open" to it.
+ */
+std::shared_ptr<ConfigState> exampleConfig();
+
 /** A backend server whose answers the test decides; it keeps every request. */
 class FakeBackend
 {
@@ -41,10 +47,7 @@
 /** Answers nothing until the caller goes. */
 boost::asio::awaitable<void> staySilent(HttpExchange &exchange);
 
-/**
- * A caller handler with its server, one client account "a" that may use model "m" and service "s" on "/s", an open route
- * "/open" to the same service, and the given backend servers.
- */
+/** A caller handler with its server, the example configuration and the given backend servers. */
 class CallerSetup
 {
 public:
--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -68,7 +68,9 @@
 
 void RawClient::send(std::string_view bytes)
 {
-    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()));
+    // The server may close before it has read everything.
+    boost::system::error_code ignored;
+    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()), ignored);
 }
 
 bool RawClient::readSome()
@@ -104,6 +106,12 @@
     return this->socket.available() > 0;
 }
 
+void RawClient::finishSending()
+{
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void RawClient::close()
 {
     this->socket.close();
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -103,6 +103,8 @@
     /** Everything up to and including @p mark, or up to the end of the connection. */
     std::string readUntil(std::string_view mark);
     bool hasInput();
+    /** Tells the server that nothing more comes. */
+    void finishSending();
     void close();
 
 private:
--- /dev/null
+++ b/tests/http/requestrouter_test.cpp
@@ -0,0 +1,70 @@
+#include "requestrouter.h"
+
+#include "callerfixture.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::test;
+
+namespace
+{
+
+struct Routing {
+    RoutingSnapshot snapshot{exampleConfig(), {}, TimePoint::max()};
+    RequestRouter router{secret, RequestClass()};
+
+    Result<RoutedRequest> route(const std::string &method, const std::string &target, const std::string &key = {}) const
+    {
+        HttpRequest request;
+        request.method = method;
+        request.target = target;
+        if (!key.empty()) {
+            request.headers.add("Authorization", "Bearer " + key);
+        }
+        return this->router.route(this->snapshot, request, TimePoint());
+    }
+};
+
+} // namespace
+
+TEST(RequestRouter, MethodsAndRoutesDecideWhetherARequestMayRunTwice)
+{
+    const Routing routing;
+    EXPECT_TRUE(routing.route("GET", "/s/1", validKey).value().profile.idempotent);
+    EXPECT_FALSE(routing.route("POST", "/s/1", validKey).value().profile.idempotent);
+    EXPECT_FALSE(routing.route("POST", "/open").value().profile.idempotent);
+    EXPECT_EQ(routing.route("GET", "/s/1", validKey).value().profile.clientAccount, ClientAccountId("a"));
+}
+
+TEST(RequestRouter, AnOpenRouteLeadsNowhereElse)
+{
+    const Routing routing;
+    for (const char *target :
+        {"/open/../s/deposit", "/open/%2e%2E/s", "/open/./x", "/open//s", "/open%2f..%2fs", "/open\\..\\s"}) {
+        const Result<RoutedRequest> routed = routing.route("POST", target);
+        ASSERT_FALSE(routed.has_value()) << target;
+        EXPECT_EQ(routed.error().kind(), ErrorKind::InvalidRequest) << target;
+    }
+    EXPECT_TRUE(routing.route("POST", "/open/a..b/.c/").has_value());
+    EXPECT_EQ(routing.route("POST", "/opener").error().kind(), ErrorKind::NotFound);
+}
+
+RC_GTEST_PROP(RequestRouter, NothingButAnOpenRouteRunsWithoutTheKey, (const std::string &key))
+{
+    static const Routing routing;
+    const auto parts = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>(
+        "/", "s", "open", "..", ".", "%2e", "%2F", "\\", "?", "v1/models", "v1/completions", "#", "deposit"));
+    std::string target = "/";
+    for (const std::string &part : parts) {
+        target += part;
+    }
+    RC_PRE(key != validKey);
+    const Result<RoutedRequest> routed = routing.route(*rc::gen::element<std::string>("GET", "POST", "HEAD"), target, key);
+    if (routed.has_value()) {
+        RC_ASSERT(target.starts_with("/open"));
+        RC_ASSERT(routed.value().profile.clientAccount.isEmpty());
+        RC_ASSERT(target.substr(0, target.find('?')).find("..") == std::string::npos || target.find("/../") == std::string::npos);
+    }
+}
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <future>
 
@@ -215,3 +216,19 @@
     EXPECT_EQ(idle.readAll(), "");
     EXPECT_NE(busy.readAll().find("Connection: close"), std::string::npos);
 }
+
+RC_GTEST_PROP(HttpServer, SurvivesAnyBytes, (const std::string &bytes))
+{
+    static TestServer server(echo, smallLimits());
+    std::string request = post("body", "Expect: 100-continue\r\n");
+    request.replace(*rc::gen::inRange<std::size_t>(0, request.size()), *rc::gen::inRange<std::size_t>(0, 8), bytes);
+    RawClient client(server.endpoint());
+    client.send(request);
+    client.finishSending();
+    const std::string answer = client.readAll();
+    RC_ASSERT(answer.empty() || answer.starts_with("HTTP/1.1 "));
+
+    RawClient next(server.endpoint());
+    next.send(post("fine", "Connection: close\r\n"));
+    RC_ASSERT(next.readAll().ends_with("fine"));
+}
