Process tests of a crashing request and a silent server

A request that crashes engines costs two of four, also when its caller sends it four times; a silent plain service is given up for the other one within the first-byte timeout.

--- a/tests/process/backendfault_test.cpp
+++ b/tests/process/backendfault_test.cpp
@@ -120,3 +120,38 @@
         EXPECT_EQ(checkStreamedAnswer(chatPath, request.body, answer.value().body), Violations{}) << answer.value().body;
     }
 }
+
+TEST_F(BackendFault, ARequestThatCrashesEnginesCostsAtMostTwo)
+{
+    for (const char *id : {"engine-c", "engine-d"}) {
+        this->cluster.publish({"backend", "add"}, this->cluster.addEngine(id, "dc-c").configuration);
+    }
+    const HttpRequest fatal = withKey(chatRequest("[[crash]]", 20, true), this->key.key);
+    for (unsigned round = 0; round < 4; ++round) {
+        const auto answer = call(this->daemon(0).caller, fatal);
+        EXPECT_TRUE(answer.has_error() || answer.value().status >= 400);
+    }
+    unsigned alive = 0;
+    for (const char *id : {"engine-a", "engine-b", "engine-c", "engine-d"}) {
+        alive += call(this->cluster.backend(id).standin.address, getRequest("/load")).has_value() ? 1 : 0;
+    }
+    EXPECT_GE(alive, 2U);
+    const HttpRequest other = withKey(chatRequest("harmless", 20, true), this->key.key);
+    const auto answer = call(this->daemon(0).caller, other);
+    ASSERT_TRUE(answer.has_value()) << answer.error().text();
+    EXPECT_EQ(checkStreamedAnswer(chatPath, other.body, answer.value().body), Violations{}) << answer.value().body;
+}
+
+TEST_F(BackendFault, ASilentServerIsGivenUp)
+{
+    DaemonProcess &impatient
+        = this->cluster.addDaemon("dc-a", "i5", {"--first-byte-timeout", "300", "--progress-timeout", "300"});
+    this->cluster.waitUntilServing(this->key);
+    this->cluster.backend("bookings-b").standin.setFaults({{"silent", true}});
+    for (unsigned round = 0; round < 4; ++round) {
+        EXPECT_EQ(statusOf(impatient, this->key), 200);
+    }
+    this->setFaults(bothEngines, {{"freezeStreams", true}});
+    const auto frozen = call(impatient.caller, withKey(chatRequest("frozen", 20, true), this->key.key));
+    EXPECT_TRUE(frozen.has_error() || !parseStream(frozen.value().body).done);
+}
