--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -145,6 +145,15 @@
     return this->backends.emplace_back(std::move(configuration), flags, this->directory + "/" + id + ".jsonl");
 }
 
+void Cluster::killBackend(const std::string &id)
+{
+    for (BackendProcess &backend : this->backends) {
+        if (backend.id() == id) {
+            backend.standin.process.kill();
+        }
+    }
+}
+
 DaemonProcess &Cluster::addDaemon(
     const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags)
 {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -70,6 +70,7 @@
     // Commands.
     BackendProcess &addEngine(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags = {});
     BackendProcess &addService(const std::string &id, const std::string &dataCentre, const std::vector<std::string> &flags = {});
+    void killBackend(const std::string &id);
     /** Starts a daemon and waits until it has told its addresses. */
     DaemonProcess &addDaemon(
         const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags = {});
--- a/tests/process/underload_test.cpp
+++ b/tests/process/underload_test.cpp
@@ -79,3 +79,20 @@
     EXPECT_EQ(unservedRequests(outcomes), Violations{});
     EXPECT_EQ(checkNotRun(this->cluster.backendAudits(), notRunRequestIds(outcomes)), Violations{});
 }
+
+TEST_F(UnderLoad, TheKillOfAnEngineCostsAtMostTheRequestsThatItRan)
+{
+    LoadRun load(this->cluster.daemons(), this->key.key, callersPerDaemon);
+    ASSERT_TRUE(load.waitForAnswers(this->all, warmUpAnswers));
+    this->cluster.killBackend("engine-a");
+    EXPECT_TRUE(load.waitForAnswers(this->all, 2 * warmUpAnswers));
+    const std::vector<LoadOutcome> outcomes = load.finish();
+    Violations wrong;
+    for (const LoadOutcome &outcome : outcomes) {
+        wrong.insert(wrong.end(), outcome.violations.begin(), outcome.violations.end());
+    }
+    EXPECT_EQ(wrong, Violations{});
+    const Violations unserved = unservedRequests(outcomes);
+    EXPECT_LE(unserved.size(), this->all.size() * callersPerDaemon) << testing::PrintToString(unserved);
+    EXPECT_EQ(checkNotRun(this->cluster.backendAudits(), notRunRequestIds(outcomes)), Violations{});
+}
