Servers that follow the load: planner, and concentrating against spreading

Tried the idea of Hasebe, Sawada and Kato (Using a Potential Game for Power Reduction in Distributed Storage Systems) of skewing load to a part of the nodes without overloading them, so that the rest can be stopped. Spreading stays; the planner lets servers go.

A run of a suspect is counted for the request that it was counted for only: a copy from before the death that ended took the mark from the run beside it.

--- a/benchmark/traffic/scenarios.cpp
+++ b/benchmark/traffic/scenarios.cpp
@@ -95,6 +95,29 @@
     return policy;
 }
 
+// Fills the busiest server that is not overloaded, after the idea of skewing load in Hasebe, Sawada and Kato, "Using a
+// Potential Game for Power Reduction in Distributed Storage Systems": a node gains by load and loses by overload.
+Policy concentrate()
+{
+    constexpr double fullPart = 0.9; // of the slots, above which a server counts as overloaded
+    return Policy{"concentrate", true, [=]() {
+                      DispatcherPolicies policies;
+                      policies.chooseServer = [=](const std::vector<ServerView> &views) {
+                          const auto gain = [=](const ServerView &view) {
+                              const double load = view.inFlight + view.peersInFlight;
+                              const bool overloaded = load + 1.0 > fullPart * view.slots;
+                              return std::pair(overloaded ? -load : load, -static_cast<double>(view.server));
+                          };
+                          const auto best
+                              = std::max_element(views.begin(), views.end(), [&](const auto &left, const auto &right) {
+                                    return gain(left) < gain(right);
+                                });
+                          return static_cast<std::size_t>(best - views.begin());
+                      };
+                      return policies;
+                  }};
+}
+
 ClassLoad classLoad(int tier, double part, std::chrono::milliseconds target, double floorShare)
 {
     ClassLoad load;
@@ -245,6 +268,23 @@
     figures.push_back({row, policy.name, "p95 first token in seconds", quantile(results.firstTokenSeconds, 0.95)});
 }
 
+void addSpend(std::vector<Figure> &figures, const Policy &policy, const std::string &name, FleetRule rule)
+{
+    Settings settings = settingsOf(policy);
+    settings.duration = std::chrono::seconds(1800);
+    settings.dayLength = settings.duration;
+    settings.fleetRule = rule;
+    const Results results = Simulation(settings).run();
+    const std::string row = "spend over a day";
+    const double meanServers = results.serverSeconds / static_cast<double>(settings.duration.count());
+    figures.push_back({row, name, "servers paid for, of 12", meanServers});
+    figures.push_back({row, name, "attainment of tier 0", attainment(results, 0)});
+    figures.push_back({row, name, "attainment of tier 1", attainment(results, 1)});
+    figures.push_back({row, name, "p95 first token in seconds", quantile(results.firstTokenSeconds, 0.95)});
+    figures.push_back(
+        {row, name, "mean seconds for an answer", results.holdSeconds / static_cast<double>(results.firstTokenSeconds.size())});
+}
+
 void addFailures(std::vector<Figure> &figures, const Policy &policy)
 {
     Settings settings = settingsOf(policy);
@@ -280,6 +320,11 @@
     for (const Policy &policy : {ours(), unlimitedRetries()}) {
         addFailures(figures, policy);
     }
+    addSpend(figures, ours(), "spread, all servers", FleetRule::Fixed);
+    addSpend(figures, ours(), "spread, stopped when idle", FleetRule::WhenIdle);
+    addSpend(figures, concentrate(), "concentrate, stopped when idle", FleetRule::WhenIdle);
+    addSpend(figures, ours(), "flamingosaddle", FleetRule::Planned);
+    addSpend(figures, concentrate(), "concentrate, planned", FleetRule::Planned);
     return figures;
 }
 
--- a/benchmark/traffic/simulation.cpp
+++ b/benchmark/traffic/simulation.cpp
@@ -1,6 +1,7 @@
 #include "simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace flamingosaddle::simulation
@@ -29,6 +30,7 @@
     : settings(std::move(settings))
     , random(this->settings.seed)
     , forwarder(this->settings.seed)
+    , fleet(this->settings.fleetRule, this->settings.servers, this->settings.slots)
 {
     this->engines.resize(this->settings.servers);
     this->instances.resize(this->settings.instances);
@@ -39,10 +41,15 @@
         DispatcherPolicies policies = this->settings.policies ? this->settings.policies() : DispatcherPolicies();
         this->instances[i].dispatcher = std::make_unique<Dispatcher>(options, std::move(policies));
     }
-    this->addServers();
+    for (std::uint32_t i = 0; i < this->settings.servers; ++i) {
+        this->engines[i].slots = this->settings.slots;
+        this->engines[i].slowness = i < this->settings.slowServers ? 4.0 : 1.0;
+        this->engines[i].fails = i < this->settings.failingServers;
+    }
+    this->setServers();
 }
 
-void Simulation::addServers()
+void Simulation::setServers()
 {
     std::vector<BackendServer> servers;
     for (std::uint32_t i = 0; i < this->settings.servers; ++i) {
@@ -51,10 +58,8 @@
         server.dataCentre = DataCentre(std::string(1, static_cast<char>('a' + i % 3)));
         server.models = {ModelName("model")};
         server.slots = this->settings.slots;
+        server.leaving = !this->fleet.takesWork(i);
         servers.push_back(server);
-        this->engines[i].slots = this->settings.slots;
-        this->engines[i].slowness = i < this->settings.slowServers ? 4.0 : 1.0;
-        this->engines[i].fails = i < this->settings.failingServers;
     }
     for (Instance &instance : this->instances) {
         instance.dispatcher->setServers(servers, this->now);
@@ -71,6 +76,9 @@
         const Event event = this->events.top();
         this->events.pop();
         this->now = event.at;
+        if (this->now >= lastArrival && this->results.serverSeconds == 0.0) {
+            this->results.serverSeconds = this->fleet.serverSeconds();
+        }
         if (event.kind != EventKind::Arrival || this->now < lastArrival) {
             this->handle(event);
         }
@@ -105,6 +113,13 @@
     return this->settings.load * this->settings.servers * this->settings.slots / holdSeconds;
 }
 
+double Simulation::loadNow() const
+{
+    const double day = secondsOf(this->now.time_since_epoch()) / static_cast<double>(this->settings.dayLength.count());
+    const double phase = day - std::floor(day);
+    return 0.25 + 0.75 * (phase < 0.5 ? 2.0 * phase : 2.0 - 2.0 * phase);
+}
+
 void Simulation::scheduleArrival()
 {
     std::exponential_distribution<double> gap(this->requestsPerSecond());
@@ -114,13 +129,17 @@
 void Simulation::handle(const Event &event)
 {
     if (event.kind == EventKind::Arrival) {
-        this->arrive();
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
+        if (this->settings.dayLength.count() == 0 || draw(this->random) < this->loadNow()) {
+            this->arrive();
+        }
         this->scheduleArrival();
         return;
     }
     if (event.kind == EventKind::Exchange) {
         this->exchange();
         this->sampleLoad();
+        this->tickFleet();
         this->schedule(this->now + exchangeInterval, EventKind::Exchange, 0);
         return;
     }
@@ -325,6 +344,7 @@
     this->instances[request.instance].requests.erase(request.ticket);
     const RequestClass &requestClass = request.profile.requestClass;
     const Duration waited = request.firstToken - request.profile.arrival;
+    this->results.holdSeconds += secondsOf(this->now - request.profile.arrival);
     this->results.firstTokenSeconds.push_back(secondsOf(waited));
     for (Outcome *outcome :
         {&this->results.byTier[requestClass.tier], &this->results.byAccount[{requestClass.tier, request.account}]}) {
--- a/benchmark/traffic/simulationexchange.cpp
+++ b/benchmark/traffic/simulationexchange.cpp
@@ -27,7 +27,7 @@
         Dispatcher &dispatcher = *this->instances[from].dispatcher;
         std::vector<std::uint32_t> &inFlight = word.inFlight.emplace_back();
         for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
-            inFlight.push_back(dispatcher.inFlight(Simulation::serverId(server)));
+            inFlight.push_back(dispatcher.inFlight(serverId(server)));
         }
         dispatcher.takeService(word.services.emplace_back());
         QueuePressure &pressure = word.pressures.emplace_back();
@@ -52,7 +52,7 @@
 {
     Instance &instance = this->instances[to];
     for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
-        ServerReport report{Simulation::serverId(server), 0, 0, word.at};
+        ServerReport report{serverId(server), 0, 0, word.at};
         for (std::uint32_t from = 0; from < this->settings.instances; ++from) {
             report.peersInFlight += from == to ? 0 : word.inFlight[from][server];
         }
@@ -78,6 +78,24 @@
     last = this->results.attempts;
 }
 
+void Simulation::tickFleet()
+{
+    std::vector<std::uint32_t> inFlight(this->settings.servers, 0);
+    std::uint32_t waiting = 0;
+    for (const Instance &instance : this->instances) {
+        waiting += static_cast<std::uint32_t>(instance.dispatcher->waitingCount());
+        for (std::uint32_t server = 0; server < this->settings.servers; ++server) {
+            inFlight[server] += instance.dispatcher->inFlight(serverId(server));
+        }
+    }
+    if (this->fleet.tick(inFlight, waiting, this->now)) {
+        this->setServers();
+        for (std::uint32_t instance = 0; instance < this->settings.instances; ++instance) {
+            this->dispatch(instance);
+        }
+    }
+}
+
 void Simulation::sampleLoad()
 {
     double busiest = 0.0;
--- a/include/flamingosaddle/traffic/capacity.h
+++ b/include/flamingosaddle/traffic/capacity.h
@@ -72,6 +72,12 @@
 
     // Commands.
 
+    /**
+     * Counts what runs as needed at @p now. A planner that starts, for instance with a new holder of the orders, saw no
+     * load yet and would stop most servers at once without it.
+     */
+    void assumeNeeded(std::uint32_t reliable, std::uint32_t cheap, std::uint32_t slotsPerServer, TimePoint now);
+
     std::vector<WantedServers> plan(const CapacityNeed &need, const std::vector<DataCentreOffer> &offers, TimePoint now);
 
 private:
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -29,6 +29,7 @@
     TimePoint startedAt;
     TimePoint lastTokenAt;
     bool firstTokenSeen = false;
+    bool suspect = false; ///< counted by the quarantine as a run of a suspect
     std::uint64_t tokens = 0; ///< of the answer so far
     double reservedTokens = 0.0; ///< charged in advance and not yet used up
     double outstandingTokens = 0.0; ///< counted as expected work of the server
--- a/src/traffic/capacity.cpp
+++ b/src/traffic/capacity.cpp
@@ -79,6 +79,12 @@
     return wanted;
 }
 
+void CapacityPlanner::assumeNeeded(std::uint32_t reliable, std::uint32_t cheap, std::uint32_t slotsPerServer, TimePoint now)
+{
+    const double part = slotsPerServer / (1.0 + this->options.headroom);
+    this->recent.push_back(Seen{now, CapacityNeed{(reliable + cheap) * part, reliable * part, slotsPerServer}});
+}
+
 std::vector<WantedServers> CapacityPlanner::plan(
     const CapacityNeed &need, const std::vector<DataCentreOffer> &offers, TimePoint now)
 {
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -111,7 +111,9 @@
     this->noteServerOutcome(record, end, now);
     const bool promptUnused = end == AttemptEnd::NotSent && !record.firstTokenSeen;
     this->queue.shares().charge(record.share, -record.reservedTokens - (promptUnused ? record.promptTokens : 0.0));
-    this->quarantine.noteEnd(record.fingerprint);
+    if (record.suspect) {
+        this->quarantine.noteEnd(record.fingerprint);
+    }
     this->pool.release(record.server, record.entry.target, record.outstandingTokens);
     record.failedServer = record.server;
     record.server = noServer;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -284,6 +284,7 @@
     if (suspect) {
         this->quarantine.noteStart(record.fingerprint);
     }
+    record.suspect = suspect;
     ++record.attempts;
     record.server = server;
     record.startedAt = now;
--- a/tests/traffic/capacity_test.cpp
+++ b/tests/traffic/capacity_test.cpp
@@ -89,3 +89,12 @@
     EXPECT_EQ(serversAt(50.0, TimePoint(11min)), 10U) << "80 was needed 3 minutes ago";
     EXPECT_EQ(serversAt(50.0, TimePoint(18min)), 6U);
 }
+
+TEST(CapacityPlanner, StopsNothingAtItsStart)
+{
+    CapacityPlanner planner{CapacityOptions()};
+    const std::vector<DataCentreOffer> offers = offersOf({false});
+    planner.assumeNeeded(12, 0, 10, TimePoint());
+    EXPECT_EQ(planner.plan(CapacityNeed{0.0, 0.0, 10}, offers, TimePoint(1s)).front().reliable, 12U);
+    EXPECT_EQ(planner.plan(CapacityNeed{0.0, 0.0, 10}, offers, TimePoint(11min)).front().reliable, 0U);
+}
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -103,6 +103,24 @@
     EXPECT_EQ(std::get<Refusal>(dispatcher.submit(profile, TimePoint())).reason, RefusalReason::Quarantined);
 }
 
+TEST(Dispatcher, RunsASuspectAloneWhileACopyFromBeforeTheDeathEnds)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 4), serverOf("t", 4)}, TimePoint());
+    RequestProfile profile = profileOf("a", 0);
+    profile.fingerprint = 7;
+    const Ticket copy = submitted(dispatcher, profile);
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    dispatcher.noteDeath(7, BackendServerId("elsewhere"), TimePoint());
+    submitted(dispatcher, profile);
+    dispatcher.dispatch(TimePoint(), decisions);
+    ASSERT_EQ(decisions.assignments.size(), 1U);
+    EXPECT_TRUE(decisions.assignments.front().suspect);
+    dispatcher.finish(copy, AttemptEnd::Completed, TimePoint());
+    EXPECT_EQ(std::get<Refusal>(dispatcher.submit(profile, TimePoint())).reason, RefusalReason::Quarantined);
+}
+
 TEST(Dispatcher, RejectsWaitingRequestsAtTheirDeadline)
 {
     Dispatcher dispatcher{DispatcherOptions()};
