--- a/benchmark/peer/heartbeat_benchmark.cpp
+++ b/benchmark/peer/heartbeat_benchmark.cpp
@@ -44,7 +44,8 @@
         message.loads.push_back({BackendServerId("kerala-south-a-engine-" + std::to_string(server)), 4});
     }
     for (int account = 0; account < busyAccounts; ++account) {
-        message.services.push_back({ClientAccountId("client-account-" + std::to_string(account)), 3000});
+        message.services.push_back(
+            {ClientAccountId("client-account-" + std::to_string(account)), ModelName("model-1"), ServiceName(), 1, 1000, 3000});
     }
     return message;
 }
