--- a/benchmark/http/path_benchmark.cpp
+++ b/benchmark/http/path_benchmark.cpp
@@ -39,6 +39,7 @@
 std::vector<const FakeBackend *> pointers(const std::vector<std::unique_ptr<FakeBackend>> &engines)
 {
     std::vector<const FakeBackend *> list;
+    list.reserve(engines.size());
     for (const std::unique_ptr<FakeBackend> &engine : engines) {
         list.push_back(engine.get());
     }
@@ -59,10 +60,12 @@
 StreamSamples runLoad(const Endpoint &endpoint, int streams, int rounds)
 {
     std::vector<std::unique_ptr<ContextThread>> threads;
+    threads.reserve(clientThreads);
     for (std::size_t i = 0; i < clientThreads; ++i) {
         threads.push_back(std::make_unique<ContextThread>());
     }
     std::vector<std::future<StreamSamples>> running;
+    running.reserve(static_cast<std::size_t>(streams));
     for (int i = 0; i < streams; ++i) {
         running.push_back(threads[static_cast<std::size_t>(i) % clientThreads]->start(runStreams(endpoint, rounds)));
     }
