--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -13,6 +13,7 @@
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
 constexpr std::chrono::seconds suspectRetryAfter{5};
+constexpr Duration holdInterval = std::chrono::milliseconds(500); // after which rates of arrival are looked at again
 
 Refusal notRun(RefusalReason reason, std::chrono::seconds retryAfter)
 {
@@ -37,6 +38,7 @@
     if (!this->policies.admit) {
         this->policies.admit = meetsTarget;
     }
+    this->pool.setSpeedJudged(this->policies.judgesSpeed);
 }
 
 std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
@@ -55,6 +57,7 @@
         return notRun(RefusalReason::NoServer, noServerRetryAfter);
     }
     QueueEntry entry = this->entryOf(profile, *target);
+    this->noteTier(profile.requestClass);
     const std::optional<Refusal> refusal = this->refuseByForecast(entry, profile.requestClass.firstTokenTarget, now);
     if (refusal.has_value()) {
         return *refusal;
@@ -77,6 +80,19 @@
     return entry;
 }
 
+void Dispatcher::Implementation::noteTier(const RequestClass &requestClass)
+{
+    const auto place
+        = std::lower_bound(this->tiers.begin(), this->tiers.end(), requestClass.tier, [](const Tier &known, int tier) {
+              return known.tier < tier;
+          });
+    if (place == this->tiers.end() || place->tier != requestClass.tier) {
+        this->tiers.insert(place, Tier{requestClass.tier, requestClass.firstTokenTarget});
+    } else {
+        place->firstTokenTarget = requestClass.firstTokenTarget;
+    }
+}
+
 ClassIndex Dispatcher::Implementation::internClass(const RequestClass &requestClass)
 {
     this->classKey.name = requestClass.name;
@@ -106,33 +122,6 @@
     return std::nullopt;
 }
 
-QueueSituation Dispatcher::Implementation::situationOf(const QueueEntry &entry, TimePoint now)
-{
-    FairShares &shares = this->queue.shares();
-    const LaneIndex lane = shares.lane(entry.target, entry.tier);
-    const ShareIndex share = shares.share(lane, entry.account, entry.weight);
-    QueueSituation situation;
-    const double free = this->pool.freeSlots(entry.target, entry.cheapAllowed);
-    situation.slots = this->pool.ownInFlight(entry.target) + free;
-    situation.freeSlots = free;
-    situation.holdSeconds = this->forecast.holdSeconds(entry.target);
-    situation.higherWaiting = this->queue.waitingAbove(entry.target, entry.tier);
-    for (int tier = entry.tier - 1; tier >= 0; --tier) {
-        situation.higherArrivalsPerSecond += this->forecast.arrivalsPerSecond(shares.lane(entry.target, tier), now);
-    }
-    situation.tierWaiting = shares.laneWaiting(lane);
-    situation.ownWaiting = shares.waiting(share);
-    const double requestTokens = entry.weight > 0.0 ? this->forecast.outputTokens(entry.requestClass) / entry.weight : 1.0;
-    situation.ownLead = shares.lead(share) / std::max(requestTokens, 1.0);
-    const double otherWeight = shares.laneWeight(lane) - (shares.waiting(share) > 0 ? shares.weight(share) : 0.0);
-    situation.weightRatio = 1.0 + otherWeight / shares.weight(share);
-    const std::uint64_t period = this->queue.floorPeriod(entry.target, entry.requestClass);
-    situation.floorShare = period > 0 ? 1.0 / static_cast<double>(period) : 0.0;
-    situation.classWaiting = this->queue.waitingOfClass(entry.target, entry.requestClass);
-    situation.firstTokenSeconds = this->forecast.firstTokenSeconds(entry.target);
-    return situation;
-}
-
 bool Dispatcher::Implementation::makeRoom(const QueueEntry &entry)
 {
     if (this->queue.size() < this->options.maxWaiting) {
@@ -201,6 +190,7 @@
 {
     decisions.assignments.clear();
     decisions.rejections.clear();
+    this->heldUntil.reset();
     this->rejectExpired(now);
     if (this->serversChanged) {
         this->rejectUnservable();
@@ -236,11 +226,25 @@
     }
 }
 
+Availability Dispatcher::Implementation::availability(TargetIndex target, TimePoint now)
+{
+    Availability available = this->pool.availability(target);
+    if (available.reliable || available.cheap) {
+        available.lowestTier = this->lowestTierToStart(target, now);
+    }
+    return available;
+}
+
 void Dispatcher::Implementation::startWaiting(TargetIndex target, TimePoint now, Decisions &decisions)
 {
     while (true) {
-        const std::optional<RequestIndex> request = this->queue.next(target, this->pool.availability(target), now);
+        const Availability available = this->availability(target, now);
+        if (!available.reliable && !available.cheap) {
+            return;
+        }
+        const std::optional<RequestIndex> request = this->queue.next(target, available, now);
         if (!request.has_value()) {
+            this->heldUntil = this->queue.waiting(target) > 0 ? now + holdInterval : this->heldUntil;
             return;
         }
         const RequestRecord &record = this->requests.record(*request);
@@ -280,6 +284,7 @@
     if (suspect) {
         this->quarantine.noteStart(record.fingerprint);
     }
+    record.suspect = suspect;
     ++record.attempts;
     record.server = server;
     record.startedAt = now;
@@ -339,7 +344,11 @@
 
 std::optional<TimePoint> Dispatcher::Implementation::nextWakeup() const
 {
-    return this->deadlines.isEmpty() ? std::nullopt : std::optional(this->deadlines.earliest());
+    if (this->deadlines.isEmpty()) {
+        return std::nullopt;
+    }
+    const TimePoint deadline = this->deadlines.earliest();
+    return this->heldUntil.has_value() ? std::min(deadline, *this->heldUntil) : deadline;
 }
 
 } // namespace flamingosaddle
