--- a/tests/process/standardcluster.cpp
+++ b/tests/process/standardcluster.cpp
@@ -10,10 +10,11 @@
     this->cluster.addEngine("engine-b", "dc-b", pace);
     this->cluster.addService("bookings-b", "dc-b");
     this->cluster.addService("bookings-c", "dc-c");
-    this->cluster.addDaemon("dc-a", "i1");
-    this->cluster.addDaemon("dc-a", "i2");
-    this->cluster.addDaemon("dc-b", "i3");
-    this->cluster.addDaemon("dc-c", "i4");
+    const std::vector<std::string> flags = this->daemonFlags();
+    this->cluster.addDaemon("dc-a", "i1", flags);
+    this->cluster.addDaemon("dc-a", "i2", flags);
+    this->cluster.addDaemon("dc-b", "i3", flags);
+    this->cluster.addDaemon("dc-c", "i4", flags);
     this->cluster.publishStandardConfiguration();
     this->key = this->cluster.giveKey("bakery");
     ASSERT_FALSE(this->key.key.empty());
@@ -34,6 +35,11 @@
     }
 }
 
+std::vector<std::string> StandardCluster::daemonFlags() const
+{
+    return {};
+}
+
 DaemonProcess &StandardCluster::daemon(std::size_t index)
 {
     return this->cluster.daemons()[index];
--- a/tests/process/standardcluster.h
+++ b/tests/process/standardcluster.h
@@ -17,6 +17,8 @@
     void SetUp() override;
     void TearDown() override;
 
+    /** Flags of each daemon beside its addresses and place. */
+    virtual std::vector<std::string> daemonFlags() const;
     DaemonProcess &daemon(std::size_t index);
 
     Cluster cluster;
