--- a/include/flamingosaddle/traffic/fairqueue.h
+++ b/include/flamingosaddle/traffic/fairqueue.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -35,11 +36,12 @@
 };
 
 /**
- * Which kinds of backend servers of a target have a free slot.
+ * Which kinds of backend servers of a target have a free slot, and for whom.
  */
 struct Availability {
     bool reliable = false;
     bool cheap = false;
+    int lowestTier = std::numeric_limits<int>::max(); ///< lower ones start only by their floors
 
     friend bool operator==(const Availability &, const Availability &) = default;
 };
@@ -58,9 +60,9 @@
 using ServeBefore = std::function<bool(const QueueHead &left, const QueueHead &right)>;
 
 /**
- * Waiting requests. Per target: the due floors (see FloorCredits), then strict tiers; inside a tier requests that can
- * still meet their first-token target, then late ones; among those the client account with the lowest virtual token
- * counter (see FairShares), and its oldest request. A late request is still served before any lower tier.
+ * Waiting requests. Per target: the due floors (see FloorCredits), then strict tiers; inside a tier the client account
+ * with the lowest virtual token counter (see FairShares); of an account the requests that can still meet their
+ * first-token target, then late ones; among those the oldest. A late request is still served before any lower tier.
  *
  * Requests are dense indices that the owner gives out. Nothing is allocated once every combination of target, class and
  * client account has been seen and the largest index is known.
@@ -135,6 +137,11 @@
     using GroupIndex = std::uint32_t;
     using FlowIndex = std::uint32_t;
 
+    struct ActiveFlow {
+        FlowIndex flow = 0;
+        ShareIndex share = 0;
+    };
+
     // The requests of one class at one target, all on time or all late.
     struct Group {
         TargetIndex target = 0;
@@ -144,7 +151,7 @@
         bool cheapAllowed = true;
         std::uint32_t waiting = 0;
         std::uint32_t flowCount = 0;
-        std::vector<FlowIndex> active; // flows with waiting requests
+        std::vector<ActiveFlow> active; // flows with waiting requests
     };
 
     // The requests of one client account in one group, oldest first.
@@ -176,11 +183,11 @@
     void link(FlowIndex flow, RequestIndex request);
     void unlink(RequestIndex request);
     bool canStart(const Group &group, Availability available) const;
-    bool isBetter(FlowIndex left, FlowIndex right) const;
-    void improve(const Group &group, std::optional<FlowIndex> &best) const;
-    std::optional<FlowIndex> dueFlow(const Target &target, Availability available) const;
-    std::optional<FlowIndex> nextFlow(const Target &target, Availability available) const;
-    std::optional<FlowIndex> flowByPolicy(const Target &target, Availability available) const;
+    bool isEarlier(FlowIndex left, FlowIndex right) const;
+    void improve(const Group &group, std::optional<ActiveFlow> &best) const;
+    std::optional<ActiveFlow> dueFlow(const Target &target, Availability available) const;
+    std::optional<ActiveFlow> nextFlow(const Target &target, Availability available) const;
+    std::optional<ActiveFlow> flowByPolicy(const Target &target, Availability available) const;
     void makeLate(RequestIndex request);
 
     ServeBefore before;
--- a/include/flamingosaddle/traffic/fairshares.h
+++ b/include/flamingosaddle/traffic/fairshares.h
@@ -31,9 +31,15 @@
     LaneIndex lane(TargetIndex target, int tier);
     ShareIndex share(LaneIndex lane, AccountIndex account, double weight);
 
+    void setWeight(ShareIndex share, double weight);
+
     void addWaiting(ShareIndex share);
     void removeWaiting(ShareIndex share);
 
+    /** Counts a waiting request among those that can still meet their target, or no longer. */
+    void addOnTime(ShareIndex share);
+    void removeOnTime(ShareIndex share);
+
     /** A request of @p share was chosen to run. */
     void notePicked(ShareIndex share);
 
@@ -52,7 +58,7 @@
 
     double counter(ShareIndex share) const
     {
-        return this->shares[share].counter;
+        return this->counters[share];
     }
 
     AccountIndex account(ShareIndex share) const
@@ -73,15 +79,20 @@
     /** Tokens per unit of weight by which @p share is ahead of the lane. */
     double lead(ShareIndex share) const;
 
-    std::uint32_t laneWaiting(LaneIndex lane) const
+    std::uint32_t onTime(ShareIndex share) const
+    {
+        return this->shares[share].onTime;
+    }
+
+    std::uint32_t laneOnTime(LaneIndex lane) const
     {
-        return this->lanes[lane].waiting;
+        return this->lanes[lane].onTime;
     }
 
-    /** The weights of all client accounts that wait in @p lane. */
-    double laneWeight(LaneIndex lane) const
+    /** The weights of all client accounts that have requests in @p lane which can still meet their targets. */
+    double laneOnTimeWeight(LaneIndex lane) const
     {
-        return this->lanes[lane].waitingWeight;
+        return this->lanes[lane].onTimeWeight;
     }
 
     TargetIndex laneTarget(LaneIndex lane) const
@@ -99,21 +110,22 @@
         TargetIndex target = 0;
         int tier = 0;
         double virtualTime = 0.0; // the counter of the share that was picked last; never falls
-        std::uint32_t waiting = 0;
-        double waitingWeight = 0.0;
+        std::uint32_t onTime = 0;
+        double onTimeWeight = 0.0;
     };
 
     struct Share {
-        double counter = 0.0;
         double weight = 1.0;
         LaneIndex lane = 0;
         AccountIndex account = 0;
         std::uint32_t waiting = 0;
+        std::uint32_t onTime = 0; // of the waiting ones
         std::uint64_t unreported = 0; // tokens
     };
 
     std::vector<Lane> lanes;
     std::vector<Share> shares;
+    std::vector<double> counters; // by share; apart from the rest, since the choice of the next request reads many
     std::vector<ShareIndex> unreportedShares;
     std::unordered_map<std::uint64_t, LaneIndex> laneIndices;
     std::unordered_map<std::uint64_t, ShareIndex> shareIndices;
