--- a/include/flamingosaddle/state/orderledger.h
+++ b/include/flamingosaddle/state/orderledger.h
@@ -90,6 +90,9 @@
      */
     bool maySend(const std::string &orderId, std::uint64_t epoch) const;
 
+    /** Whether the intent of the order is open, or was closed and is still recognised. */
+    bool isKnown(const std::string &orderId) const;
+
     /** The newest epoch that the stream knows for a data centre; 0 for none. */
     std::uint64_t epochOf(const DataCentre &dataCentre) const;
 
--- a/src/state/orderledger.cpp
+++ b/src/state/orderledger.cpp
@@ -41,7 +41,7 @@
 
 OrderResult OrderLedger::intend(const PlatformOrder &order)
 {
-    if (this->open.contains(order.id) || this->closed.contains(order.id)) {
+    if (this->isKnown(order.id)) {
         return OrderResult::Ignored;
     }
     const OrderResult result = this->takeOver(order);
@@ -103,6 +103,11 @@
         && this->intentsToAskFor(order.dataCentre, epoch).empty();
 }
 
+bool OrderLedger::isKnown(const std::string &orderId) const
+{
+    return this->open.contains(orderId) || this->closed.contains(orderId);
+}
+
 std::uint64_t OrderLedger::epochOf(const DataCentre &dataCentre) const
 {
     const auto found = this->epochs.find(dataCentre);
