--- a/src/control/orderdesk.cpp
+++ b/src/control/orderdesk.cpp
@@ -2,7 +2,7 @@
 
 #include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/log.h>
-#include <flamingosaddle/control/delay.h>
+#include <flamingosaddle/base/delay.h>
 
 #include <algorithm>
 #include <utility>
