Metrics of traffic and control, traces on the standard output, admin queries for leases, usage and backend servers

Before, /metrics was empty and the command line's leases, usage and backends answered 404. ctest: 27 of 27 passed; scripts/demo ends with demo: ok.

--- a/include/flamingosaddle/app/adminhandler.h
+++ b/include/flamingosaddle/app/adminhandler.h
@@ -29,7 +29,9 @@
 class AdminHandler
 {
 public:
-    AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus);
+    /** @param inFlight requests that this instance runs at a backend server */
+    AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus,
+        std::function<std::uint32_t(const BackendServerId &)> inFlight);
 
     boost::asio::awaitable<void> handle(HttpExchange &exchange);
 
@@ -38,6 +40,9 @@
     HttpResponse query(const HttpRequest &request) const;
     HttpResponse statusResponse() const;
     HttpResponse readinessResponse() const;
+    HttpResponse leasesResponse() const;
+    HttpResponse usageResponse() const;
+    HttpResponse backendsResponse() const;
     HttpResponse historyResponse() const;
     HttpResponse changeResponse(const ChangeId &id) const;
     HttpResponse withdraw(const HttpRequest &request);
@@ -45,6 +50,7 @@
     Controller &controller;
     MetricsRegistry &metrics;
     std::function<TrafficStatus()> trafficStatus;
+    std::function<std::uint32_t(const BackendServerId &)> inFlight;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -17,6 +17,14 @@
 namespace flamingosaddle
 {
 
+/**
+ * Where spans are written.
+ */
+enum class TraceOutput {
+    None,
+    Stdout, ///< a line of OTLP/JSON for each span
+};
+
 /**
  * Everything that a daemon is told at its start.
  */
@@ -63,6 +71,7 @@
     std::chrono::milliseconds drainTimeout{60000};
 
     // Observation.
+    TraceOutput traceOutput = TraceOutput::None;
     double traceSampling = 0.01;
     LogLevel logLevel = LogLevel::Info;
 
--- /dev/null
+++ b/include/flamingosaddle/app/trafficmetrics.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <flamingosaddle/base/metrics.h>
+#include <flamingosaddle/control/routingsnapshot.h>
+#include <flamingosaddle/http/callerhooks.h>
+
+namespace flamingosaddle
+{
+
+/**
+ * Counts what became of callers' requests: attainment of targets, goodput, wasted work and refusals, by class, and service
+ * by client account. Any thread may call observe().
+ */
+class TrafficMetrics
+{
+public:
+    /** Both objects outlive this one. */
+    TrafficMetrics(MetricsRegistry &registry, const SnapshotBoard &board);
+
+    void observe(const RequestOutcome &outcome);
+
+private:
+    const RequestClass *classOf(const RoutingSnapshot &snapshot, const RequestOutcome &outcome) const;
+    void observeAnswer(const RequestOutcome &outcome, const MetricLabels &labels);
+    void observeRefusal(const RequestOutcome &outcome);
+
+    MetricsRegistry &registry;
+    const SnapshotBoard &board;
+};
+
+} // namespace flamingosaddle
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -1,5 +1,7 @@
 #include <flamingosaddle/app/adminhandler.h>
 
+#include <flamingosaddle/app/controlmetrics.h>
+
 #include <nlohmann/json.hpp>
 
 #include <string_view>
@@ -36,10 +38,12 @@
 
 } // namespace
 
-AdminHandler::AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus)
+AdminHandler::AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus,
+    std::function<std::uint32_t(const BackendServerId &)> inFlight)
     : controller(controller)
     , metrics(metrics)
     , trafficStatus(std::move(trafficStatus))
+    , inFlight(std::move(inFlight))
 {
 }
 
@@ -72,6 +76,7 @@
         return this->readinessResponse();
     }
     if (path == "/metrics") {
+        updateControlMetrics(this->metrics, this->controller, this->trafficStatus());
         return textResponse(200, this->metrics.prometheusText());
     }
     if (path == "/v1/status") {
@@ -80,6 +85,15 @@
     if (path == "/v1/config") {
         return jsonResponse(200, encodeConfigSnapshot(*this->controller.configTail().state()));
     }
+    if (path == "/v1/leases") {
+        return this->leasesResponse();
+    }
+    if (path == "/v1/usage") {
+        return this->usageResponse();
+    }
+    if (path == "/v1/backends") {
+        return this->backendsResponse();
+    }
     if (path == "/v1/history") {
         return this->historyResponse();
     }
@@ -121,6 +135,47 @@
     return textResponse(200, "ready\n");
 }
 
+HttpResponse AdminHandler::leasesResponse() const
+{
+    const LeaseKeeper &keeper = this->controller.leaseKeeper();
+    const TimePoint now = RuntimeClock::now();
+    nlohmann::json leases = nlohmann::json::array();
+    for (const auto &[role, lease] : keeper.table().leases()) {
+        leases.push_back({{"role", role.text()}, {"holder", lease.holder.text()}, {"epoch", lease.epoch},
+            {"released", lease.released}, {"heldHere", keeper.isHeld(role, now)}});
+    }
+    return jsonResponse(200, nlohmann::json{{"leases", std::move(leases)}}.dump());
+}
+
+HttpResponse AdminHandler::usageResponse() const
+{
+    const UsageDesk &desk = this->controller.usageDesk();
+    nlohmann::json pending = nlohmann::json::array();
+    for (const UsageFigure &figure : desk.ledger().pendingReports()) {
+        pending.push_back({{"clientAccount", figure.clientAccount.text()}, {"window", figure.window},
+            {"requests", figure.totals.requests}, {"promptTokens", figure.totals.promptTokens},
+            {"completionTokens", figure.totals.completionTokens}, {"lateRequests", figure.corrections.requests}});
+    }
+    const nlohmann::json body = {
+        {"unflushed", desk.unflushedCount()},
+        {"unappended", desk.unappendedCount()},
+        {"reportsSent", desk.reportCount()},
+        {"unconfirmed", std::move(pending)},
+    };
+    return jsonResponse(200, body.dump());
+}
+
+HttpResponse AdminHandler::backendsResponse() const
+{
+    nlohmann::json backends = nlohmann::json::array();
+    for (const BackendServer &server : backendServersOf(*this->controller.configTail().state())) {
+        backends.push_back({{"id", server.id.text()}, {"endpoint", server.endpoint.text()},
+            {"dataCentre", server.dataCentre.text()}, {"leaving", server.leaving}, {"cheap", server.cheap},
+            {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
+    }
+    return jsonResponse(200, nlohmann::json{{"backends", std::move(backends)}}.dump());
+}
+
 HttpResponse AdminHandler::historyResponse() const
 {
     nlohmann::json changes = nlohmann::json::array();
--- /dev/null
+++ b/src/app/controlmetrics.cpp
@@ -0,0 +1,56 @@
+#include <flamingosaddle/app/controlmetrics.h>
+
+#include <chrono>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+void updateConfigMetrics(MetricsRegistry &registry, const Controller &controller)
+{
+    const ConfigTail &tail = controller.configTail();
+    registry.gauge("flamingosaddle_config_offset", "Next offset of the config stream.")
+        .set(static_cast<double>(tail.state()->nextOffset()));
+    registry.gauge("flamingosaddle_config_gap", "1 when records were trimmed that no snapshot covers.")
+        .set(tail.hasGap() ? 1 : 0);
+    registry.gauge("flamingosaddle_config_undecodable", "Records of the config stream that could not be read.")
+        .set(static_cast<double>(tail.undecodableCount()));
+    const Duration left = controller.freshUntil() - RuntimeClock::now();
+    registry.gauge("flamingosaddle_freshness_seconds", "Time until keyed requests are refused without word from log or peers.")
+        .set(std::chrono::duration<double>(left).count());
+}
+
+void updateLeaseMetrics(MetricsRegistry &registry, const Controller &controller)
+{
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[role, lease] : controller.leaseKeeper().table().leases()) {
+        registry.gauge("flamingosaddle_lease_held", "1 when this instance holds the lease.", {{"role", role.text()}})
+            .set(controller.leaseKeeper().isHeld(role, now) ? 1 : 0);
+    }
+}
+
+} // namespace
+
+void updateControlMetrics(MetricsRegistry &registry, const Controller &controller, const TrafficStatus &traffic)
+{
+    updateConfigMetrics(registry, controller);
+    updateLeaseMetrics(registry, controller);
+    registry.gauge("flamingosaddle_usage_unappended", "Usage records that the log has not taken yet.")
+        .set(static_cast<double>(controller.usageDesk().unappendedCount()));
+    registry.gauge("flamingosaddle_usage_unreported", "Closed windows and client accounts whose report is not confirmed.")
+        .set(static_cast<double>(controller.usageDesk().ledger().pendingReports().size()));
+    registry.gauge("flamingosaddle_claims", "Idempotency keys that are remembered.")
+        .set(static_cast<double>(controller.claimDesk().table().size()));
+    registry.gauge("flamingosaddle_serving_instances", "Instances that serve, this one included.")
+        .set(static_cast<double>(controller.peerExchange().membership().serving().size() + 1));
+    registry.gauge("flamingosaddle_peer_bytes", "Bytes sent to peers on the present connections.")
+        .set(static_cast<double>(controller.peerExchange().sentBytes()));
+    registry.gauge("flamingosaddle_waiting_requests", "Requests in the queue.").set(static_cast<double>(traffic.waiting));
+    registry.gauge("flamingosaddle_running_requests", "Requests at backend servers.").set(static_cast<double>(traffic.running));
+    registry.gauge("flamingosaddle_caller_connections", "Connections of callers.")
+        .set(static_cast<double>(traffic.callerConnections));
+}
+
+} // namespace flamingosaddle
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/app/adminhandler.h>
 #include <flamingosaddle/app/peertraffic.h>
+#include <flamingosaddle/app/trafficmetrics.h>
 #include <flamingosaddle/app/workerthreads.h>
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
@@ -19,6 +20,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdio>
 #include <random>
 #include <utility>
 
@@ -116,9 +118,13 @@
         , peerTraffic(this->gate)
         , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
               controllerOptionsOf(settings, this->seed), this->controllerHooks())
-        , adminHandler(this->controller, this->metrics,
+        , adminHandler(
+              this->controller, this->metrics,
               [this] {
                   return this->trafficStatus();
+              },
+              [this](const BackendServerId &server) {
+                  return this->inFlight(server);
               })
         , signals(this->controlContext, SIGTERM, SIGINT)
     {
@@ -238,9 +244,35 @@
                 this->controller.countUsage(account, totals);
             });
         };
+        hooks.outcome = [this](const RequestOutcome &outcome) {
+            this->trafficMetrics.observe(outcome);
+        };
         return hooks;
     }
 
+    std::uint32_t inFlight(const BackendServerId &server)
+    {
+        std::uint32_t count = 0;
+        this->gate.update([&server, &count](const Dispatcher &dispatcher, TimePoint) {
+            count = dispatcher.inFlight(server);
+        });
+        return count;
+    }
+
+    // Spans go out as lines of OTLP/JSON on the standard output, where a collector's file receiver takes them.
+    Tracer tracer() const
+    {
+        const auto unixTime = std::chrono::system_clock::now().time_since_epoch();
+        const std::chrono::nanoseconds unixTimeAtZero = unixTime - RuntimeClock::now().time_since_epoch();
+        return Tracer(
+            [unixTimeAtZero](const Span &span) {
+                const std::string line = otlpJsonLine(span, "flamingosaddled", unixTimeAtZero) + "\n";
+                std::fwrite(line.data(), 1, line.size(), stdout);
+                std::fflush(stdout);
+            },
+            this->settings.traceSampling);
+    }
+
     static UsageTotals totalsOf(const UsageEvent &event)
     {
         return {1, event.promptTokens, event.completionTokens};
@@ -251,6 +283,9 @@
         CallerHandler::Builder builder;
         builder.board(&this->board).gate(&this->gate).keys(&this->keys).keySecret(this->settings.keySecret);
         builder.options(callerOptionsOf(this->settings)).contexts(this->workers.contexts()).hooks(this->callerHooks());
+        if (this->settings.traceOutput == TraceOutput::Stdout) {
+            builder.tracer(this->tracer());
+        }
         return builder;
     }
 
@@ -313,6 +348,7 @@
     std::uint64_t seed;
     MetricsRegistry metrics;
     SnapshotBoard board;
+    TrafficMetrics trafficMetrics{this->metrics, this->board};
     boost::asio::io_context controlContext{1};
     WorkerThreads workers;
     KeyRegistry keys;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -221,6 +221,23 @@
     return description;
 }
 
+SettingDescription traceOutputSetting()
+{
+    SettingDescription description
+        = describe("trace-output", "none or stdout", "Where spans are written, as lines of OTLP/JSON.");
+    description.show = [](const Settings &settings) -> std::string {
+        return settings.traceOutput == TraceOutput::Stdout ? "stdout" : "none";
+    };
+    description.assign = [](Settings &settings, const std::string &text) -> MaybeError {
+        if (text != "none" && text != "stdout") {
+            return settingError("'" + text + "' is no trace output", "use none or stdout");
+        }
+        settings.traceOutput = text == "stdout" ? TraceOutput::Stdout : TraceOutput::None;
+        return std::nullopt;
+    };
+    return description;
+}
+
 SettingDescription traceSamplingSetting()
 {
     SettingDescription description = describe(
@@ -322,6 +339,7 @@
     all.push_back(timeSetting("usage-window", "Length of a window of usage reports.", &Settings::usageWindow, 1000, 24 * hour));
     all.push_back(timeSetting(
         "drain-timeout", "Longest time that a shutdown waits for running requests.", &Settings::drainTimeout, 0, hour));
+    all.push_back(traceOutputSetting());
     all.push_back(traceSamplingSetting());
     all.push_back(logLevelSetting());
 }
--- /dev/null
+++ b/src/app/trafficmetrics.cpp
@@ -0,0 +1,90 @@
+#include <flamingosaddle/app/trafficmetrics.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+const char *runStateText(const std::optional<RunState> &state)
+{
+    return state == RunState::NotRun ? "not-run" : "unknown";
+}
+
+} // namespace
+
+TrafficMetrics::TrafficMetrics(MetricsRegistry &registry, const SnapshotBoard &board)
+    : registry(registry)
+    , board(board)
+{
+}
+
+void TrafficMetrics::observe(const RequestOutcome &outcome)
+{
+    const MetricLabels labels = {{"class", outcome.className.text()}};
+    this->registry.counter("flamingosaddle_requests_total", "Requests that ended.", labels).add();
+    this->registry.counter("flamingosaddle_attempts_total", "Backend servers that were asked.", labels).add(outcome.attempts);
+    this->registry.counter("flamingosaddle_wasted_tokens_total", "Tokens generated and not part of a whole answer.", labels)
+        .add(outcome.wastedTokens);
+    if (outcome.whole) {
+        this->observeAnswer(outcome, labels);
+    } else if (outcome.status == 0) {
+        this->registry.counter("flamingosaddle_callers_gone_total", "Requests whose caller left before the end.", labels).add();
+    } else {
+        this->observeRefusal(outcome);
+    }
+}
+
+const RequestClass *TrafficMetrics::classOf(const RoutingSnapshot &snapshot, const RequestOutcome &outcome) const
+{
+    const std::vector<RequestClass> *classes = snapshot.classesOf(outcome.clientAccount);
+    if (classes == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(classes->begin(), classes->end(), [&outcome](const RequestClass &requestClass) {
+        return requestClass.name == outcome.className;
+    });
+    return found == classes->end() ? nullptr : &*found;
+}
+
+void TrafficMetrics::observeAnswer(const RequestOutcome &outcome, const MetricLabels &labels)
+{
+    this->registry.counter("flamingosaddle_goodput_tokens_total", "Tokens of whole answers.", labels).add(outcome.tokens);
+    this->registry
+        .counter("flamingosaddle_account_tokens_total", "Tokens of whole answers by client account.",
+            {{"account", outcome.clientAccount.text()}})
+        .add(outcome.tokens);
+    if (!outcome.firstToken) {
+        return;
+    }
+    const Duration wait = *outcome.firstToken - outcome.arrival;
+    this->registry.distribution("flamingosaddle_first_token_seconds", "From arrival to the first byte of the answer.", labels)
+        .observe(seconds(wait));
+    const std::shared_ptr<const RoutingSnapshot> snapshot = this->board.current();
+    const RequestClass *requestClass = snapshot ? this->classOf(*snapshot, outcome) : nullptr;
+    if (requestClass != nullptr && wait <= requestClass->firstTokenTarget) {
+        this->registry.counter("flamingosaddle_attained_total", "Whole answers whose first byte met the class's target.", labels)
+            .add();
+    }
+}
+
+void TrafficMetrics::observeRefusal(const RequestOutcome &outcome)
+{
+    const MetricLabels labels = {
+        {"class", outcome.className.text()},
+        {"status", std::to_string(outcome.status)},
+        {"reason", outcome.refusal ? toString(*outcome.refusal) : "none"},
+        {"run_state", runStateText(outcome.runState)},
+    };
+    this->registry.counter("flamingosaddle_refusals_total", "Requests that ended without a whole answer.", labels).add();
+}
+
+} // namespace flamingosaddle
--- a/src/control/orderdesk.cpp
+++ b/src/control/orderdesk.cpp
@@ -1,8 +1,8 @@
 #include <flamingosaddle/control/orderdesk.h>
 
+#include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/log.h>
-#include <flamingosaddle/base/delay.h>
 
 #include <algorithm>
 #include <utility>
