--- a/src/cli/submission.cpp
+++ b/src/cli/submission.cpp
@@ -93,6 +93,7 @@
 {
     ConfigState scratch = config;
     std::vector<Submission> submissions;
+    submissions.reserve(changes.size());
     for (ConfigChange &change : changes) {
         submissions.push_back(plan(scratch, std::move(change), rule, revision));
     }
