--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -319,6 +319,7 @@
         }
     }
     std::vector<ServerLoad> all;
+    all.reserve(sums.size());
     for (const auto &[server, inFlight] : sums) {
         all.push_back({server, inFlight});
     }
