Order backend servers in the data centres of the configuration

Cause: the order desk was not started by any instance.

The controller runs it for its own data centre and for each one that a backend server of the configuration names; `manageServers` switches it off. A shutdown waits for answers and outcomes; the lease of a data centre with an order whose answer is missing is left to lapse, since a successor of a released lease waits for no order.

Ruled out: releasing it anyway, because the order may take effect after the successor's first one; removing a data centre's role when its last backend server leaves the configuration, because open intents there would stay unsettled.

--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/control/claimdesk.h>
 #include <flamingosaddle/control/configtail.h>
 #include <flamingosaddle/control/leasekeeper.h>
+#include <flamingosaddle/control/orderdesk.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/control/snapshotkeeper.h>
 #include <flamingosaddle/control/usagedesk.h>
@@ -30,6 +31,7 @@
     Duration usageFlushInterval = std::chrono::seconds(1);
     std::chrono::seconds usageWindow{60};
     std::uint64_t snapshotEveryRecords = 500;
+    bool manageServers = true; ///< whether this instance may order backend servers
     std::function<std::chrono::seconds()> wallTime; ///< since the epoch
     std::uint64_t seed = 1;
 };
@@ -58,7 +60,8 @@
 
     /**
      * Hands over what has to outlive the instance, for a shutdown: waits for @p limit at most until the log has taken the
-     * usage counts and the outcomes of claims, then gives up the leases.
+     * usage counts, the outcomes of claims and those of orders, then gives up the leases. The lease of a data centre with an
+     * order whose answer is missing is left to lapse, since the order may still take effect.
      */
     boost::asio::awaitable<void> handOver(Duration limit);
 
@@ -78,12 +81,15 @@
     const LeaseKeeper &leaseKeeper() const;
     const UsageDesk &usageDesk() const;
     const ClaimDesk &claimDesk() const;
+    const OrderDesk &orderDesk() const;
     const std::set<KeyId> &tombstones() const;
     const ControllerOptions &options() const;
 
 private:
     std::vector<SnapshotSource> snapshotSources();
     void spawn(boost::asio::awaitable<void> coroutine);
+    void addDataCentre(const DataCentre &dataCentre);
+    void updateRoles();
     void configAdvanced();
     void publishSnapshot();
     void announceWithdrawals(const ConfigState &before, const ConfigState &after);
@@ -100,6 +106,8 @@
     LeaseKeeper leases;
     UsageDesk usage;
     ClaimDesk claims;
+    OrderDesk orders;
+    std::set<DataCentre> dataCentres; // with an order role; one that was named once stays
     SnapshotKeeper snapshots;
 };
 
--- a/include/flamingosaddle/control/orderdesk.h
+++ b/include/flamingosaddle/control/orderdesk.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/control/leasekeeper.h>
 #include <flamingosaddle/control/logappender.h>
 #include <flamingosaddle/control/logreplica.h>
+#include <flamingosaddle/control/orderpolicy.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/loadschedule.h>
 #include <flamingosaddle/state/orderledger.h>
@@ -29,20 +30,6 @@
  */
 Role orderRole(const DataCentre &dataCentre);
 
-/**
- * Decides which orders a data centre needs. Called when no order is open there, with a list of machines that was read
- * after the last outcome. Names kind, server, model and cheap; the desk sets the rest. An order with an id is carried
- * out at most once, and again under another id after a refusal; one without an id is a new order at each call.
- */
-using WantedOrders = std::function<std::vector<PlatformOrder>(
-    const DataCentre &dataCentre, const std::vector<BackendMachine> &machines, TimePoint now)>;
-
-/**
- * One machine of the same model and kind for each machine that is about to be taken away.
- */
-std::vector<PlatformOrder> replaceReclaimed(
-    const DataCentre &dataCentre, const std::vector<BackendMachine> &machines, TimePoint now);
-
 /**
  * Sends the orders for backend servers of the data centres whose leases this instance holds. An order goes out only
  * after its intent was read back from the `orders` stream, and while the lease is held and the log answers. Lives on the
@@ -79,6 +66,7 @@
     boost::asio::awaitable<void> runAppender();
     /** Orders in one data centre; to be run once for each. */
     boost::asio::awaitable<void> run(DataCentre dataCentre);
+    /** No order leaves from here on; one that is on its way may still be answered. */
     void stop();
 
     /** Decides on no further orders; those under way are brought to their end. */
@@ -89,6 +77,7 @@
     std::size_t unappendedCount() const; ///< intents and outcomes that the log has not taken yet
     /** Whether an order was sent whose answer is not known: the lease must not be released then. */
     bool hasUnanswered(const DataCentre &dataCentre) const;
+    bool isStopped() const;
     bool isIdle() const; ///< whether nothing is to be appended and no answer is missing
 
 private:
@@ -110,11 +99,6 @@
         std::set<std::string> concluding; // order ids whose outcome was not read back
     };
 
-    struct Refusals {
-        std::uint32_t count = 0;
-        TimePoint retryAt{};
-    };
-
     Result<void> restore(std::string_view text);
     void takeRecord(const LogRecord &record);
     void takeOutcome(const OrderRecord &record);
@@ -130,8 +114,7 @@
     TimePoint startOf(const PlatformOrder &order, Region &region, const std::map<std::string, TimePoint> &known, TimePoint now);
     void conclude(const PlatformOrder &order, OrderOutcome outcome);
     RecordId nextId();
-    std::optional<std::string> newOrderId(
-        const std::string &decision, const std::vector<BackendMachine> &machines, TimePoint now) const;
+    std::string decisionFor(const PlatformOrder &order) const;
     Duration permission(const DataCentre &dataCentre, std::uint64_t epoch) const;
 
     const Platform &platform;
@@ -141,7 +124,7 @@
     LogAppender appender;
     OrderLedger orderLedger;
     std::map<DataCentre, Region> regions;
-    std::map<std::string, Refusals> refusals; // by the id that the decision gave
+    OrderIds ids;
     std::uint64_t sequence = 0;
     bool finishing = false;
     bool stopped = false;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -47,6 +47,15 @@
     return claims;
 }
 
+OrderDesk::Options orderOptions(const ControllerOptions &options)
+{
+    OrderDesk::Options orders;
+    orders.self = options.self;
+    orders.orderLife = options.leaseTiming.longestOrderLife;
+    orders.seed = options.seed;
+    return orders;
+}
+
 SnapshotKeeper::Options snapshotOptions(const ControllerOptions &options)
 {
     SnapshotKeeper::Options snapshots;
@@ -71,6 +80,7 @@
     , leases(this->platform, leaseOptions(this->controllerOptions))
     , usage(this->platform, this->leases, usageOptions(this->controllerOptions))
     , claims(context.get_executor(), this->platform, claimOptions(this->controllerOptions))
+    , orders(this->platform, this->leases, orderOptions(this->controllerOptions))
     , snapshots(this->platform, this->leases, this->snapshotSources(), snapshotOptions(this->controllerOptions))
 {
 }
@@ -79,7 +89,7 @@
 
 void Controller::start()
 {
-    this->leases.setRoles({usageRole, snapshotRole});
+    this->updateRoles();
     this->spawn(this->tail.run());
     this->spawn(this->leases.runTail());
     this->spawn(this->leases.runKeeper());
@@ -90,6 +100,11 @@
     this->spawn(this->claims.runTail());
     this->spawn(this->claims.runAppender());
     this->spawn(this->snapshots.run());
+    if (this->controllerOptions.manageServers) {
+        this->spawn(this->orders.runTail());
+        this->spawn(this->orders.runAppender());
+        this->addDataCentre(this->controllerOptions.dataCentre);
+    }
 }
 
 void Controller::stop()
@@ -98,6 +113,7 @@
     this->leases.stop();
     this->usage.stop();
     this->claims.stop();
+    this->orders.stop();
     this->snapshots.stop();
 }
 
@@ -105,10 +121,13 @@
 {
     const TimePoint deadline = RuntimeClock::now() + limit;
     this->usage.flush();
+    this->orders.finish();
     while (this->hasUnappended() && RuntimeClock::now() < deadline) {
         co_await delay(handOverPollInterval);
     }
     this->snapshots.stop();
+    this->orders.stop();
+    this->updateRoles();
     co_await this->leases.releaseAll();
 }
 
@@ -163,6 +182,11 @@
     return this->claims;
 }
 
+const OrderDesk &Controller::orderDesk() const
+{
+    return this->orders;
+}
+
 const std::set<KeyId> &Controller::tombstones() const
 {
     return this->earlyTombstones;
@@ -211,6 +235,14 @@
             [this] {
                 return encodeClaimSnapshot(this->claims.table());
             }),
+        source(
+            LogStream::OrdersSnapshot,
+            [this] {
+                return this->orders.ledger().nextOffset();
+            },
+            [this] {
+                return encodeOrderSnapshot(this->orders.ledger());
+            }),
     };
 }
 
@@ -221,7 +253,33 @@
 
 bool Controller::hasUnappended() const
 {
-    return this->usage.unflushedCount() + this->usage.unappendedCount() + this->claims.unappendedCount() > 0;
+    const bool counts = this->usage.unflushedCount() + this->usage.unappendedCount() > 0;
+    return counts || this->claims.unappendedCount() > 0 || !this->orders.isIdle();
+}
+
+void Controller::addDataCentre(const DataCentre &dataCentre)
+{
+    if (dataCentre.isEmpty() || this->orders.isStopped()) {
+        return;
+    }
+    const bool isNew = this->dataCentres.insert(dataCentre).second;
+    if (!isNew) {
+        return;
+    }
+    this->updateRoles();
+    this->spawn(this->orders.run(dataCentre));
+}
+
+void Controller::updateRoles()
+{
+    std::set<Role> roles{usageRole, snapshotRole};
+    for (const DataCentre &dataCentre : this->dataCentres) {
+        // A role that is dropped is not released, so its lease lapses.
+        if (!this->orders.isStopped() || !this->orders.hasUnanswered(dataCentre)) {
+            roles.insert(orderRole(dataCentre));
+        }
+    }
+    this->leases.setRoles(roles);
 }
 
 void Controller::configAdvanced()
@@ -238,7 +296,13 @@
     if (!changed) {
         return;
     }
-    this->hooks.setServers(backendServersOf(*after));
+    const std::vector<BackendServer> servers = backendServersOf(*after);
+    this->hooks.setServers(servers);
+    if (this->controllerOptions.manageServers) {
+        for (const BackendServer &server : servers) {
+            this->addDataCentre(server.dataCentre);
+        }
+    }
     this->announceWithdrawals(before ? *before : ConfigState(), *after);
 }
 
--- a/src/control/orderdesk.cpp
+++ b/src/control/orderdesk.cpp
@@ -1,6 +1,5 @@
 #include <flamingosaddle/control/orderdesk.h>
 
-#include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/log.h>
 #include <flamingosaddle/control/delay.h>
 
@@ -13,19 +12,6 @@
 namespace
 {
 
-constexpr std::size_t maxRefusals = OrderLedger::maxClosedOrders;
-
-// An order's id: that of the decision, and the number of refusals before.
-std::string attemptId(const std::string &decision, std::uint32_t refusals)
-{
-    return decision + "~" + std::to_string(refusals);
-}
-
-std::string decisionOf(const std::string &orderId)
-{
-    return orderId.substr(0, orderId.rfind('~'));
-}
-
 bool isShown(const PlatformOrder &order, const std::vector<BackendMachine> &machines)
 {
     return std::any_of(machines.begin(), machines.end(), [&order](const BackendMachine &machine) {
@@ -46,25 +32,6 @@
     return Role("orders/" + dataCentre.text());
 }
 
-std::vector<PlatformOrder> replaceReclaimed(
-    const DataCentre &dataCentre, const std::vector<BackendMachine> &machines, TimePoint /*now*/)
-{
-    std::vector<PlatformOrder> orders;
-    for (const BackendMachine &machine : machines) {
-        if (!machine.reclaimNotice) {
-            continue;
-        }
-        PlatformOrder order;
-        // A machine's id may come back with another order, and is then replaced again.
-        order.id = "replace/" + dataCentre.text() + "/" + machine.id + "/" + std::to_string(hash64(machine.orderId));
-        order.kind = OrderKind::StartServer;
-        order.model = machine.model;
-        order.cheap = machine.cheap;
-        orders.push_back(std::move(order));
-    }
-    return orders;
-}
-
 OrderDesk::OrderDesk(const Platform &platform, const LeaseKeeper &leases, Options options)
     : platform(platform)
     , leases(leases)
@@ -84,6 +51,7 @@
           },
           this->options.seed)
     , appender(platform, LogStream::Orders, LogAppenderOptions{}, this->options.seed)
+    , ids(this->options.refusalDelay)
 {
 }
 
@@ -277,7 +245,7 @@
     // Loads that are no longer wanted lose their place.
     const std::map<std::string, TimePoint> loadStarts = std::exchange(region.loadStarts, {});
     for (PlatformOrder &order : this->options.wantedOrders(dataCentre, machines, now)) {
-        const std::optional<std::string> id = this->newOrderId(order.id, machines, now);
+        const std::optional<std::string> id = this->ids.next(this->decisionFor(order), machines, this->orderLedger, now);
         if (!id || now < this->startOf(order, region, loadStarts, now)) {
             continue;
         }
@@ -358,15 +326,9 @@
         region.sent.erase(record.order.id);
         region.unanswered.erase(record.order.id);
     }
-    if (record.outcome == OrderOutcome::Done) {
-        return;
+    if (record.outcome == OrderOutcome::NotDone) {
+        this->ids.noteRefusal(record.order.id, RuntimeClock::now());
     }
-    if (this->refusals.size() >= maxRefusals) {
-        this->refusals.clear();
-    }
-    Refusals &refused = this->refusals[decisionOf(record.order.id)];
-    ++refused.count;
-    refused.retryAt = RuntimeClock::now() + this->options.refusalDelay;
 }
 
 RecordId OrderDesk::nextId()
@@ -396,6 +358,11 @@
     return region != this->regions.end() && !region->second.unanswered.empty();
 }
 
+bool OrderDesk::isStopped() const
+{
+    return this->stopped;
+}
+
 bool OrderDesk::isIdle() const
 {
     return this->unappendedCount() == 0 && std::all_of(this->regions.begin(), this->regions.end(), [](const auto &entry) {
@@ -403,31 +370,17 @@
     });
 }
 
-// Empty when nothing is to be ordered for the decision at present.
-std::optional<std::string> OrderDesk::newOrderId(
-    const std::string &decision, const std::vector<BackendMachine> &machines, TimePoint now) const
+// An order without an id of its own is decided on by the record of its intent.
+std::string OrderDesk::decisionFor(const PlatformOrder &order) const
 {
-    if (decision.empty()) {
-        return attemptId(this->options.self.text() + "/" + std::to_string(this->sequence + 1), 0);
-    }
-    const auto refused = this->refusals.find(decision);
-    const bool wasRefused = refused != this->refusals.end();
-    // The copy of an order that another holder sent may have taken effect although this one's was refused.
-    const bool shown = std::any_of(machines.begin(), machines.end(), [&decision](const BackendMachine &machine) {
-        return decisionOf(machine.orderId) == decision;
-    });
-    const std::string id = attemptId(decision, wasRefused ? refused->second.count : 0);
-    if (shown || this->orderLedger.isKnown(id) || (wasRefused && now < refused->second.retryAt)) {
-        return std::nullopt;
-    }
-    return id;
+    return order.id.empty() ? this->options.self.text() + "/" + std::to_string(this->sequence + 1) : order.id;
 }
 
 Duration OrderDesk::permission(const DataCentre &dataCentre, std::uint64_t epoch) const
 {
     const Role role = orderRole(dataCentre);
     const bool superseded = this->leases.epoch(role) != epoch || this->orderLedger.epochOf(dataCentre) != epoch;
-    if (superseded || !this->replica.isLogAnswering()) {
+    if (this->stopped || superseded || !this->replica.isLogAnswering()) {
         return Duration::zero();
     }
     return this->leases.remaining(role, RuntimeClock::now());
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -3,8 +3,13 @@
 
 #include <flamingosaddle/control/controller.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace flamingosaddle;
 
 namespace
@@ -133,3 +138,37 @@
     }));
     EXPECT_EQ(this->servers.front(), server);
 }
+
+TEST_F(ControllerTest, ReplacesMachinesInTheDataCentresOfTheConfiguration)
+{
+    BackendServer server;
+    server.id = BackendServerId("e1");
+    server.endpoint = {"127.0.0.1", 9000};
+    server.dataCentre = DataCentre("b");
+    server.models = {ModelName("m")};
+    this->append(record("c4", PutBackendServer{server}));
+    this->platform.machines.add({"m1", "127.0.0.1:9000", "b", "m", true, true, ""});
+    this->platform.machines.addSpare({"s1", "127.0.0.1:9001", "b", "", true, false, ""});
+    ASSERT_TRUE(passTimeUntil(this->context, [this] {
+        return this->platform.machines.machines("b").size() == 2;
+    }));
+    EXPECT_EQ(this->platform.machines.audit().size(), 1u);
+}
+
+TEST_F(ControllerTest, KeepsTheLeaseOfADataCentreWhoseOrderIsUnanswered)
+{
+    const auto isReleased = [this](const Role &role) {
+        const LeaseTable &table = this->controller.leaseKeeper().table();
+        return table.find(role) != nullptr && table.find(role)->released;
+    };
+    this->platform.machines.add({"m1", "127.0.0.1:9000", "a", "m", true, true, ""});
+    this->platform.loseOrderAnswers = std::numeric_limits<std::uint32_t>::max();
+    ASSERT_TRUE(passTimeUntil(this->context, [this] {
+        return this->controller.orderDesk().hasUnanswered(DataCentre("a"));
+    }));
+    boost::asio::co_spawn(this->context, this->controller.handOver(std::chrono::seconds(1)), boost::asio::detached);
+    ASSERT_TRUE(passTimeUntil(this->context, [&isReleased] {
+        return isReleased(Role("usage"));
+    }));
+    EXPECT_FALSE(isReleased(orderRole(DataCentre("a"))));
+}
--- a/tests/control/orderdesk_test.cpp
+++ b/tests/control/orderdesk_test.cpp
@@ -1,4 +1,5 @@
 #include "fakeplatform.h"
+#include "rununtil.h"
 
 #include <flamingosaddle/control/orderdesk.h>
 
@@ -137,23 +138,14 @@
         return instance;
     }
 
-    // Lets time pass in steps that are short against every interval in play.
     void advance(Duration duration)
     {
-        constexpr std::chrono::milliseconds step(100);
-        for (Duration passed{}; passed < duration; passed += step) {
-            RuntimeClock::advance(step);
-            this->context.restart();
-            this->context.run_for(std::chrono::milliseconds(3));
-        }
+        passTime(this->context, duration);
     }
 
     bool advanceUntil(const std::function<bool()> &condition)
     {
-        for (int i = 0; i < 3000 && !condition(); ++i) {
-            this->advance(std::chrono::milliseconds(100));
-        }
-        return condition();
+        return passTimeUntil(this->context, condition);
     }
 
     std::size_t machineCount() const
--- a/tests/control/rununtil.h
+++ b/tests/control/rununtil.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <flamingosaddle/base/clock.h>
+
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -27,4 +29,28 @@
     return true;
 }
 
+/**
+ * Lets @p duration pass on the paused clock, in steps that are short against every interval of the control thread.
+ */
+inline void passTime(boost::asio::io_context &context, Duration duration)
+{
+    constexpr std::chrono::milliseconds step(100);
+    for (Duration passed{}; passed < duration; passed += step) {
+        RuntimeClock::advance(step);
+        context.restart();
+        context.run_for(std::chrono::milliseconds(3));
+    }
+}
+
+/**
+ * Lets up to five minutes pass on the paused clock until @p condition holds; answers whether it does.
+ */
+inline bool passTimeUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+{
+    for (int i = 0; i < 3000 && !condition(); ++i) {
+        passTime(context, std::chrono::milliseconds(100));
+    }
+    return condition();
+}
+
 } // namespace flamingosaddle
--- a/tests/control/usagedesk_test.cpp
+++ b/tests/control/usagedesk_test.cpp
@@ -92,28 +92,14 @@
         return *this->instances.back();
     }
 
-    // Lets time pass in steps that are short against every interval in play.
     void advance(Duration duration)
     {
-        constexpr std::chrono::milliseconds step(100);
-        for (Duration passed{}; passed < duration; passed += step) {
-            RuntimeClock::advance(step);
-            this->settle();
-        }
-    }
-
-    void settle()
-    {
-        this->context.restart();
-        this->context.run_for(std::chrono::milliseconds(3));
+        passTime(this->context, duration);
     }
 
     bool advanceUntil(const std::function<bool()> &condition)
     {
-        for (int i = 0; i < 3000 && !condition(); ++i) {
-            this->advance(std::chrono::milliseconds(100));
-        }
-        return condition();
+        return passTimeUntil(this->context, condition);
     }
 
     PausedClock paused;
