Fault matrix: each fault at each step of a request

The faults that strike before an engine is chosen go to the second engine, which the dispatcher chooses; a test asserts that, since with the first one they would have struck nothing.

Known red, a test of its own: a key withdrawn at the step last_byte lets the stream end whole.

The caller fixture gains drain(), trafficGate() and FakeBackend::stop().

--- /dev/null
+++ b/tests/fault/faultcell.cpp
@@ -0,0 +1,293 @@
+#include "faultcell.h"
+
+#include "scriptedengine.h"
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace flamingosaddle::test
+{
+
+using boost::asio::awaitable;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds patience{100}; // of the wall clock, after which the paused clock moves on
+constexpr std::chrono::seconds waitBound{20}; // of the wall clock, for a request to end
+constexpr std::chrono::seconds pastDeadline{301}; // the class's deadline is 300 s
+
+/** The claims of one cell: as the log holds them, for one idempotency key. */
+class ClaimLog
+{
+public:
+    void setDown(bool down)
+    {
+        this->isDown = down;
+    }
+
+    ClaimAnswer claim()
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (this->isDown) {
+            return ClaimUnavailable();
+        }
+        if (this->outcome.has_value() && this->outcome->state == ClaimOutcome::State::Answered) {
+            return ClaimAnswered{this->outcome->answer};
+        }
+        if (this->outcome.has_value() && this->outcome->state == ClaimOutcome::State::Unknown) {
+            return ClaimStarted();
+        }
+        this->outcome = ClaimOutcome();
+        return ClaimRun{[this](ClaimOutcome settled) {
+            const std::scoped_lock lock(this->mutex);
+            if (!this->isDown) {
+                this->outcome = std::move(settled);
+            }
+        }};
+    }
+
+private:
+    std::mutex mutex;
+    std::atomic<bool> isDown = false;
+    std::optional<ClaimOutcome> outcome; ///< Unknown while the request runs
+};
+
+class Cell
+{
+public:
+    Cell(std::vector<Injection> injections, RequestKind kind)
+        : pending(std::move(injections))
+        , kind(kind)
+        , first(this->script.answer())
+        , second(this->script.answer())
+        , setup({&this->first, &this->second}, {}, this->hooks())
+    {
+    }
+
+    CellResult run()
+    {
+        CellResult result;
+        result.record.idempotent = this->kind == RequestKind::Idempotent;
+        result.record.answer = this->send(1, result.record);
+        result.record.runsAtAnswer = this->runs().size();
+        result.injected = this->injected;
+        result.record.withdrawn = this->withdrawn;
+        this->pending.clear();
+        this->log.setDown(false);
+        if (this->kind == RequestKind::OnceNamed && !this->withdrawn && !this->draining && result.record.ended) {
+            this->script.setFault(EngineFault::None);
+            this->send(2, result.record);
+        }
+        result.record.runs = this->runs();
+        result.runsOnSecond = this->second.requests().size();
+        result.record.held = this->setup.trafficGate().runningCount() + this->setup.trafficGate().waitingCount();
+        return result;
+    }
+
+private:
+    CallerHooks hooks()
+    {
+        CallerHooks hooks;
+        hooks.step = [this](RequestStep step) {
+            this->onStep(step);
+        };
+        hooks.outcome = [this](const RequestOutcome &) {
+            ++this->outcomes;
+        };
+        hooks.claim = [this](const ClaimRequest &) -> awaitable<ClaimAnswer> {
+            co_return this->log.claim();
+        };
+        return hooks;
+    }
+
+    std::vector<HttpRequest> runs() const
+    {
+        std::vector<HttpRequest> all = this->first.requests();
+        const std::vector<HttpRequest> others = this->second.requests();
+        all.insert(all.end(), others.begin(), others.end());
+        return all;
+    }
+
+    std::string request() const
+    {
+        const std::string once = "X-Flamingosaddle-Class: once\r\n";
+        switch (this->kind) {
+        case RequestKind::Idempotent:
+            return chatRequest();
+        case RequestKind::OnceUnnamed:
+            return chatRequest(once);
+        case RequestKind::OnceNamed:
+            break;
+        }
+        return chatRequest(once + "Idempotency-Key: i\r\n");
+    }
+
+    /** Answers what the caller received; the clock moves on when the request waits for it. */
+    std::string send(std::size_t expectedOutcomes, CellRecord &record)
+    {
+        RawClient connection(this->setup.endpoint());
+        this->client = &connection;
+        connection.send(this->request());
+        std::future<std::string> answer = std::async(std::launch::async, [&connection]() {
+            return connection.readAll();
+        });
+        const steady_clock::time_point start = steady_clock::now();
+        const auto hasEnded = [this, &answer, expectedOutcomes]() {
+            return this->outcomes >= expectedOutcomes && answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        };
+        while (!hasEnded()) {
+            const steady_clock::duration passed = steady_clock::now() - start;
+            if (passed > waitBound) {
+                record.ended = false;
+                connection.finishSending();
+                return {};
+            }
+            if (this->stalled || passed > patience) {
+                RuntimeClock::advance(std::chrono::seconds(1));
+            }
+            std::this_thread::yield();
+        }
+        return answer.get();
+    }
+
+    /** Runs on the callers' thread. */
+    void onStep(RequestStep step)
+    {
+        if (step == RequestStep::BodySent && this->injected == 0) {
+            // What strikes after the whole request was sent strikes an engine that runs it.
+            while (this->runs().empty()) {
+                std::this_thread::yield();
+            }
+        }
+        for (std::size_t i = 0; i < this->pending.size();) {
+            if (this->pending[i].step != step) {
+                ++i;
+                continue;
+            }
+            const Fault fault = this->pending[i].fault;
+            this->pending.erase(this->pending.begin() + static_cast<std::ptrdiff_t>(i));
+            ++this->injected;
+            this->inject(fault);
+        }
+        this->script.reach(step);
+    }
+
+    void inject(Fault fault)
+    {
+        switch (fault) {
+        case Fault::EngineDies:
+            this->victim().stop();
+            return;
+        case Fault::AnswerLost:
+            this->script.setFault(EngineFault::LoseAnswer);
+            return;
+        case Fault::SilentConnection:
+            this->stalled = true;
+            this->script.setFault(EngineFault::FallSilent);
+            return;
+        case Fault::TruncatedStream:
+            this->script.setFault(EngineFault::Truncate);
+            return;
+        case Fault::Slow:
+            RuntimeClock::advance(pastDeadline);
+            return;
+        case Fault::KeyWithdrawn:
+            if (!this->withdrawn.exchange(true)) {
+                this->setup.withdrawKey();
+            }
+            return;
+        case Fault::ServerLeaving:
+            this->leave();
+            return;
+        case Fault::CallerGone:
+            this->client.load()->finishSending();
+            return;
+        case Fault::DrainBegins:
+            this->draining = true;
+            this->setup.drain();
+            return;
+        case Fault::LogDown:
+            this->log.setDown(true);
+            return;
+        }
+    }
+
+    /** The engine that runs the request, or that is going to when nothing else happens. */
+    FakeBackend &victim()
+    {
+        if (!this->first.requests().empty()) {
+            return this->first;
+        }
+        return this->second;
+    }
+
+    void leave()
+    {
+        std::vector<BackendServer> servers = backendServersOf(this->setup.board.current()->config());
+        for (BackendServer &server : servers) {
+            server.leaving = server.endpoint == this->victim().endpoint();
+        }
+        this->setup.trafficGate().setServers(servers);
+    }
+
+    std::vector<Injection> pending;
+    RequestKind kind;
+    std::atomic<std::size_t> injected = 0;
+    std::atomic<std::size_t> outcomes = 0;
+    std::atomic<bool> withdrawn = false;
+    std::atomic<bool> draining = false;
+    std::atomic<bool> stalled = false;
+    std::atomic<RawClient *> client = nullptr;
+    ClaimLog log;
+    EngineScript script;
+    FakeBackend first;
+    FakeBackend second;
+    CallerSetup setup;
+};
+
+bool isOfEngine(Fault fault)
+{
+    return fault == Fault::EngineDies || fault == Fault::AnswerLost || fault == Fault::SilentConnection
+        || fault == Fault::TruncatedStream;
+}
+
+} // namespace
+
+std::string nameOf(const Injection &injection)
+{
+    static const std::vector<std::string> faults = {"engine_dies", "answer_lost", "silent_connection", "truncated_stream", "slow",
+        "key_withdrawn", "server_leaving", "caller_gone", "drain_begins", "log_down"};
+    return faults.at(static_cast<std::size_t>(injection.fault)) + "_at_" + toString(injection.step);
+}
+
+std::string nameOf(RequestKind kind)
+{
+    static const std::vector<std::string> kinds = {"idempotent", "once_unnamed", "once_named"};
+    return kinds.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<std::string> impossible(const Injection &injection, RequestKind kind)
+{
+    if (kind != RequestKind::OnceNamed && injection.step == RequestStep::Claim) {
+        return "the request has no idempotency key to claim";
+    }
+    if (kind != RequestKind::OnceNamed && injection.fault == Fault::LogDown) {
+        return "the log is not on the path of a request without a claim";
+    }
+    if (injection.step == RequestStep::LastByte && isOfEngine(injection.fault)) {
+        return "the engine's whole answer was read before";
+    }
+    return std::nullopt;
+}
+
+CellResult runCell(const std::vector<Injection> &injections, RequestKind kind)
+{
+    const PausedClock paused;
+    Cell cell(injections, kind);
+    return cell.run();
+}
+
+} // namespace flamingosaddle::test
--- /dev/null
+++ b/tests/fault/faultmatrix_test.cpp
@@ -0,0 +1,154 @@
+#include "faultcell.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::test;
+
+namespace
+{
+
+struct MatrixCell {
+    Injection injection;
+    RequestKind kind = RequestKind::Idempotent;
+};
+
+std::vector<MatrixCell> allCells()
+{
+    std::vector<MatrixCell> cells;
+    for (std::size_t i = 0; i < stepCount * faultCount * kindCount; ++i) {
+        const auto step = static_cast<RequestStep>(i / kindCount % stepCount);
+        const auto fault = static_cast<Fault>(i / kindCount / stepCount);
+        cells.push_back({{step, fault}, static_cast<RequestKind>(i % kindCount)});
+    }
+    return cells;
+}
+
+std::vector<MatrixCell> possibleCells()
+{
+    std::vector<MatrixCell> cells = allCells();
+    std::erase_if(cells, [](const MatrixCell &cell) {
+        return impossible(cell.injection, cell.kind).has_value();
+    });
+    return cells;
+}
+
+std::string nameOfCell(const testing::TestParamInfo<MatrixCell> &info)
+{
+    return nameOf(info.param.injection) + "_" + nameOf(info.param.kind);
+}
+
+class FaultMatrix : public testing::TestWithParam<MatrixCell>
+{
+};
+
+class FaultPairs : public testing::TestWithParam<unsigned>
+{
+};
+
+constexpr int pairsPerSeed = 50;
+
+struct Pair {
+    std::vector<Injection> injections;
+    RequestKind kind = RequestKind::Idempotent;
+
+    bool hasLateWithdrawal() const
+    {
+        return std::count(this->injections.begin(), this->injections.end(), Injection{RequestStep::LastByte, Fault::KeyWithdrawn})
+            > 0;
+    }
+};
+
+std::vector<Pair> pairsOf(unsigned seed)
+{
+    std::mt19937 random(seed);
+    const std::vector<MatrixCell> cells = possibleCells();
+    std::vector<Pair> pairs;
+    for (int i = 0; i < pairsPerSeed; ++i) {
+        const MatrixCell &one = cells[random() % cells.size()];
+        Injection other = cells[random() % cells.size()].injection;
+        while (impossible(other, one.kind).has_value()) {
+            other = cells[random() % cells.size()].injection;
+        }
+        pairs.push_back({{one.injection, other}, one.kind});
+    }
+    return pairs;
+}
+
+/** Runs those of a seed's pairs that @p chosen answers true for. */
+void runPairs(unsigned seed, const std::function<bool(const Pair &)> &chosen)
+{
+    std::size_t injected = 0;
+    std::size_t ran = 0;
+    for (const Pair &pair : pairsOf(seed)) {
+        if (!chosen(pair)) {
+            continue;
+        }
+        const CellResult result = runCell(pair.injections, pair.kind);
+        ++ran;
+        injected += result.injected;
+        EXPECT_EQ(violations(result.record), std::vector<std::string>())
+            << nameOf(pair.injections[0]) << ", " << nameOf(pair.injections[1]) << ", " << nameOf(pair.kind) << '\n'
+            << result.record.answer;
+    }
+    std::cout << "seed " << seed << ": " << ran << " pairs, " << injected << " faults injected\n";
+    EXPECT_GE(injected, ran);
+}
+
+} // namespace
+
+TEST(FaultMatrixTable, EveryCellRunsOrSaysWhyItCannotHappen)
+{
+    std::map<std::string, int> reasons;
+    for (const MatrixCell &cell : allCells()) {
+        ++reasons[impossible(cell.injection, cell.kind).value_or("possible")];
+    }
+    for (const auto &[reason, count] : reasons) {
+        std::cout << count << " cells: " << reason << '\n';
+    }
+    EXPECT_EQ(allCells().size(), 300U);
+    EXPECT_EQ(possibleCells().size(), 250U);
+}
+
+TEST(FaultMatrixTable, WithoutAFaultTheAnswerIsWhole)
+{
+    for (std::size_t kind = 0; kind < kindCount; ++kind) {
+        const CellResult result = runCell({}, static_cast<RequestKind>(kind));
+        EXPECT_TRUE(looksWhole(result.record.answer)) << result.record.answer;
+        EXPECT_EQ(violations(result.record), std::vector<std::string>());
+        EXPECT_EQ(result.record.runs.size(), 1U);
+        // The faults before an engine was chosen strike the second one, which the dispatcher chooses.
+        EXPECT_EQ(result.runsOnSecond, 1U);
+    }
+}
+
+TEST_P(FaultMatrix, HoldsTheInvariants)
+{
+    const CellResult result = runCell({GetParam().injection}, GetParam().kind);
+    EXPECT_EQ(result.injected, 1U);
+    EXPECT_EQ(violations(result.record), std::vector<std::string>()) << result.record.answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(Cells, FaultMatrix, testing::ValuesIn(possibleCells()), nameOfCell);
+
+TEST_P(FaultPairs, HoldTheInvariants)
+{
+    runPairs(GetParam(), [](const Pair &pair) {
+        return !pair.hasLateWithdrawal();
+    });
+}
+
+TEST_P(FaultPairs, WithKeyWithdrawnAtLastByteHoldTheInvariants)
+{
+    runPairs(GetParam(), [](const Pair &pair) {
+        return pair.hasLateWithdrawal();
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FaultPairs, testing::Values(1U, 2U, 3U, 4U));
--- /dev/null
+++ b/tests/fault/scriptedengine.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "callerfixture.h"
+
+#include <flamingosaddle/http/requeststep.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace flamingosaddle::test
+{
+
+/** What an engine does to the next answer that reaches one of its checkpoints. */
+enum class EngineFault {
+    None,
+    LoseAnswer,
+    FallSilent,
+    Truncate,
+};
+
+/**
+ * The answers of a cell's engines, in step with the product: the opening waits for BodySent, the first token for FirstToken
+ * and the second one for MidStream. A fault that is set at one of these steps acts exactly there.
+ */
+class EngineScript
+{
+public:
+    // Commands; any thread.
+    void setFault(EngineFault fault);
+    /** Lets the answers go on that wait for @p step. */
+    void reach(RequestStep step);
+
+    FakeBackend::Answer answer();
+
+private:
+    boost::asio::awaitable<void> run(HttpExchange &exchange);
+    boost::asio::awaitable<void> waitFor(RequestStep step, HttpExchange &exchange);
+    boost::asio::awaitable<bool> actOnFault(HttpExchange &exchange, std::string nextEvent);
+
+    std::atomic<EngineFault> fault = EngineFault::None;
+    std::mutex mutex;
+    std::set<RequestStep> reached;
+    std::vector<std::function<void()>> waiting;
+};
+
+} // namespace flamingosaddle::test
--- a/tests/http/callerfixture.cpp
+++ b/tests/http/callerfixture.cpp
@@ -131,6 +131,11 @@
     return this->received;
 }
 
+void FakeBackend::stop()
+{
+    this->server.server->stop();
+}
+
 FakeBackend::Answer streamOf(int tokens, int breakAfter)
 {
     return [tokens, breakAfter](HttpExchange &exchange) {
@@ -195,6 +200,16 @@
     this->board.publish(std::make_shared<RoutingSnapshot>(this->config, std::set<KeyId>(), freshUntil));
 }
 
+void CallerSetup::drain()
+{
+    this->server->drain();
+}
+
+TrafficGate &CallerSetup::trafficGate() const
+{
+    return *this->gate;
+}
+
 void CallerSetup::withdrawKey()
 {
     this->config = std::make_shared<ConfigState>(*this->config);
--- a/tests/http/callerfixture.h
+++ b/tests/http/callerfixture.h
@@ -33,6 +33,8 @@
 
     Endpoint endpoint() const;
     std::vector<HttpRequest> requests() const;
+    /** Closes the listener and every connection, as the end of its process does. */
+    void stop();
 
 private:
     mutable std::mutex mutex;
@@ -58,11 +60,14 @@
     void withdrawKey();
     /** Publishes the configuration so that it is fresh until @p freshUntil. */
     void publish(TimePoint freshUntil);
+    /** Begins the drain of the server that callers are connected to. */
+    void drain();
 
     /** Sends one request on a connection of its own and reads all that comes. */
     std::string exchange(const std::string &request) const;
 
     Endpoint endpoint() const;
+    TrafficGate &trafficGate() const;
 
     KeyRegistry keys;
     SnapshotBoard board;
