--- a/include/flamingosaddle/control/logappender.h
+++ b/include/flamingosaddle/control/logappender.h
@@ -15,7 +15,7 @@
 {
 
 struct LogAppenderOptions {
-    Duration interval = std::chrono::milliseconds(100); ///< shortest time between two appends: the stream's append budget
+    Duration interval = std::chrono::milliseconds(50); ///< shortest time between two appends: the stream's append budget
     std::size_t maxBufferedRecords = 100000; ///< while the log is down; the oldest are given up beyond it
 
     friend bool operator==(const LogAppenderOptions &, const LogAppenderOptions &) = default;
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -97,6 +97,7 @@
     void take(const HelloMessage &from, const HeartbeatMessage &message);
     void noteAgreement(const HeartbeatMessage &message, TimePoint now);
     bool majorityAgrees(TimePoint now) const;
+    void updateElectorate();
     void helpIfBehind(const HeartbeatMessage &message);
     bool isHelperOf(const HeartbeatMessage &message) const;
     void refreshLinks();
@@ -119,6 +120,7 @@
     std::set<BackendServerId> reportedServers; ///< whose load was passed on at the last heartbeat
     std::map<InstanceId, PeerConfig> configs; ///< by each peer's last heartbeat
     HeartbeatMessage current; ///< of this interval; all links send the same one
+    std::set<InstanceId> electorate; ///< members that were known when anyone last read the log, and those since
     std::optional<TimePoint> agreedAt;
     std::uint64_t connections = 0;
     std::size_t servingCount = 0;
--- a/include/flamingosaddle/control/snapshotkeeper.h
+++ b/include/flamingosaddle/control/snapshotkeeper.h
@@ -34,6 +34,7 @@
     struct Options {
         Role role = Role("snapshots");
         std::uint64_t everyRecords = 500; ///< records after which a stream gets a new snapshot
+        Duration maxAge = std::chrono::minutes(5); ///< after which a stream with any new record gets one
         Duration interval = std::chrono::seconds(1); ///< between two looks at what is due
     };
 
@@ -52,8 +53,10 @@
     struct Entry {
         SnapshotSource source;
         std::uint64_t covered = 0; ///< next offset of the last snapshot that this process wrote
+        TimePoint writtenAt; ///< of the last snapshot, or when this process began to hold the lease
     };
 
+    bool isDue(const Entry &entry, TimePoint now) const;
     boost::asio::awaitable<void> writeIfDue(Entry &entry);
 
     const Platform &platform;
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -132,6 +132,9 @@
     if (!this->controller.isReady()) {
         return textResponse(503, "the configuration has not been read yet\n");
     }
+    if (this->controller.freshUntil() <= RuntimeClock::now()) {
+        return textResponse(503, "neither the log nor enough peers answer\n");
+    }
     return textResponse(200, "ready\n");
 }
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -32,6 +32,8 @@
 
 constexpr std::chrono::milliseconds drainPollInterval(10);
 constexpr std::chrono::seconds handOverLimit(5);
+// Requests without a key rank below those of every client account.
+constexpr int openTier = 1000;
 
 InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
 {
@@ -67,6 +69,7 @@
     options.pool.idleLimit = settings.backendIdleLimit;
     options.headTimeout = settings.firstByteTimeout;
     options.pieceTimeout = settings.progressTimeout;
+    options.openClass.tier = openTier;
     return options;
 }
 
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -64,6 +64,7 @@
 boost::asio::awaitable<void> PeerExchange::runTicks()
 {
     while (!this->stopped) {
+        this->updateElectorate();
         this->members.advance(RuntimeClock::now());
         this->current = this->nextHeartbeat();
         this->refreshLinks();
@@ -176,20 +177,36 @@
     if (message.configOffset > this->hooks.configOffset()) {
         return;
     }
-    if (message.readsLog || this->majorityAgrees(now)) {
+    if (message.readsLog) {
+        this->agreedAt = now;
+        this->electorate.clear();
+    }
+    this->updateElectorate();
+    if (this->majorityAgrees(now)) {
         this->agreedAt = now;
     }
 }
 
-bool PeerExchange::majorityAgrees(TimePoint now) const
+void PeerExchange::updateElectorate()
 {
-    std::size_t known = 1;
-    std::size_t agreeing = 1;
+    if (this->hooks.readsLog()) {
+        this->electorate.clear();
+    }
+    // While nobody reads the log, a member that fell silent still counts: it may be on the other side of a cut, with the log.
     for (const auto &[id, member] : this->members.members()) {
         if (member.isFinal) {
-            continue;
+            this->electorate.erase(id);
+        } else {
+            this->electorate.insert(id);
         }
-        ++known;
+    }
+}
+
+bool PeerExchange::majorityAgrees(TimePoint now) const
+{
+    const std::size_t known = this->electorate.size() + 1;
+    std::size_t agreeing = 1;
+    for (const InstanceId &id : this->electorate) {
         const auto config = this->configs.find(id);
         const bool isHeard = config != this->configs.end() && now - config->second.heardAt <= this->options.timing.silenceLimit();
         if (isHeard && config->second.offset <= this->hooks.configOffset()) {
--- a/src/control/snapshotkeeper.cpp
+++ b/src/control/snapshotkeeper.cpp
@@ -14,7 +14,7 @@
     , options(std::move(options))
 {
     for (SnapshotSource &source : sources) {
-        this->entries.push_back({std::move(source), 0});
+        this->entries.push_back({std::move(source), 0, RuntimeClock::now()});
     }
 }
 
@@ -40,15 +40,26 @@
     return this->written;
 }
 
-boost::asio::awaitable<void> SnapshotKeeper::writeIfDue(Entry &entry)
+bool SnapshotKeeper::isDue(const Entry &entry, TimePoint now) const
 {
     const std::uint64_t next = entry.source.nextOffset();
-    if (next < entry.covered + this->options.everyRecords) {
+    if (next <= entry.covered) {
+        return false;
+    }
+    // A stream with few records is trimmed by time all the same.
+    return next >= entry.covered + this->options.everyRecords || now - entry.writtenAt >= this->options.maxAge;
+}
+
+boost::asio::awaitable<void> SnapshotKeeper::writeIfDue(Entry &entry)
+{
+    if (!this->isDue(entry, RuntimeClock::now())) {
         co_return;
     }
+    const std::uint64_t next = entry.source.nextOffset();
     const Result<std::uint64_t> appended = co_await this->platform.append(entry.source.snapshots, entry.source.encode());
     if (appended.has_value()) {
         entry.covered = next;
+        entry.writtenAt = RuntimeClock::now();
         ++this->written;
     }
 }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -263,7 +263,8 @@
 
 Result<std::size_t> ServerConnection::writeNow(const Buffers &buffers)
 {
-    if (this->gone) {
+    // The close that abort() posts may still wait behind this write.
+    if (this->gone || this->abortRequested) {
         return callerGone();
     }
     boost::system::error_code error;
--- a/tests/cli/fakes.cpp
+++ b/tests/cli/fakes.cpp
@@ -90,7 +90,7 @@
     this->files["account"] = accountText;
 }
 
-ExitCode CliBench::run(std::vector<std::string> arguments)
+ExitCode CliBench::run(const std::vector<std::string> &arguments)
 {
     this->outStream.str("");
     this->errStream.str("");
--- a/tests/cli/fakes.h
+++ b/tests/cli/fakes.h
@@ -48,7 +48,7 @@
 public:
     CliBench();
 
-    ExitCode run(std::vector<std::string> arguments);
+    ExitCode run(const std::vector<std::string> &arguments);
     /** Prints JSON from here on. */
     nlohmann::json result() const;
 
--- a/tests/cli/submission_test.cpp
+++ b/tests/cli/submission_test.cpp
@@ -67,8 +67,9 @@
 
 TEST(ExitCodes, AreThoseOfTheGravestOutcome)
 {
-    const auto of = [](std::vector<SubmissionStage> stages) {
+    const auto of = [](const std::vector<SubmissionStage> &stages) {
         std::vector<Submission> list;
+        list.reserve(stages.size());
         for (const SubmissionStage stage : stages) {
             list.push_back({publishedTemplate, stage, std::nullopt, ""});
         }
