--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -13,6 +13,7 @@
 #include <flamingosaddle/http/server.h>
 #include <flamingosaddle/http/trafficgate.h>
 #include <flamingosaddle/platform/httpplatform.h>
+#include <flamingosaddle/state/configvalidation.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,8 +33,8 @@
 
 constexpr std::chrono::milliseconds drainPollInterval(10);
 constexpr std::chrono::seconds handOverLimit(5);
-// Requests without a key rank below those of every client account.
-constexpr int openTier = 1000;
+// Requests without a key have the lowest tier that there is.
+constexpr int openTier = ConfigLimits::maxTier;
 
 InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
 {
