Test an order that arrives after its answer was given up

Cause: no test told a repetition under the same id from a new order, since the fake's lost answers had taken effect by the next look.

The test's wanted orders go by the count of machines, so a new order would start a second machine when the late copy arrives.

--- a/tests/control/orderdesk_test.cpp
+++ b/tests/control/orderdesk_test.cpp
@@ -18,6 +18,13 @@
 {
 
 const DataCentre dataCentre("a");
+constexpr std::size_t wantedCount = 4;
+
+template <typename T>
+Platform::Answer<T> failing(ErrorKind kind)
+{
+    co_return fail(kind, "the platform cannot be reached", "wait until it is back");
+}
 
 /**
  * One instance's lease keeper and order desk on a platform that several share, with a log that only it may lose.
@@ -61,20 +68,14 @@
     OrderDesk desk;
 
 private:
-    template <typename T>
-    static Platform::Answer<T> unreachable()
-    {
-        co_return fail(ErrorKind::Unreachable, "the log is cut off", "wait until it is back");
-    }
-
     Platform cutLog(const Platform &platform)
     {
         Platform result = platform;
         result.append = [this, append = platform.append](LogStream stream, std::string body) {
-            return this->cut ? unreachable<std::uint64_t>() : append(stream, std::move(body));
+            return this->cut ? failing<std::uint64_t>(ErrorKind::Unreachable) : append(stream, std::move(body));
         };
         result.read = [this, read = platform.read](LogStream stream, std::uint64_t from, std::chrono::milliseconds wait) {
-            return this->cut ? unreachable<LogBatch>() : read(stream, from, wait);
+            return this->cut ? failing<LogBatch>(ErrorKind::Unreachable) : read(stream, from, wait);
         };
         result.order = [this, order = platform.order](PlatformOrder sent, std::function<Duration()> permission) {
             if (this->beforeOrder) {
@@ -206,6 +207,34 @@
     EXPECT_TRUE(instance.desk.isIdle());
 }
 
+TEST_F(OrderDeskTest, ACopyThatArrivesAfterItsAnswerWasGivenUpStartsNoSecondMachine)
+{
+    std::vector<PlatformOrder> late;
+    this->hooks.order = [&late, order = this->hooks.order](PlatformOrder sent, std::function<Duration()> permission) {
+        if (late.size() < 2) {
+            late.push_back(std::move(sent));
+            return failing<void>(ErrorKind::Timeout);
+        }
+        return order(std::move(sent), std::move(permission));
+    };
+    const WantedOrders wanted = [](const DataCentre &, const std::vector<BackendMachine> &machines, TimePoint) {
+        PlatformOrder order;
+        order.model = "model";
+        order.cheap = true;
+        return std::vector<PlatformOrder>(wantedCount - std::min(wantedCount, machines.size()), order);
+    };
+    const Instance &instance = this->addHolder("i1", wanted);
+    this->advance(std::chrono::seconds(10));
+    ASSERT_EQ(late.size(), 2u);
+    for (const PlatformOrder &order : late) {
+        this->platform.machines.order(
+            dataCentre.text(), {order.id, toString(order.kind), "", order.model, order.cheap, order.fencing, order.holder});
+    }
+    this->advance(std::chrono::seconds(10));
+    EXPECT_EQ(this->machineCount(), wantedCount);
+    EXPECT_TRUE(instance.desk.isIdle());
+}
+
 TEST_F(OrderDeskTest, HolderThatWokeAfterItsLeaseSendsNothing)
 {
     Instance &instance = this->addHolder("i1");
