--- a/include/flamingosaddle/app/adminhandler.h
+++ b/include/flamingosaddle/app/adminhandler.h
@@ -34,6 +34,8 @@
         std::function<std::uint32_t(const BackendServerId &)> inFlight);
 
     boost::asio::awaitable<void> handle(HttpExchange &exchange);
+    /** Answers whether the instance takes requests, and nothing else. */
+    boost::asio::awaitable<void> handleReadiness(HttpExchange &exchange);
 
 private:
     HttpResponse answer(const HttpRequest &request);
--- a/include/flamingosaddle/app/daemon.h
+++ b/include/flamingosaddle/app/daemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <flamingosaddle/app/integration.h>
 #include <flamingosaddle/app/settings.h>
+#include <flamingosaddle/app/settingswatch.h>
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/result.h>
 
@@ -25,8 +27,9 @@
 
     /**
      * Binds the addresses. Fails with InvalidSetting when one of them cannot be bound. Nothing is served before run().
+     * @param reload reads the settings anew, at SIGHUP and when their file changes
      */
-    static Result<std::unique_ptr<Daemon>> create(const Settings &settings);
+    static Result<std::unique_ptr<Daemon>> create(const Settings &settings, Integration integration, SettingsWatch::Load reload);
 
     ~Daemon();
     Daemon(const Daemon &) = delete;
@@ -40,8 +43,9 @@
     // Commands.
 
     /**
-     * Serves until SIGTERM or SIGINT, then drains: takes no new connections, lets running requests finish for at most the
-     * drain timeout, and returns. A second signal ends it at once. The calling thread becomes the control thread.
+     * Serves until SIGTERM or SIGINT, then drains: is no longer ready, takes no new connections once the drain notice is
+     * over, lets running requests finish for at most the drain timeout, and returns. A second signal ends it at once. The
+     * calling thread becomes the control thread.
      */
     void run();
 
--- /dev/null
+++ b/include/flamingosaddle/app/integration.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <flamingosaddle/app/settings.h>
+#include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/platform/platform.h>
+#include <flamingosaddle/relay/callerinterface.h>
+
+#include <functional>
+#include <optional>
+
+namespace flamingosaddle
+{
+
+/**
+ * Where a daemon meets the outside. The program that makes the daemon chooses it.
+ */
+struct Integration {
+    CallerInterface callerInterface;
+    Platform platform;
+    std::optional<DirectoryHooks> directory; ///< where configuration and backend servers are read; empty for the change log
+    std::function<void(const Settings &)> reload; ///< takes over the settings that a reload changed; may be empty
+};
+
+/** The project's own interfaces: OpenAI-shaped requests, the change log, HTTP calls to the platform. */
+Integration ownIntegration(const Settings &settings);
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <flamingosaddle/http/trafficgate.h>
 #include <flamingosaddle/peer/message.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <cstddef>
 #include <vector>
--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -25,15 +25,38 @@
     Stdout, ///< a line of OTLP/JSON for each span
 };
 
+/**
+ * Where the configuration and the backend servers come from.
+ */
+enum class ConfigurationSource {
+    Log, ///< the project's own change log
+    Operator, ///< records that the platform's operators and backend servers publish
+};
+
+/**
+ * Which requests callers send.
+ */
+enum class CallerProtocol {
+    OpenAi,
+    Platform,
+};
+
 /**
  * Everything that a daemon is told at its start.
  */
 struct Settings {
+    std::string settingsFile; ///< read besides flags and environment; empty for none
+    std::vector<std::string> ignoredNames; ///< that stand in the settings file and are unknown
+    ConfigurationSource configuration = ConfigurationSource::Log;
+    CallerProtocol callerProtocol = CallerProtocol::OpenAi;
+
     // Addresses and place.
     Endpoint listen{"127.0.0.1", 0}; ///< callers
     Endpoint adminListen{"127.0.0.1", 0}; ///< operators and metrics
     Endpoint peerListen{"127.0.0.1", 0}; ///< other instances
-    Endpoint platform; ///< the platform's services
+    Endpoint readyListen; ///< answers only whether the instance is ready; without a port it is not opened
+    Endpoint platform; ///< the platform's services, or its store
+    Endpoint platformApi; ///< takes usage reports and server orders, where the store does not
     std::vector<Endpoint> seedPeers; ///< asked for the other instances besides the platform's list
     DataCentre dataCentre;
     InstanceId instanceId; ///< made up at the start when it is not given
@@ -59,6 +82,10 @@
     std::chrono::milliseconds backendIdleLimit{15000};
     std::size_t maxAttempts = 3;
     std::size_t retryPercent = 10;
+    std::size_t quarantineDeaths = 2;
+    double resendRatio = 0.2;
+    std::size_t resendExtra = 0;
+    std::chrono::seconds resendWindow{0};
 
     // Control.
     std::chrono::milliseconds freshnessLimit{5000};
@@ -68,6 +95,7 @@
     std::chrono::milliseconds usageFlushInterval{1000};
     std::chrono::milliseconds usageWindow{60000};
     std::size_t snapshotEveryRecords = 500;
+    std::chrono::milliseconds drainNotice{0};
     std::chrono::milliseconds drainTimeout{60000};
 
     // Observation.
--- a/include/flamingosaddle/app/trafficmetrics.h
+++ b/include/flamingosaddle/app/trafficmetrics.h
@@ -2,7 +2,7 @@
 
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/routingsnapshot.h>
-#include <flamingosaddle/http/callerhooks.h>
+#include <flamingosaddle/relay/callerhooks.h>
 
 namespace flamingosaddle
 {
--- a/include/flamingosaddle/control/claimdesk.h
+++ b/include/flamingosaddle/control/claimdesk.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/claim.h>
 #include <flamingosaddle/control/logappender.h>
 #include <flamingosaddle/control/logreplica.h>
-#include <flamingosaddle/http/claim.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/state/claimstate.h>
 
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/control/claimdesk.h>
 #include <flamingosaddle/control/configtail.h>
+#include <flamingosaddle/control/directory.h>
 #include <flamingosaddle/control/leasekeeper.h>
 #include <flamingosaddle/control/orderdesk.h>
 #include <flamingosaddle/control/peerexchange.h>
@@ -59,7 +60,12 @@
 class Controller
 {
 public:
-    Controller(boost::asio::io_context &context, Platform platform, ControllerOptions options, ControllerHooks hooks);
+    /**
+     * @param directory where configuration and backend servers are read; empty for the project's change log. With a directory
+     * only the instances() of @p platform is called.
+     */
+    Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
+        ControllerOptions options, ControllerHooks hooks);
     ~Controller();
 
     // Commands.
@@ -95,6 +101,8 @@
     // Queries.
     bool isReady() const; ///< whether the configuration was read to its end once, from the log or from peers
     TimePoint freshUntil() const;
+    /** The configuration in force, an empty one at first. */
+    std::shared_ptr<const ConfigState> config() const;
     const ConfigTail &configTail() const;
     const LeaseKeeper &leaseKeeper() const;
     const UsageDesk &usageDesk() const;
@@ -107,7 +115,10 @@
 private:
     std::vector<SnapshotSource> snapshotSources();
     void spawn(boost::asio::awaitable<void> coroutine);
+    void startLog();
+    void startDirectory();
     PeerExchangeHooks peerHooks();
+    std::optional<TimePoint> lastReadAt() const;
     void addDataCentre(const DataCentre &dataCentre);
     void updateRoles();
     void configAdvanced();
@@ -123,6 +134,7 @@
     std::set<KeyId> earlyTombstones;
     std::shared_ptr<const ConfigState> publishedState;
     TimePoint publishedFreshness;
+    std::unique_ptr<Directory> directory;
     ConfigTail tail;
     LeaseKeeper leases;
     UsageDesk usage;
--- a/include/flamingosaddle/control/routingsnapshot.h
+++ b/include/flamingosaddle/control/routingsnapshot.h
@@ -37,8 +37,8 @@
     const ClientKey *findKey(const KeyDigest &digest) const;
     bool isWithdrawn(const KeyId &id) const;
 
-    /** The route with the longest prefix of @p path, or nullptr. */
-    const Route *findRoute(std::string_view path) const;
+    /** Of the routes for @p host, those for any host included, the one with the longest prefix of @p path, or nullptr. */
+    const Route *findRoute(std::string_view host, std::string_view path) const;
 
     /** Effective classes of a client account; nullptr for an unknown one. */
     const std::vector<RequestClass> *classesOf(const ClientAccountId &id) const;
@@ -53,7 +53,7 @@
     std::set<KeyId> tombstones;
     TimePoint freshLimit;
     std::unordered_multimap<std::uint64_t, const ClientKey *> keysByDigest;
-    std::vector<const Route *> routesByLength; // longest prefix first
+    std::unordered_map<std::string_view, std::vector<const Route *>> routesByHost; // longest prefix first
     std::unordered_map<ClientAccountId, std::vector<RequestClass>> classTable;
     std::vector<ModelName> modelNames;
 };
--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -45,6 +45,11 @@
      * since nobody can tell whether it is whole.
      */
     virtual boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) = 0;
+    /**
+     * From now on a body that has neither a length nor chunks is whole when the server closes the connection in order; one
+     * that is reset is not.
+     */
+    virtual void acceptBodyUntilClose() = 0;
     /** Closes at once; an operation in flight fails with Cancelled. */
     virtual void close() = 0;
 
--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -90,6 +90,8 @@
     virtual std::size_t activeExchangeCount() const = 0;
 
     // Commands; any thread.
+    /** Goes on accepting and serving, but closes each connection after its next answer. */
+    virtual void announceDrain() = 0;
     /** Stops accepting, closes idle connections and closes each other one after its exchange. */
     virtual void drain() = 0;
     /** Closes everything at once. */
--- a/include/flamingosaddle/http/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <flamingosaddle/http/callersignal.h>
 #include <flamingosaddle/http/client.h>
-#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/relay/answerverdict.h>
+#include <flamingosaddle/relay/callersignal.h>
+#include <flamingosaddle/relay/requeststep.h>
 #include <flamingosaddle/traffic/types.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,12 @@
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration idleLimit = std::chrono::seconds(15); ///< an idle connection is not used after this long
     std::size_t maxIdlePerServer = 32;
+    /**
+     * Whether a server whose connection broke counts as dead only once it takes no new connection either. Otherwise
+     * every broken connection is one.
+     */
+    bool confirmsDeath = false;
+    bool answersMayEndWithConnection = false; ///< whether an answer without a length counts as whole when it is closed
 
     friend bool operator==(const BackendPoolOptions &, const BackendPoolOptions &) = default;
 };
@@ -57,6 +64,8 @@
     boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout);
     /** Gives the connection back after readBody() has answered false. */
     void release();
+    /** What the failure of readBody() says of the backend server. */
+    boost::asio::awaitable<AttemptEnd> endOf(Error error);
 
 private:
     BackendPool &pool;
@@ -89,6 +98,7 @@
         HttpRequest request;
         bool idempotent = false;
         Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the head of the answer
+        std::function<AnswerVerdict(const HttpRequest &sent, const HttpResponseHead &head)> judge; ///< empty: all genuine
     };
 
     /** Sends a request and reads the head of its answer. */
@@ -105,11 +115,15 @@
 
     struct Idle {
         std::unique_ptr<HttpConnection> connection;
-        TimePoint since;
+        TimePoint usableUntil;
     };
 
     std::unique_ptr<HttpConnection> takeIdle(const Endpoint &endpoint);
-    void putIdle(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
+    void putIdle(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection, const HttpHeaders &answer);
+    boost::asio::awaitable<Result<HttpResponseHead>> readOwnHead(HttpConnection &connection, const Order &order);
+    boost::asio::awaitable<Result<void>> skipBody(HttpConnection &connection);
+    void keepIfWhole(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
+    boost::asio::awaitable<AttemptEnd> endAfter(Error error, bool anyByteSent, Endpoint endpoint);
     boost::asio::awaitable<Answer> callOnFresh(const Order &order, CallerSignal &caller, const StepHook &step);
     boost::asio::awaitable<Answer> callOn(
         std::unique_ptr<HttpConnection> connection, const Order &order, CallerSignal &caller, const StepHook &step);
--- a/include/flamingosaddle/http/callerhandler.h
+++ b/include/flamingosaddle/relay/callerhandler.h
@@ -3,11 +3,12 @@
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/base/trace.h>
 #include <flamingosaddle/control/routingsnapshot.h>
-#include <flamingosaddle/http/backendpool.h>
-#include <flamingosaddle/http/callerhooks.h>
-#include <flamingosaddle/http/keyregistry.h>
 #include <flamingosaddle/http/server.h>
-#include <flamingosaddle/http/trafficgate.h>
+#include <flamingosaddle/relay/backendpool.h>
+#include <flamingosaddle/relay/callerhooks.h>
+#include <flamingosaddle/relay/callerinterface.h>
+#include <flamingosaddle/relay/keyregistry.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,8 +28,8 @@
     BackendPoolOptions pool;
     Duration headTimeout = std::chrono::seconds(30); ///< for a backend server to begin a streamed or a service's answer
     Duration pieceTimeout = std::chrono::seconds(15); ///< between two pieces of an answer
+    bool cutsWithdrawnKeys = true; ///< whether a withdrawn key ends the exchanges that run with it
     std::size_t maxBufferedAnswerBytes = std::size_t{4} * 1024 * 1024; ///< a larger answer is passed on as it comes
-    RequestClass openClass; ///< of requests on routes open to all
 
     friend bool operator==(const CallerOptions &, const CallerOptions &) = default;
 };
@@ -70,8 +71,8 @@
     Builder &board(const SnapshotBoard *board);
     Builder &gate(TrafficGate *gate);
     Builder &keys(KeyRegistry *keys);
-    /** The secret that keys are digested with. */
-    Builder &keySecret(std::string secret);
+    /** How callers and backend servers speak. */
+    Builder &interface(CallerInterface interface);
     Builder &options(CallerOptions options);
     Builder &hooks(CallerHooks hooks);
     Builder &tracer(Tracer tracer);
@@ -85,7 +86,7 @@
     const SnapshotBoard *snapshotBoard = nullptr;
     TrafficGate *trafficGate = nullptr;
     KeyRegistry *keyRegistry = nullptr;
-    std::string secret;
+    CallerInterface callerInterface;
     CallerOptions callerOptions;
     CallerHooks callerHooks;
     Tracer requestTracer;
--- a/include/flamingosaddle/http/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -2,8 +2,8 @@
 
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/id.h>
-#include <flamingosaddle/http/claim.h>
-#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/control/claim.h>
+#include <flamingosaddle/relay/requeststep.h>
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstdint>
@@ -35,6 +35,9 @@
     std::string requestId;
     ClientAccountId clientAccount;
     ClassName className;
+    RouteId route; ///< empty for a model, and where none was found
+    BackendServerId server; ///< the last one that was asked; empty when none was
+    std::uint64_t configOffset = 0; ///< of the configuration that decided
     int status = 0; ///< of the answer; 0 when the caller left before it
     std::optional<RunState> runState; ///< of a refusal or of a stream that broke off
     std::optional<RefusalReason> refusal; ///< when a decision of the dispatcher ended the request
--- a/include/flamingosaddle/http/trafficgate.h
+++ b/include/flamingosaddle/relay/trafficgate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <flamingosaddle/http/callersignal.h>
+#include <flamingosaddle/relay/callersignal.h>
 #include <flamingosaddle/traffic/dispatcher.h>
 
 #include <boost/asio/any_io_executor.hpp>
--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -64,12 +64,23 @@
     std::vector<ClassParameters> classes;
     std::vector<ModelName> models; ///< models that its requests may name
     std::vector<ServiceName> services; ///< plain services that its requests may reach
+    std::optional<int> tier{}; ///< of all its requests; otherwise that of their class
 
     friend bool operator==(const ClientAccount &, const ClientAccount &) = default;
 };
 
 /**
- * A path prefix that leads to a plain service.
+ * The part of a route's requests that one service gets.
+ */
+struct ServiceWeight {
+    ServiceName service;
+    std::uint32_t weight = 1; ///< against the sum of the route's weights
+
+    friend bool operator==(const ServiceWeight &, const ServiceWeight &) = default;
+};
+
+/**
+ * A path prefix that leads to a service.
  */
 struct Route {
     RouteId id;
@@ -77,6 +88,12 @@
     ServiceName service;
     bool open = false; ///< whether requests need no key
     bool idempotent = false; ///< whether calls other than GET and HEAD may run more than once
+    std::string host{}; ///< that requests name; empty for any
+    std::vector<ServiceWeight> split{}; ///< divides the requests over services in place of `service`, unless it is empty
+    std::optional<RequestClass> requestClass{}; ///< of its requests; otherwise they choose among those of their account
+    std::uint32_t maxAttempts = 0; ///< backend servers that a request may be sent to; 0 for the daemon's limit
+    bool streaming = false; ///< whether answers are streams of events
+    bool resumable = false; ///< whether a stream that broke off may go on at another backend server
 
     friend bool operator==(const Route &, const Route &) = default;
 };
--- a/include/flamingosaddle/state/configstate.h
+++ b/include/flamingosaddle/state/configstate.h
@@ -56,6 +56,18 @@
     friend auto operator<=>(const TemplateKey &, const TemplateKey &) = default;
 };
 
+/**
+ * Everything that a configuration sets, as an operator publishes it in one piece.
+ */
+struct ConfigObjects {
+    std::vector<ClientAccount> clientAccounts;
+    std::vector<Route> routes;
+    std::vector<BackendServer> backendServers;
+    std::vector<ClientKey> keys;
+
+    friend bool operator==(const ConfigObjects &, const ConfigObjects &) = default;
+};
+
 /**
  * The configuration after some prefix of the `config` stream. A pure function of the records: the same records, with
  * any repetitions, give the same state everywhere.
@@ -71,6 +83,12 @@
 class ConfigState
 {
 public:
+    /**
+     * The configuration of @p objects, without history. Their publisher has checked them.
+     * @param nextOffset one more than the offset of the record that they come from
+     */
+    static ConfigState ofObjects(const ConfigObjects &objects, std::uint64_t nextOffset);
+
     // Commands.
 
     /**
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstddef>
@@ -21,6 +22,8 @@
     std::uint32_t maxAttempts = 3; ///< for one request
     std::uint32_t quarantineDeaths = 2; ///< backend servers that one request may cost
     std::uint32_t reservePercent = 25; ///< of a target's slots at most that lower tiers leave free for higher ones
+    bool suspectsRunAlone = true; ///< whether a request that cost a server runs once at a time over all instances
+    ResendLimitOptions resends; ///< on second sends of each service
     std::uint64_t seed = 1; ///< of random choices between servers
 
     friend bool operator==(const DispatcherOptions &, const DispatcherOptions &) = default;
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -21,6 +21,7 @@
     std::uint64_t fingerprint = 0;
     std::uint32_t promptTokens = 0;
     bool idempotent = true;
+    std::uint32_t maxAttempts = 0;
     std::uint32_t attempts = 0;
     bool everSent = false; ///< a backend server may have seen it
     ServerIndex failedServer = noServer; ///< of the last attempt
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -24,6 +24,7 @@
     std::uint64_t fingerprint = 0; ///< of the whole request, for quarantine
     std::uint32_t promptTokens = 0; ///< estimate
     bool idempotent = true; ///< of this request: its class, its route and its method together
+    std::uint32_t maxAttempts = 0; ///< backend servers that it may be sent to; 0 for the dispatcher's limit
     TimePoint arrival;
 
     friend bool operator==(const RequestProfile &, const RequestProfile &) = default;
@@ -98,6 +99,7 @@
 enum class AttemptEnd {
     Completed, ///< the whole answer was read
     NotSent, ///< failed before a byte was written
+    Rejected, ///< the server proved that it did not run the request
     ServerError, ///< the server answered with an error status and lives on
     ServerFailed, ///< the server broke off or fell silent, so it may have died of the request
     CallerGone,
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::string_view changesPrefix = "/v1/changes/";
+constexpr std::string_view readinessPath = "/readyz";
 
 HttpResponse errorResponse(int status, std::string_view message)
 {
@@ -55,6 +56,14 @@
     static_cast<void>(ignored);
 }
 
+boost::asio::awaitable<void> AdminHandler::handleReadiness(HttpExchange &exchange)
+{
+    const bool known = exchange.request().method == "GET" && exchange.request().path() == readinessPath;
+    HttpResponse response = known ? this->readinessResponse() : errorResponse(404, "only /readyz is answered here");
+    const Result<void> ignored = co_await exchange.respond(std::move(response));
+    static_cast<void>(ignored);
+}
+
 HttpResponse AdminHandler::answer(const HttpRequest &request)
 {
     if (request.method == "GET") {
@@ -72,7 +81,7 @@
     if (path == "/healthz") {
         return textResponse(200, "ok\n");
     }
-    if (path == "/readyz") {
+    if (path == readinessPath) {
         return this->readinessResponse();
     }
     if (path == "/metrics") {
@@ -83,7 +92,7 @@
         return this->statusResponse();
     }
     if (path == "/v1/config") {
-        return jsonResponse(200, encodeConfigSnapshot(*this->controller.configTail().state()));
+        return jsonResponse(200, encodeConfigSnapshot(*this->controller.config()));
     }
     if (path == "/v1/leases") {
         return this->leasesResponse();
@@ -112,7 +121,7 @@
         {"dataCentre", this->controller.options().dataCentre.text()},
         {"ready", this->controller.isReady()},
         {"draining", traffic.draining},
-        {"configOffset", tail.state()->nextOffset()},
+        {"configOffset", this->controller.config()->nextOffset()},
         {"configGap", tail.hasGap()},
         {"fresh", this->controller.freshUntil() > RuntimeClock::now()},
         {"servingInstances", this->controller.peerExchange().membership().serving().size() + 1},
@@ -171,7 +180,7 @@
 HttpResponse AdminHandler::backendsResponse() const
 {
     nlohmann::json backends = nlohmann::json::array();
-    for (const BackendServer &server : backendServersOf(*this->controller.configTail().state())) {
+    for (const BackendServer &server : backendServersOf(*this->controller.config())) {
         backends.push_back({{"id", server.id.text()}, {"endpoint", server.endpoint.text()},
             {"dataCentre", server.dataCentre.text()}, {"leaving", server.leaving}, {"cheap", server.cheap},
             {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -8,12 +8,10 @@
 #include <flamingosaddle/base/log.h>
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/controller.h>
-#include <flamingosaddle/http/callerhandler.h>
-#include <flamingosaddle/http/keyregistry.h>
 #include <flamingosaddle/http/server.h>
-#include <flamingosaddle/http/trafficgate.h>
-#include <flamingosaddle/platform/httpplatform.h>
-#include <flamingosaddle/state/configvalidation.h>
+#include <flamingosaddle/relay/callerhandler.h>
+#include <flamingosaddle/relay/keyregistry.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,8 +31,6 @@
 
 constexpr std::chrono::milliseconds drainPollInterval(10);
 constexpr std::chrono::seconds handOverLimit(5);
-// Requests without a key have the lowest tier that there is.
-constexpr int openTier = ConfigLimits::maxTier;
 
 InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
 {
@@ -70,7 +66,10 @@
     options.pool.idleLimit = settings.backendIdleLimit;
     options.headTimeout = settings.firstByteTimeout;
     options.pieceTimeout = settings.progressTimeout;
-    options.openClass.tier = openTier;
+    const bool ownLog = settings.configuration == ConfigurationSource::Log;
+    options.cutsWithdrawnKeys = ownLog;
+    options.pool.confirmsDeath = !ownLog;
+    options.pool.answersMayEndWithConnection = !ownLog;
     return options;
 }
 
@@ -80,6 +79,9 @@
     options.maxWaiting = settings.maxWaiting;
     options.retryPercent = static_cast<std::uint32_t>(settings.retryPercent);
     options.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
+    options.quarantineDeaths = static_cast<std::uint32_t>(settings.quarantineDeaths);
+    options.suspectsRunAlone = settings.configuration == ConfigurationSource::Log;
+    options.resends = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra)};
     options.seed = seed;
     return options;
 }
@@ -114,13 +116,14 @@
 class Daemon::Implementation
 {
 public:
-    explicit Implementation(const Settings &settings)
+    Implementation(const Settings &settings, Integration integration, SettingsWatch::Load reload)
         : settings(settings)
+        , integration(std::move(integration))
         , seed(randomSeed())
         , workers(settings.trafficThreads)
         , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor(), this->gateHooks())
         , peerTraffic(this->gate)
-        , controller(this->controlContext, httpPlatform(HttpPlatformOptions{settings.platform}),
+        , controller(this->controlContext, this->integration.platform, this->integration.directory,
               controllerOptionsOf(settings, this->seed), this->controllerHooks())
         , adminHandler(
               this->controller, this->metrics,
@@ -130,7 +133,12 @@
               [this](const BackendServerId &server) {
                   return this->inFlight(server);
               })
+        , settingsWatch(settings, std::move(reload),
+              [this](const Settings &after) {
+                  this->takeSettings(after);
+              })
         , signals(this->controlContext, SIGTERM, SIGINT)
+        , reloadSignal(this->controlContext, SIGHUP)
     {
     }
 
@@ -156,7 +164,7 @@
         });
         BOOST_OUTCOME_TRY(adminListener, admin.start());
         this->adminServer = std::move(adminListener);
-        return done();
+        return this->bindReady();
     }
 
     Addresses addresses() const
@@ -167,8 +175,11 @@
 
     void run()
     {
+        this->logStart();
         this->controller.start();
         this->awaitSignal();
+        this->awaitReloadSignal();
+        boost::asio::co_spawn(this->controlContext, this->settingsWatch.run(), boost::asio::detached);
         this->workers.start();
         this->controlContext.run();
         this->stop();
@@ -182,6 +193,40 @@
     }
 
 private:
+    Result<void> bindReady()
+    {
+        if (this->settings.readyListen.port == 0) {
+            return done();
+        }
+        HttpServer::Builder ready;
+        ready.listenOn(this->settings.readyListen).contexts({&this->controlContext});
+        ready.handler([this](HttpExchange &exchange) {
+            return this->adminHandler.handleReadiness(exchange);
+        });
+        BOOST_OUTCOME_TRY(readyListener, ready.start());
+        this->readyServer = std::move(readyListener);
+        return done();
+    }
+
+    void logStart() const
+    {
+        std::string ignored;
+        for (const std::string &name : this->settings.ignoredNames) {
+            ignored += (ignored.empty() ? "" : ",") + name;
+        }
+        const Incarnation &self = this->controller.options().self;
+        logStateChange(LogLevel::Info, "app", "started",
+            {{"instance", self.instance.text()}, {"incarnation", std::to_string(self.number)},
+                {"data_centre", this->settings.dataCentre.text()}, {"ignored_settings", ignored.empty() ? "none" : ignored}});
+    }
+
+    void takeSettings(const Settings &after)
+    {
+        if (this->integration.reload) {
+            this->integration.reload(after);
+        }
+    }
+
     ControllerHooks controllerHooks()
     {
         ControllerHooks hooks;
@@ -285,7 +330,7 @@
     CallerHandler::Builder callerHandlerBuilder()
     {
         CallerHandler::Builder builder;
-        builder.board(&this->board).gate(&this->gate).keys(&this->keys).keySecret(this->settings.keySecret);
+        builder.board(&this->board).gate(&this->gate).keys(&this->keys).interface(this->integration.callerInterface);
         builder.options(callerOptionsOf(this->settings)).contexts(this->workers.contexts()).hooks(this->callerHooks());
         if (this->settings.traceOutput == TraceOutput::Stdout) {
             builder.tracer(this->tracer());
@@ -319,6 +364,16 @@
         });
     }
 
+    void awaitReloadSignal()
+    {
+        this->reloadSignal.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                this->settingsWatch.reload();
+                this->awaitReloadSignal();
+            }
+        });
+    }
+
     void beginDrain()
     {
         if (this->draining) {
@@ -333,6 +388,8 @@
     boost::asio::awaitable<void> drain()
     {
         const TimePoint deadline = RuntimeClock::now() + this->settings.drainTimeout;
+        this->callerServer->announceDrain();
+        co_await delay(this->settings.drainNotice);
         this->callerServer->drain();
         while (this->callerServer->connectionCount() > 0 && RuntimeClock::now() < deadline) {
             co_await delay(drainPollInterval);
@@ -344,11 +401,13 @@
 
     void stop()
     {
+        this->settingsWatch.stop();
         this->controller.stop();
         this->workers.stop();
     }
 
     Settings settings;
+    Integration integration;
     std::uint64_t seed;
     MetricsRegistry metrics;
     SnapshotBoard board;
@@ -360,10 +419,13 @@
     PeerTraffic peerTraffic;
     Controller controller;
     AdminHandler adminHandler;
+    SettingsWatch settingsWatch;
     boost::asio::signal_set signals;
+    boost::asio::signal_set reloadSignal;
     std::unique_ptr<CallerHandler> callerHandler;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> adminServer;
+    std::unique_ptr<HttpServer> readyServer;
     bool draining = false;
 };
 
@@ -374,9 +436,9 @@
 
 Daemon::~Daemon() = default;
 
-Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings, Integration integration, SettingsWatch::Load reload)
 {
-    auto implementation = std::make_unique<Implementation>(settings);
+    auto implementation = std::make_unique<Implementation>(settings, std::move(integration), std::move(reload));
     BOOST_OUTCOME_TRY(implementation->bind());
     return std::unique_ptr<Daemon>(new Daemon(std::move(implementation)));
 }
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 
 #include <charconv>
+#include <fstream>
 #include <map>
 #include <sstream>
 
@@ -194,7 +195,6 @@
     description.unit = "text, at least 16 bytes";
     description.help
         = "Secret of the keyed hash under which callers' keys are stored; the same for daemons and operators. Never printed.";
-    description.required = true;
     description.show = [](const Settings &) -> std::string {
         return "(secret)";
     };
@@ -266,6 +266,88 @@
     return description;
 }
 
+SettingDescription settingsFileSetting()
+{
+    SettingDescription description = describe("settings-file", "path",
+        "File with a line NAME = VALUE for each setting, under the names of the flags; flags and environment go before it. It is "
+        "read again at SIGHUP and when it changes.");
+    description.show = [](const Settings &settings) {
+        return settings.settingsFile;
+    };
+    description.assign = [](Settings &settings, const std::string &text) -> MaybeError {
+        settings.settingsFile = text;
+        return std::nullopt;
+    };
+    return description;
+}
+
+SettingDescription configurationSetting()
+{
+    SettingDescription description = describe("configuration", "log or operator",
+        "Where configuration and backend servers come from: the project's change log, or records that the platform keeps.");
+    description.show = [](const Settings &settings) -> std::string {
+        return settings.configuration == ConfigurationSource::Log ? "log" : "operator";
+    };
+    description.assign = [](Settings &settings, const std::string &text) -> MaybeError {
+        if (text != "log" && text != "operator") {
+            return settingError("'" + text + "' is no source of configuration", "use log or operator");
+        }
+        settings.configuration = text == "log" ? ConfigurationSource::Log : ConfigurationSource::Operator;
+        return std::nullopt;
+    };
+    return description;
+}
+
+SettingDescription callerProtocolSetting()
+{
+    SettingDescription description
+        = describe("caller-protocol", "openai or platform", "Which requests callers send and backend servers take.");
+    description.show = [](const Settings &settings) -> std::string {
+        return settings.callerProtocol == CallerProtocol::OpenAi ? "openai" : "platform";
+    };
+    description.assign = [](Settings &settings, const std::string &text) -> MaybeError {
+        if (text != "openai" && text != "platform") {
+            return settingError("'" + text + "' is no caller protocol", "use openai or platform");
+        }
+        settings.callerProtocol = text == "openai" ? CallerProtocol::OpenAi : CallerProtocol::Platform;
+        return std::nullopt;
+    };
+    return description;
+}
+
+SettingDescription resendRatioSetting()
+{
+    SettingDescription description = describe("resend-ratio", "fraction",
+        "Requests sent once more in a resend window, as a part of a service's requests, over all instances.");
+    description.show = [](const Settings &settings) {
+        std::ostringstream text;
+        text << settings.resendRatio;
+        return text.str();
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        return readNumber(text, 0.0, 1.0, settings.resendRatio);
+    };
+    return description;
+}
+
+SettingDescription resendWindowSetting()
+{
+    SettingDescription description
+        = describe("resend-window", "s", "Sliding window of the limit on requests sent once more; 0 for no limit.");
+    description.show = [](const Settings &settings) {
+        return std::to_string(settings.resendWindow.count());
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        std::int64_t count = 0;
+        MaybeError error = readNumber(text, std::int64_t{0}, std::int64_t{3600}, count);
+        if (!error) {
+            settings.resendWindow = std::chrono::seconds(count);
+        }
+        return error;
+    };
+    return description;
+}
+
 SettingDescription required(SettingDescription description)
 {
     description.required = true;
@@ -274,11 +356,18 @@
 
 void addPlaceSettings(std::vector<SettingDescription> &all)
 {
+    all.push_back(settingsFileSetting());
+    all.push_back(configurationSetting());
+    all.push_back(callerProtocolSetting());
     all.push_back(endpointSetting("listen", "Address for callers; port 0 takes a free one.", &Settings::listen));
     all.push_back(
         endpointSetting("admin-listen", "Address for operators: health, metrics, status, withdrawal.", &Settings::adminListen));
     all.push_back(endpointSetting("peer-listen", "Address for other instances.", &Settings::peerListen));
+    all.push_back(endpointSetting("ready-listen",
+        "Address that answers only whether the instance takes requests; port 0 for none.", &Settings::readyListen));
     all.push_back(required(endpointSetting("platform", "Address of the platform's services.", &Settings::platform)));
+    all.push_back(endpointSetting(
+        "platform-api", "Address that takes usage reports and server orders, where the store does not.", &Settings::platformApi));
     all.push_back(seedPeersSetting());
     all.push_back(required(nameSetting("data-centre", "Data centre that this instance stands in.", &Settings::dataCentre)));
     all.push_back(
@@ -320,6 +409,12 @@
         sizeSetting("max-attempts", "attempts", "Backend servers tried for one request.", &Settings::maxAttempts, 1, 10));
     all.push_back(sizeSetting(
         "retry-percent", "percent", "Retries as a percentage of a client account's successes.", &Settings::retryPercent, 0, 100));
+    all.push_back(sizeSetting("quarantine-deaths", "backend servers", "Backend servers that one request may cost.",
+        &Settings::quarantineDeaths, 1, 10));
+    all.push_back(resendRatioSetting());
+    all.push_back(sizeSetting("resend-extra", "requests",
+        "Requests sent once more in a resend window beyond the ratio, over all instances.", &Settings::resendExtra, 0, 1 << 20));
+    all.push_back(resendWindowSetting());
 }
 
 void addControlSettings(std::vector<SettingDescription> &all)
@@ -337,6 +432,9 @@
         "Time between two appends of usage counts: what is lost at most when the instance dies.", &Settings::usageFlushInterval,
         10, hour));
     all.push_back(timeSetting("usage-window", "Length of a window of usage reports.", &Settings::usageWindow, 1000, 24 * hour));
+    all.push_back(timeSetting("drain-notice",
+        "Time from the signal to shut down during which new connections are still served, for the balancer to notice.",
+        &Settings::drainNotice, 0, hour));
     all.push_back(timeSetting(
         "drain-timeout", "Longest time that a shutdown waits for running requests.", &Settings::drainTimeout, 0, hour));
     all.push_back(traceOutputSetting());
@@ -381,6 +479,64 @@
     }
 }
 
+/** Puts the lines of the settings file into @p values. Lines with unknown names go into @p ignored. */
+void readSettingsFile(const std::string &path, TextByName &values, std::vector<std::string> &ignored, std::vector<Error> &errors)
+{
+    namespace options = boost::program_options;
+    std::ifstream file(path);
+    if (!file) {
+        errors.push_back(
+            settingError("the settings file '" + path + "' cannot be read", "give the path of a file that you may read"));
+        return;
+    }
+    options::options_description known;
+    for (const SettingDescription &description : settingDescriptions()) {
+        if (!description.flag.empty()) {
+            known.add_options()(description.flag.c_str(), options::value<std::string>());
+        }
+    }
+    try {
+        for (const options::option &line : options::parse_config_file(file, known, true).options) {
+            if (line.unregistered) {
+                ignored.push_back(line.string_key);
+            } else if (!line.value.empty() && !line.value.front().empty()) {
+                values[line.string_key] = line.value.front();
+            }
+        }
+    } catch (const options::error &error) {
+        errors.push_back(settingError(path + ": " + error.what(), "write a line NAME = VALUE for each setting"));
+    }
+}
+
+/** The text of a setting: its flag, else its environment variable, else its line in the settings file. */
+std::optional<std::string> textOf(
+    const SettingDescription &description, const TextByName &flags, const EnvironmentLookup &environment, const TextByName &file)
+{
+    const auto flag = flags.find(description.flag);
+    if (flag != flags.end()) {
+        return flag->second;
+    }
+    std::optional<std::string> variable = environment(description.variable);
+    if (variable.has_value()) {
+        return variable;
+    }
+    const auto line = file.find(description.flag);
+    return line == file.end() ? std::nullopt : std::optional(line->second);
+}
+
+/** Faults that only several settings together have. */
+void checkTogether(const Settings &settings, std::vector<Error> &errors)
+{
+    if (settings.keySecret.empty() && settings.configuration == ConfigurationSource::Log) {
+        errors.push_back(settingError(
+            "FLAMINGOSADDLE_KEY_SECRET is missing", "set it to the secret that operators use (text, at least 16 bytes)"));
+    }
+    if (settings.callerProtocol == CallerProtocol::Platform && settings.configuration == ConfigurationSource::Log) {
+        errors.push_back(settingError("the platform's requests need the routes that its operators publish",
+            "set configuration to operator, or caller-protocol to openai"));
+    }
+}
+
 } // namespace
 
 const std::vector<SettingDescription> &settingDescriptions()
@@ -396,10 +552,13 @@
     TextByName flags;
     readFlags(arguments, flags, errors);
     Settings settings;
+    TextByName file;
+    const std::optional<std::string> path = textOf(settingDescriptions().front(), flags, environment, {});
+    if (path.has_value()) {
+        readSettingsFile(*path, file, settings.ignoredNames, errors);
+    }
     for (const SettingDescription &description : settingDescriptions()) {
-        const auto flag = flags.find(description.flag);
-        const std::optional<std::string> text
-            = flag != flags.end() ? std::optional(flag->second) : environment(description.variable);
+        const std::optional<std::string> text = textOf(description, flags, environment, file);
         const std::string name = description.flag.empty() ? description.variable : "--" + description.flag;
         if (!text) {
             if (description.required) {
@@ -412,6 +571,7 @@
             errors.push_back(settingError(name + ": " + error->message(), error->remedy()));
         }
     }
+    checkTogether(settings, errors);
     if (!errors.empty()) {
         return errors;
     }
@@ -422,7 +582,8 @@
 {
     std::ostringstream page;
     page << "# Settings of flamingosaddled\n\n";
-    page << "Generated by `flamingosaddled --settings-reference`; a flag goes before its environment variable.\n\n";
+    page << "Generated by `flamingosaddled --settings-reference`; a flag goes before its environment variable, and that before "
+            "the line of the same name in the settings file.\n\n";
     page << "| flag | environment | unit | default | meaning |\n|---|---|---|---|---|\n";
     const Settings defaults;
     for (const SettingDescription &description : settingDescriptions()) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -78,13 +78,29 @@
     return snapshots;
 }
 
+std::unique_ptr<Directory> directoryOf(
+    const std::optional<DirectoryHooks> &hooks, const ControllerOptions &options, std::function<void()> onAdvance)
+{
+    if (!hooks.has_value()) {
+        return nullptr;
+    }
+    DirectoryOptions directoryOptions;
+    directoryOptions.seed = options.seed;
+    return std::make_unique<Directory>(*hooks, directoryOptions, std::move(onAdvance));
+}
+
 } // namespace
 
-Controller::Controller(boost::asio::io_context &context, Platform platform, ControllerOptions options, ControllerHooks hooks)
+Controller::Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
+    ControllerOptions options, ControllerHooks hooks)
     : context(context)
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
     , hooks(std::move(hooks))
+    , directory(directoryOf(directory, this->controllerOptions,
+          [this] {
+              this->configAdvanced();
+          }))
     , tail(
           this->platform,
           [this] {
@@ -108,6 +124,24 @@
 }
 
 void Controller::start()
+{
+    if (this->directory) {
+        this->startDirectory();
+    } else {
+        this->startLog();
+    }
+    this->spawn(this->peers.runTicks());
+    this->spawn(this->peers.runList());
+    this->spawn(this->runFreshness());
+}
+
+void Controller::startDirectory()
+{
+    this->spawn(this->directory->runConfig());
+    this->spawn(this->directory->runServers());
+}
+
+void Controller::startLog()
 {
     this->updateRoles();
     this->spawn(this->tail.run());
@@ -120,9 +154,6 @@
     this->spawn(this->claims.runTail());
     this->spawn(this->claims.runAppender());
     this->spawn(this->snapshots.run());
-    this->spawn(this->peers.runTicks());
-    this->spawn(this->peers.runList());
-    this->spawn(this->runFreshness());
     if (this->controllerOptions.manageServers) {
         this->spawn(this->orders.runTail());
         this->spawn(this->orders.runAppender());
@@ -136,6 +167,9 @@
         return;
     }
     this->stopped = true;
+    if (this->directory) {
+        this->directory->stop();
+    }
     this->peers.stop();
     this->tail.stop();
     this->leases.stop();
@@ -147,6 +181,9 @@
 
 boost::asio::awaitable<void> Controller::handOver(Duration limit)
 {
+    if (this->directory) {
+        co_return;
+    }
     const TimePoint deadline = RuntimeClock::now() + limit;
     this->usage.flush();
     this->orders.finish();
@@ -190,8 +227,24 @@
     return this->claims.hook();
 }
 
+std::shared_ptr<const ConfigState> Controller::config() const
+{
+    if (!this->directory) {
+        return this->tail.state();
+    }
+    return this->directory->state() ? this->directory->state() : this->tail.state();
+}
+
+std::optional<TimePoint> Controller::lastReadAt() const
+{
+    return this->directory ? this->directory->provedAt() : this->tail.lastReadAt();
+}
+
 bool Controller::isReady() const
 {
+    if (this->directory) {
+        return this->directory->state() != nullptr && this->lastReadAt().has_value();
+    }
     const bool isFromPeers = this->peers.lastAgreement().has_value() && this->tail.state()->nextOffset() > 0;
     return this->publishedState != nullptr && (this->tail.lastReadAt().has_value() || isFromPeers);
 }
@@ -199,8 +252,9 @@
 TimePoint Controller::freshUntil() const
 {
     // An instance that never read the log and never heard a peer knows nothing.
-    const TimePoint read = this->tail.lastReadAt().value_or(TimePoint());
-    const TimePoint agreed = this->peers.lastAgreement().value_or(TimePoint());
+    const TimePoint read = this->lastReadAt().value_or(TimePoint());
+    // What a peer's heartbeat vouches for may be as old as the freshness limit, too old for a directory's strict one.
+    const TimePoint agreed = this->directory ? TimePoint() : this->peers.lastAgreement().value_or(TimePoint());
     const TimePoint newest = std::max(read, agreed);
     return newest == TimePoint() ? newest : newest + this->controllerOptions.freshnessLimit;
 }
@@ -334,21 +388,22 @@
 {
     PeerExchangeHooks peerHooks;
     peerHooks.configOffset = [this] {
-        return this->tail.state()->nextOffset();
+        // Instances with a directory read it themselves and take no configuration from each other.
+        return this->directory ? 0 : this->config()->nextOffset();
     };
     peerHooks.readsLog = [this] {
-        const std::optional<TimePoint> readAt = this->tail.lastReadAt();
+        const std::optional<TimePoint> readAt = this->lastReadAt();
         return readAt && RuntimeClock::now() - *readAt <= this->controllerOptions.freshnessLimit;
     };
     peerHooks.configSnapshot = [this] {
-        return encodeConfigSnapshot(*this->tail.state());
+        return encodeConfigSnapshot(*this->config());
     };
     peerHooks.tombstones = [this] {
         return std::vector<KeyId>(this->earlyTombstones.begin(), this->earlyTombstones.end());
     };
     peerHooks.onConfigSnapshot = [this](const std::string &text) {
         const Result<ConfigState> snapshot = decodeConfigSnapshot(text);
-        if (snapshot.has_value()) {
+        if (snapshot.has_value() && !this->directory) {
             this->tail.adoptSnapshot(snapshot.value());
         }
     };
@@ -377,7 +432,10 @@
 void Controller::configAdvanced()
 {
     const std::shared_ptr<const ConfigState> before = this->publishedState;
-    const std::shared_ptr<const ConfigState> after = this->tail.state();
+    if (this->directory && !this->directory->state()) {
+        return;
+    }
+    const std::shared_ptr<const ConfigState> after = this->config();
     const bool changed = before != after;
     // The index of a snapshot costs a pass over the configuration, so freshness alone renews it in steps.
     const bool freshnessMoved
@@ -391,7 +449,7 @@
     }
     const std::vector<BackendServer> servers = backendServersOf(*after);
     this->hooks.setServers(servers);
-    if (this->controllerOptions.manageServers) {
+    if (this->controllerOptions.manageServers && !this->directory) {
         for (const BackendServer &server : servers) {
             this->addDataCentre(server.dataCentre);
         }
@@ -401,7 +459,7 @@
 
 void Controller::publishSnapshot()
 {
-    this->publishedState = this->tail.state();
+    this->publishedState = this->config();
     this->publishedFreshness = this->freshUntil();
     this->hooks.publish(
         std::make_shared<const RoutingSnapshot>(this->publishedState, this->earlyTombstones, this->publishedFreshness));
--- a/src/control/routingsnapshot.cpp
+++ b/src/control/routingsnapshot.cpp
@@ -6,6 +6,20 @@
 namespace flamingosaddle
 {
 
+namespace
+{
+
+/** "/book" leads to "/book/1" and "/book", not to "/bookings". */
+bool leadsTo(const Route &route, std::string_view path)
+{
+    if (!path.starts_with(route.pathPrefix)) {
+        return false;
+    }
+    return route.pathPrefix.ends_with('/') || path.size() == route.pathPrefix.size() || path[route.pathPrefix.size()] == '/';
+}
+
+} // namespace
+
 RoutingSnapshot::RoutingSnapshot(std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil)
     : state(std::move(config))
     , tombstones(std::move(tombstones))
@@ -15,11 +29,13 @@
         this->keysByDigest.emplace(key.value.digest.prefix(), &key.value);
     }
     for (const auto &[id, route] : this->state->routes()) {
-        this->routesByLength.push_back(&route.value);
+        this->routesByHost[route.value.host].push_back(&route.value);
+    }
+    for (auto &[host, routes] : this->routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
     }
-    std::stable_sort(this->routesByLength.begin(), this->routesByLength.end(), [](const Route *left, const Route *right) {
-        return left->pathPrefix.size() > right->pathPrefix.size();
-    });
     for (const auto &[id, account] : this->state->clientAccounts()) {
         this->classTable.emplace(id, this->state->classesOf(id));
     }
@@ -62,17 +78,22 @@
     return this->tombstones.contains(id) || this->state->isWithdrawn(id);
 }
 
-const Route *RoutingSnapshot::findRoute(std::string_view path) const
+const Route *RoutingSnapshot::findRoute(std::string_view host, std::string_view path) const
 {
-    const auto found = std::find_if(this->routesByLength.begin(), this->routesByLength.end(), [path](const Route *route) {
-        if (!path.starts_with(route->pathPrefix)) {
-            return false;
+    const Route *best = nullptr;
+    for (const std::string_view name : {host, std::string_view()}) {
+        const auto routes = this->routesByHost.find(name);
+        if (routes == this->routesByHost.end()) {
+            continue;
         }
-        // "/book" leads to "/book/1" and "/book", not to "/bookings".
-        return route->pathPrefix.ends_with('/') || path.size() == route->pathPrefix.size()
-            || path[route->pathPrefix.size()] == '/';
-    });
-    return found == this->routesByLength.end() ? nullptr : *found;
+        const auto found = std::find_if(routes->second.begin(), routes->second.end(), [path](const Route *route) {
+            return leadsTo(*route, path);
+        });
+        if (found != routes->second.end() && (best == nullptr || (*found)->pathPrefix.size() > best->pathPrefix.size())) {
+            best = *found;
+        }
+    }
+    return best;
 }
 
 const std::vector<RequestClass> *RoutingSnapshot::classesOf(const ClientAccountId &id) const
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -267,6 +267,10 @@
         this->watchdog.arm(timeout);
         const std::size_t count = co_await this->socket.async_read_some(
             asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
+        if (this->endsWithConnection(error)) {
+            this->watchdog.disarm();
+            co_return false;
+        }
         const Result<void> read = this->takeRead(error, count);
         if (!read.has_value()) {
             co_return fail(read.error());
@@ -274,6 +278,16 @@
     }
 }
 
+bool ClientConnection::endsWithConnection(const boost::system::error_code &error)
+{
+    return error == asio::error::eof && this->bodyMayEndWithConnection && this->parser->need_eof();
+}
+
+void ClientConnection::acceptBodyUntilClose()
+{
+    this->bodyMayEndWithConnection = true;
+}
+
 void ClientConnection::close()
 {
     this->closedByUs = true;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -25,6 +25,7 @@
     boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout) override;
     boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) override;
     boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) override;
+    void acceptBodyUntilClose() override;
     void close() override;
 
     bool anyByteSent() const override;
@@ -41,6 +42,7 @@
     Result<void> parseInput();
     Error failure(const boost::system::error_code &error) const;
     bool finishHead();
+    bool endsWithConnection(const boost::system::error_code &error);
 
     boost::asio::ip::tcp::socket socket;
     std::string host;
@@ -53,6 +55,7 @@
     bool sentAny = false;
     bool wholeAnswer = false;
     bool closedByUs = false;
+    bool bodyMayEndWithConnection = false;
 };
 
 } // namespace flamingosaddle
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -184,9 +184,17 @@
         return this->core->activeExchanges;
     }
 
+    void announceDrain() override
+    {
+        if (!this->core->draining.exchange(true)) {
+            this->core->drainAnnouncedAt = RuntimeClock::now();
+        }
+    }
+
     void drain() override
     {
-        this->core->draining = true;
+        this->announceDrain();
+        this->core->closing = true;
         this->listener->close();
         this->forEachConnection(&ServerConnection::drain);
     }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -359,7 +360,16 @@
         this->closeNow();
         return;
     }
-    this->watchdog.arm(drainGrace);
+    this->watchdog.arm(this->idleLimit());
+}
+
+Duration ServerConnection::idleLimit() const
+{
+    if (!this->core->closing) {
+        return this->core->draining ? drainGrace : this->core->limits.idleTimeout;
+    }
+    const Duration untold = this->core->drainAnnouncedAt.load() + drainGrace - RuntimeClock::now();
+    return std::max(untold, this->servedAny ? Duration::zero() : firstRequestGrace);
 }
 
 void ServerConnection::deadlinePassed()
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -31,7 +31,9 @@
     HttpHandler handler;
     std::function<HttpResponse(const Error &)> errorHook;
 
-    std::atomic<bool> draining{false};
+    std::atomic<bool> draining{false}; // announced: each answer closes its connection
+    std::atomic<bool> closing{false}; // connections take no request that is not on its way
+    std::atomic<TimePoint> drainAnnouncedAt{TimePoint::max()};
     std::atomic<bool> stopped{false};
     std::atomic<std::size_t> connectionCount{0};
     std::atomic<std::size_t> activeExchanges{0};
@@ -88,8 +90,10 @@
     };
 
     struct Parser;
-    // A caller that was not told of the drain may still send one request this long.
+    // From the announcement of the drain on, a caller that was not told of it may still send one request this long.
     static constexpr Duration drainGrace = std::chrono::seconds(1);
+    // For the first request of a connection that was accepted just before the listener closed.
+    static constexpr Duration firstRequestGrace = std::chrono::milliseconds(200);
     static constexpr std::size_t readBytes = std::size_t{8} * 1024;
     static constexpr std::size_t maxChunkHeadBytes = 20;
     using Buffers = std::array<boost::asio::const_buffer, 3>;
@@ -116,6 +120,7 @@
 
     void deadlinePassed();
     void drainNow();
+    Duration idleLimit() const;
     void closeNow();
     void markGone();
 
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -86,7 +86,11 @@
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(this->core->limits.maxHeaderBytes));
     parser.body_limit(this->core->limits.maxBodyBytes);
-    this->watchdog.arm(this->core->draining ? drainGrace : this->core->limits.idleTimeout);
+    const Duration idleLimit = this->idleLimit();
+    if (idleLimit == Duration::zero() && this->input.empty()) {
+        co_return false;
+    }
+    this->watchdog.arm(idleLimit);
     bool inBody = false;
     while (true) {
         if (this->phase == Phase::Idle && !this->input.empty()) {
--- a/src/http/answerrelay.cpp
+++ b/src/relay/answerrelay.cpp
@@ -1,7 +1,5 @@
 #include "answerrelay.h"
 
-#include "backendheaders.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -42,10 +40,10 @@
 } // namespace
 
 AnswerRelay::AnswerRelay(
-    const CallerEnvironment &environment, HttpExchange &exchange, const RequestProfile &profile, RequestOutcome &outcome)
+    const CallerEnvironment &environment, HttpExchange &exchange, const RoutedRequest &routed, RequestOutcome &outcome)
     : environment(environment)
     , exchange(exchange)
-    , profile(profile)
+    , routed(routed)
     , outcome(outcome)
 {
 }
@@ -67,13 +65,13 @@
 asio::awaitable<AttemptResult> AnswerRelay::relayStream(BackendCall &call, TrafficGrant &grant)
 {
     this->eventStream = true;
-    SseSplitter splitter;
+    SseSplitter splitter(this->environment.interface.streamsHaveEndMark ? StreamEnd::Mark : StreamEnd::Body);
     std::string piece;
     bool attemptBegun = false;
     while (true) {
         const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
         if (!more.has_value()) {
-            co_return this->failed(more.error());
+            co_return co_await this->failedAt(call, more.error());
         }
         if (!more.value()) {
             call.release();
@@ -86,6 +84,9 @@
         if (batch.events.empty()) {
             continue;
         }
+        if (!this->followsOn(batch)) {
+            co_return this->failed(brokenStream("repeats or leaves out events"));
+        }
         if (!attemptBegun) {
             attemptBegun = true;
             this->noteFirstToken(grant);
@@ -110,7 +111,7 @@
         this->outcome.tokens += batch.tokens;
     }
     if (!splitter.isDone()) {
-        co_return this->failed(brokenStream("ended without its end mark"));
+        co_return this->failed(brokenStream("ended before its end"));
     }
     const Result<TokenUsage> reported = parseUsage(splitter.usage());
     if (reported.has_value()) {
@@ -138,10 +139,12 @@
             co_return callerGone();
         }
     }
-    this->keep(endMarkEvent);
-    const Result<void> marked = co_await this->exchange.writePiece(endMarkEvent);
-    if (!marked.has_value()) {
-        co_return callerGone();
+    if (this->environment.interface.streamsHaveEndMark) {
+        this->keep(endMarkEvent);
+        const Result<void> marked = co_await this->exchange.writePiece(endMarkEvent);
+        if (!marked.has_value()) {
+            co_return callerGone();
+        }
     }
     const Result<void> ended = co_await this->exchange.endStream();
     co_return ended.has_value() ? answered() : callerGone();
@@ -157,7 +160,7 @@
     while (true) {
         const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
         if (!more.has_value()) {
-            co_return this->failed(more.error());
+            co_return co_await this->failedAt(call, more.error());
         }
         if (!more.value()) {
             call.release();
@@ -168,14 +171,14 @@
             co_return co_await this->relayLarge(call, std::move(response));
         }
     }
-    if (this->isWorthRetry(response.status)) {
+    if (this->environment.interface.isWorthRetry(this->routed.profile, response.status)) {
         const Error error(ErrorKind::Refused, "it answered with status " + std::to_string(response.status), "come back later");
         AttemptResult result = this->failed(error);
         result.end = AttemptEnd::ServerError;
         this->held = std::move(response);
         co_return result;
     }
-    const Result<TokenUsage> reported = parseUsage(this->profile.model.isEmpty() ? std::string_view() : response.body);
+    const Result<TokenUsage> reported = parseUsage(this->routed.profile.model.isEmpty() ? std::string_view() : response.body);
     if (reported.has_value()) {
         this->usage = reported.value();
         this->outcome.tokens = reported.value().completionTokens;
@@ -204,7 +207,7 @@
         written = co_await this->exchange.writePiece(piece);
         const Result<bool> more = co_await call.readBody(piece, this->pieceTimeout());
         if (!more.has_value()) {
-            co_return this->failed(more.error());
+            co_return co_await this->failedAt(call, more.error());
         }
         if (!more.value()) {
             call.release();
@@ -229,10 +232,27 @@
     return result;
 }
 
-bool AnswerRelay::isWorthRetry(int status) const
+asio::awaitable<AttemptResult> AnswerRelay::failedAt(BackendCall &call, Error error) const
+{
+    AttemptResult result = this->failed(error);
+    if (result.end == AttemptEnd::ServerFailed) {
+        result.end = co_await call.endOf(std::move(error));
+    }
+    co_return result;
+}
+
+bool AnswerRelay::followsOn(const SseSplitter::Batch &batch)
 {
-    const bool passing = status == 429 || status == 502 || status == 503 || status == 504;
-    return this->profile.idempotent && (passing || (status == 500 && !this->profile.model.isEmpty()));
+    if (!batch.firstNumber.has_value() || this->environment.interface.streamsHaveEndMark) {
+        return true;
+    }
+    const std::uint64_t had = this->lastEvent.value_or(this->routed.resumeAfter);
+    const bool isStart = !this->lastEvent.has_value() && this->routed.resumeAfter == 0;
+    if (!batch.isConsecutive || (!isStart && *batch.firstNumber != had + 1)) {
+        return false;
+    }
+    this->lastEvent = batch.lastNumber;
+    return true;
 }
 
 void AnswerRelay::noteFirstToken(TrafficGrant &grant)
@@ -246,7 +266,7 @@
 
 HttpHeaders AnswerRelay::answerHeaders(const HttpHeaders &fromBackend) const
 {
-    HttpHeaders headers = headersForCaller(fromBackend);
+    HttpHeaders headers = this->environment.interface.answerHeaders(fromBackend);
     for (const HttpHeader &field : this->callerHeaders.fields()) {
         headers.add(field.name, field.value);
     }
@@ -286,12 +306,13 @@
 
 bool AnswerRelay::isResumable() const
 {
-    return this->eventStream && this->profile.idempotent && !this->profile.model.isEmpty();
+    return this->eventStream && this->routed.resumable;
 }
 
 std::uint64_t AnswerRelay::resumePosition() const
 {
-    return this->outcome.tokens;
+    return this->environment.interface.streamsHaveEndMark ? this->outcome.tokens
+                                                          : this->lastEvent.value_or(this->routed.resumeAfter);
 }
 
 const std::optional<HttpResponse> &AnswerRelay::heldAnswer() const
@@ -311,7 +332,7 @@
 
 Duration AnswerRelay::timeLeft() const
 {
-    const TimePoint deadline = this->profile.arrival + this->profile.requestClass.deadline;
+    const TimePoint deadline = this->routed.profile.arrival + this->routed.profile.requestClass.deadline;
     return std::max(Duration::zero(), deadline - RuntimeClock::now());
 }
 
--- a/src/http/answerrelay.h
+++ b/src/relay/answerrelay.h
@@ -3,7 +3,7 @@
 #include "callerenvironment.h"
 #include "modelcall.h"
 
-#include <flamingosaddle/http/ssesplitter.h>
+#include <flamingosaddle/relay/ssesplitter.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -38,7 +38,7 @@
 {
 public:
     AnswerRelay(
-        const CallerEnvironment &environment, HttpExchange &exchange, const RequestProfile &profile, RequestOutcome &outcome);
+        const CallerEnvironment &environment, HttpExchange &exchange, const RoutedRequest &routed, RequestOutcome &outcome);
 
     // Commands.
     /** Relays the answer of one attempt. Nothing reaches the caller of an answer that will be tried again. */
@@ -51,7 +51,7 @@
     // Queries.
     bool hasBegun() const; ///< whether the caller has any of the answer
     bool isResumable() const; ///< whether another server can go on at resumePosition()
-    std::uint64_t resumePosition() const; ///< tokens that the caller has
+    std::uint64_t resumePosition() const; ///< tokens that the caller has, or the number of the last event
     /** The last answer that was not passed on because the request would be tried again. */
     const std::optional<HttpResponse> &heldAnswer() const;
     /** The whole answer, when keepAnswer() was called and it is not over the limit. */
@@ -70,19 +70,21 @@
     boost::asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers);
 
     AttemptResult failed(const Error &error) const;
-    bool isWorthRetry(int status) const;
+    boost::asio::awaitable<AttemptResult> failedAt(BackendCall &call, Error error) const;
+    bool followsOn(const SseSplitter::Batch &batch);
     void noteFirstToken(TrafficGrant &grant);
     HttpHeaders answerHeaders(const HttpHeaders &fromBackend) const;
     void keep(std::string_view piece);
 
     const CallerEnvironment &environment;
     HttpExchange &exchange;
-    const RequestProfile &profile;
+    const RoutedRequest &routed;
     RequestOutcome &outcome;
     HttpHeaders callerHeaders;
     bool streamBegun = false;
     bool eventStream = false;
     bool midStreamNoted = false;
+    std::optional<std::uint64_t> lastEvent; // number of the last event that the caller has
     bool keepsAnswer = false;
     std::optional<HttpResponse> held;
     std::optional<HttpResponse> kept;
--- a/src/http/callerenvironment.h
+++ b/src/relay/callerenvironment.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "requestrouter.h"
-
-#include <flamingosaddle/http/callerhandler.h>
+#include <flamingosaddle/relay/callerhandler.h>
+#include <flamingosaddle/relay/callerinterface.h>
 
 #include <boost/asio/execution_context.hpp>
 
@@ -20,7 +19,7 @@
     const SnapshotBoard *board = nullptr;
     TrafficGate *gate = nullptr;
     KeyRegistry *keys = nullptr;
-    RequestRouter router;
+    CallerInterface interface;
     CallerOptions options;
     CallerHooks hooks;
     Tracer tracer;
--- a/src/http/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -1,6 +1,5 @@
 #include "callerexchange.h"
 
-#include "backendheaders.h"
 #include "connectionkeys.h"
 
 #include <nlohmann/json.hpp>
@@ -16,7 +15,6 @@
 namespace
 {
 
-constexpr const char *requestIdHeader = "X-Request-Id";
 constexpr const char *traceHeader = "traceparent";
 
 auto noConfiguration()
@@ -44,14 +42,10 @@
     , exchange(exchange)
     , pool(pool)
     , span(environment.tracer, environment.tracer.begin(exchange.request().headers.find(traceHeader)), "caller")
-    , relay(environment, exchange, this->routed.profile, this->outcome)
+    , relay(environment, exchange, this->routed, this->outcome)
 {
     this->outcome.arrival = RuntimeClock::now();
     this->outcome.requestId = randomHexId();
-    HttpHeaders headers;
-    headers.add(requestIdHeader, this->outcome.requestId);
-    headers.add(traceHeader, this->span.context().format());
-    this->relay.setCallerHeaders(std::move(headers));
 }
 
 CallerExchange::~CallerExchange()
@@ -92,8 +86,14 @@
     if (!snapshot) {
         return noConfiguration();
     }
-    BOOST_OUTCOME_TRY(decided, this->environment.router.route(*snapshot, this->exchange.request(), this->outcome.arrival));
+    this->outcome.configOffset = snapshot->offset();
+    BOOST_OUTCOME_TRY(decided, this->environment.interface.route(*snapshot, this->exchange.request(), this->outcome.arrival));
     this->routed = std::move(decided);
+    if (!this->routed.requestId.empty()) {
+        this->outcome.requestId = this->routed.requestId;
+    }
+    this->outcome.route = this->routed.route;
+    this->relay.setCallerHeaders(this->environment.interface.ownHeaders(this->outcome.requestId, this->span.context()));
     this->outcome.clientAccount = this->routed.profile.clientAccount;
     this->outcome.className = this->routed.profile.requestClass.name;
     BOOST_OUTCOME_TRYV(this->registerKey());
@@ -103,7 +103,7 @@
 
 Result<void> CallerExchange::registerKey()
 {
-    if (this->routed.key.isEmpty()) {
+    if (this->routed.key.isEmpty() || !this->environment.options.cutsWithdrawnKeys) {
         return done();
     }
     rememberKey(this->exchange, *this->environment.keys, this->routed.key);
@@ -235,7 +235,8 @@
     }
     ActiveSpan attemptSpan(this->environment.tracer, this->span.context(), "backend-server");
     attemptSpan.add("server", grant.server().text());
-    const BackendPool::Order order = this->orderFor(server->value.endpoint, attemptSpan.context());
+    this->outcome.server = grant.server();
+    const BackendPool::Order order = this->orderFor(server->value, attemptSpan.context());
     const auto step = [this](RequestStep reached) {
         this->environment.step(reached);
     };
@@ -252,20 +253,23 @@
     co_return result;
 }
 
-BackendPool::Order CallerExchange::orderFor(const Endpoint &endpoint, const TraceContext &trace) const
+BackendPool::Order CallerExchange::orderFor(const BackendServer &server, const TraceContext &trace) const
 {
-    const HttpRequest &request = this->exchange.request();
     const RequestProfile &profile = this->routed.profile;
+    const CallerInterface &interface = this->environment.interface;
+    const Duration left = this->relay.timeLeft();
+    BackendRequestContext context{
+        this->exchange.request(), this->outcome.requestId, trace, profile, server.id, left, std::nullopt};
+    if (this->relay.hasBegun()) {
+        context.resumeAfter = this->relay.resumePosition();
+    }
     BackendPool::Order order;
-    order.endpoint = endpoint;
+    order.endpoint = server.endpoint;
     order.idempotent = profile.idempotent;
-    order.request.method = request.method;
-    order.request.target = request.target;
-    order.request.headers = headersForBackend(request.headers, this->outcome.requestId, trace, profile.requestClass.tier);
-    order.request.body = this->relay.hasBegun() ? withResumePosition(request.body, this->relay.resumePosition()) : request.body;
+    order.request = interface.backendRequest(context);
+    order.judge = interface.judgeAnswer;
     // A whole completion begins only when it is complete, so nothing but its deadline bounds the wait.
     const bool wholeCompletion = !profile.model.isEmpty() && !this->routed.stream;
-    const Duration left = this->relay.timeLeft();
     order.headTimeout = wholeCompletion ? left : std::min(left, this->environment.options.headTimeout);
     return order;
 }
@@ -280,8 +284,8 @@
         // The body stays without its end mark: the connection closes after this exchange.
         this->exchange.closeAfter();
         if (this->relay.isResumable() || this->routed.stream) {
-            const Result<void> ignored
-                = co_await this->exchange.writePiece(errorEvent(refusalAfter(result.error, refusal).error));
+            const std::string event = this->environment.interface.brokenStreamEvent(refusalAfter(result.error, refusal).error);
+            const Result<void> ignored = co_await this->exchange.writePiece(event);
         }
         co_return;
     }
@@ -300,15 +304,17 @@
     if (this->signal.isGone()) {
         co_return;
     }
-    co_await this->respond(renderRefusal(answer));
+    co_await this->respond(this->environment.interface.renderRefusal(answer));
     this->outcome.whole = false;
 }
 
 asio::awaitable<void> CallerExchange::respond(HttpResponse response)
 {
     this->outcome.status = response.status;
-    response.headers.set(requestIdHeader, this->outcome.requestId);
-    response.headers.set(traceHeader, this->span.context().format());
+    const HttpHeaders own = this->environment.interface.ownHeaders(this->outcome.requestId, this->span.context());
+    for (const HttpHeader &field : own.fields()) {
+        response.headers.set(field.name, field.value);
+    }
     const Result<void> written = co_await this->exchange.respond(std::move(response));
     this->outcome.whole = written.has_value();
 }
--- a/src/http/callerexchange.h
+++ b/src/relay/callerexchange.h
@@ -2,9 +2,9 @@
 
 #include "answerrelay.h"
 #include "callerenvironment.h"
-#include "refusal.h"
 
-#include <flamingosaddle/http/callersignal.h>
+#include <flamingosaddle/relay/callersignal.h>
+#include <flamingosaddle/relay/refusal.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -44,7 +44,7 @@
     boost::asio::awaitable<void> respond(HttpResponse response);
 
     bool mayRunAgain() const;
-    BackendPool::Order orderFor(const Endpoint &endpoint, const TraceContext &trace) const;
+    BackendPool::Order orderFor(const BackendServer &server, const TraceContext &trace) const;
     void finishAnswered();
     void settleClaim(ClaimOutcome::State state);
     void reportUsage() const;
--- a/src/http/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/http/callerhandler.h>
+#include <flamingosaddle/relay/callerhandler.h>
 
 #include "callerenvironment.h"
 #include "callerexchange.h"
@@ -69,9 +69,9 @@
     return *this;
 }
 
-CallerHandler::Builder &CallerHandler::Builder::keySecret(std::string secret)
+CallerHandler::Builder &CallerHandler::Builder::interface(CallerInterface interface)
 {
-    this->secret = std::move(secret);
+    this->callerInterface = std::move(interface);
     return *this;
 }
 
@@ -102,13 +102,12 @@
 Result<std::unique_ptr<CallerHandler>> CallerHandler::Builder::build()
 {
     if (this->snapshotBoard == nullptr || this->trafficGate == nullptr || this->keyRegistry == nullptr
-        || this->executionContexts.empty()) {
-        return fail(ErrorKind::Internal, "a caller handler needs a board, a gate, a key registry and contexts",
+        || this->executionContexts.empty() || !this->callerInterface.route) {
+        return fail(ErrorKind::Internal, "a caller handler needs a board, a gate, a key registry, an interface and contexts",
             "set all of them on the builder");
     }
-    CallerEnvironment environment{this->snapshotBoard, this->trafficGate, this->keyRegistry,
-        RequestRouter(this->secret, this->callerOptions.openClass), this->callerOptions, this->callerHooks, this->requestTracer,
-        {}};
+    CallerEnvironment environment{this->snapshotBoard, this->trafficGate, this->keyRegistry, this->callerInterface,
+        this->callerOptions, this->callerHooks, this->requestTracer, {}};
     for (const asio::io_context *context : this->executionContexts) {
         environment.pools.emplace(context, std::make_unique<BackendPool>(this->callerOptions.pool));
     }
--- a/src/http/connectionkeys.h
+++ b/src/relay/connectionkeys.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <flamingosaddle/http/keyregistry.h>
 #include <flamingosaddle/http/server.h>
+#include <flamingosaddle/relay/keyregistry.h>
 
 namespace flamingosaddle
 {
--- a/src/http/keyregistry.cpp
+++ b/src/relay/keyregistry.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/http/keyregistry.h>
+#include <flamingosaddle/relay/keyregistry.h>
 
 #include <cstdint>
 #include <map>
--- a/src/http/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -1,4 +1,4 @@
-#include "refusal.h"
+#include <flamingosaddle/relay/refusal.h>
 
 #include <flamingosaddle/http/errorresponse.h>
 
--- a/src/http/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -116,7 +116,7 @@
     }
     const bool modelList = path == modelListPath;
     const bool model = path == chatPath || path == completionPath;
-    const Route *route = modelList || model ? nullptr : snapshot.findRoute(path);
+    const Route *route = modelList || model ? nullptr : snapshot.findRoute(request.headers.find("Host"), path);
     if (!modelList && !model && route == nullptr) {
         return fail(ErrorKind::NotFound, "nothing is served on this path", "use /v1/chat/completions or a configured route");
     }
@@ -185,6 +185,7 @@
     }
     routed.target = RoutedRequest::Target::Model;
     routed.stream = call.stream;
+    routed.resumable = routed.profile.requestClass.idempotent;
     routed.profile.model = call.model;
     routed.profile.prefixHash = call.prefixHash;
     routed.profile.promptTokens = call.promptTokens;
@@ -203,6 +204,7 @@
         }
     }
     routed.target = RoutedRequest::Target::Service;
+    routed.route = route.id;
     routed.profile.service = route.service;
     routed.profile.idempotent = isSafe(request.method) || (route.idempotent && routed.profile.requestClass.idempotent);
     return done();
--- a/src/http/requestrouter.h
+++ b/src/relay/requestrouter.h
@@ -3,31 +3,13 @@
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/http/message.h>
-#include <flamingosaddle/traffic/types.h>
+#include <flamingosaddle/relay/routedrequest.h>
 
 #include <string>
 
 namespace flamingosaddle
 {
 
-/**
- * Where a request goes and for whom it runs.
- */
-struct RoutedRequest {
-    enum class Target {
-        ModelList, ///< answered here
-        Model,
-        Service,
-    };
-
-    Target target = Target::Service;
-    KeyId key; ///< empty on a route open to all
-    RequestProfile profile;
-    bool stream = false;
-
-    friend bool operator==(const RoutedRequest &, const RoutedRequest &) = default;
-};
-
 /**
  * Decides for whom a request runs and where it goes. Pure: the configuration and the time are arguments.
  */
--- a/src/http/requeststep.cpp
+++ b/src/relay/requeststep.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/relay/requeststep.h>
 
 namespace flamingosaddle
 {
--- a/src/http/ssesplitter.cpp
+++ b/src/relay/ssesplitter.cpp
@@ -1,5 +1,6 @@
-#include <flamingosaddle/http/ssesplitter.h>
+#include <flamingosaddle/relay/ssesplitter.h>
 
+#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -10,6 +11,7 @@
 {
 
 constexpr std::string_view dataField = "data:";
+constexpr std::string_view numberField = "id:";
 constexpr std::string_view endMark = "[DONE]";
 
 std::size_t skipBlanks(std::string_view text, std::size_t position)
@@ -63,6 +65,11 @@
 
 } // namespace
 
+SseSplitter::SseSplitter(StreamEnd end)
+    : end(end)
+{
+}
+
 SseSplitter::Batch SseSplitter::feed(std::string_view piece)
 {
     if (this->done || this->overflown) {
@@ -100,9 +107,7 @@
             line.remove_suffix(1);
         }
         if (!line.empty()) {
-            if (!event.hasData && line.starts_with(dataField)) {
-                event = {line.substr(skipBlanks(line, dataField.size())), true};
-            }
+            takeLine(line, event);
             continue;
         }
         this->endEvent(event, batch);
@@ -114,11 +119,43 @@
     return batch;
 }
 
+void SseSplitter::takeLine(std::string_view line, Event &event)
+{
+    if (!event.hasData && line.starts_with(dataField)) {
+        event.data = line.substr(skipBlanks(line, dataField.size()));
+        event.hasData = true;
+    } else if (line.starts_with(numberField)) {
+        const std::string_view text = line.substr(skipBlanks(line, numberField.size()));
+        std::uint64_t number = 0;
+        const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (read.ec == std::errc() && read.ptr == text.data() + text.size()) {
+            event.number = number;
+        }
+    }
+}
+
+void SseSplitter::noteNumber(std::uint64_t number, Batch &batch)
+{
+    if (!batch.firstNumber.has_value()) {
+        batch.firstNumber = number;
+    } else if (number != *batch.lastNumber + 1) {
+        batch.isConsecutive = false;
+    }
+    batch.lastNumber = number;
+}
+
 void SseSplitter::endEvent(const Event &event, Batch &batch)
 {
+    if (event.number.has_value()) {
+        noteNumber(*event.number, batch);
+    }
     if (!event.hasData) {
         return;
     }
+    if (this->end == StreamEnd::Body) {
+        ++batch.tokens;
+        return;
+    }
     if (event.data == endMark) {
         this->done = true;
         return;
@@ -145,7 +182,7 @@
 
 bool SseSplitter::isDone() const
 {
-    return this->done;
+    return this->end == StreamEnd::Mark ? this->done : this->pending.empty() && !this->overflown;
 }
 
 bool SseSplitter::isOverflown() const
--- a/src/http/trafficgate.cpp
+++ b/src/relay/trafficgate.cpp
@@ -1,6 +1,6 @@
 #include "trafficgatecore.h"
 
-#include <flamingosaddle/http/trafficgate.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
--- a/src/http/trafficgatecore.h
+++ b/src/relay/trafficgatecore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/timer.h>
-#include <flamingosaddle/http/trafficgate.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/state/configstate.cpp
+++ b/src/state/configstate.cpp
@@ -46,6 +46,25 @@
     return "invalid";
 }
 
+ConfigState ConfigState::ofObjects(const ConfigObjects &objects, std::uint64_t nextOffset)
+{
+    ConfigState state;
+    state.next = nextOffset;
+    for (const ClientAccount &account : objects.clientAccounts) {
+        state.clientAccountTable[account.id] = {account, nextOffset};
+    }
+    for (const Route &route : objects.routes) {
+        state.routeTable[route.id] = {route, nextOffset};
+    }
+    for (const BackendServer &server : objects.backendServers) {
+        state.backendServerTable[server.id] = {server, nextOffset};
+    }
+    for (const ClientKey &key : objects.keys) {
+        state.keyTable[key.id] = {key, nextOffset};
+    }
+    return state;
+}
+
 // Commands.
 
 ChangeResult ConfigState::apply(std::uint64_t offset, const ConfigChange &change)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -98,6 +98,7 @@
 
 void Dispatcher::setInstanceCount(std::uint32_t count)
 {
+    this->implementation->instanceCount = count;
     this->implementation->pool.setInstanceCount(count);
 }
 
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -88,19 +88,21 @@
     if (end == AttemptEnd::CallerGone || end == AttemptEnd::Completed) {
         return RefusalReason::Cancelled;
     }
-    const Quarantine::Verdict verdict = this->quarantine.verdict(record.fingerprint, now);
-    if (verdict == Quarantine::Verdict::Refused || verdict == Quarantine::Verdict::Busy) {
+    if (this->isQuarantined(record.fingerprint, now)) {
         return RefusalReason::Quarantined;
     }
     if (record.deadline <= now) {
         return RefusalReason::DeadlineMissed;
     }
-    if ((record.everSent && !record.idempotent) || record.attempts >= this->options.maxAttempts) {
+    if ((record.everSent && !record.idempotent) || record.attempts >= record.maxAttempts) {
         return RefusalReason::RetriesExhausted;
     }
     if (!this->pool.anyUsable(record.entry.target, record.entry.cheapAllowed)) {
         return RefusalReason::NoServer;
     }
+    if (!this->resendLimit(record.entry.target).take(this->instanceCount, now)) {
+        return RefusalReason::RetriesExhausted;
+    }
     const bool allowed
         = this->policies.mayRetry ? this->policies.mayRetry(record.attempts) : this->retryBudget.take(record.entry.account);
     return allowed ? std::nullopt : std::optional(RefusalReason::RetriesExhausted);
@@ -109,7 +111,8 @@
 void Dispatcher::Implementation::endAttempt(RequestRecord &record, AttemptEnd end, TimePoint now)
 {
     this->noteServerOutcome(record, end, now);
-    const bool promptUnused = end == AttemptEnd::NotSent && !record.firstTokenSeen;
+    const bool unread = end == AttemptEnd::NotSent || end == AttemptEnd::Rejected;
+    const bool promptUnused = unread && !record.firstTokenSeen;
     this->queue.shares().charge(record.share, -record.reservedTokens - (promptUnused ? record.promptTokens : 0.0));
     if (record.suspect) {
         this->quarantine.noteEnd(record.fingerprint);
@@ -133,6 +136,7 @@
         }
         break;
     case AttemptEnd::NotSent:
+    case AttemptEnd::Rejected:
     case AttemptEnd::ServerError:
         this->pool.noteFailure(record.server, now);
         break;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -43,19 +43,16 @@
 
 std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
 {
-    switch (this->quarantine.verdict(profile.fingerprint, now)) {
-    case Quarantine::Verdict::Refused:
-        return notRun(RefusalReason::Quarantined, std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry));
-    case Quarantine::Verdict::Busy:
-        return notRun(RefusalReason::Quarantined, suspectRetryAfter);
-    case Quarantine::Verdict::Clear:
-    case Quarantine::Verdict::Suspect:
-        break;
+    if (this->isQuarantined(profile.fingerprint, now)) {
+        const bool isFinal = this->quarantine.verdict(profile.fingerprint, now) == Quarantine::Verdict::Refused;
+        const auto expiry = std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry);
+        return notRun(RefusalReason::Quarantined, isFinal ? expiry : suspectRetryAfter);
     }
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
     if (!target.has_value() || !this->pool.anyUsable(*target, profile.requestClass.cheapAllowed)) {
         return notRun(RefusalReason::NoServer, noServerRetryAfter);
     }
+    this->resendLimit(*target).noteRequest(now);
     QueueEntry entry = this->entryOf(profile, *target);
     this->noteTier(profile.requestClass);
     const std::optional<Refusal> refusal = this->refuseByForecast(entry, profile.requestClass.firstTokenTarget, now);
@@ -65,6 +62,20 @@
     return this->enqueue(profile, entry);
 }
 
+bool Dispatcher::Implementation::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
+{
+    const Quarantine::Verdict verdict = this->quarantine.verdict(fingerprint, now);
+    return verdict == Quarantine::Verdict::Refused || (this->options.suspectsRunAlone && verdict == Quarantine::Verdict::Busy);
+}
+
+ResendLimit &Dispatcher::Implementation::resendLimit(TargetIndex target)
+{
+    while (target >= this->resendLimits.size()) {
+        this->resendLimits.emplace_back(this->options.resends);
+    }
+    return this->resendLimits[target];
+}
+
 QueueEntry Dispatcher::Implementation::entryOf(const RequestProfile &profile, TargetIndex target)
 {
     QueueEntry entry;
@@ -153,6 +164,7 @@
     record.fingerprint = profile.fingerprint;
     record.promptTokens = profile.promptTokens;
     record.idempotent = profile.idempotent;
+    record.maxAttempts = profile.maxAttempts > 0 ? profile.maxAttempts : this->options.maxAttempts;
     this->putInQueue(index);
     this->forecast.noteArrival(this->queue.shares().lane(entry.target, entry.tier), profile.arrival);
     return this->requests.ticket(index);
@@ -266,8 +278,7 @@
 
 std::optional<RefusalReason> Dispatcher::Implementation::reasonNotToStart(const RequestRecord &record, TimePoint now) const
 {
-    const Quarantine::Verdict verdict = this->quarantine.verdict(record.fingerprint, now);
-    if (verdict == Quarantine::Verdict::Refused || verdict == Quarantine::Verdict::Busy) {
+    if (this->isQuarantined(record.fingerprint, now)) {
         return RefusalReason::Quarantined;
     }
     const double left = std::chrono::duration<double>(record.deadline - now).count();
@@ -280,7 +291,8 @@
 void Dispatcher::Implementation::start(RequestIndex index, ServerIndex server, TimePoint now, Decisions &decisions)
 {
     RequestRecord &record = this->requests.record(index);
-    const bool suspect = this->quarantine.verdict(record.fingerprint, now) == Quarantine::Verdict::Suspect;
+    const bool suspect
+        = this->options.suspectsRunAlone && this->quarantine.verdict(record.fingerprint, now) == Quarantine::Verdict::Suspect;
     if (suspect) {
         this->quarantine.noteStart(record.fingerprint);
     }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -6,6 +6,7 @@
 #include <flamingosaddle/traffic/policies.h>
 #include <flamingosaddle/traffic/quarantine.h>
 #include <flamingosaddle/traffic/requesttable.h>
+#include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/reserve.h>
 #include <flamingosaddle/traffic/retrybudget.h>
 
@@ -38,6 +39,7 @@
 
     ServerPool pool;
     Quarantine quarantine;
+    std::uint32_t instanceCount = 0; // that share the servers; 0 while unknown
 
     // Queries.
 
@@ -74,6 +76,8 @@
         std::chrono::milliseconds firstTokenTarget{0}; // of the last request
     };
 
+    bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
+    ResendLimit &resendLimit(TargetIndex target);
     void noteTier(const RequestClass &requestClass);
     QueueEntry entryOf(const RequestProfile &profile, TargetIndex target);
     ClassIndex internClass(const RequestClass &requestClass);
@@ -103,6 +107,7 @@
     Selector selector;
     Forecast forecast;
     RetryBudget retryBudget;
+    std::vector<ResendLimit> resendLimits; // by target
     RequestTable requests;
     DeadlineHeap deadlines; // of waiting requests
     std::vector<Tier> tiers; // highest first
--- a/tests/fault/faultcell.h
+++ b/tests/fault/faultcell.h
@@ -2,7 +2,7 @@
 
 #include "checks.h"
 
-#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/relay/requeststep.h>
 
 #include <optional>
 #include <string>
--- a/tests/fault/scriptedengine.h
+++ b/tests/fault/scriptedengine.h
@@ -2,7 +2,7 @@
 
 #include "callerfixture.h"
 
-#include <flamingosaddle/http/requeststep.h>
+#include <flamingosaddle/relay/requeststep.h>
 
 #include <atomic>
 #include <functional>
--- /dev/null
+++ b/tests/http/drain_test.cpp
@@ -0,0 +1,72 @@
+#include "httpfixture.h"
+
+#include <flamingosaddle/base/timer.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::test;
+using boost::asio::awaitable;
+
+namespace
+{
+
+/** A server whose one exchange streams a piece and ends when the test says so. */
+struct DrainTest : testing::Test {
+    std::unique_ptr<Timer> release;
+    TestServer server{[this](HttpExchange &exchange) -> awaitable<void> {
+        this->release = std::make_unique<Timer>(co_await boost::asio::this_coro::executor, TimePoint::max());
+        Result<void> written = co_await exchange.beginStream(200, {});
+        written = co_await exchange.writePiece("first");
+        boost::system::error_code ignored;
+        co_await this->release->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        written = co_await exchange.endStream();
+    }};
+    RawClient client{server.endpoint()};
+
+    void beginStream()
+    {
+        this->client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->client.readUntil("first");
+    }
+
+    std::string endStreamAndAskAgain()
+    {
+        boost::asio::post(this->server.thread.context, [this] {
+            this->release->cancel();
+        });
+        this->client.readUntil("0\r\n\r\n");
+        this->client.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+        return this->client.readUntil("first");
+    }
+};
+
+} // namespace
+
+TEST_F(DrainTest, TakesNoRequestOnAKeptConnectionOnceTheNoticeIsOver)
+{
+    this->beginStream();
+    const PausedClock paused;
+    this->server.server->announceDrain();
+    RuntimeClock::advance(std::chrono::seconds(3));
+    this->server.server->drain();
+    EXPECT_EQ(this->endStreamAndAskAgain(), "");
+}
+
+TEST_F(DrainTest, TakesOneMoreRequestOfACallerThatWasNotToldOfTheDrain)
+{
+    this->beginStream();
+    const PausedClock paused;
+    this->server.server->drain();
+    const std::string answer = this->endStreamAndAskAgain();
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    boost::asio::post(this->server.thread.context, [this] {
+        this->release->cancel();
+    });
+    this->client.readAll();
+}
--- a/tests/http/backendpool_test.cpp
+++ b/tests/relay/backendpool_test.cpp
@@ -1,6 +1,6 @@
 #include "httpfixture.h"
 
-#include <flamingosaddle/http/backendpool.h>
+#include <flamingosaddle/relay/backendpool.h>
 
 #include <flamingosaddle/base/timer.h>
 
--- a/tests/http/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -172,7 +172,7 @@
                                   .board(&this->board)
                                   .gate(this->gate.get())
                                   .keys(&this->keys)
-                                  .keySecret(secret)
+                                  .interface(openAiInterface(secret, RequestClass()))
                                   .options(std::move(options))
                                   .hooks(std::move(hooks))
                                   .contexts({&this->thread.context})
--- a/tests/http/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -2,7 +2,7 @@
 
 #include "httpfixture.h"
 
-#include <flamingosaddle/http/callerhandler.h>
+#include <flamingosaddle/relay/callerhandler.h>
 
 #include <atomic>
 #include <functional>
--- a/tests/http/ssesplitter_test.cpp
+++ b/tests/relay/ssesplitter_test.cpp
@@ -1,4 +1,4 @@
-#include <flamingosaddle/http/ssesplitter.h>
+#include <flamingosaddle/relay/ssesplitter.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/http/trafficgate_test.cpp
+++ b/tests/relay/trafficgate_test.cpp
@@ -1,6 +1,6 @@
 #include "httpfixture.h"
 
-#include <flamingosaddle/http/trafficgate.h>
+#include <flamingosaddle/relay/trafficgate.h>
 
 #include <boost/asio/post.hpp>
 
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -1,3 +1,5 @@
+#include <platform/integration.h>
+
 #include <flamingosaddle/app/daemon.h>
 #include <flamingosaddle/app/settings.h>
 #include <flamingosaddle/base/log.h>
@@ -39,10 +41,15 @@
     }
 }
 
-int runDaemon(const Settings &settings)
+Integration integrationOf(const Settings &settings)
+{
+    return settings.configuration == ConfigurationSource::Operator ? platform::integration(settings) : ownIntegration(settings);
+}
+
+int runDaemon(const Settings &settings, SettingsWatch::Load reload)
 {
     initializeLogging(settings.logLevel);
-    auto daemon = Daemon::create(settings);
+    auto daemon = Daemon::create(settings, integrationOf(settings), std::move(reload));
     if (daemon.has_error()) {
         std::cerr << "flamingosaddled: " << daemon.error().text() << '\n';
         return exitFailed;
@@ -68,7 +75,10 @@
         return EXIT_SUCCESS;
     }
     const bool checkOnly = takeSwitch(arguments, "--check");
-    const auto loaded = loadSettings(arguments, environmentVariable);
+    const auto load = [&arguments] {
+        return loadSettings(arguments, environmentVariable);
+    };
+    const auto loaded = load();
     if (const auto *errors = std::get_if<std::vector<Error>>(&loaded)) {
         for (const Error &error : *errors) {
             std::cerr << "flamingosaddled: " << error.text() << '\n';
@@ -79,5 +89,5 @@
         std::cout << "settings: ok\n";
         return EXIT_SUCCESS;
     }
-    return runDaemon(std::get<Settings>(loaded));
+    return runDaemon(std::get<Settings>(loaded), load);
 }
