One leader reports usage and orders servers, through a keyed log of the store

Change: the duty log elects by appending only at the end that the writer has read, so that a record of a decision proves who led; figures of a window are fixed there before they are reported; cheap servers are ordered beside one ordinary server a data centre; the runtime's clock goes on while the machine is suspended.

--- a/include/flamingosaddle/app/integration.h
+++ b/include/flamingosaddle/app/integration.h
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/app/settings.h>
 #include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/control/duties.h>
 #include <flamingosaddle/platform/platform.h>
 #include <flamingosaddle/relay/callerinterface.h>
 
@@ -18,6 +19,7 @@
     CallerInterface callerInterface;
     Platform platform;
     std::optional<DirectoryHooks> directory; ///< where configuration and backend servers are read; empty for the change log
+    std::optional<DutyHooks> duties; ///< with a directory: usage reports and server orders of one instance at a time
     std::function<void(const Settings &)> reload; ///< takes over the settings that a reload changed; may be empty
 };
 
--- a/include/flamingosaddle/base/clock.h
+++ b/include/flamingosaddle/base/clock.h
@@ -7,7 +7,8 @@
 {
 
 /**
- * The clock that everything in the project reads: the machine's steady clock, which a test can pause and advance.
+ * The clock that everything in the project reads: the machine's steady clock, which goes on while the machine is suspended
+ * and which a test can pause and advance.
  *
  * Decision modules take the time as an argument; only the modules that own sockets or threads read this clock. All
  * functions are safe to call from any thread.
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -4,12 +4,17 @@
 #include <flamingosaddle/control/claimdesk.h>
 #include <flamingosaddle/control/configtail.h>
 #include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/control/duties.h>
+#include <flamingosaddle/control/dutylog.h>
+#include <flamingosaddle/control/fleetdesk.h>
 #include <flamingosaddle/control/leasekeeper.h>
 #include <flamingosaddle/control/orderdesk.h>
 #include <flamingosaddle/control/peerexchange.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/control/snapshotkeeper.h>
 #include <flamingosaddle/control/usagedesk.h>
+#include <flamingosaddle/control/usagemeter.h>
+#include <flamingosaddle/control/windowreporter.h>
 #include <flamingosaddle/platform/platform.h>
 
 #include <boost/asio/io_context.hpp>
@@ -35,6 +40,7 @@
     std::uint64_t snapshotEveryRecords = 500;
     bool manageServers = true; ///< whether this instance may order backend servers
     std::function<std::chrono::seconds()> wallTime; ///< since the epoch
+    std::function<std::chrono::milliseconds()> systemTime; ///< the machine's time of day since the epoch, steps included
     std::vector<Endpoint> seedPeers; ///< contacted besides the platform's list
     PeerTiming peerTiming;
     std::uint64_t seed = 1;
@@ -63,9 +69,10 @@
     /**
      * @param directory where configuration and backend servers are read; empty for the project's change log. With a directory
      * only the instances() of @p platform is called.
+     * @param duties of one instance at a time; only with a directory
      */
     Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
-        ControllerOptions options, ControllerHooks hooks);
+        const std::optional<DutyHooks> &duties, ControllerOptions options, ControllerHooks hooks);
     ~Controller();
 
     // Commands.
@@ -92,6 +99,9 @@
     /** Tells the peers of requests during which backend servers died. */
     void tellQuarantines(const QuarantinesMessage &message);
 
+    /** A backend server began a request of the client account @p ago before now. */
+    void countBegun(const ClientAccountId &clientAccount, Duration ago);
+
     /** Counts what a request used. */
     void countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals);
 
@@ -134,7 +144,9 @@
     std::set<KeyId> earlyTombstones;
     std::shared_ptr<const ConfigState> publishedState;
     TimePoint publishedFreshness;
+    struct Duties;
     std::unique_ptr<Directory> directory;
+    std::unique_ptr<Duties> duties;
     ConfigTail tail;
     LeaseKeeper leases;
     UsageDesk usage;
--- /dev/null
+++ b/include/flamingosaddle/control/fleetdesk.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/control/duties.h>
+#include <flamingosaddle/control/dutylog.h>
+#include <flamingosaddle/state/fleetplan.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+
+namespace flamingosaddle
+{
+
+/**
+ * Orders backend servers of the services that may be scaled, while this instance leads. Lives on the control thread.
+ */
+class FleetDesk
+{
+public:
+    static constexpr Duration tick = std::chrono::milliseconds(500);
+
+    FleetDesk(const DutyHooks &hooks, DutyLog &duties, const Directory &directory);
+
+    // Commands.
+
+    /** Runs until stop(); the object has to outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    void stop();
+
+private:
+    boost::asio::awaitable<void> orderFor(ServiceRules rules);
+    std::map<DataCentre, FleetCount> servingOf(const ServiceName &service) const;
+
+    const DutyHooks &hooks;
+    DutyLog &duties;
+    const Directory &directory;
+    std::map<ServiceName, FleetPlan> plans;
+    std::uint64_t plannedUnder = 0; // fence of the lead that the plans were made under
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
--- /dev/null
+++ b/include/flamingosaddle/control/usagemeter.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <flamingosaddle/base/backoff.h>
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/duties.h>
+#include <flamingosaddle/state/usagebook.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace flamingosaddle
+{
+
+/**
+ * Counts the requests that backend servers began for this instance, by client account and window, and appends the counts for
+ * whoever reports them. Lives on the control thread.
+ */
+class UsageMeter
+{
+public:
+    struct Options {
+        Incarnation self;
+        std::chrono::milliseconds windowLength{60000};
+        Duration flushInterval = std::chrono::milliseconds(2500); ///< what an instance that dies loses at most
+        /** After a window's end, for requests whose beginning is known a little later. */
+        std::chrono::milliseconds settleTime{400};
+        std::function<std::chrono::milliseconds()> unixTime;
+        std::uint64_t seed = 1;
+    };
+
+    UsageMeter(const DutyHooks &hooks, Options options);
+
+    // Commands.
+
+    /** A backend server began a request @p ago before now. */
+    void count(const ClientAccountId &clientAccount, Duration ago);
+    /** Runs until stop(); the object has to outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    /** Appends all that was counted, for a shutdown; tries until @p deadline. */
+    boost::asio::awaitable<void> finish(TimePoint deadline);
+    void stop();
+
+private:
+    bool isFlushDue(TimePoint now) const;
+    void cutRecord(bool leaving);
+    boost::asio::awaitable<bool> appendFront();
+    std::uint64_t windowOf(std::chrono::milliseconds unixTime) const;
+
+    const DutyHooks &hooks;
+    Options options;
+    Backoff backoff;
+    std::map<std::uint64_t, std::map<ClientAccountId, std::uint64_t>> counted;
+    std::deque<MeterRecord> records; // not in the log yet; the first may be under way
+    std::uint64_t sequence = 0;
+    std::uint64_t toldCompleteBefore = 0;
+    TimePoint lastFlush;
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -43,6 +43,7 @@
     std::optional<RefusalReason> refusal; ///< when a decision of the dispatcher ended the request
     bool whole = false; ///< whether the caller received a whole answer
     TimePoint arrival;
+    TimePoint sent; ///< when the last backend server was asked
     std::optional<TimePoint> firstToken;
     std::optional<TimePoint> end;
     std::uint64_t tokens = 0; ///< passed on to the caller
@@ -58,6 +59,8 @@
 struct CallerHooks {
     std::function<void(RequestStep)> step; ///< fault injection
     std::function<void(const UsageEvent &)> usage; ///< once for each request that an engine worked on for a client account
+    /** Once for each request of a client account that a backend server began to run, @p ago before now. */
+    std::function<void(const ClientAccountId &account, Duration ago)> begun;
     std::function<void(const RequestOutcome &)> outcome; ///< once for each request
     ClaimHook claim; ///< when it is empty, every named request runs
 };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -105,6 +105,7 @@
     options.wallTime = [] {
         return std::chrono::duration_cast<std::chrono::seconds>(wallMilliseconds());
     };
+    options.systemTime = wallMilliseconds;
     options.seedPeers = settings.seedPeers;
     options.peerTiming.heartbeatInterval = settings.heartbeatInterval;
     options.seed = seed;
@@ -123,7 +124,7 @@
         , workers(settings.trafficThreads)
         , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor(), this->gateHooks())
         , peerTraffic(this->gate)
-        , controller(this->controlContext, this->integration.platform, this->integration.directory,
+        , controller(this->controlContext, this->integration.platform, this->integration.directory, this->integration.duties,
               controllerOptionsOf(settings, this->seed), this->controllerHooks())
         , adminHandler(
               this->controller, this->metrics,
@@ -293,6 +294,11 @@
                 this->controller.countUsage(account, totals);
             });
         };
+        hooks.begun = [this](const ClientAccountId &account, Duration ago) {
+            boost::asio::post(this->controlContext, [this, account, at = RuntimeClock::now() - ago] {
+                this->controller.countBegun(account, RuntimeClock::now() - at);
+            });
+        };
         hooks.outcome = [this](const RequestOutcome &outcome) {
             this->trafficMetrics.observe(outcome);
         };
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <ctime>
 
 namespace flamingosaddle
 {
@@ -16,9 +17,13 @@
 // The value at which the clock stands still, or notPaused.
 std::atomic<std::int64_t> pausedNanoseconds{notPaused};
 
+// Steady, and goes on while the machine is suspended: leases and deadlines end then as well.
 std::int64_t steadyNanoseconds()
 {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    constexpr std::int64_t nanosecondsPerSecond = 1000000000;
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return now.tv_sec * nanosecondsPerSecond + now.tv_nsec;
 }
 
 } // namespace
--- /dev/null
+++ b/src/base/walltime.cpp
@@ -0,0 +1,25 @@
+#include <flamingosaddle/base/walltime.h>
+
+#include <cstdlib>
+
+namespace flamingosaddle
+{
+
+std::chrono::milliseconds WallTime::unixTime(std::chrono::milliseconds system, TimePoint now)
+{
+    const auto runtime = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    const std::chrono::milliseconds measured = system - runtime;
+    const bool isStep = this->offset.has_value() && std::chrono::abs(measured - *this->offset) > largestDrift;
+    if (!isStep) {
+        this->offset = measured;
+        this->steppedAt.reset();
+    } else if (!this->steppedAt.has_value()) {
+        this->steppedAt = now;
+    } else if (now - *this->steppedAt >= correctionTime) {
+        this->offset = measured;
+        this->steppedAt.reset();
+    }
+    return runtime + *this->offset;
+}
+
+} // namespace flamingosaddle
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/control/controller.h>
 
 #include <flamingosaddle/base/delay.h>
+#include <flamingosaddle/base/walltime.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,8 @@
 const Role usageRole("usage");
 const Role snapshotRole("snapshots");
 constexpr std::chrono::milliseconds handOverPollInterval(10);
+// With a directory the platform ends the process soon after the last requests may be cut.
+constexpr Duration longestDutyHandOver = std::chrono::milliseconds(800);
 // Parts of the freshness limit after which a snapshot with a later limit is published.
 constexpr int freshnessSteps = 8;
 
@@ -89,10 +92,86 @@
     return std::make_unique<Directory>(*hooks, directoryOptions, std::move(onAdvance));
 }
 
+DutyLog::Options dutyOptions(const ControllerOptions &options)
+{
+    DutyLog::Options duties;
+    duties.self = options.self;
+    duties.timing.lease = options.leaseTiming.duration;
+    duties.timing.rest = options.leaseTiming.duration + std::chrono::seconds(1);
+    duties.seed = options.seed;
+    return duties;
+}
+
 } // namespace
 
+/**
+ * The duties of one instance at a time, and the counts that each instance keeps for them.
+ */
+struct Controller::Duties {
+    Duties(const DutyHooks &dutyHooks, const Directory &directory, const ControllerOptions &options)
+        : hooks(dutyHooks)
+        , systemTime(options.systemTime)
+        , log(this->hooks, dutyOptions(options))
+        , meter(this->hooks, this->meterOptions(options))
+        , reporter(this->hooks, this->log, this->reporterOptions(options))
+        , fleet(this->hooks, this->log, directory)
+    {
+    }
+
+    std::chrono::milliseconds unixTime()
+    {
+        return this->wallTime.unixTime(this->systemTime(), RuntimeClock::now());
+    }
+
+    UsageMeter::Options meterOptions(const ControllerOptions &options)
+    {
+        UsageMeter::Options meter;
+        meter.self = options.self;
+        meter.windowLength = options.usageWindow;
+        meter.unixTime = [this] {
+            return this->unixTime();
+        };
+        meter.seed = options.seed;
+        return meter;
+    }
+
+    WindowReporter::Options reporterOptions(const ControllerOptions &options)
+    {
+        WindowReporter::Options reporter;
+        reporter.windowLength = options.usageWindow;
+        reporter.unixTime = [this] {
+            return this->unixTime();
+        };
+        return reporter;
+    }
+
+    void stop()
+    {
+        this->log.stop();
+        this->meter.stop();
+        this->reporter.stop();
+        this->fleet.stop();
+    }
+
+    boost::asio::awaitable<void> handOver(Duration limit)
+    {
+        this->reporter.stop();
+        this->fleet.stop();
+        co_await this->meter.finish(RuntimeClock::now() + limit);
+        co_await this->log.release();
+    }
+
+    DutyHooks hooks;
+    std::function<std::chrono::milliseconds()> systemTime;
+    WallTime wallTime;
+    DutyLog log;
+    UsageMeter meter;
+    WindowReporter reporter;
+    FleetDesk fleet;
+};
+
 Controller::Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
-    ControllerOptions options, ControllerHooks hooks)
+    const std::optional<DutyHooks> &duties, ControllerOptions options, ControllerHooks hooks)
     : context(context)
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
@@ -101,6 +180,9 @@
           [this] {
               this->configAdvanced();
           }))
+    , duties(directory.has_value() && duties.has_value()
+              ? std::make_unique<Duties>(*duties, *this->directory, this->controllerOptions)
+              : nullptr)
     , tail(
           this->platform,
           [this] {
@@ -139,6 +221,12 @@
 {
     this->spawn(this->directory->runConfig());
     this->spawn(this->directory->runServers());
+    if (this->duties) {
+        this->spawn(this->duties->log.run());
+        this->spawn(this->duties->meter.run());
+        this->spawn(this->duties->reporter.run());
+        this->spawn(this->duties->fleet.run());
+    }
 }
 
 void Controller::startLog()
@@ -170,6 +258,9 @@
     if (this->directory) {
         this->directory->stop();
     }
+    if (this->duties) {
+        this->duties->stop();
+    }
     this->peers.stop();
     this->tail.stop();
     this->leases.stop();
@@ -182,6 +273,9 @@
 boost::asio::awaitable<void> Controller::handOver(Duration limit)
 {
     if (this->directory) {
+        if (this->duties) {
+            co_await this->duties->handOver(std::min(limit, longestDutyHandOver));
+        }
         co_return;
     }
     const TimePoint deadline = RuntimeClock::now() + limit;
@@ -217,6 +311,13 @@
     this->peers.sendQuarantines(message);
 }
 
+void Controller::countBegun(const ClientAccountId &clientAccount, Duration ago)
+{
+    if (this->duties) {
+        this->duties->meter.count(clientAccount, ago);
+    }
+}
+
 void Controller::countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals)
 {
     this->usage.count(clientAccount, totals);
--- a/src/relay/answerrelay.cpp
+++ b/src/relay/answerrelay.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::string_view eventStreamType = "text/event-stream";
+// Of a plain service; a longer time to an answer was spent waiting for a slot.
+constexpr Duration longestWholeRun = std::chrono::milliseconds(150);
 constexpr std::string_view endMarkEvent = "data: [DONE]\n\n";
 
 AttemptResult answered()
@@ -260,10 +262,22 @@
     grant.firstToken();
     if (!this->outcome.firstToken.has_value()) {
         this->outcome.firstToken = RuntimeClock::now();
+        this->noteBegun();
         this->environment.step(RequestStep::FirstToken);
     }
 }
 
+void AnswerRelay::noteBegun() const
+{
+    if (!this->environment.hooks.begun || this->routed.profile.clientAccount.isEmpty()) {
+        return;
+    }
+    // A streamed answer begins with its run. A whole one comes at the end of a run that began once a slot was free.
+    const Duration taken = RuntimeClock::now() - this->outcome.sent;
+    const Duration ago = this->eventStream ? Duration::zero() : std::min(taken, longestWholeRun);
+    this->environment.hooks.begun(this->routed.profile.clientAccount, ago);
+}
+
 HttpHeaders AnswerRelay::answerHeaders(const HttpHeaders &fromBackend) const
 {
     HttpHeaders headers = this->environment.interface.answerHeaders(fromBackend);
--- a/src/relay/answerrelay.h
+++ b/src/relay/answerrelay.h
@@ -73,6 +73,7 @@
     boost::asio::awaitable<AttemptResult> failedAt(BackendCall &call, Error error) const;
     bool followsOn(const SseSplitter::Batch &batch);
     void noteFirstToken(TrafficGrant &grant);
+    void noteBegun() const;
     HttpHeaders answerHeaders(const HttpHeaders &fromBackend) const;
     void keep(std::string_view piece);
 
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -236,6 +236,7 @@
     ActiveSpan attemptSpan(this->environment.tracer, this->span.context(), "backend-server");
     attemptSpan.add("server", grant.server().text());
     this->outcome.server = grant.server();
+    this->outcome.sent = RuntimeClock::now();
     const BackendPool::Order order = this->orderFor(server->value, attemptSpan.context());
     const auto step = [this](RequestStep reached) {
         this->environment.step(reached);
--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -77,7 +77,7 @@
 
 CallerHandler::Builder &CallerHandler::Builder::options(CallerOptions options)
 {
-    this->callerOptions = std::move(options);
+    this->callerOptions = options;
     return *this;
 }
 
--- /dev/null
+++ b/src/state/usagebook.cpp
@@ -0,0 +1,120 @@
+#include <flamingosaddle/state/usagebook.h>
+
+#include "recordfields.h"
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<AccountCount> value)
+{
+    archive.required("a", value.clientAccount);
+    archive.required("r", value.requests);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<WindowCounts> value)
+{
+    archive.required("w", value.window);
+    archive.required("counts", value.accounts);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<MeterRecord> value)
+{
+    archive.required("id", value.id);
+    archive.required("windows", value.windows);
+    archive.required("completeBefore", value.completeBefore);
+    archive.optional("leaving", value.leaving);
+}
+
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<FixedWindow> value)
+{
+    archive.required("window", value.counts);
+    archive.optional("reportedBefore", value.reportedBefore);
+}
+
+std::string encodeMeterRecord(const MeterRecord &record)
+{
+    return encodeRecord(record);
+}
+
+std::string encodeFixedWindow(const FixedWindow &fixed)
+{
+    return encodeRecord(fixed);
+}
+
+Result<MeterRecord> decodeMeterRecord(std::string_view text)
+{
+    return decodeRecord<MeterRecord>(text);
+}
+
+Result<FixedWindow> decodeFixedWindow(std::string_view text)
+{
+    return decodeRecord<FixedWindow>(text);
+}
+
+void UsageBook::apply(const MeterRecord &record)
+{
+    Writer &writer = this->writers[record.id.writer];
+    if (record.id.sequence <= writer.sequence) {
+        return;
+    }
+    writer.sequence = record.id.sequence;
+    writer.completeBefore = std::max(writer.completeBefore, record.completeBefore);
+    writer.leaving = record.leaving;
+    for (const WindowCounts &counts : record.windows) {
+        if (counts.window < this->forgotten) {
+            continue;
+        }
+        for (const AccountCount &account : counts.accounts) {
+            this->windows[counts.window][account.clientAccount] += account.requests;
+        }
+    }
+}
+
+void UsageBook::forgetBefore(std::uint64_t window)
+{
+    this->forgotten = std::max(this->forgotten, window);
+    this->windows.erase(this->windows.begin(), this->windows.lower_bound(window));
+    std::erase_if(this->writers, [window](const auto &entry) {
+        // Windows are numbered since 1970, so that these are not below zero.
+        return entry.second.completeBefore + 60 < window;
+    });
+}
+
+std::optional<std::uint64_t> UsageBook::firstWindow() const
+{
+    return this->windows.empty() ? std::nullopt : std::optional(this->windows.begin()->first);
+}
+
+WindowCounts UsageBook::countsOf(std::uint64_t window) const
+{
+    WindowCounts counts;
+    counts.window = window;
+    const auto found = this->windows.find(window);
+    if (found != this->windows.end()) {
+        for (const auto &[account, requests] : found->second) {
+            counts.accounts.push_back({account, requests});
+        }
+    }
+    return counts;
+}
+
+bool UsageBook::isComplete(std::uint64_t window) const
+{
+    bool any = false;
+    for (const auto &[incarnation, writer] : this->writers) {
+        const bool countedLately = writer.completeBefore >= window;
+        if (countedLately && !writer.leaving && writer.completeBefore <= window) {
+            return false;
+        }
+        any = any || countedLately;
+    }
+    return any;
+}
+
+} // namespace flamingosaddle
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -96,7 +96,8 @@
     std::shared_ptr<const RoutingSnapshot> snapshot;
     std::vector<BackendServer> servers;
     std::vector<KeyId> withdrawn;
-    Controller controller{this->context, this->platform.hooks(), std::nullopt, testOptions(), this->recordingHooks()};
+    Controller controller{
+        this->context, this->platform.hooks(), std::nullopt, std::nullopt, testOptions(), this->recordingHooks()};
 };
 
 } // namespace
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -173,7 +173,7 @@
                                   .gate(this->gate.get())
                                   .keys(&this->keys)
                                   .interface(openAiInterface(secret, RequestClass()))
-                                  .options(std::move(options))
+                                  .options(options)
                                   .hooks(std::move(hooks))
                                   .contexts({&this->thread.context})
                                   .build()
