--- a/include/flamingosaddle/state/fleetplan.h
+++ b/include/flamingosaddle/state/fleetplan.h
@@ -41,7 +41,7 @@
 
 struct FleetGoal {
     std::uint32_t ordinary = 1; ///< in each data centre; these are not taken away at short notice
-    std::uint32_t cheap = 5; ///< in each data centre
+    std::uint32_t cheap = 7; ///< in each data centre
 
     friend bool operator==(const FleetGoal &, const FleetGoal &) = default;
 };
