--- a/include/flamingosaddle/base/log.h
+++ b/include/flamingosaddle/base/log.h
@@ -19,14 +19,22 @@
     std::string value;
 };
 
+enum class LogOutput {
+    StandardOutput, ///< by a thread of its own: a reader that does not read loses lines and blocks nothing
+    StandardError, ///< at once
+};
+
 /**
- * Sends log lines to the standard error, one JSON object each. Called once, before the first line.
+ * Sends log lines to @p output, one JSON object each. Called once, before the first line.
  */
-void initializeLogging(LogLevel lowest);
+void initializeLogging(LogLevel lowest, LogOutput output = LogOutput::StandardError);
+
+/** Writes the lines that wait. Called once, after the last line. */
+void shutDownLogging();
 
 /**
- * Logs a change of state: what became different, in which module, with its circumstances as fields. What happens for
- * each request or each record is counted in metrics, never logged. Any thread may call it.
+ * Logs a decision or a change of state: what became different, in which module, with the inputs that decided it as fields.
+ * Any thread may call it.
  *
  * @param fields must hold no secret
  */
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -37,6 +37,7 @@
 struct ServerLoad {
     BackendServerId server;
     std::uint32_t inFlight = 0; ///< requests that the sender runs there
+    std::uint64_t unreadTokens = 0; ///< of their prompts, which the server has not read
 
     friend bool operator==(const ServerLoad &, const ServerLoad &) = default;
 };
--- a/include/flamingosaddle/relay/callerhandler.h
+++ b/include/flamingosaddle/relay/callerhandler.h
@@ -28,6 +28,7 @@
     BackendPoolOptions pool;
     Duration headTimeout = std::chrono::seconds(30); ///< for a backend server to begin a streamed or a service's answer
     Duration pieceTimeout = std::chrono::seconds(15); ///< between two pieces of an answer
+    Duration freshnessLimit = std::chrono::seconds(5); ///< of a configuration; to tell its age in logs
     bool cutsWithdrawnKeys = true; ///< whether a withdrawn key ends the exchanges that run with it
     std::size_t maxBufferedAnswerBytes = std::size_t{4} * 1024 * 1024; ///< a larger answer is passed on as it comes
 
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -35,9 +35,12 @@
     std::string requestId;
     ClientAccountId clientAccount;
     ClassName className;
+    int tier = 0;
     RouteId route; ///< empty for a model, and where none was found
     BackendServerId server; ///< the last one that was asked; empty when none was
     std::uint64_t configOffset = 0; ///< of the configuration that decided
+    std::optional<Duration> configAge; ///< since that configuration was last known to be current
+    std::string error; ///< why it failed, where no decision of the dispatcher ended it
     int status = 0; ///< of the answer; 0 when the caller left before it
     std::optional<RunState> runState; ///< of a refusal or of a stream that broke off
     std::optional<RefusalReason> refusal; ///< when a decision of the dispatcher ended the request
--- a/include/flamingosaddle/state/fleetplan.h
+++ b/include/flamingosaddle/state/fleetplan.h
@@ -42,14 +42,16 @@
 struct FleetGoal {
     std::uint32_t ordinary = 1; ///< in each data centre; these are not taken away at short notice
     std::uint32_t cheap = 7; ///< in each data centre
+    std::uint32_t substitutes = 4; ///< ordinary ones more, in a data centre that has no cheap ones to give
 
     friend bool operator==(const FleetGoal &, const FleetGoal &) = default;
 };
 
 /**
- * Which orders for the servers of one service are due. Cheap servers may be reclaimed, all of a data centre at once, so they
- * are spread evenly over the data centres beside a few ordinary ones. What is to serve is ordered first; ordinary servers
- * are given up only where cheap ones serve already. Pure: the time is an argument.
+ * Which orders for the servers of one service are due. It answers the reclaim of all cheap servers of a data centre at once:
+ * they are spread evenly over the data centres beside a few ordinary ones, and where none are to be had, ordinary ones take
+ * their place until they are. What is to serve is ordered first; ordinary servers are given up only where cheap ones serve
+ * already. Pure: the time is an argument.
  */
 class FleetPlan
 {
@@ -72,6 +74,7 @@
     struct Zone {
         Standing ordinary;
         Standing cheap;
+        bool hasNoCheap = false; // as the last answer says
     };
 
     void addDue(const DataCentre &dataCentre, bool cheap, std::uint32_t wanted, std::uint32_t serving, TimePoint now,
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -119,6 +119,8 @@
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
     std::uint32_t inFlight(const BackendServerId &server) const;
+    /** Tokens of this instance's prompts that the server has not read. */
+    std::uint64_t unreadTokens(const BackendServerId &server) const;
 
     /**
      * When dispatch() has to be called again though nothing has happened: at the next deadline of a waiting request, or
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/traffic/fairqueue.h>
+#include <flamingosaddle/traffic/promptplacement.h>
 #include <flamingosaddle/traffic/serverpool.h>
 #include <flamingosaddle/traffic/types.h>
 
@@ -20,9 +21,12 @@
     std::uint64_t prefixHash = 0;
     std::uint64_t fingerprint = 0;
     std::uint32_t promptTokens = 0;
+    PromptRequest prompt; ///< without tokens where the length of the prompt is not known
     bool idempotent = true;
     std::uint32_t maxAttempts = 0;
-    std::uint32_t attempts = 0;
+    std::uint32_t attempts = 0; ///< that a server may have seen
+    std::uint32_t unsentAttempts = 0; ///< that no server saw
+    TargetIndex serviceTarget = 0; ///< for prompts of any length; that of the entry may be for long ones
     bool everSent = false; ///< a backend server may have seen it
     ServerIndex failedServer = noServer; ///< of the last attempt
     // Of the attempt that runs.
@@ -34,6 +38,12 @@
     std::uint64_t tokens = 0; ///< of the answer so far
     double reservedTokens = 0.0; ///< charged in advance and not yet used up
     double outstandingTokens = 0.0; ///< counted as expected work of the server
+    PromptStart started; ///< what was to be read when it started
+
+    bool isPromptKnown() const
+    {
+        return this->prompt.outputTokens > 0;
+    }
 
     bool isRunning() const
     {
--- a/include/flamingosaddle/traffic/selection.h
+++ b/include/flamingosaddle/traffic/selection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/traffic/promptplacement.h>
 #include <flamingosaddle/traffic/serverpool.h>
 
 #include <cstdint>
@@ -18,6 +19,7 @@
     bool cheapAllowed = true;
     std::uint64_t prefixHash = 0; ///< 0 when there is none
     ServerIndex failedServer = noServer; ///< of the last attempt, taken only when there is no other
+    const PromptRequest *prompt = nullptr; ///< where the length of the prompt is known; outlives the call
 };
 
 /**
@@ -36,6 +38,9 @@
 /**
  * Chooses the backend server for a request among those with a free slot.
  *
+ * Where the length of a prompt is known, PromptPlacement decides: of the servers with the fewest faults against them, those
+ * for prompts of its length before others, the one where the first token comes soonest. Otherwise:
+ *
  * First the server of the highest rendezvous weight for the prompt's prefix, or the second, if it is no straggler and
  * its load is at most affinityBound times the mean: its cache may hold the prefix. Otherwise the best of at most maxDraws
  * servers drawn at random: servers that failed lately, stragglers and the server and data centre of the failed attempt
@@ -60,6 +65,9 @@
     /** noServer when no permitted server has a free slot. */
     ServerIndex select(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
 
+    /** Where prompts are read, as the owner tells it. */
+    PromptPlacement prompts;
+
 private:
     // What speaks against a server; less is better.
     struct Penalty {
@@ -74,6 +82,10 @@
     };
 
     ServerIndex byAffinity(const ServerPool &pool, const SelectionRequest &request, TimePoint now) const;
+    /** The server that rendezvous hashing gives the shared beginning of the prompt, of those for prompts of its length. */
+    ServerIndex homeOf(const ServerPool &pool, const SelectionRequest &request) const;
+    static bool haveAllFailed(const ServerPool &pool, TargetIndex target, TimePoint now);
+    ServerIndex byPrompt(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
     ServerIndex byChoice(const ServerPool &pool, const SelectionRequest &request);
     ServerIndex byDraws(const ServerPool &pool, const SelectionRequest &request, TimePoint now);
     ServerIndex bestOf(const ServerPool &pool, const SelectionRequest &request, TimePoint now, std::size_t draws);
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -113,6 +113,12 @@
     void noteFailure(ServerIndex server, TimePoint now);
     void noteSuccess(ServerIndex server);
 
+    /**
+     * Stands for the model in a second target of each service: requests with long prompts wait in a line of their own, since
+     * the servers for them may have no room while those for short ones have.
+     */
+    static const ModelName &longPrompts();
+
     /** The index of the model or plain service. */
     TargetIndex internTarget(const ModelName &model, const ServiceName &service);
 
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -23,6 +23,8 @@
     std::uint64_t prefixHash = 0; ///< of the beginning of the prompt; 0 when there is none
     std::uint64_t fingerprint = 0; ///< of the whole request, for quarantine
     std::uint32_t promptTokens = 0; ///< estimate
+    std::uint32_t sharedTokens = 0; ///< of the beginning that prefixHash stands for; 0 where it is not known
+    std::uint32_t outputTokens = 0; ///< at most; 0 where it is not known
     bool idempotent = true; ///< of this request: its class, its route and its method together
     std::uint32_t maxAttempts = 0; ///< backend servers that it may be sent to; 0 for the dispatcher's limit
     TimePoint arrival;
@@ -113,6 +115,7 @@
     std::uint32_t peersInFlight = 0; ///< requests that other instances run there
     std::uint64_t waitingTokens = 0; ///< as the engine reports it
     TimePoint measuredAt;
+    std::uint64_t peersUnread = 0; ///< tokens of peers' prompts that the server has not read
 
     friend bool operator==(const ServerReport &, const ServerReport &) = default;
 };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/app/adminhandler.h>
 #include <flamingosaddle/app/peertraffic.h>
+#include <flamingosaddle/app/requestlog.h>
 #include <flamingosaddle/app/trafficmetrics.h>
 #include <flamingosaddle/app/workerthreads.h>
 #include <flamingosaddle/base/delay.h>
@@ -67,6 +68,7 @@
     options.headTimeout = settings.firstByteTimeout;
     options.pieceTimeout = settings.progressTimeout;
     const bool ownLog = settings.configuration == ConfigurationSource::Log;
+    options.freshnessLimit = settings.freshnessLimit;
     options.cutsWithdrawnKeys = ownLog;
     options.pool.confirmsDeath = !ownLog;
     options.pool.answersMayEndWithConnection = !ownLog;
@@ -301,6 +303,7 @@
         };
         hooks.outcome = [this](const RequestOutcome &outcome) {
             this->trafficMetrics.observe(outcome);
+            this->requestLog.observe(outcome);
         };
         return hooks;
     }
@@ -418,6 +421,7 @@
     MetricsRegistry metrics;
     SnapshotBoard board;
     TrafficMetrics trafficMetrics{this->metrics, this->board};
+    RequestLog requestLog;
     boost::asio::io_context controlContext{1};
     WorkerThreads workers;
     KeyRegistry keys;
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -55,7 +55,7 @@
         for (const BackendServerId &server : this->servers) {
             const std::uint32_t inFlight = dispatcher.inFlight(server);
             if (inFlight > 0) {
-                message.loads.push_back({server, inFlight});
+                message.loads.push_back({server, inFlight, dispatcher.unreadTokens(server)});
             }
         }
         dispatcher.takeService(this->served);
@@ -69,7 +69,7 @@
 {
     this->gate.update([&loads](Dispatcher &dispatcher, TimePoint now) {
         for (const ServerLoad &load : loads) {
-            dispatcher.report({load.server, load.inFlight, 0, now});
+            dispatcher.report({load.server, load.inFlight, 0, now, load.unreadTokens});
         }
     });
 }
--- /dev/null
+++ b/src/app/requestlog.cpp
@@ -0,0 +1,73 @@
+#include <flamingosaddle/app/requestlog.h>
+
+#include <flamingosaddle/base/log.h>
+
+#include <string>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string runStateText(const RequestOutcome &outcome)
+{
+    if (!outcome.runState.has_value()) {
+        return outcome.whole ? "answered" : "unknown";
+    }
+    return *outcome.runState == RunState::NotRun ? "not-run" : "unknown";
+}
+
+} // namespace
+
+bool RequestLog::mayLog(bool served, TimePoint now)
+{
+    const std::scoped_lock lock(this->mutex);
+    if (now - this->second >= std::chrono::seconds(1)) {
+        if (this->leftOut > 0) {
+            logStateChange(LogLevel::Info, "relay", "request lines were left out", {{"count", std::to_string(this->leftOut)}});
+        }
+        this->second = now;
+        this->servedLines = 0;
+        this->failedLines = 0;
+        this->leftOut = 0;
+    }
+    std::uint32_t &lines = served ? this->servedLines : this->failedLines;
+    if (lines >= (served ? maxServedLines : maxFailedLines)) {
+        ++this->leftOut;
+        return false;
+    }
+    ++lines;
+    return true;
+}
+
+void RequestLog::observe(const RequestOutcome &outcome)
+{
+    const TimePoint now = RuntimeClock::now();
+    constexpr int firstFailure = 400;
+    const bool served = outcome.whole && outcome.status < firstFailure;
+    if (!this->mayLog(served, now)) {
+        return;
+    }
+    const auto since = [&outcome](TimePoint time) {
+        return milliseconds(time - outcome.arrival);
+    };
+    logStateChange(served ? LogLevel::Info : LogLevel::Warning, "relay", "request",
+        {{"request", outcome.requestId}, {"account", outcome.clientAccount.text()}, {"class", outcome.className.text()},
+            {"tier", std::to_string(outcome.tier)}, {"route", outcome.route.text()},
+            {"config_offset", std::to_string(outcome.configOffset)},
+            {"config_proved_ms_ago", outcome.configAge.has_value() ? milliseconds(*outcome.configAge) : "none"},
+            {"attempts", std::to_string(outcome.attempts)}, {"server", outcome.server.text()},
+            {"sent_ms", outcome.attempts > 0 ? since(outcome.sent) : "none"},
+            {"first_token_ms", outcome.firstToken ? since(outcome.firstToken.value()) : "none"}, {"end_ms", since(now)},
+            {"status", std::to_string(outcome.status)}, {"run", runStateText(outcome)},
+            {"refusal", outcome.refusal.has_value() ? toString(*outcome.refusal) : "none"}, {"error", outcome.error},
+            {"tokens", std::to_string(outcome.tokens)}});
+}
+
+} // namespace flamingosaddle
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,9 +1,13 @@
 #include <flamingosaddle/base/log.h>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
 
+#include <nlohmann/json.hpp>
+
+#include <chrono>
 #include <memory>
 
 namespace flamingosaddle
@@ -12,6 +16,9 @@
 namespace
 {
 
+// Lines that wait for a reader that is slow; beyond them lines are dropped, so that logging never blocks.
+constexpr int maxWaitingLines = 2000;
+
 log4cxx::LevelPtr toLog4cxx(LogLevel level)
 {
     switch (level) {
@@ -27,44 +34,67 @@
     return log4cxx::Level::getInfo();
 }
 
-std::string quoted(const std::string &value)
+const char *nameOf(LogLevel level)
 {
-    if (!value.empty() && value.find_first_of(" \"=") == std::string::npos) {
-        return value;
-    }
-    std::string text = "\"";
-    for (const char character : value) {
-        if (character == '"') {
-            text.push_back('\\');
-        }
-        text.push_back(character);
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
     }
-    return text + '"';
+    return "info";
+}
+
+std::int64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
 } // namespace
 
-void initializeLogging(LogLevel lowest)
+void initializeLogging(LogLevel lowest, LogOutput output)
 {
-    auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+    const auto target = output == LogOutput::StandardOutput ? LOG4CXX_STR("System.out") : LOG4CXX_STR("System.err");
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
     log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (output == LogOutput::StandardOutput) {
+        auto waiting = std::make_shared<log4cxx::AsyncAppender>();
+        waiting->setBlocking(false);
+        waiting->setBufferSize(maxWaitingLines);
+        waiting->addAppender(console);
+        root->addAppender(waiting);
+    } else {
+        root->addAppender(console);
+    }
     root->setLevel(toLog4cxx(lowest));
 }
 
+void shutDownLogging()
+{
+    log4cxx::Logger::getRootLogger()->removeAllAppenders();
+}
+
 void logStateChange(LogLevel level, std::string_view module, std::string_view event, std::initializer_list<LogField> fields)
 {
-    std::string line = "event=" + quoted(std::string(event));
+    log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("flamingosaddle." + std::string(module));
+    const log4cxx::LevelPtr wanted = toLog4cxx(level);
+    if (!logger->isEnabledFor(wanted)) {
+        return;
+    }
+    nlohmann::ordered_json line
+        = {{"time_ms", unixMilliseconds()}, {"level", nameOf(level)}, {"module", module}, {"event", event}};
     for (const LogField &field : fields) {
-        line += ' ';
-        line += field.name;
-        line += '=';
-        line += quoted(field.value);
+        line[std::string(field.name)] = field.value;
     }
-    log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("flamingosaddle." + std::string(module));
-    LOG4CXX_LOG(logger, toLog4cxx(level), line);
+    // Bytes of a peer may stand in a field: those that are no UTF-8 are replaced.
+    LOG4CXX_LOG(logger, wanted, line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
 } // namespace flamingosaddle
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -320,9 +320,9 @@
 
 void PeerExchange::passOnLoads()
 {
-    std::map<BackendServerId, std::uint32_t> sums;
+    std::map<BackendServerId, ServerLoad> sums;
     for (const BackendServerId &id : this->reportedServers) {
-        sums[id] = 0;
+        sums[id].server = id;
     }
     this->reportedServers.clear();
     for (const auto &[instance, serverLoads] : this->loads) {
@@ -331,14 +331,17 @@
             continue;
         }
         for (const ServerLoad &load : serverLoads) {
-            sums[load.server] += load.inFlight;
+            ServerLoad &sum = sums[load.server];
+            sum.server = load.server;
+            sum.inFlight += load.inFlight;
+            sum.unreadTokens += load.unreadTokens;
             this->reportedServers.insert(load.server);
         }
     }
     std::vector<ServerLoad> all;
     all.reserve(sums.size());
-    for (const auto &[server, inFlight] : sums) {
-        all.push_back({server, inFlight});
+    for (const auto &[server, sum] : sums) {
+        all.push_back(sum);
     }
     this->hooks.onLoads(all);
 }
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -56,7 +56,7 @@
 
 auto fieldsOf(Is<ServerLoad> auto &value)
 {
-    return std::tie(value.server, value.inFlight);
+    return std::tie(value.server, value.inFlight, value.unreadTokens);
 }
 
 auto fieldsOf(Is<ServiceCount> auto &value)
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -87,6 +87,7 @@
         return noConfiguration();
     }
     this->outcome.configOffset = snapshot->offset();
+    this->outcome.configAge = this->outcome.arrival - (snapshot->freshUntil() - this->environment.options.freshnessLimit);
     BOOST_OUTCOME_TRY(decided, this->environment.interface.route(*snapshot, this->exchange.request(), this->outcome.arrival));
     this->routed = std::move(decided);
     if (!this->routed.requestId.empty()) {
@@ -96,6 +97,7 @@
     this->relay.setCallerHeaders(this->environment.interface.ownHeaders(this->outcome.requestId, this->span.context()));
     this->outcome.clientAccount = this->routed.profile.clientAccount;
     this->outcome.className = this->routed.profile.requestClass.name;
+    this->outcome.tier = this->routed.profile.requestClass.tier;
     BOOST_OUTCOME_TRYV(this->registerKey());
     this->environment.step(RequestStep::Authenticate);
     return done();
@@ -282,6 +284,7 @@
     if (this->relay.hasBegun()) {
         this->outcome.runState = RunState::Unknown;
         this->outcome.refusal = refusal.reason;
+        this->outcome.error = result.error.message();
         // The body stays without its end mark: the connection closes after this exchange.
         this->exchange.closeAfter();
         if (this->relay.isResumable() || this->routed.stream) {
@@ -302,6 +305,7 @@
 {
     this->outcome.runState = answer.runState;
     this->outcome.refusal = answer.reason;
+    this->outcome.error = answer.error.message();
     if (this->signal.isGone()) {
         co_return;
     }
--- a/src/relay/trafficgatecore.cpp
+++ b/src/relay/trafficgatecore.cpp
@@ -49,8 +49,10 @@
 
 void TrafficGateCore::firstToken(Ticket ticket)
 {
-    const std::scoped_lock lock(this->mutex);
+    // What the server has read makes room for another prompt.
+    std::unique_lock lock(this->mutex);
     this->dispatcher.firstToken(ticket, RuntimeClock::now());
+    this->dispatchAndUnlock(lock, nullptr);
 }
 
 void TrafficGateCore::tokens(Ticket ticket, std::uint32_t count)
--- a/src/state/fleetplan.cpp
+++ b/src/state/fleetplan.cpp
@@ -19,7 +19,9 @@
     for (const auto &[dataCentre, price] : rules.prices) {
         const auto found = serving.find(dataCentre);
         const FleetCount present = found == serving.end() ? FleetCount() : found->second;
-        const std::uint32_t ordinary = std::clamp(this->goal.ordinary, rules.fewest, rules.most);
+        const bool isShort = this->zones[dataCentre].hasNoCheap && present.cheap < this->goal.cheap;
+        const std::uint32_t goal = this->goal.ordinary + (isShort ? this->goal.substitutes : 0);
+        const std::uint32_t ordinary = std::clamp(goal, rules.fewest, rules.most);
         // The bound holds for both kinds together, also while the ordinary ones have not left yet.
         const std::uint32_t room = rules.most - std::min(rules.most, std::max(present.ordinary, ordinary));
         const std::uint32_t cheap = std::min(this->goal.cheap, room);
@@ -56,6 +58,9 @@
         standing.ordered.reset();
         standing.nextTry = now + retryDelay;
     }
+    if (order.cheap && answer != FleetAnswer::Unknown) {
+        zone.hasNoCheap = answer == FleetAnswer::NoneThere;
+    }
 }
 
 } // namespace flamingosaddle
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -29,6 +29,10 @@
 void Dispatcher::report(const ServerReport &report)
 {
     this->implementation->pool.report(report);
+    const std::optional<ServerIndex> index = this->implementation->pool.find(report.server);
+    if (index.has_value()) {
+        this->implementation->selector.prompts.reportPeers(*index, static_cast<double>(report.peersUnread));
+    }
 }
 
 std::variant<Ticket, Refusal> Dispatcher::submit(const RequestProfile &profile, TimePoint now)
@@ -61,9 +65,9 @@
     return this->implementation->retry(ticket, end, anyByteSent, now);
 }
 
-void Dispatcher::cancel(Ticket ticket, TimePoint /*now*/)
+void Dispatcher::cancel(Ticket ticket, TimePoint now)
 {
-    this->implementation->cancel(ticket);
+    this->implementation->cancel(ticket, now);
 }
 
 void Dispatcher::noteDeath(std::uint64_t fingerprint, const BackendServerId &server, TimePoint now)
@@ -128,6 +132,12 @@
     return index.has_value() ? this->implementation->pool.server(*index).inFlight : 0;
 }
 
+std::uint64_t Dispatcher::unreadTokens(const BackendServerId &server) const
+{
+    const std::optional<ServerIndex> index = this->implementation->pool.find(server);
+    return index.has_value() ? static_cast<std::uint64_t>(this->implementation->selector.prompts.unreadHere(*index)) : 0;
+}
+
 std::optional<TimePoint> Dispatcher::nextWakeup() const
 {
     return this->implementation->nextWakeup();
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -7,6 +7,14 @@
 namespace flamingosaddle
 {
 
+namespace
+{
+
+// Servers that cannot be reached and do not count as tried, for one request.
+constexpr std::uint32_t maxUnsentAttempts = 4;
+
+} // namespace
+
 void Dispatcher::Implementation::firstToken(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
@@ -20,6 +28,9 @@
     this->pool.noteProgress(record.server, record.promptTokens);
     this->pool.noteFirstToken(record.server, now - record.startedAt, now);
     this->forecast.noteFirstToken(record.entry.target, now - record.startedAt);
+    if (record.isPromptKnown()) {
+        this->selector.prompts.noteRead(record.server, record.started, now - record.startedAt);
+    }
     this->queue.shares().noteServed(record.share, record.promptTokens);
 }
 
@@ -51,7 +62,7 @@
     }
     RequestRecord &record = this->requests.record(*index);
     if (!record.isRunning()) {
-        this->cancel(ticket);
+        this->cancel(ticket, now);
         return;
     }
     if (end == AttemptEnd::Completed) {
@@ -70,6 +81,11 @@
     }
     RequestRecord &record = this->requests.record(*index);
     record.everSent = record.everSent || anyByteSent;
+    if (end == AttemptEnd::NotSent && record.unsentAttempts < maxUnsentAttempts) {
+        // The server never saw it.
+        --record.attempts;
+        ++record.unsentAttempts;
+    }
     this->endAttempt(record, end, now);
     const std::optional<RefusalReason> reason = this->reasonNotToRetry(record, end, now);
     if (reason.has_value()) {
@@ -78,7 +94,7 @@
         return refusal;
     }
     record.entry.late = record.entry.lateAt <= now;
-    this->putInQueue(*index);
+    this->putInQueue(*index, now);
     return std::nullopt;
 }
 
@@ -100,7 +116,11 @@
     if (!this->pool.anyUsable(record.entry.target, record.entry.cheapAllowed)) {
         return RefusalReason::NoServer;
     }
-    if (!this->resendLimit(record.entry.target).take(this->instanceCount, now)) {
+    if (end == AttemptEnd::NotSent && !this->policies.mayRetry) {
+        // No server has seen it, so that sending it again adds no load.
+        return std::nullopt;
+    }
+    if (!this->resendLimit(record.serviceTarget).take(this->instanceCount, now)) {
         return RefusalReason::RetriesExhausted;
     }
     const bool allowed
@@ -117,6 +137,9 @@
     if (record.suspect) {
         this->quarantine.noteEnd(record.fingerprint);
     }
+    if (record.isPromptKnown() && !record.firstTokenSeen) {
+        this->selector.prompts.drop(record.server, record.started.own);
+    }
     this->pool.release(record.server, record.entry.target, record.outstandingTokens);
     record.failedServer = record.server;
     record.server = noServer;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -13,6 +13,7 @@
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
 constexpr std::chrono::seconds suspectRetryAfter{5};
+constexpr std::chrono::seconds longestRetryAfter{60};
 constexpr Duration holdInterval = std::chrono::milliseconds(500); // after which rates of arrival are looked at again
 
 Refusal notRun(RefusalReason reason, std::chrono::seconds retryAfter)
@@ -20,6 +21,12 @@
     return Refusal{reason, RunState::NotRun, retryAfter};
 }
 
+PromptRequest promptOf(const RequestProfile &profile, const QueueEntry &entry)
+{
+    return {entry.target, entry.requestClass, profile.prefixHash, profile.promptTokens, profile.sharedTokens,
+        profile.outputTokens, profile.requestClass.firstTokenTarget, profile.requestClass.tier};
+}
+
 } // namespace
 
 std::size_t Dispatcher::Implementation::ClassKeyHash::operator()(const ClassKey &key) const noexcept
@@ -28,11 +35,11 @@
 }
 
 Dispatcher::Implementation::Implementation(DispatcherOptions options, DispatcherPolicies policies)
-    : quarantine(options.quarantineDeaths)
+    : selector(options.seed, policies.chooseServer)
+    , quarantine(options.quarantineDeaths)
     , options(options)
     , policies(std::move(policies))
     , queue(this->policies.serveBefore)
-    , selector(options.seed, this->policies.chooseServer)
     , retryBudget(options.retryPercent / percent)
 {
     if (!this->policies.admit) {
@@ -54,12 +61,24 @@
     }
     this->resendLimit(*target).noteRequest(now);
     QueueEntry entry = this->entryOf(profile, *target);
+    if (profile.outputTokens > 0) {
+        this->selector.prompts.noteArrival(promptOf(profile, entry), now);
+        if (!this->selector.prompts.isShort(entry.requestClass)) {
+            entry.target = this->pool.internTarget(ServerPool::longPrompts(), profile.service);
+        }
+    }
     this->noteTier(profile.requestClass);
+    if (profile.outputTokens > 0) {
+        const std::optional<Refusal> tooLong = this->refuseByBacklog(entry, profile, now);
+        if (tooLong.has_value()) {
+            return *tooLong;
+        }
+    }
     const std::optional<Refusal> refusal = this->refuseByForecast(entry, profile.requestClass.firstTokenTarget, now);
     if (refusal.has_value()) {
         return *refusal;
     }
-    return this->enqueue(profile, entry);
+    return this->enqueue(profile, entry, now);
 }
 
 bool Dispatcher::Implementation::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
@@ -76,6 +95,25 @@
     return this->resendLimits[target];
 }
 
+PromptBacklog &Dispatcher::Implementation::backlog(TargetIndex target)
+{
+    if (target >= this->backlogs.size()) {
+        this->backlogs.resize(target + 1);
+    }
+    return this->backlogs[target];
+}
+
+std::optional<Refusal> Dispatcher::Implementation::refuseByBacklog(
+    const QueueEntry &entry, const RequestProfile &profile, TimePoint now)
+{
+    const Duration wait = this->backlog(entry.target).expectedWait(entry.tier, now);
+    if (!PromptBacklog::isTooLong(wait, profile.requestClass.deadline)) {
+        return std::nullopt;
+    }
+    const auto excess = std::chrono::ceil<std::chrono::seconds>(wait - Duration(profile.requestClass.firstTokenTarget));
+    return notRun(RefusalReason::Overloaded, std::clamp(excess, std::chrono::seconds(1), longestRetryAfter));
+}
+
 QueueEntry Dispatcher::Implementation::entryOf(const RequestProfile &profile, TargetIndex target)
 {
     QueueEntry entry;
@@ -124,16 +162,16 @@
             return notRun(RefusalReason::Overloaded, retryAfter(wait, firstTokenTarget));
         }
         // It would be late even without lower tiers, but none of them may wait where it is refused.
-        this->reject(*victim, RefusalReason::Evicted);
+        this->reject(*victim, RefusalReason::Evicted, now);
         entry.late = true;
     }
-    if (!this->makeRoom(entry)) {
+    if (!this->makeRoom(entry, now)) {
         return notRun(RefusalReason::Overloaded, retryAfter(wait, firstTokenTarget));
     }
     return std::nullopt;
 }
 
-bool Dispatcher::Implementation::makeRoom(const QueueEntry &entry)
+bool Dispatcher::Implementation::makeRoom(const QueueEntry &entry, TimePoint now)
 {
     if (this->queue.size() < this->options.maxWaiting) {
         return true;
@@ -148,12 +186,12 @@
         victim = this->queue.victimOfLongest(lane, shares.share(lane, entry.account, entry.weight));
     }
     if (victim.has_value()) {
-        this->reject(*victim, RefusalReason::Evicted);
+        this->reject(*victim, RefusalReason::Evicted, now);
     }
     return victim.has_value();
 }
 
-Ticket Dispatcher::Implementation::enqueue(const RequestProfile &profile, QueueEntry entry)
+Ticket Dispatcher::Implementation::enqueue(const RequestProfile &profile, QueueEntry entry, TimePoint now)
 {
     const RequestIndex index = this->requests.add();
     RequestRecord &record = this->requests.record(index);
@@ -163,30 +201,39 @@
     record.prefixHash = profile.prefixHash;
     record.fingerprint = profile.fingerprint;
     record.promptTokens = profile.promptTokens;
+    record.prompt = promptOf(profile, entry);
+    record.serviceTarget = this->pool.internTarget(profile.model, profile.service);
     record.idempotent = profile.idempotent;
     record.maxAttempts = profile.maxAttempts > 0 ? profile.maxAttempts : this->options.maxAttempts;
-    this->putInQueue(index);
+    this->putInQueue(index, now);
     this->forecast.noteArrival(this->queue.shares().lane(entry.target, entry.tier), profile.arrival);
     return this->requests.ticket(index);
 }
 
-void Dispatcher::Implementation::putInQueue(RequestIndex index)
+void Dispatcher::Implementation::putInQueue(RequestIndex index, TimePoint now)
 {
     RequestRecord &record = this->requests.record(index);
     record.share = this->queue.add(record.entry);
+    if (record.isPromptKnown()) {
+        this->backlog(record.entry.target).noteWaiting(record.entry.tier, record.prompt.promptTokens, now);
+    }
     this->deadlines.add(index, record.deadline);
 }
 
-void Dispatcher::Implementation::takeFromQueue(RequestIndex index)
+void Dispatcher::Implementation::takeFromQueue(RequestIndex index, bool started, TimePoint now)
 {
+    const RequestRecord &record = this->requests.record(index);
+    if (record.isPromptKnown()) {
+        this->backlog(record.entry.target).noteEnd(record.entry.tier, record.prompt.promptTokens, started, now);
+    }
     this->queue.remove(index);
     this->deadlines.remove(index);
 }
 
-void Dispatcher::Implementation::reject(RequestIndex index, RefusalReason reason)
+void Dispatcher::Implementation::reject(RequestIndex index, RefusalReason reason, TimePoint now)
 {
     this->pending.push_back(Rejection{this->requests.ticket(index), this->refusalOf(this->requests.record(index), reason)});
-    this->takeFromQueue(index);
+    this->takeFromQueue(index, false, now);
     this->requests.remove(index);
 }
 
@@ -205,7 +252,7 @@
     this->heldUntil.reset();
     this->rejectExpired(now);
     if (this->serversChanged) {
-        this->rejectUnservable();
+        this->rejectUnservable(now);
         this->serversChanged = false;
     }
     for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
@@ -219,11 +266,11 @@
 void Dispatcher::Implementation::rejectExpired(TimePoint now)
 {
     while (!this->deadlines.isEmpty() && this->deadlines.earliest() <= now) {
-        this->reject(this->deadlines.earliestMember(), RefusalReason::DeadlineMissed);
+        this->reject(this->deadlines.earliestMember(), RefusalReason::DeadlineMissed, now);
     }
 }
 
-void Dispatcher::Implementation::rejectUnservable()
+void Dispatcher::Implementation::rejectUnservable(TimePoint now)
 {
     for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
         for (const bool cheapAllowed : {false, true}) {
@@ -232,7 +279,7 @@
                 if (!request.has_value()) {
                     break;
                 }
-                this->reject(*request, RefusalReason::NoServer);
+                this->reject(*request, RefusalReason::NoServer, now);
             }
         }
     }
@@ -262,16 +309,17 @@
         const RequestRecord &record = this->requests.record(*request);
         const std::optional<RefusalReason> reason = this->reasonNotToStart(record, now);
         if (reason.has_value()) {
-            this->reject(*request, *reason);
+            this->reject(*request, *reason, now);
             continue;
         }
-        const SelectionRequest wanted{target, record.entry.cheapAllowed, record.prefixHash, record.failedServer};
+        const SelectionRequest wanted{target, record.entry.cheapAllowed, record.prefixHash, record.failedServer,
+            record.isPromptKnown() ? &record.prompt : nullptr};
         const ServerIndex server = this->selector.select(this->pool, wanted, now);
         if (server == noServer) {
             return;
         }
         this->queue.noteStart(*request);
-        this->takeFromQueue(*request);
+        this->takeFromQueue(*request, true, now);
         this->start(*request, server, now, decisions);
     }
 }
@@ -307,14 +355,17 @@
     record.outstandingTokens = record.reservedTokens + record.promptTokens;
     this->queue.shares().charge(record.share, record.outstandingTokens);
     this->pool.acquire(server, record.entry.target, record.outstandingTokens);
+    if (record.isPromptKnown()) {
+        record.started = this->selector.prompts.start(this->pool, server, record.prompt);
+    }
     decisions.assignments.push_back(Assignment{this->requests.ticket(index), this->pool.server(server).id, suspect});
 }
 
-void Dispatcher::Implementation::cancel(Ticket ticket)
+void Dispatcher::Implementation::cancel(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
     if (index.has_value() && !this->requests.record(*index).isRunning()) {
-        this->takeFromQueue(*index);
+        this->takeFromQueue(*index, false, now);
         this->requests.remove(*index);
     }
 }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/traffic/dispatcher.h>
 #include <flamingosaddle/traffic/forecast.h>
 #include <flamingosaddle/traffic/policies.h>
+#include <flamingosaddle/traffic/promptbacklog.h>
 #include <flamingosaddle/traffic/quarantine.h>
 #include <flamingosaddle/traffic/requesttable.h>
 #include <flamingosaddle/traffic/resendlimit.h>
@@ -29,7 +30,7 @@
     void tokens(Ticket ticket, std::uint32_t count, TimePoint now);
     void finish(Ticket ticket, AttemptEnd end, TimePoint now);
     std::optional<Refusal> retry(Ticket ticket, AttemptEnd end, bool anyByteSent, TimePoint now);
-    void cancel(Ticket ticket);
+    void cancel(Ticket ticket, TimePoint now);
     void setServers(const std::vector<BackendServer> &servers);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
     void notePeerService(const ServiceReport &service);
@@ -38,6 +39,7 @@
     void takeService(std::vector<ServiceReport> &services);
 
     ServerPool pool;
+    Selector selector;
     Quarantine quarantine;
     std::uint32_t instanceCount = 0; // that share the servers; 0 while unknown
 
@@ -78,20 +80,22 @@
 
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     ResendLimit &resendLimit(TargetIndex target);
+    PromptBacklog &backlog(TargetIndex target);
+    std::optional<Refusal> refuseByBacklog(const QueueEntry &entry, const RequestProfile &profile, TimePoint now);
     void noteTier(const RequestClass &requestClass);
     QueueEntry entryOf(const RequestProfile &profile, TargetIndex target);
     ClassIndex internClass(const RequestClass &requestClass);
     QueueSituation situationOfTier(TargetIndex target, int tier, TimePoint now);
     QueueSituation situationOf(const QueueEntry &entry, TimePoint now);
     std::optional<Refusal> refuseByForecast(QueueEntry &entry, std::chrono::milliseconds firstTokenTarget, TimePoint now);
-    bool makeRoom(const QueueEntry &entry);
-    Ticket enqueue(const RequestProfile &profile, QueueEntry entry);
-    void putInQueue(RequestIndex index);
-    void takeFromQueue(RequestIndex index);
-    void reject(RequestIndex index, RefusalReason reason);
+    bool makeRoom(const QueueEntry &entry, TimePoint now);
+    Ticket enqueue(const RequestProfile &profile, QueueEntry entry, TimePoint now);
+    void putInQueue(RequestIndex index, TimePoint now);
+    void takeFromQueue(RequestIndex index, bool started, TimePoint now);
+    void reject(RequestIndex index, RefusalReason reason, TimePoint now);
     Refusal refusalOf(const RequestRecord &record, RefusalReason reason) const;
     void rejectExpired(TimePoint now);
-    void rejectUnservable();
+    void rejectUnservable(TimePoint now);
     Availability availability(TargetIndex target, TimePoint now);
     int lowestTierToStart(TargetIndex target, TimePoint now);
     void startWaiting(TargetIndex target, TimePoint now, Decisions &decisions);
@@ -104,10 +108,10 @@
     DispatcherOptions options;
     DispatcherPolicies policies;
     FairQueue queue;
-    Selector selector;
     Forecast forecast;
     RetryBudget retryBudget;
     std::vector<ResendLimit> resendLimits; // by target
+    std::vector<PromptBacklog> backlogs; // by target
     RequestTable requests;
     DeadlineHeap deadlines; // of waiting requests
     std::vector<Tier> tiers; // highest first
--- /dev/null
+++ b/src/traffic/promptplacement.cpp
@@ -0,0 +1,231 @@
+#include <flamingosaddle/traffic/promptplacement.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+// Orders the servers that short prompts get; any number does, as long as all instances use the same.
+constexpr std::uint64_t laneSeed = 0x5c0f7d1b9a3e2461ULL;
+constexpr double slowestReading = 1.0; // tokens a millisecond; bounds what a stalled engine can teach
+constexpr double fastestReading = 1000.0;
+constexpr double smallestMeasured = 2000.0; // tokens of a prompt from which on reading dominates the first token's time
+
+std::uint64_t mixed(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+double millisecondsOf(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+void PromptPlacement::noteArrival(const PromptRequest &request, TimePoint now)
+{
+    if (request.requestClass >= this->classes.size()) {
+        this->classes.resize(request.requestClass + 1);
+    }
+    for (Class &known : this->classes) {
+        const double passed = std::chrono::duration<double>(now - known.decayedAt) / std::chrono::duration<double>(workHorizon);
+        known.work *= std::exp(-std::max(passed, 0.0));
+        known.decayedAt = now;
+    }
+    Class &own = this->classes[request.requestClass];
+    own.promptTokens.add(request.promptTokens);
+    own.objective = request.objective;
+    own.tier = request.tier;
+    own.work += request.promptTokens + outputWeight * request.outputTokens;
+    this->findLanes();
+}
+
+void PromptPlacement::findLanes()
+{
+    std::vector<double> means;
+    for (const Class &known : this->classes) {
+        if (known.promptTokens.count() > 0) {
+            means.push_back(known.promptTokens.value());
+        }
+    }
+    std::sort(means.begin(), means.end());
+    double widest = laneRatio;
+    this->longestShort = 0.0;
+    for (std::size_t i = 1; i < means.size(); ++i) {
+        const double ratio = means[i] / std::max(means[i - 1], 1.0);
+        if (ratio >= widest) {
+            widest = ratio;
+            this->longestShort = means[i - 1];
+        }
+    }
+    this->tightestLong = Duration::max();
+    for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+        if (this->classes[index].promptTokens.count() > 0 && !this->isShort(index)) {
+            this->tightestLong = std::min(this->tightestLong, this->classes[index].objective);
+        }
+    }
+}
+
+bool PromptPlacement::isShort(ClassIndex requestClass) const
+{
+    return requestClass < this->classes.size() && this->classes[requestClass].promptTokens.value() <= this->longestShort;
+}
+
+double PromptPlacement::shortPart() const
+{
+    double shortWork = 0.0;
+    double allWork = 0.0;
+    for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+        allWork += this->classes[index].work;
+        shortWork += this->isShort(index) ? this->classes[index].work : 0.0;
+    }
+    return allWork > 0.0 ? shortWork / allWork : 0.0;
+}
+
+void PromptPlacement::divide(const ServerPool &pool, TargetIndex target)
+{
+    const std::vector<Candidate> &candidates = pool.candidates(target);
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, ServerIndex>> order;
+    order.reserve(candidates.size());
+    for (const Candidate &candidate : candidates) {
+        order.push_back({{pool.server(candidate.server).cheap, mixed(candidate.nameHash ^ laneSeed)}, candidate.server});
+        Server &state = this->serverAt(candidate.server);
+        if (state.nameHash != candidate.nameHash) {
+            state = Server();
+            state.nameHash = candidate.nameHash;
+        }
+        state.forShort = false;
+    }
+    if (this->longestShort <= 0.0 || order.size() < 2) {
+        return;
+    }
+    const double wanted = this->shortPart() * laneHeadroom * static_cast<double>(order.size());
+    const auto count = std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(wanted)), 1, order.size() / 2);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        this->servers[order[i].second].forShort = true;
+    }
+}
+
+double PromptPlacement::unreadBound(int tier) const
+{
+    std::set<int> higher;
+    for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+        // A class that has not been asked for lately needs no room.
+        if (!this->isShort(index) && this->classes[index].work >= 1.0 && this->classes[index].tier < tier) {
+            higher.insert(this->classes[index].tier);
+        }
+    }
+    const double bound = this->tokensPerMillisecond() * millisecondsOf(this->tightestLong) * unreadPart;
+    return std::ldexp(bound, -static_cast<int>(higher.size()));
+}
+
+bool PromptPlacement::isOwnLane(ServerIndex server, ClassIndex requestClass) const
+{
+    const Server *state = this->find(server);
+    return this->longestShort <= 0.0 || (state != nullptr && state->forShort) == this->isShort(requestClass);
+}
+
+PromptCost PromptPlacement::cost(
+    const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome) const
+{
+    const Server *state = this->find(candidate.server);
+    const ServerState &server = pool.server(candidate.server);
+    const double unread = state == nullptr ? 0.0 : state->own + state->peers;
+    const double kept = this->keeps(candidate.server, request) ? 1.0 : (isHome ? homeLikelihood : 0.0);
+    const double toRead = request.promptTokens - kept * request.sharedTokens;
+    PromptCost cost;
+    cost.isOwnLane = this->isOwnLane(candidate.server, request.requestClass);
+    // What is read although another server keeps it is lost to the others: it counts twice.
+    const double lost = (1.0 - kept) * request.sharedTokens;
+    cost.tokens
+        = (unread + toRead + lost) * server.slowdown + runningTokens * (server.inFlight + server.peersInFlight) * server.slowdown;
+    const double bound = this->unreadBound(request.tier);
+    const bool isShort = this->isShort(request.requestClass);
+    // A long prompt waits rather than stall the streams of the short ones.
+    cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= bound);
+    return cost;
+}
+
+PromptStart PromptPlacement::start(const ServerPool &pool, ServerIndex index, const PromptRequest &request)
+{
+    Server &state = this->serverAt(index);
+    if (state.nameHash != pool.server(index).nameHash) {
+        state = Server();
+        state.nameHash = pool.server(index).nameHash;
+    }
+    const double toRead = request.promptTokens - (this->keeps(index, request) ? request.sharedTokens : 0);
+    const PromptStart started{toRead, state.own + state.peers};
+    state.own += toRead;
+    if (request.prefixHash != 0) {
+        // The next request with this beginning is read after this one, so that it finds it kept.
+        state.prefixes[request.prefixHash] = ++this->uses;
+        if (state.prefixes.size() > maxPrefixes) {
+            state.prefixes.erase(
+                std::min_element(state.prefixes.begin(), state.prefixes.end(), [](const auto &left, const auto &right) {
+                    return left.second < right.second;
+                }));
+        }
+    }
+    return started;
+}
+
+void PromptPlacement::noteRead(ServerIndex server, const PromptStart &started, Duration taken)
+{
+    this->drop(server, started.own);
+    if (started.own >= smallestMeasured && taken > Duration::zero()) {
+        this->speed.add(std::clamp((started.own + started.ahead) / millisecondsOf(taken), slowestReading, fastestReading));
+    }
+}
+
+void PromptPlacement::drop(ServerIndex server, double tokens)
+{
+    Server &state = this->serverAt(server);
+    state.own = std::max(0.0, state.own - tokens);
+}
+
+void PromptPlacement::reportPeers(ServerIndex server, double tokens)
+{
+    this->serverAt(server).peers = tokens;
+}
+
+double PromptPlacement::unreadHere(ServerIndex server) const
+{
+    const Server *state = this->find(server);
+    return state == nullptr ? 0.0 : state->own;
+}
+
+double PromptPlacement::tokensPerMillisecond() const
+{
+    return this->speed.count() == 0 ? firstTokensPerMillisecond : this->speed.value();
+}
+
+bool PromptPlacement::keeps(ServerIndex index, const PromptRequest &request) const
+{
+    const Server *state = this->find(index);
+    return state != nullptr && request.prefixHash != 0 && state->prefixes.contains(request.prefixHash);
+}
+
+PromptPlacement::Server &PromptPlacement::serverAt(ServerIndex index)
+{
+    if (index >= this->servers.size()) {
+        this->servers.resize(index + 1);
+    }
+    return this->servers[index];
+}
+
+const PromptPlacement::Server *PromptPlacement::find(ServerIndex index) const
+{
+    return index < this->servers.size() ? &this->servers[index] : nullptr;
+}
+
+} // namespace flamingosaddle
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -1,6 +1,8 @@
 #include <flamingosaddle/traffic/selection.h>
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 
 namespace flamingosaddle
 {
@@ -39,6 +41,9 @@
     if (this->choose) {
         return this->byChoice(pool, request);
     }
+    if (request.prompt != nullptr) {
+        return this->byPrompt(pool, request, now);
+    }
     const ServerIndex affine = request.prefixHash == 0 ? noServer : this->byAffinity(pool, request, now);
     return affine == noServer ? this->byDraws(pool, request, now) : affine;
 }
@@ -83,6 +88,58 @@
     return load + 1.0 <= std::max(1.0, affinityBound * mean * state.slots);
 }
 
+ServerIndex Selector::homeOf(const ServerPool &pool, const SelectionRequest &request) const
+{
+    ServerIndex home = noServer;
+    std::uint64_t highest = 0;
+    for (const Candidate &candidate : pool.candidates(request.target)) {
+        const std::uint64_t weight = mixedWeight(candidate.nameHash, request.prefixHash);
+        const bool isBetter = home == noServer || weight > highest;
+        if (isBetter && this->prompts.isOwnLane(candidate.server, request.prompt->requestClass)) {
+            home = candidate.server;
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+bool Selector::haveAllFailed(const ServerPool &pool, TargetIndex target, TimePoint now)
+{
+    const std::vector<Candidate> &candidates = pool.candidates(target);
+    return std::all_of(candidates.begin(), candidates.end(), [&pool, now](const Candidate &candidate) {
+        return pool.server(candidate.server).avoidUntil > now;
+    });
+}
+
+ServerIndex Selector::byPrompt(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
+{
+    this->prompts.divide(pool, request.target);
+    const ServerIndex home = this->homeOf(pool, request);
+    // A server that failed lately has nothing unread, and yet no room: it is taken only when all have failed.
+    const bool allFailed = this->haveAllFailed(pool, request.target, now);
+    ServerIndex best = noServer;
+    std::tuple<int, bool, double, std::uint64_t> least;
+    for (const Candidate &candidate : pool.candidates(request.target)) {
+        const bool isFree = candidate.freePosition != std::numeric_limits<std::uint32_t>::max();
+        const PromptCost cost = this->prompts.cost(pool, candidate, *request.prompt, candidate.server == home);
+        if (!isFree || !cost.isAllowed || (pool.server(candidate.server).cheap && !request.cheapAllowed)) {
+            continue;
+        }
+        if (!allFailed && pool.server(candidate.server).avoidUntil > now) {
+            continue;
+        }
+        const int level = this->penalty(pool, request, candidate.server, now).level;
+        // Among equals the rendezvous order decides, so that instances choose the same server for the same beginning.
+        const std::uint64_t order = ~mixedWeight(candidate.nameHash, request.prefixHash);
+        const std::tuple<int, bool, double, std::uint64_t> rank{level, !cost.isOwnLane, cost.tokens, order};
+        if (best == noServer || rank < least) {
+            best = candidate.server;
+            least = rank;
+        }
+    }
+    return best;
+}
+
 ServerIndex Selector::byChoice(const ServerPool &pool, const SelectionRequest &request)
 {
     this->views.clear();
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -54,6 +54,7 @@
     before.swap(state.places);
     if (configured.kind == BackendKind::Service) {
         this->addPlace(state, before, this->internTarget(ModelName(), configured.service));
+        this->addPlace(state, before, this->internTarget(longPrompts(), configured.service));
         return;
     }
     for (const ModelName &model : configured.models) {
@@ -72,6 +73,12 @@
     state.places.push_back(place);
 }
 
+const ModelName &ServerPool::longPrompts()
+{
+    static const ModelName name("(long prompts)");
+    return name;
+}
+
 TargetIndex ServerPool::internTarget(const ModelName &model, const ServiceName &service)
 {
     const TargetIndex index = this->targetNames.intern({model, service});
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -48,7 +48,7 @@
 
 int runDaemon(const Settings &settings, SettingsWatch::Load reload)
 {
-    initializeLogging(settings.logLevel);
+    initializeLogging(settings.logLevel, LogOutput::StandardOutput);
     auto daemon = Daemon::create(settings, integrationOf(settings), std::move(reload));
     if (daemon.has_error()) {
         std::cerr << "flamingosaddled: " << daemon.error().text() << '\n';
@@ -58,6 +58,7 @@
     std::cout << "listening caller=" << addresses.caller.text() << " admin=" << addresses.admin.text()
               << " peer=" << addresses.peer.text() << std::endl;
     daemon.value()->run();
+    shutDownLogging();
     return EXIT_SUCCESS;
 }
 
