--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -129,6 +129,8 @@
     void startDirectory();
     PeerExchangeHooks peerHooks();
     std::optional<TimePoint> lastReadAt() const;
+    /** Whether any configuration was read. Before it nothing is published, so that requests are refused as not run. */
+    bool hasConfig() const;
     void addDataCentre(const DataCentre &dataCentre);
     void updateRoles();
     void configAdvanced();
--- a/include/flamingosaddle/control/dutylog.h
+++ b/include/flamingosaddle/control/dutylog.h
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> lead();
     boost::asio::awaitable<void> claimIfFree();
     void take(const KeyedEntry &entry, TimePoint now);
+    bool isDecided(const std::string &key, const std::string &value) const;
     void noteChange();
 
     const DutyHooks &hooks;
--- a/include/flamingosaddle/http/message.h
+++ b/include/flamingosaddle/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -40,6 +41,7 @@
      */
     std::string_view find(std::string_view name) const;
     bool has(std::string_view name) const;
+    std::size_t count(std::string_view name) const; ///< fields of this name
     const std::vector<HttpHeader> &fields() const;
 
     friend bool operator==(const HttpHeaders &, const HttpHeaders &) = default;
--- a/include/flamingosaddle/relay/trafficgate.h
+++ b/include/flamingosaddle/relay/trafficgate.h
@@ -25,7 +25,10 @@
 struct TrafficGateHooks {
     /** A backend server died while it ran the request of this fingerprint. */
     std::function<void(std::uint64_t fingerprint, const BackendServerId &server)> onDeath;
-    /** A request of which a backend server died before is about to run, until @p until at the latest. */
+    /**
+     * A request of which a backend server died before is about to run, until @p until at the latest; or, with a time that is
+     * past, was answered.
+     */
     std::function<void(std::uint64_t fingerprint, TimePoint until)> onSuspect;
 };
 
@@ -36,7 +39,8 @@
 class TrafficGrant
 {
 public:
-    TrafficGrant(std::shared_ptr<TrafficGateCore> core, Ticket ticket, BackendServerId server, const RequestProfile &profile);
+    TrafficGrant(std::shared_ptr<TrafficGateCore> core, Ticket ticket, BackendServerId server, const RequestProfile &profile,
+        bool suspect = false);
     ~TrafficGrant();
     TrafficGrant(TrafficGrant &&other) noexcept;
     TrafficGrant &operator=(TrafficGrant &&) = delete;
@@ -61,6 +65,7 @@
     BackendServerId serverId;
     std::uint64_t fingerprint;
     TimePoint deadline;
+    bool suspect = false; // whether the peers were told of the run
 };
 
 /**
--- a/include/flamingosaddle/state/leadership.h
+++ b/include/flamingosaddle/state/leadership.h
@@ -53,7 +53,8 @@
 
     /** A record to append that claims the lead, or renews it while it is held. Its lease counts from @p now. */
     LeadershipRecord makeRecord(TimePoint now);
-    LeadershipRecord makeRelease() const;
+    /** A record to append that gives the lead up. It is not held from here on, whatever becomes of the record. */
+    LeadershipRecord release(TimePoint now);
 
     /** A record that is in the log, as its append answered or as it was read at @p now. */
     void observe(const LeadershipRecord &record, std::uint64_t offset, TimePoint now);
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -22,6 +22,8 @@
     std::uint32_t maxAttempts = 3; ///< for one request
     std::uint32_t quarantineDeaths = 2; ///< backend servers that one request may cost
     std::uint32_t reservePercent = 25; ///< of a target's slots at most that lower tiers leave free for higher ones
+    /** Whether servers that were not reached count neither as attempts, but for a few of a request, nor as retries. */
+    bool unsentIsFree = false;
     bool suspectsRunAlone = true; ///< whether a request that cost a server runs once at a time over all instances
     ResendLimitOptions resends; ///< on second sends of each service
     std::uint64_t seed = 1; ///< of random choices between servers
@@ -84,7 +86,10 @@
     /** A peer saw @p fingerprint running when a backend server died. */
     void noteDeath(std::uint64_t fingerprint, const BackendServerId &server, TimePoint now);
 
-    /** A peer runs, until @p until at the latest, a request of which a backend server died before. */
+    /**
+     * A peer runs, until @p until at the latest, a request of which a backend server died before. A time that is not in the
+     * future tells that the request was answered: the server did not die of it.
+     */
     void noteSuspect(std::uint64_t fingerprint, TimePoint until, TimePoint now);
 
     /** A peer served tokens to a client account since its last report. */
--- a/include/flamingosaddle/traffic/quarantine.h
+++ b/include/flamingosaddle/traffic/quarantine.h
@@ -13,8 +13,8 @@
  * Requests that were running when backend servers died, by fingerprint.
  *
  * After one death the request is a suspect: it runs at most once at a time over all instances, as far as their words
- * have arrived. After maxDeaths it is refused until expiry after the last one. Memory is bounded by capacity; when it
- * is full, the entry that expires first goes.
+ * have arrived, and one that is answered is no suspect any more. After maxDeaths it is refused until expiry after the last one.
+ * Memory is bounded by capacity; when it is full, the entry that expires first goes.
  *
  * What remains: copies of a request that run side by side when its first server dies, and two instances that start a
  * suspect within the time that a word between them takes, can cost a server more each.
@@ -43,6 +43,9 @@
     /** A peer runs the suspect until @p until at the latest. */
     void notePeerRun(std::uint64_t fingerprint, TimePoint until, TimePoint now);
 
+    /** The request was answered, here or at a peer: the server that died did not die of it. */
+    void exonerate(std::uint64_t fingerprint);
+
     /** A run of the request starts or ends here. Only runs of suspects are counted. */
     void noteStart(std::uint64_t fingerprint);
     void noteEnd(std::uint64_t fingerprint);
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -27,6 +27,7 @@
     std::uint32_t attempts = 0; ///< that a server may have seen
     std::uint32_t unsentAttempts = 0; ///< that no server saw
     TargetIndex serviceTarget = 0; ///< for prompts of any length; that of the entry may be for long ones
+    bool parked = false; ///< a suspect that waits outside of the queue until another run of it has ended
     bool everSent = false; ///< a backend server may have seen it
     ServerIndex failedServer = noServer; ///< of the last attempt
     // Of the attempt that runs.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -82,6 +82,7 @@
     options.retryPercent = static_cast<std::uint32_t>(settings.retryPercent);
     options.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
     options.quarantineDeaths = static_cast<std::uint32_t>(settings.quarantineDeaths);
+    options.unsentIsFree = settings.configuration == ConfigurationSource::Operator;
     options.suspectsRunAlone = settings.configuration == ConfigurationSource::Log;
     options.resends = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra)};
     options.seed = seed;
@@ -274,7 +275,8 @@
             this->tellQuarantines({{{fingerprint, server}}, {}});
         };
         hooks.onSuspect = [this](std::uint64_t fingerprint, TimePoint until) {
-            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(until - RuntimeClock::now());
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - RuntimeClock::now());
+            const auto remaining = std::max(left, std::chrono::milliseconds(0));
             this->tellQuarantines({{}, {{fingerprint, remaining}}});
         };
         return hooks;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -341,13 +341,18 @@
     return this->directory ? this->directory->provedAt() : this->tail.lastReadAt();
 }
 
-bool Controller::isReady() const
+bool Controller::hasConfig() const
 {
     if (this->directory) {
-        return this->directory->state() != nullptr && this->lastReadAt().has_value();
+        return this->directory->state() != nullptr;
     }
     const bool isFromPeers = this->peers.lastAgreement().has_value() && this->tail.state()->nextOffset() > 0;
-    return this->publishedState != nullptr && (this->tail.lastReadAt().has_value() || isFromPeers);
+    return this->tail.lastReadAt().has_value() || isFromPeers;
+}
+
+bool Controller::isReady() const
+{
+    return this->publishedState != nullptr && this->hasConfig() && (!this->directory || this->lastReadAt().has_value());
 }
 
 TimePoint Controller::freshUntil() const
@@ -533,7 +538,7 @@
 void Controller::configAdvanced()
 {
     const std::shared_ptr<const ConfigState> before = this->publishedState;
-    if (this->directory && !this->directory->state()) {
+    if (!this->hasConfig()) {
         return;
     }
     const std::shared_ptr<const ConfigState> after = this->config();
--- a/src/control/dutylog.cpp
+++ b/src/control/dutylog.cpp
@@ -43,7 +43,7 @@
     if (!this->isLeading() || !this->endKnown) {
         co_return;
     }
-    co_await this->append(leadKey, encodeLeadershipRecord(this->leadership.makeRelease()));
+    co_await this->append(leadKey, encodeLeadershipRecord(this->leadership.release(RuntimeClock::now())));
     this->noteChange();
 }
 
@@ -73,6 +73,12 @@
     return this->newest;
 }
 
+bool DutyLog::isDecided(const std::string &key, const std::string &value) const
+{
+    const auto stored = this->newest.find(key);
+    return stored != this->newest.end() && stored->second == value;
+}
+
 bool DutyLog::hasPending(const std::string &key) const
 {
     return std::any_of(this->pending.begin(), this->pending.end(), [&key](const auto &decision) {
@@ -145,9 +151,11 @@
     while (!this->pending.empty() && this->endKnown && this->isLeading() && !this->stopped) {
         const std::size_t before = this->pending.size();
         const auto [key, value] = this->pending.front();
-        co_await this->append(key, value);
-        const auto stored = this->newest.find(key);
-        if (stored != this->newest.end() && stored->second == value) {
+        // An append without an answer may have been read back since.
+        if (!this->isDecided(key, value)) {
+            co_await this->append(key, value);
+        }
+        if (this->isDecided(key, value)) {
             this->pending.pop_front();
         }
         if (this->pending.size() == before) {
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -213,6 +213,10 @@
 asio::awaitable<Result<HttpResponseHead>> ClientConnection::readHead(Duration timeout)
 {
     boost::system::error_code error;
+    if (std::exchange(this->wholeAnswer, false)) {
+        // Another answer than the last one is asked for.
+        this->parser.reset();
+    }
     while (true) {
         if (!this->parser) {
             this->parser = std::make_unique<Parser>();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -77,6 +77,13 @@
     return {};
 }
 
+std::size_t HttpHeaders::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(std::count_if(this->list.begin(), this->list.end(), [name](const HttpHeader &field) {
+        return equalHeaderNames(field.name, name);
+    }));
+}
+
 bool HttpHeaders::has(std::string_view name) const
 {
     return std::any_of(this->list.begin(), this->list.end(), [name](const HttpHeader &field) {
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -25,6 +25,19 @@
     return fail(ErrorKind::InvalidRequest, "the request is no valid HTTP/1.1: " + detail, "correct the client");
 }
 
+/** A body of an unknown transfer coding would be taken for no body, and its bytes for the next request. */
+Result<void> checkFraming(const http::request_header<> &head)
+{
+    const auto codings = head.equal_range(http::field::transfer_encoding);
+    for (auto coding = codings.first; coding != codings.second; ++coding) {
+        const std::string value(coding->value());
+        if (!equalHeaderNames(value, "chunked")) {
+            return malformed("its transfer coding '" + value + "' is unknown");
+        }
+    }
+    return done();
+}
+
 } // namespace
 
 struct ServerConnection::Parser : http::request_parser<http::string_body> {
@@ -102,10 +115,18 @@
             co_return fail(whole.error());
         }
         if (whole.value()) {
+            const Result<void> framed = checkFraming(parser.get());
+            if (!framed.has_value()) {
+                co_return fail(framed.error());
+            }
             break;
         }
         if (parser.is_header_done() && !inBody) {
             inBody = true;
+            const Result<void> framed = checkFraming(parser.get());
+            if (!framed.has_value()) {
+                co_return fail(framed.error());
+            }
             const Result<void> prepared = co_await this->prepareForBody(parser);
             if (!prepared.has_value()) {
                 co_return false;
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -141,6 +141,9 @@
     const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const
 {
     const std::string_view header = request.headers.find("Authorization");
+    if (request.headers.count("Authorization") > 1) {
+        return fail(ErrorKind::InvalidRequest, "the request carries more than one key", "send one Authorization field");
+    }
     if (!hasBearer(header)) {
         return fail(ErrorKind::Unauthorized, "the request carries no key", "send it as Authorization: Bearer KEY");
     }
--- a/src/relay/trafficgate.cpp
+++ b/src/relay/trafficgate.cpp
@@ -48,12 +48,13 @@
 };
 
 TrafficGrant::TrafficGrant(
-    std::shared_ptr<TrafficGateCore> core, Ticket ticket, BackendServerId server, const RequestProfile &profile)
+    std::shared_ptr<TrafficGateCore> core, Ticket ticket, BackendServerId server, const RequestProfile &profile, bool suspect)
     : core(std::move(core))
     , ticket(ticket)
     , serverId(std::move(server))
     , fingerprint(profile.fingerprint)
     , deadline(profile.arrival + profile.requestClass.deadline)
+    , suspect(suspect)
 {
 }
 
@@ -97,6 +98,8 @@
     open->finish(this->ticket, end);
     if (end == AttemptEnd::ServerFailed) {
         open->noteDeath(this->fingerprint, this->serverId);
+    } else if (end == AttemptEnd::Completed && this->suspect) {
+        open->noteAnswered(this->fingerprint);
     }
 }
 
@@ -121,6 +124,7 @@
         co_return *later;
     }
     this->serverId = std::get<BackendServerId>(waiter->decision);
+    this->suspect = waiter->suspect;
     this->core = open;
     co_return std::nullopt;
 }
@@ -156,7 +160,7 @@
     if (const Refusal *refusal = std::get_if<Refusal>(&waiter->decision)) {
         co_return *refusal;
     }
-    co_return TrafficGrant(open, ticket, std::get<BackendServerId>(waiter->decision), profile);
+    co_return TrafficGrant(open, ticket, std::get<BackendServerId>(waiter->decision), profile, waiter->suspect);
 }
 
 void TrafficGate::update(const std::function<void(Dispatcher &dispatcher, TimePoint now)> &change)
--- a/src/relay/trafficgatecore.cpp
+++ b/src/relay/trafficgatecore.cpp
@@ -75,6 +75,13 @@
     }
 }
 
+void TrafficGateCore::noteAnswered(std::uint64_t fingerprint)
+{
+    if (this->hooks.onSuspect) {
+        this->hooks.onSuspect(fingerprint, TimePoint());
+    }
+}
+
 asio::awaitable<void> TrafficGateCore::awaitDecision(Ticket ticket, std::shared_ptr<TrafficWaiter> waiter, CallerSignal &caller)
 {
     const CallerSignal::Listener listener(caller, [this, ticket, &waiter]() {
@@ -152,6 +159,7 @@
 void TrafficGateCore::deliver(Delivery delivery, const TrafficWaiter *own)
 {
     TrafficWaiter &waiter = *delivery.waiter;
+    waiter.suspect = delivery.suspect;
     if (delivery.suspect && this->hooks.onSuspect) {
         this->hooks.onSuspect(waiter.fingerprint, waiter.deadline);
     }
--- a/src/relay/trafficgatecore.h
+++ b/src/relay/trafficgatecore.h
@@ -33,6 +33,7 @@
     boost::asio::any_io_executor executor;
     Timer decided; // never expires; cancelled when the decision is there
     Decision decision;
+    bool suspect = false; // whether the peers were told that the request is about to run
     std::uint64_t fingerprint;
     TimePoint deadline;
 };
@@ -53,6 +54,8 @@
     void firstToken(Ticket ticket);
     void tokens(Ticket ticket, std::uint32_t count);
     void finish(Ticket ticket, AttemptEnd end);
+    /** A suspect was answered. */
+    void noteAnswered(std::uint64_t fingerprint);
     void noteDeath(std::uint64_t fingerprint, const BackendServerId &server);
     /** Waits for the decision. A caller that goes meanwhile cancels the request. */
     boost::asio::awaitable<void> awaitDecision(Ticket ticket, std::shared_ptr<TrafficWaiter> waiter, CallerSignal &caller);
--- a/src/state/leadership.cpp
+++ b/src/state/leadership.cpp
@@ -40,9 +40,13 @@
     return {{this->self, this->sequence}, this->isHeld(now) ? this->heldFence : 0, false};
 }
 
-LeadershipRecord Leadership::makeRelease() const
+LeadershipRecord Leadership::release(TimePoint now)
 {
-    return {{this->self, this->sequence + 1}, this->heldFence, true};
+    const LeadershipRecord record{{this->self, ++this->sequence}, this->heldFence, true};
+    // Records that are still under way must not give it back.
+    this->pending.clear();
+    this->drop(now);
+    return record;
 }
 
 void Leadership::observe(const LeadershipRecord &record, std::uint64_t offset, TimePoint now)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -77,7 +77,11 @@
 
 void Dispatcher::noteSuspect(std::uint64_t fingerprint, TimePoint until, TimePoint now)
 {
-    this->implementation->quarantine.notePeerRun(fingerprint, until, now);
+    if (until <= now) {
+        this->implementation->quarantine.exonerate(fingerprint);
+    } else {
+        this->implementation->quarantine.notePeerRun(fingerprint, until, now);
+    }
 }
 
 void Dispatcher::notePeerService(const ServiceReport &service)
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -81,7 +81,7 @@
     }
     RequestRecord &record = this->requests.record(*index);
     record.everSent = record.everSent || anyByteSent;
-    if (end == AttemptEnd::NotSent && record.unsentAttempts < maxUnsentAttempts) {
+    if (end == AttemptEnd::NotSent && this->options.unsentIsFree && record.unsentAttempts < maxUnsentAttempts) {
         // The server never saw it.
         --record.attempts;
         ++record.unsentAttempts;
@@ -94,7 +94,11 @@
         return refusal;
     }
     record.entry.late = record.entry.lateAt <= now;
-    this->putInQueue(*index, now);
+    if (this->mustWaitAlone(record.fingerprint, now)) {
+        this->park(*index);
+    } else {
+        this->putInQueue(*index, now);
+    }
     return std::nullopt;
 }
 
@@ -116,7 +120,7 @@
     if (!this->pool.anyUsable(record.entry.target, record.entry.cheapAllowed)) {
         return RefusalReason::NoServer;
     }
-    if (end == AttemptEnd::NotSent && !this->policies.mayRetry) {
+    if (end == AttemptEnd::NotSent && this->options.unsentIsFree) {
         // No server has seen it, so that sending it again adds no load.
         return std::nullopt;
     }
@@ -150,6 +154,7 @@
     switch (end) {
     case AttemptEnd::Completed:
         this->pool.noteSuccess(record.server);
+        this->quarantine.exonerate(record.fingerprint);
         break;
     case AttemptEnd::ServerFailed:
         this->pool.noteFailure(record.server, now);
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -12,8 +12,8 @@
 
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
-constexpr std::chrono::seconds suspectRetryAfter{5};
 constexpr std::chrono::seconds longestRetryAfter{60};
+constexpr Duration parkedInterval = std::chrono::milliseconds(100); // between two looks at suspects that run elsewhere
 constexpr Duration holdInterval = std::chrono::milliseconds(500); // after which rates of arrival are looked at again
 
 Refusal notRun(RefusalReason reason, std::chrono::seconds retryAfter)
@@ -51,9 +51,7 @@
 std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
 {
     if (this->isQuarantined(profile.fingerprint, now)) {
-        const bool isFinal = this->quarantine.verdict(profile.fingerprint, now) == Quarantine::Verdict::Refused;
-        const auto expiry = std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry);
-        return notRun(RefusalReason::Quarantined, isFinal ? expiry : suspectRetryAfter);
+        return notRun(RefusalReason::Quarantined, std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry));
     }
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
     if (!target.has_value() || !this->pool.anyUsable(*target, profile.requestClass.cheapAllowed)) {
@@ -83,8 +81,34 @@
 
 bool Dispatcher::Implementation::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
-    const Quarantine::Verdict verdict = this->quarantine.verdict(fingerprint, now);
-    return verdict == Quarantine::Verdict::Refused || (this->options.suspectsRunAlone && verdict == Quarantine::Verdict::Busy);
+    return this->quarantine.verdict(fingerprint, now) == Quarantine::Verdict::Refused;
+}
+
+bool Dispatcher::Implementation::mustWaitAlone(std::uint64_t fingerprint, TimePoint now) const
+{
+    return this->options.suspectsRunAlone && this->quarantine.verdict(fingerprint, now) == Quarantine::Verdict::Busy;
+}
+
+void Dispatcher::Implementation::park(RequestIndex index)
+{
+    this->requests.record(index).parked = true;
+    this->parked.push_back(index);
+    this->deadlines.add(index, this->requests.record(index).deadline);
+}
+
+void Dispatcher::Implementation::releaseParked(TimePoint now)
+{
+    const std::vector<RequestIndex> waiting = std::exchange(this->parked, {});
+    for (const RequestIndex index : waiting) {
+        RequestRecord &record = this->requests.record(index);
+        if (this->mustWaitAlone(record.fingerprint, now)) {
+            this->parked.push_back(index);
+            continue;
+        }
+        record.parked = false;
+        this->deadlines.remove(index);
+        this->putInQueue(index, now);
+    }
 }
 
 ResendLimit &Dispatcher::Implementation::resendLimit(TargetIndex target)
@@ -173,7 +197,7 @@
 
 bool Dispatcher::Implementation::makeRoom(const QueueEntry &entry, TimePoint now)
 {
-    if (this->queue.size() < this->options.maxWaiting) {
+    if (this->waitingCount() < this->options.maxWaiting) {
         return true;
     }
     if (!this->policies.mayEvict) {
@@ -205,7 +229,11 @@
     record.serviceTarget = this->pool.internTarget(profile.model, profile.service);
     record.idempotent = profile.idempotent;
     record.maxAttempts = profile.maxAttempts > 0 ? profile.maxAttempts : this->options.maxAttempts;
-    this->putInQueue(index, now);
+    if (this->mustWaitAlone(record.fingerprint, now)) {
+        this->park(index);
+    } else {
+        this->putInQueue(index, now);
+    }
     this->forecast.noteArrival(this->queue.shares().lane(entry.target, entry.tier), profile.arrival);
     return this->requests.ticket(index);
 }
@@ -223,6 +251,11 @@
 void Dispatcher::Implementation::takeFromQueue(RequestIndex index, bool started, TimePoint now)
 {
     const RequestRecord &record = this->requests.record(index);
+    if (record.parked) {
+        std::erase(this->parked, index);
+        this->deadlines.remove(index);
+        return;
+    }
     if (record.isPromptKnown()) {
         this->backlog(record.entry.target).noteEnd(record.entry.tier, record.prompt.promptTokens, started, now);
     }
@@ -249,8 +282,10 @@
 {
     decisions.assignments.clear();
     decisions.rejections.clear();
+    this->lastDispatch = now;
     this->heldUntil.reset();
     this->rejectExpired(now);
+    this->releaseParked(now);
     if (this->serversChanged) {
         this->rejectUnservable(now);
         this->serversChanged = false;
@@ -307,6 +342,12 @@
             return;
         }
         const RequestRecord &record = this->requests.record(*request);
+        if (this->mustWaitAlone(record.fingerprint, now)) {
+            const RequestIndex suspect = *request;
+            this->takeFromQueue(suspect, false, now);
+            this->park(suspect);
+            continue;
+        }
         const std::optional<RefusalReason> reason = this->reasonNotToStart(record, now);
         if (reason.has_value()) {
             this->reject(*request, *reason, now);
@@ -411,6 +452,10 @@
         return std::nullopt;
     }
     const TimePoint deadline = this->deadlines.earliest();
+    if (!this->parked.empty()) {
+        // The word that ends the wait may be lost, so that time ends it as well.
+        return std::min(deadline, this->lastDispatch + parkedInterval);
+    }
     return this->heldUntil.has_value() ? std::min(deadline, *this->heldUntil) : deadline;
 }
 
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -47,12 +47,12 @@
 
     std::size_t waitingCount() const
     {
-        return this->queue.size();
+        return this->queue.size() + this->parked.size();
     }
 
     std::size_t runningCount() const
     {
-        return this->requests.size() - this->queue.size();
+        return this->requests.size() - this->waitingCount();
     }
 
     std::optional<TimePoint> nextWakeup() const;
@@ -79,6 +79,9 @@
     };
 
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
+    bool mustWaitAlone(std::uint64_t fingerprint, TimePoint now) const;
+    void park(RequestIndex index);
+    void releaseParked(TimePoint now);
     ResendLimit &resendLimit(TargetIndex target);
     PromptBacklog &backlog(TargetIndex target);
     std::optional<Refusal> refuseByBacklog(const QueueEntry &entry, const RequestProfile &profile, TimePoint now);
@@ -118,6 +121,8 @@
     Interner<ClientAccountId> accounts;
     Interner<ClassKey, ClassKeyHash> classes;
     ClassKey classKey; // kept so that a look-up copies into existing memory
+    TimePoint lastDispatch;
+    std::vector<RequestIndex> parked; // suspects that run elsewhere
     std::vector<Rejection> pending; // that the next dispatch() hands out
     bool serversChanged = false;
     std::optional<TimePoint> heldUntil; // when requests are looked at again that leave slots free for a higher tier
--- a/src/traffic/quarantine.cpp
+++ b/src/traffic/quarantine.cpp
@@ -35,6 +35,15 @@
     entry.peerRunsUntil = std::max(entry.peerRunsUntil, until);
 }
 
+void Quarantine::exonerate(std::uint64_t fingerprint)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end() && found->second.deaths < this->maxDeaths) {
+        found->second.deaths = 0;
+        found->second.peerRunsUntil = TimePoint();
+    }
+}
+
 void Quarantine::noteStart(std::uint64_t fingerprint)
 {
     const auto found = this->entries.find(fingerprint);
@@ -61,6 +70,9 @@
     if (entry.deaths >= this->maxDeaths) {
         return Verdict::Refused;
     }
+    if (entry.deaths == 0) {
+        return Verdict::Clear;
+    }
     return entry.running > 0 || entry.peerRunsUntil > now ? Verdict::Busy : Verdict::Suspect;
 }
 
--- /dev/null
+++ b/tests/adapter/callerwire_test.cpp
@@ -0,0 +1,193 @@
+#include "callerfixture.h"
+
+#include <platform/callerwire.h>
+#include <platform/records.h>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::platform;
+using namespace flamingosaddle::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string config = R"({
+    "version": 1,
+    "routes": [
+        {"name": "chat", "host": "h.example", "path_prefix": "/chat/", "type": "streaming", "timeout_ms": 15000,
+         "latency_goal_ms": 600, "priority": 0, "service": "engines", "max_attempts": 2, "resumable": true},
+        {"name": "digest", "host": "h.example", "path_prefix": "/chat/digest/", "type": "streaming", "timeout_ms": 6000,
+         "latency_goal_ms": 1000, "priority": 1, "service": "engines", "max_attempts": 1},
+        {"name": "deposit", "host": "h.example", "path_prefix": "/deposit/", "type": "non_idempotent", "timeout_ms": 2000,
+         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 1},
+        {"name": "lookup", "host": "h.example", "path_prefix": "/lookup/", "type": "idempotent", "timeout_ms": 2000,
+         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2},
+        {"name": "open", "host": "h.example", "path_prefix": "/open/", "type": "idempotent", "timeout_ms": 2000,
+         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2, "public": true}
+    ],
+    "services": [],
+    "tenants": [{"name": "first", "api_keys": ["key-1"], "priority": 0}, {"name": "second", "api_keys": ["key-2"], "priority": 1}]
+})";
+
+HttpRequest requestFor(const std::string &target, const std::string &key = "key-1")
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    request.headers = {{"Host", "h.example:8080"}, {"Flamingosaddle-Request-Id", "id-1"}, {"Authorization", "Bearer " + key},
+        {"Flamingosaddle-Deadline-Ms", "4000"}, {"Flamingosaddle-Token-Count", "1460,80"},
+        {"Flamingosaddle-Prefix-Hash", "aa:800,bb:410,cc:250"}, {"X-Other", "kept"}, {"Connection", "close, X-Hop"},
+        {"X-Hop", "dropped"}, {"Flamingosaddle-Tenant", "forged"}, {"Kv-From", "forged"}, {"Flamingosaddle-Pin-Ms", "forged"}};
+    request.body = "body";
+    return request;
+}
+
+struct CallerWireTest : testing::Test {
+    CallerInterface interface = callerInterface("secret");
+
+    std::shared_ptr<const RoutingSnapshot> snapshot(TimePoint freshUntil = TimePoint::max())
+    {
+        const PublishedConfig published = decodeConfig(config, 0, "secret").value();
+        return std::make_shared<const RoutingSnapshot>(
+            std::make_shared<const ConfigState>(ConfigState::ofObjects(published.objects, 1)), std::set<KeyId>(), freshUntil);
+    }
+
+    Result<RoutedRequest> route(const HttpRequest &request, TimePoint freshUntil = TimePoint::max())
+    {
+        return this->interface.route(*this->snapshot(freshUntil), request, TimePoint(1s));
+    }
+
+    HttpRequest passedOn(const HttpRequest &request, std::optional<std::uint64_t> resumeAfter = std::nullopt)
+    {
+        const RoutedRequest routed = this->route(request).value();
+        const TraceContext trace;
+        const BackendServerId server("i-1");
+        return this->interface.backendRequest({request, "id-1", trace, routed.profile, server, 1500ms, resumeAfter});
+    }
+
+    AnswerVerdict judged(int status, HttpHeaders headers)
+    {
+        return this->interface.judgeAnswer(requestFor("/chat/x"), {status, std::move(headers)});
+    }
+};
+
+} // namespace
+
+TEST_F(CallerWireTest, TheLongestPrefixOfTheHostDecides)
+{
+    EXPECT_EQ(this->route(requestFor("/chat/1")).value().route, RouteId("chat"));
+    EXPECT_EQ(this->route(requestFor("/chat/digest/1")).value().route, RouteId("digest"));
+    EXPECT_EQ(this->route(requestFor("/nowhere/1")).error().kind(), ErrorKind::NotFound);
+    HttpRequest elsewhere = requestFor("/chat/1");
+    elsewhere.headers.set("Host", "other.example");
+    EXPECT_EQ(this->route(elsewhere).error().kind(), ErrorKind::NotFound);
+}
+
+TEST_F(CallerWireTest, KeysNameTheClientAccountAndStrangersAreRefused)
+{
+    const RoutedRequest routed = this->route(requestFor("/chat/1", "key-2")).value();
+    EXPECT_EQ(routed.profile.clientAccount, ClientAccountId("second"));
+    EXPECT_EQ(this->route(requestFor("/chat/1", "stolen")).error().kind(), ErrorKind::Unauthorized);
+    HttpRequest twice = requestFor("/chat/1");
+    twice.headers.add("Authorization", "Bearer key-2");
+    EXPECT_EQ(this->route(twice).error().kind(), ErrorKind::InvalidRequest);
+    EXPECT_TRUE(this->route(requestFor("/open/1", "stolen")).has_value());
+}
+
+TEST_F(CallerWireTest, AStaleConfigurationDecidesNothingThatNeedsIt)
+{
+    const TimePoint past(500ms);
+    EXPECT_EQ(this->route(requestFor("/chat/1"), past).error().kind(), ErrorKind::Unavailable);
+    EXPECT_EQ(this->route(requestFor("/chat/1", "stolen"), past).error().kind(), ErrorKind::Unavailable);
+    EXPECT_EQ(this->route(requestFor("/nowhere/1"), past).error().kind(), ErrorKind::Unavailable);
+    EXPECT_TRUE(this->route(requestFor("/open/1"), past).has_value());
+}
+
+TEST_F(CallerWireTest, TheRankOfTheAccountGoesBeforeThatOfTheRoute)
+{
+    const int firstChat = this->route(requestFor("/chat/1")).value().profile.requestClass.tier;
+    const int firstDigest = this->route(requestFor("/chat/digest/1")).value().profile.requestClass.tier;
+    const int secondChat = this->route(requestFor("/chat/1", "key-2")).value().profile.requestClass.tier;
+    const int secondDigest = this->route(requestFor("/chat/digest/1", "key-2")).value().profile.requestClass.tier;
+    EXPECT_LT(firstChat, firstDigest);
+    EXPECT_LT(firstDigest, secondChat);
+    EXPECT_LT(secondChat, secondDigest);
+}
+
+TEST_F(CallerWireTest, TheShorterOfRouteAndClientBoundsTheTime)
+{
+    EXPECT_EQ(this->route(requestFor("/chat/1")).value().profile.requestClass.deadline, 4s);
+    EXPECT_EQ(this->route(requestFor("/deposit/1")).value().profile.requestClass.deadline, 2s);
+}
+
+TEST_F(CallerWireTest, AllPartsOfThePromptButTheLastAreShared)
+{
+    const RequestProfile profile = this->route(requestFor("/chat/1")).value().profile;
+    EXPECT_EQ(profile.promptTokens, 1460U);
+    EXPECT_EQ(profile.outputTokens, 80U);
+    EXPECT_EQ(profile.sharedTokens, 1210U);
+    HttpRequest other = requestFor("/chat/2");
+    other.headers.set("Flamingosaddle-Prefix-Hash", "aa:800,bb:410,dd:900");
+    EXPECT_EQ(this->route(other).value().profile.prefixHash, profile.prefixHash);
+    other.headers.set("Flamingosaddle-Prefix-Hash", "aa:800,ee:410,dd:900");
+    EXPECT_NE(this->route(other).value().profile.prefixHash, profile.prefixHash);
+}
+
+TEST_F(CallerWireTest, ABackendServerGetsTheRequestWithoutTheKeyAndWithWhatOnlyTheRouterSays)
+{
+    const HttpRequest sent = this->passedOn(requestFor("/chat/1", "key-2"));
+    EXPECT_EQ(sent.target, "/chat/1");
+    EXPECT_EQ(sent.body, "body");
+    EXPECT_FALSE(sent.headers.has("Authorization"));
+    EXPECT_FALSE(sent.headers.has("Connection"));
+    EXPECT_FALSE(sent.headers.has("X-Hop"));
+    EXPECT_FALSE(sent.headers.has("Kv-From"));
+    EXPECT_FALSE(sent.headers.has("Flamingosaddle-Pin-Ms"));
+    EXPECT_EQ(sent.headers.find("X-Other"), "kept");
+    EXPECT_EQ(sent.headers.find("Flamingosaddle-Tenant"), "second");
+    EXPECT_EQ(sent.headers.find("Flamingosaddle-Expect-Instance"), "i-1");
+    EXPECT_EQ(sent.headers.find("Flamingosaddle-Deadline-Ms"), "1500");
+    EXPECT_EQ(sent.headers.find("Flamingosaddle-Request-Urgency"), "3");
+    EXPECT_EQ(this->passedOn(requestFor("/chat/1"), 12).headers.find("Last-Event-Id"), "12");
+}
+
+TEST_F(CallerWireTest, AnAnswerCountsOnlyWhenItIsTheServersOwnToThisRequest)
+{
+    const HttpHeader own{"Flamingosaddle-Request-Id", "id-1"};
+    const HttpHeader other{"Flamingosaddle-Request-Id", "id-0"};
+    const HttpHeader signature{"Flamingosaddle-Response-Signature", "s"};
+    const HttpHeader notExecuted{"Flamingosaddle-Not-Executed", "1"};
+    EXPECT_EQ(this->judged(200, {own, signature}), AnswerVerdict::Genuine);
+    EXPECT_EQ(this->judged(500, {own}), AnswerVerdict::Genuine);
+    EXPECT_EQ(this->judged(200, {own}), AnswerVerdict::Spoilt) << "unsigned";
+    EXPECT_EQ(this->judged(200, {signature}), AnswerVerdict::Spoilt) << "without an id";
+    EXPECT_EQ(this->judged(200, {own, signature, {"Content-Encoding", "gzip"}}), AnswerVerdict::Spoilt);
+    EXPECT_EQ(this->judged(200, {other, signature}), AnswerVerdict::OtherRequest);
+    EXPECT_EQ(this->judged(503, {own, notExecuted}), AnswerVerdict::NotExecuted);
+    EXPECT_EQ(this->judged(503, {other, notExecuted}), AnswerVerdict::OtherRequest);
+    EXPECT_EQ(this->judged(503, {own}), AnswerVerdict::Genuine) << "it may have run";
+    EXPECT_EQ(this->judged(421, {}), AnswerVerdict::NotExecuted);
+}
+
+TEST_F(CallerWireTest, OnlyWhatHasNotRunIsRefusedWithAPromise)
+{
+    const std::set<int> promises{408, 421, 429, 503};
+    for (const int status : {400, 408, 429, 500, 502, 503, 504}) {
+        RefusalAnswer refused;
+        refused.status = status;
+        refused.retryAfter = 2s;
+        refused.runState = RunState::Unknown;
+        const HttpResponse unknown = this->interface.renderRefusal(refused);
+        EXPECT_FALSE(promises.contains(unknown.status)) << status;
+        EXPECT_FALSE(unknown.headers.has("Retry-After"));
+        EXPECT_FALSE(unknown.headers.has("Flamingosaddle-Response-Signature"));
+        refused.runState = RunState::NotRun;
+        EXPECT_EQ(this->interface.renderRefusal(refused).headers.find("Retry-After"), "2");
+    }
+    RefusalAnswer quarantined;
+    quarantined.status = 400;
+    quarantined.reason = RefusalReason::Quarantined;
+    EXPECT_EQ(this->interface.renderRefusal(quarantined).status, 503);
+}
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <map>
 
+#include <unistd.h>
+
 using namespace flamingosaddle;
 
 namespace
@@ -61,3 +64,52 @@
     EXPECT_EQ(settingsReference().find("0123456789abcdef"), std::string::npos);
     EXPECT_NE(settingsReference().find("FLAMINGOSADDLE_KEY_SECRET"), std::string::npos);
 }
+
+namespace
+{
+
+std::string writtenFile(const std::string &text)
+{
+    const std::string path = testing::TempDir() + "flamingosaddle-settings-" + std::to_string(::getpid()) + ".conf";
+    std::ofstream(path) << text;
+    return path;
+}
+
+} // namespace
+
+TEST(Settings, TheFileComesAfterFlagsAndEnvironment)
+{
+    const std::string path = writtenFile("# comment\nmax-waiting = 7\nheader-timeout = 1000\nidle-timeout=50\n");
+    auto variables = minimalEnvironment;
+    variables["FLAMINGOSADDLE_HEADER_TIMEOUT"] = "2000";
+    const auto loaded = loadSettings({"--settings-file", path, "--idle-timeout", "60"}, environmentOf(variables));
+    ASSERT_TRUE(std::holds_alternative<Settings>(loaded));
+    const Settings &settings = std::get<Settings>(loaded);
+    EXPECT_EQ(settings.maxWaiting, 7U);
+    EXPECT_EQ(settings.headerTimeout, std::chrono::milliseconds(2000));
+    EXPECT_EQ(settings.idleTimeout, std::chrono::milliseconds(60));
+}
+
+TEST(Settings, UnknownNamesInTheFileAreKeptForTheLogAndFaultsNameTheirRemedy)
+{
+    const std::string path = writtenFile("new-field = 1\nmax-waiting = 9\n");
+    const auto loaded = loadSettings({"--settings-file", path}, environmentOf(minimalEnvironment));
+    EXPECT_EQ(std::get<Settings>(loaded).ignoredNames, std::vector<std::string>{"new-field"});
+    const std::string broken = writtenFile("max-waiting = many\n");
+    const auto failed = loadSettings({"--settings-file", broken}, environmentOf(minimalEnvironment));
+    ASSERT_TRUE(std::holds_alternative<std::vector<Error>>(failed));
+    EXPECT_FALSE(std::get<std::vector<Error>>(failed).front().remedy().empty());
+    EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(
+        loadSettings({"--settings-file", "/no/such/file"}, environmentOf(minimalEnvironment))));
+}
+
+TEST(Settings, ThePlatformsRequestsNeedItsOperatorsRoutes)
+{
+    EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(
+        loadSettings({"--caller-protocol", "platform"}, environmentOf(minimalEnvironment))));
+    auto variables = minimalEnvironment;
+    variables.erase("FLAMINGOSADDLE_KEY_SECRET");
+    EXPECT_TRUE(std::holds_alternative<Settings>(
+        loadSettings({"--caller-protocol", "platform", "--configuration", "operator"}, environmentOf(variables))))
+        << "the keys of the operator's record need no secret that operators share";
+}
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -178,3 +178,35 @@
     }));
     EXPECT_FALSE(isReleased(orderRole(DataCentre("a"))));
 }
+
+TEST(ControllerWithoutALog, PublishesNothingBeforeItHasReadAConfiguration)
+{
+    const PausedClock paused;
+    FakePlatform platform;
+    platform.logDown = true;
+    boost::asio::io_context context;
+    std::size_t published = 0;
+    ControllerHooks hooks;
+    hooks.publish = [&published](const std::shared_ptr<const RoutingSnapshot> &) {
+        ++published;
+    };
+    hooks.setServers = [](const std::vector<BackendServer> &) {};
+    hooks.keyWithdrawn = [](const KeyId &) {};
+    hooks.describeTraffic = [](HeartbeatMessage &) {};
+    hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
+    hooks.peerServices = [](const std::vector<ServiceCount> &) {};
+    hooks.peerQuarantines = [](const QuarantinesMessage &) {};
+    hooks.servingCount = [](std::size_t) {};
+    ControllerOptions options;
+    options.self = {InstanceId("i1"), 1};
+    options.wallTime = [] {
+        return std::chrono::seconds(0);
+    };
+    Controller controller(context, platform.hooks(), std::nullopt, std::nullopt, options, hooks);
+    controller.start();
+    passTime(context, std::chrono::seconds(5));
+    EXPECT_EQ(published, 0U) << "requests would get 404 in place of 503";
+    EXPECT_FALSE(controller.isReady());
+    controller.stop();
+    passTime(context, std::chrono::seconds(30));
+}
--- /dev/null
+++ b/tests/control/duties_test.cpp
@@ -0,0 +1,213 @@
+#include "fakeduties.h"
+#include "rununtil.h"
+
+#include <flamingosaddle/control/dutylog.h>
+#include <flamingosaddle/control/usagemeter.h>
+#include <flamingosaddle/control/windowreporter.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ClientAccountId acme("acme");
+
+/** One instance's duties on the shared fake. */
+struct Instance {
+    Instance(const DutyHooks &dutyHooks, const std::string &name, const std::function<std::chrono::milliseconds()> &unixTime)
+        : hooks(dutyHooks)
+        , log(this->hooks, optionsOf(name))
+        , meter(this->hooks, meterOf(name, unixTime))
+        , reporter(this->hooks, this->log, reporterOf(unixTime))
+    {
+    }
+
+    static DutyLog::Options optionsOf(const std::string &name)
+    {
+        DutyLog::Options options;
+        options.self = {InstanceId(name), 1};
+        options.seed = std::hash<std::string>()(name);
+        return options;
+    }
+
+    static UsageMeter::Options meterOf(const std::string &name, std::function<std::chrono::milliseconds()> unixTime)
+    {
+        UsageMeter::Options options;
+        options.self = {InstanceId(name), 1};
+        options.windowLength = 5s;
+        options.unixTime = std::move(unixTime);
+        return options;
+    }
+
+    static WindowReporter::Options reporterOf(std::function<std::chrono::milliseconds()> unixTime)
+    {
+        WindowReporter::Options options;
+        options.windowLength = 5s;
+        options.unixTime = std::move(unixTime);
+        return options;
+    }
+
+    void start(boost::asio::io_context &context)
+    {
+        boost::asio::co_spawn(context, this->log.run(), boost::asio::detached);
+        boost::asio::co_spawn(context, this->meter.run(), boost::asio::detached);
+        boost::asio::co_spawn(context, this->reporter.run(), boost::asio::detached);
+    }
+
+    void stop()
+    {
+        this->log.stop();
+        this->meter.stop();
+        this->reporter.stop();
+    }
+
+    DutyHooks hooks;
+    DutyLog log;
+    UsageMeter meter;
+    WindowReporter reporter;
+};
+
+struct DutiesTest : testing::Test {
+    PausedClock paused;
+    TimePoint zero = RuntimeClock::now();
+    boost::asio::io_context context{1};
+    FakeDuties duties;
+    std::function<std::chrono::milliseconds()> unixTime = [this] {
+        return std::chrono::milliseconds(5'000'000)
+            + std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now() - this->zero);
+    };
+    Instance a{duties.hooks(), "a", unixTime};
+    Instance b{duties.hooks(), "b", unixTime};
+
+    ~DutiesTest() override
+    {
+        this->a.stop();
+        this->b.stop();
+        passTime(this->context, 3s);
+    }
+
+    void startBoth()
+    {
+        this->a.start(this->context);
+        this->b.start(this->context);
+        passTime(this->context, 2s);
+    }
+
+    Instance &leader()
+    {
+        return this->a.log.isLeading() ? this->a : this->b;
+    }
+};
+
+} // namespace
+
+TEST_F(DutiesTest, OneInstanceLeadsAndAnotherFollowsWhenItStandsStill)
+{
+    this->startBoth();
+    ASSERT_NE(this->a.log.isLeading(), this->b.log.isLeading());
+    Instance &first = this->leader();
+    Instance &second = &first == &this->a ? this->b : this->a;
+    const std::uint64_t fence = first.log.stamp().fence;
+    first.stop();
+    EXPECT_TRUE(passTimeUntil(this->context, [&second] {
+        return second.log.isLeading();
+    }));
+    EXPECT_FALSE(first.log.isLeading());
+    EXPECT_GT(second.log.stamp().fence, fence);
+}
+
+TEST_F(DutiesTest, ALeaderThatLeavesFreesTheLeadAtOnce)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    Instance &second = &first == &this->a ? this->b : this->a;
+    boost::asio::co_spawn(this->context, first.log.release(), boost::asio::detached);
+    passTime(this->context, 2s);
+    EXPECT_TRUE(second.log.isLeading());
+}
+
+TEST_F(DutiesTest, AnAppendWithoutAnAnswerIsReadBackBeforeAnythingElse)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    this->duties.nextAppend = Error(ErrorKind::Timeout, "no answer", "");
+    first.log.decide("k", "v");
+    passTime(this->context, 2s);
+    EXPECT_TRUE(first.log.isLeading());
+    EXPECT_EQ(std::count_if(this->duties.log.begin(), this->duties.log.end(),
+                  [](const KeyedEntry &entry) {
+                      return entry.key == "k";
+                  }),
+        1);
+    EXPECT_EQ(first.log.decisions().at("k"), "v");
+}
+
+TEST_F(DutiesTest, TheLeadEndsWithItsLeaseWhileTheStoreIsAway)
+{
+    this->startBoth();
+    this->duties.isAway = true;
+    passTime(this->context, 3s);
+    EXPECT_FALSE(this->a.log.isLeading());
+    EXPECT_FALSE(this->b.log.isLeading());
+    this->duties.isAway = false;
+    EXPECT_TRUE(passTimeUntil(this->context, [this] {
+        return this->a.log.isLeading() || this->b.log.isLeading();
+    }));
+}
+
+TEST_F(DutiesTest, AWindowIsReportedOnceWithTheCountsOfAllInstances)
+{
+    this->startBoth();
+    this->a.meter.count(acme, 0s);
+    this->b.meter.count(acme, 0s);
+    this->b.meter.count(acme, 0s);
+    passTime(this->context, 12s);
+    ASSERT_FALSE(this->duties.reports.empty());
+    EXPECT_EQ(this->duties.reports.front().first, (WindowCounts{1000, {{acme, 3}}}));
+    EXPECT_EQ(this->duties.reports.front().second, this->leader().log.stamp());
+    EXPECT_EQ(std::count_if(this->duties.reports.begin(), this->duties.reports.end(),
+                  [](const auto &report) {
+                      return report.first.window == 1000;
+                  }),
+        1);
+}
+
+TEST_F(DutiesTest, ANewLeaderRepeatsExactlyWhatWasFixed)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    Instance &second = &first == &this->a ? this->b : this->a;
+    first.meter.count(acme, 0s);
+    this->duties.nextReport = Error(ErrorKind::Timeout, "no answer", "");
+    EXPECT_TRUE(passTimeUntil(this->context, [this] {
+        return !this->duties.reports.empty();
+    }));
+    first.stop();
+    second.meter.count(acme, 9s); // comes after the figures were fixed
+    EXPECT_TRUE(passTimeUntil(this->context, [this] {
+        return this->duties.reports.size() >= 2;
+    }));
+    EXPECT_EQ(this->duties.reports[0].first, this->duties.reports[1].first);
+    EXPECT_GT(this->duties.reports[1].second.fence, this->duties.reports[0].second.fence);
+}
+
+TEST_F(DutiesTest, ARefusedReportEndsTheLead)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    first.meter.count(acme, 0s);
+    this->duties.nextReport = Error(ErrorKind::Conflict, "a higher fence was seen", "");
+    EXPECT_TRUE(passTimeUntil(this->context, [this] {
+        return !this->duties.reports.empty();
+    }));
+    EXPECT_FALSE(first.log.isLeading());
+}
--- /dev/null
+++ b/tests/control/fakeduties.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <flamingosaddle/control/duties.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * The duty log, the usage counts and the platform's API of tests, in memory. Every call answers at once.
+ */
+class FakeDuties
+{
+public:
+    DutyHooks hooks()
+    {
+        DutyHooks hooks;
+        hooks.appendDuty = [this](std::string key, std::string value, std::uint64_t at) {
+            return this->appendDuty(std::move(key), std::move(value), at);
+        };
+        hooks.readDuties = [this](std::optional<std::uint64_t> from) {
+            return this->readDuties(from);
+        };
+        hooks.appendCounts = [this](std::string record) {
+            return this->appendCounts(std::move(record));
+        };
+        hooks.readCounts = [this](std::uint64_t from) {
+            return this->readCounts(from);
+        };
+        hooks.reportWindow = [this](WindowCounts counts, DutyStamp stamp) {
+            return this->reportWindow(std::move(counts), std::move(stamp));
+        };
+        hooks.orderServers = [this](ServiceName service, FleetOrder order, DutyStamp stamp) {
+            return this->orderServers(std::move(service), std::move(order), std::move(stamp));
+        };
+        return hooks;
+    }
+
+    std::vector<KeyedEntry> log;
+    std::vector<std::string> counts;
+    std::vector<std::pair<WindowCounts, DutyStamp>> reports;
+    std::vector<std::pair<FleetOrder, DutyStamp>> orders;
+    std::optional<Error> nextAppend; ///< answers the next append of a duty; it is carried out when the kind leaves that open
+    std::optional<Error> nextReport; ///< answers the next report
+    bool isAway = false; ///< every call of the log is refused
+
+private:
+    static Error away()
+    {
+        return {ErrorKind::Unavailable, "the store is away", "try again"};
+    }
+
+    DutyHooks::Answer<std::uint64_t> appendDuty(std::string key, std::string value, std::uint64_t at)
+    {
+        if (this->isAway) {
+            co_return fail(away());
+        }
+        const std::optional<Error> answer = std::exchange(this->nextAppend, std::nullopt);
+        if (at != this->log.size()) {
+            co_return fail(ErrorKind::Conflict, "the log has moved on", "read it");
+        }
+        const std::uint64_t offset = this->log.size();
+        if (!answer.has_value() || answer->kind() == ErrorKind::Timeout) {
+            this->log.push_back({std::move(key), std::move(value), offset});
+        }
+        if (answer.has_value()) {
+            co_return fail(*answer);
+        }
+        co_return offset;
+    }
+
+    DutyHooks::Answer<KeyedReading> readDuties(std::optional<std::uint64_t> from)
+    {
+        if (this->isAway) {
+            co_return fail(away());
+        }
+        KeyedReading reading;
+        reading.next = this->log.size();
+        reading.isComplete = !from.has_value();
+        reading.isAtEnd = true;
+        reading.entries.assign(this->log.begin() + static_cast<std::ptrdiff_t>(from.value_or(0)), this->log.end());
+        co_return reading;
+    }
+
+    DutyHooks::Answer<std::uint64_t> appendCounts(std::string record)
+    {
+        if (this->isAway) {
+            co_return fail(away());
+        }
+        this->counts.push_back(std::move(record));
+        co_return this->counts.size() - 1;
+    }
+
+    DutyHooks::Answer<LogBatch> readCounts(std::uint64_t from)
+    {
+        LogBatch batch;
+        batch.nextOffset = this->counts.size();
+        batch.headOffset = this->counts.size();
+        for (std::uint64_t offset = from; offset < this->counts.size(); ++offset) {
+            batch.records.push_back({offset, this->counts[offset]});
+        }
+        co_return batch;
+    }
+
+    DutyHooks::Answer<void> reportWindow(WindowCounts counts, DutyStamp stamp)
+    {
+        const std::optional<Error> answer = std::exchange(this->nextReport, std::nullopt);
+        this->reports.emplace_back(std::move(counts), std::move(stamp));
+        if (answer.has_value()) {
+            co_return fail(*answer);
+        }
+        co_return done();
+    }
+
+    DutyHooks::Answer<void> orderServers(ServiceName, FleetOrder order, DutyStamp stamp)
+    {
+        this->orders.emplace_back(std::move(order), std::move(stamp));
+        co_return done();
+    }
+};
+
+} // namespace flamingosaddle
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -153,3 +153,51 @@
     EXPECT_EQ(request.query("c"), "");
     EXPECT_EQ(request.headers.find("x-oNe"), "1");
 }
+
+namespace
+{
+
+/** Reads the answer of a server that sends fixed bytes and closes, over a connection that may end with its body. */
+Result<std::string> readUntilClose(const std::string &answer, bool accepted)
+{
+    RawServer server(answer);
+    ContextThread thread;
+    return thread.await([](Endpoint endpoint, bool accepted) -> awaitable<Result<std::string>> {
+        auto connected = co_await HttpConnection::connect(endpoint, std::chrono::seconds(5));
+        HttpConnection &connection = *connected.value();
+        if (accepted) {
+            connection.acceptBodyUntilClose();
+        }
+        const HttpRequest request{"GET", "/", {}, {}};
+        const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5));
+        const Result<HttpResponseHead> head = co_await connection.readHead(std::chrono::seconds(5));
+        if (!sent.has_value() || !head.has_value()) {
+            co_return fail(ErrorKind::ConnectionLost, "no answer", "");
+        }
+        std::string body;
+        std::string piece;
+        while (true) {
+            const Result<bool> more = co_await connection.readBody(piece, std::chrono::seconds(5));
+            if (!more.has_value()) {
+                co_return fail(more.error());
+            }
+            if (!more.value()) {
+                break;
+            }
+            body += piece;
+        }
+        EXPECT_FALSE(connection.isReusable());
+        co_return body;
+    }(server.endpoint(), accepted));
+}
+
+} // namespace
+
+TEST(HttpClient, ABodyWithoutALengthIsWholeOnlyWhereThatWasAccepted)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\nbody";
+    EXPECT_EQ(readUntilClose(answer, true).value(), "body");
+    EXPECT_TRUE(readUntilClose(answer, false).has_error());
+    EXPECT_TRUE(readUntilClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nbody", true).has_error())
+        << "a body with a length ends with it";
+}
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -232,3 +232,16 @@
     next.send(post("fine", "Connection: close\r\n"));
     RC_ASSERT(next.readAll().ends_with("fine"));
 }
+
+TEST(HttpServer, RefusesABodyOfAnUnknownTransferCodingAndClosesTheConnection)
+{
+    for (const std::string coding : {"xchunked", "gzip, chunked", "identity"}) {
+        TestServer server(echo);
+        RawClient client(server.endpoint());
+        client.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding
+            + "\r\n\r\n1c\r\nGET /smuggled HTTP/1.1\r\n\r\n\r\n0\r\n\r\n");
+        const std::string answer = client.readAll();
+        EXPECT_EQ(answer.find("HTTP/1.1 400"), 0U) << coding << ": " << answer;
+        EXPECT_EQ(answer.find("HTTP/1.1 ", 1), std::string::npos) << "the body was taken for a request: " << answer;
+    }
+}
--- a/tests/relay/requestrouter_test.cpp
+++ b/tests/relay/requestrouter_test.cpp
@@ -68,3 +68,14 @@
         RC_ASSERT(target.substr(0, target.find('?')).find("..") == std::string::npos || target.find("/../") == std::string::npos);
     }
 }
+
+TEST(RequestRouter, RefusesARequestWithTwoKeys)
+{
+    const Routing routing;
+    HttpRequest request;
+    request.target = "/s/1";
+    request.headers.add("Authorization", std::string("Bearer ") + validKey);
+    EXPECT_TRUE(routing.router.route(routing.snapshot, request, TimePoint()).has_value());
+    request.headers.add("Authorization", "Bearer another");
+    EXPECT_EQ(routing.router.route(routing.snapshot, request, TimePoint()).error().kind(), ErrorKind::InvalidRequest);
+}
--- /dev/null
+++ b/tests/state/leadership_test.cpp
@@ -0,0 +1,121 @@
+#include "leadershipmodel.h"
+
+#include <flamingosaddle/state/leadership.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const Incarnation a{InstanceId("a"), 1};
+const Incarnation b{InstanceId("b"), 1};
+
+/** Runs a model through steps that a seed draws; answers what it broke. */
+std::vector<std::string> breachesOf(LeadershipModel::Store store, std::uint32_t seed)
+{
+    constexpr int steps = 200;
+    LeadershipModel model(store);
+    std::mt19937 random(seed);
+    for (int i = 0; i < steps; ++i) {
+        model.step(static_cast<std::uint32_t>(random()));
+    }
+    return model.breaches();
+}
+
+} // namespace
+
+TEST(Leadership, IsHeldFromTheSendingOfTheRecordThatTookEffect)
+{
+    Leadership leadership(a, LeadershipTiming());
+    const TimePoint sent(10s);
+    const LeadershipRecord claim = leadership.makeRecord(sent);
+    EXPECT_FALSE(leadership.isHeld(sent));
+    leadership.observe(claim, 4, sent + 2s);
+    EXPECT_TRUE(leadership.isHeld(sent + 2s));
+    EXPECT_FALSE(leadership.isHeld(sent + LeadershipTiming().lease));
+    EXPECT_EQ(leadership.fence(), 5U);
+}
+
+TEST(Leadership, ARenewalKeepsTheFence)
+{
+    Leadership leadership(a, LeadershipTiming());
+    leadership.observe(leadership.makeRecord(TimePoint(1s)), 0, TimePoint(1s));
+    leadership.observe(leadership.makeRecord(TimePoint(2s)), 7, TimePoint(2s));
+    EXPECT_EQ(leadership.fence(), 1U);
+    EXPECT_TRUE(leadership.isHeld(TimePoint(4s)));
+}
+
+TEST(Leadership, IsClaimedOnlyOnceTheLeaseOfAnotherIsOver)
+{
+    Leadership holder(a, LeadershipTiming());
+    Leadership follower(b, LeadershipTiming());
+    follower.observe(holder.makeRecord(TimePoint(1s)), 0, TimePoint(2s));
+    EXPECT_FALSE(follower.mayClaim(TimePoint(2s) + LeadershipTiming().lease));
+    EXPECT_TRUE(follower.mayClaim(TimePoint(2s) + LeadershipTiming().lease + LeadershipTiming().margin + 1ms));
+}
+
+TEST(Leadership, AReleaseFreesItAtOnce)
+{
+    Leadership holder(a, LeadershipTiming());
+    Leadership follower(b, LeadershipTiming());
+    holder.observe(holder.makeRecord(TimePoint(1s)), 0, TimePoint(1s));
+    const LeadershipRecord released = holder.release(TimePoint(1500ms));
+    follower.observe(released, 1, TimePoint(1500ms));
+    EXPECT_FALSE(holder.isHeld(TimePoint(1500ms)));
+    EXPECT_TRUE(follower.mayClaim(TimePoint(1500ms)));
+}
+
+TEST(Leadership, RestsAfterAnotherInstanceFollowedIt)
+{
+    Leadership holder(a, LeadershipTiming());
+    Leadership follower(b, LeadershipTiming());
+    holder.observe(holder.makeRecord(TimePoint(1s)), 0, TimePoint(1s));
+    holder.observe(follower.makeRecord(TimePoint(5s)), 1, TimePoint(5s));
+    LeadershipRecord released = follower.makeRecord(TimePoint(6s));
+    released.released = true;
+    holder.observe(released, 2, TimePoint(6s));
+    EXPECT_FALSE(holder.mayClaim(TimePoint(6s) + 1s)) << "the lead would go a, b, a within a lease";
+    EXPECT_TRUE(holder.mayClaim(TimePoint(6s) + LeadershipTiming().rest));
+}
+
+RC_GTEST_PROP(Leadership, HasOneHolderAndRisingFences, (const std::vector<std::uint32_t> &choices))
+{
+    LeadershipModel model(LeadershipModel::Store::Sound);
+    for (const std::uint32_t choice : choices) {
+        model.step(choice);
+    }
+    RC_ASSERT(model.breaches() == std::vector<std::string>());
+}
+
+TEST(Leadership, HasOneHolderInLongRunsWithLostLateAndRefusedAppends)
+{
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        EXPECT_EQ(breachesOf(LeadershipModel::Store::Sound, seed), std::vector<std::string>()) << "seed " << seed;
+    }
+}
+
+TEST(Leadership, AStoreThatIgnoresTheConditionIsFoundOut)
+{
+    std::size_t found = 0;
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        found += breachesOf(LeadershipModel::Store::IgnoresCondition, seed).empty() ? 0 : 1;
+    }
+    EXPECT_GT(found, 0U) << "the model would not notice two holders";
+}
+
+RC_GTEST_PROP(Leadership, RecordsSurviveTheirCodec, (std::uint64_t fence, std::uint64_t sequence, bool released))
+{
+    const LeadershipRecord record{{a, sequence}, fence, released};
+    RC_ASSERT(decodeLeadershipRecord(encodeLeadershipRecord(record)).value() == record);
+}
+
+RC_GTEST_PROP(Leadership, AnyBytesAreReadWithoutThrowing, (const std::string &bytes))
+{
+    (void)decodeLeadershipRecord(bytes);
+}
--- /dev/null
+++ b/tests/state/leadershipmodel.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <flamingosaddle/state/leadership.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingosaddle
+{
+
+/**
+ * Three instances that elect a leader over a small model of the store: appends that are refused, whose answers are lost, or
+ * that are carried out later; instances that stand still; reads that come late. Each step is decided by a number.
+ */
+class LeadershipModel
+{
+public:
+    enum class Store {
+        Sound,
+        IgnoresCondition, ///< a fault: appends wherever the log ends
+    };
+
+    explicit LeadershipModel(Store store)
+        : store(store)
+    {
+    }
+
+    // Commands.
+
+    void step(std::uint32_t choice)
+    {
+        const std::size_t who = (choice >> 8) % this->instances.size();
+        switch (choice % 8) {
+        case 0:
+        case 1:
+            this->now += std::chrono::milliseconds(50 + (choice >> 12) % 1200);
+            break;
+        case 2:
+        case 3:
+            this->read(who);
+            break;
+        case 4:
+            this->carryOutLate();
+            break;
+        default:
+            this->act(who, choice >> 16);
+            break;
+        }
+        this->check();
+    }
+
+    // Queries.
+
+    const std::vector<std::string> &breaches() const
+    {
+        return this->found;
+    }
+
+private:
+    struct Instance {
+        Leadership leadership;
+        std::size_t end = 0; // of the log, as it knows it
+        bool endKnown = false;
+    };
+
+    struct Late {
+        std::string record;
+        std::size_t at = 0;
+    };
+
+    static Instance instanceOf(const std::string &name)
+    {
+        return {Leadership(Incarnation{InstanceId(name), 1}, LeadershipTiming()), 0, false};
+    }
+
+    void read(std::size_t who)
+    {
+        Instance &instance = this->instances[who];
+        for (; instance.end < this->log.size(); ++instance.end) {
+            instance.leadership.observe(decodeLeadershipRecord(this->log[instance.end]).value(), instance.end, this->now);
+        }
+        instance.endKnown = true;
+    }
+
+    void act(std::size_t who, std::uint32_t fate)
+    {
+        Instance &instance = this->instances[who];
+        const bool held = instance.leadership.isHeld(this->now);
+        if (!instance.endKnown
+            || (held ? !instance.leadership.isRenewalDue(this->now) : !instance.leadership.mayClaim(this->now))) {
+            return;
+        }
+        const bool releases = held && fate % 11 == 0;
+        const LeadershipRecord record
+            = releases ? instance.leadership.release(this->now) : instance.leadership.makeRecord(this->now);
+        const std::size_t at = instance.end;
+        const std::string bytes = encodeLeadershipRecord(record);
+        if (fate % 5 == 0) { // the call gets no answer and is carried out later, or never
+            this->late.push_back({bytes, at});
+            instance.endKnown = false;
+            return;
+        }
+        const std::optional<std::size_t> offset = this->append(bytes, at);
+        if (!offset.has_value() || fate % 5 == 1) { // refused, or its answer is lost
+            instance.endKnown = false;
+            return;
+        }
+        instance.end = *offset + 1;
+        instance.leadership.observe(record, *offset, this->now);
+    }
+
+    void carryOutLate()
+    {
+        if (!this->late.empty()) {
+            const Late call = this->late.front();
+            this->late.erase(this->late.begin());
+            this->append(call.record, call.at);
+        }
+    }
+
+    std::optional<std::size_t> append(const std::string &bytes, std::size_t at)
+    {
+        if (this->store == Store::Sound && at != this->log.size()) {
+            return std::nullopt;
+        }
+        this->log.push_back(bytes);
+        return this->log.size() - 1;
+    }
+
+    void check()
+    {
+        std::size_t holders = 0;
+        for (std::size_t i = 0; i < this->instances.size(); ++i) {
+            const Leadership &leadership = this->instances[i].leadership;
+            if (!leadership.isHeld(this->now)) {
+                continue;
+            }
+            ++holders;
+            const auto [entry, isNew] = this->fences.emplace(leadership.fence(), i);
+            if (entry->second != i) {
+                this->found.emplace_back("two holders have the same fence");
+            }
+            if (isNew && entry != std::prev(this->fences.end())) {
+                this->found.emplace_back("a fence is lower than one before it");
+            }
+        }
+        if (holders > 1) {
+            this->found.emplace_back("two instances lead at a time");
+        }
+    }
+
+    Store store;
+    TimePoint now{std::chrono::seconds(100)};
+    std::array<Instance, 3> instances{instanceOf("a"), instanceOf("b"), instanceOf("c")};
+    std::vector<std::string> log;
+    std::vector<Late> late;
+    std::map<std::uint64_t, std::size_t> fences; // by whom each was held
+    std::vector<std::string> found;
+};
+
+} // namespace flamingosaddle
--- a/tests/traffic/dispatcherworld.h
+++ b/tests/traffic/dispatcherworld.h
@@ -47,6 +47,7 @@
         RequestProfile profile;
         BackendServerId server; // where it runs; empty while it waits
         bool sent = false;
+        bool runsAsSuspect = false;
     };
 
     void submit(std::uint32_t choice);
@@ -61,6 +62,7 @@
     void expect(bool holds, const std::string &invariant);
     bool mayRunOn(const RequestProfile &profile, const BackendServer &server) const;
     std::uint32_t running(const BackendServerId &server) const;
+    bool suspectRuns(std::uint64_t fingerprint) const;
     std::size_t waitingBelow(int tier, const ModelName *model) const;
     const BackendServer *configured(const BackendServerId &server) const;
 
--- a/tests/traffic/guards_test.cpp
+++ b/tests/traffic/guards_test.cpp
@@ -134,3 +134,17 @@
     EXPECT_FALSE(meetsTarget(forecastWait(situation), 2000ms));
     EXPECT_EQ(retryAfter(forecastWait(situation), 2000ms), 8s);
 }
+
+TEST(Quarantine, ASuspectThatWasAnsweredIsNoneAnyMore)
+{
+    Quarantine quarantine(2);
+    quarantine.noteDeath(7, 1, TimePoint());
+    quarantine.notePeerRun(7, TimePoint(10s), TimePoint());
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(1s)), Quarantine::Verdict::Busy);
+    quarantine.exonerate(7);
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(1s)), Quarantine::Verdict::Clear);
+    quarantine.noteDeath(7, 1, TimePoint(20s));
+    quarantine.noteDeath(7, 2, TimePoint(20s));
+    quarantine.exonerate(7);
+    EXPECT_EQ(quarantine.verdict(7, TimePoint(20s)), Quarantine::Verdict::Refused) << "one that cost too many stays refused";
+}
