--- a/include/flamingosaddle/control/fleetdesk.h
+++ b/include/flamingosaddle/control/fleetdesk.h
@@ -30,7 +30,8 @@
     void stop();
 
 private:
-    boost::asio::awaitable<void> orderFor(ServiceRules rules);
+    /** Sends the orders that are due; answers whether servers were asked for that are not to be had. */
+    boost::asio::awaitable<bool> orderFor(ServiceRules rules);
     std::map<DataCentre, FleetCount> servingOf(const ServiceName &service) const;
 
     const DutyHooks &hooks;
--- a/include/flamingosaddle/relay/callerinterface.h
+++ b/include/flamingosaddle/relay/callerinterface.h
@@ -35,6 +35,8 @@
  * that of a platform. The hooks are pure and run on the traffic threads.
  */
 struct CallerInterface {
+    /** The id that the request has in logs and towards backend servers: the caller's own, or one that is made up. */
+    std::function<std::string(const HttpRequest &request)> requestId;
     /** Decides for whom a request runs and where it goes. */
     std::function<Result<RoutedRequest>(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now)> route;
     std::function<HttpRequest(const BackendRequestContext &context)> backendRequest;
--- a/include/flamingosaddle/relay/routedrequest.h
+++ b/include/flamingosaddle/relay/routedrequest.h
@@ -4,7 +4,6 @@
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstdint>
-#include <string>
 
 namespace flamingosaddle
 {
@@ -22,7 +21,6 @@
     Target target = Target::Service;
     KeyId key; ///< empty on a route open to all
     RouteId route; ///< empty for a model
-    std::string requestId; ///< as the caller named the request; empty where one is made up
     RequestProfile profile;
     bool stream = false;
     bool resumable = false; ///< whether a stream that broke off may go on at another backend server
--- a/src/base/walltime.cpp
+++ b/src/base/walltime.cpp
@@ -10,12 +10,10 @@
     const auto runtime = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
     const std::chrono::milliseconds measured = system - runtime;
     const bool isStep = this->offset.has_value() && std::chrono::abs(measured - *this->offset) > largestDrift;
-    if (!isStep) {
-        this->offset = measured;
-        this->steppedAt.reset();
-    } else if (!this->steppedAt.has_value()) {
+    if (isStep && !this->steppedAt.has_value()) {
         this->steppedAt = now;
-    } else if (now - *this->steppedAt >= correctionTime) {
+    }
+    if (!isStep || now - *this->steppedAt >= correctionTime) {
         this->offset = measured;
         this->steppedAt.reset();
     }
--- a/src/control/fleetdesk.cpp
+++ b/src/control/fleetdesk.cpp
@@ -40,7 +40,12 @@
             }
             const std::vector<ServiceRules> services = this->directory.config()->services;
             for (const ServiceRules &rules : services) {
-                if (rules.scaling.has_value()) {
+                if (!rules.scaling.has_value()) {
+                    continue;
+                }
+                const bool hasNone = co_await this->orderFor(rules);
+                if (hasNone) {
+                    // Substitutes for servers that are not to be had are ordered at once.
                     co_await this->orderFor(rules);
                 }
             }
@@ -54,17 +59,18 @@
     this->stopped = true;
 }
 
-boost::asio::awaitable<void> FleetDesk::orderFor(ServiceRules rules)
+boost::asio::awaitable<bool> FleetDesk::orderFor(ServiceRules rules)
 {
     const std::map<DataCentre, FleetCount> serving = this->servingOf(rules.name);
     if (serving.empty()) {
         // Nothing has registered yet: what serves is not known.
-        co_return;
+        co_return false;
     }
     const std::vector<FleetOrder> orders = this->plans[rules.name].due(*rules.scaling, serving, RuntimeClock::now());
+    bool hasNone = false;
     for (const FleetOrder &order : orders) {
         if (!this->duties.isLeading() || this->stopped) {
-            co_return;
+            co_return false;
         }
         const DutyStamp stamp = this->duties.stamp();
         const Result<void> sent = co_await this->hooks.orderServers(rules.name, order, stamp);
@@ -72,8 +78,11 @@
             {{"service", rules.name.text()}, {"data_centre", order.dataCentre.text()}, {"count", std::to_string(order.count)},
                 {"cheap", order.cheap ? "yes" : "no"}, {"fence", std::to_string(stamp.fence)},
                 {"outcome", sent.has_value() ? "accepted" : sent.error().text()}});
-        this->plans[rules.name].answered(order, answerOf(sent), RuntimeClock::now());
+        const FleetAnswer answer = answerOf(sent);
+        hasNone = hasNone || answer == FleetAnswer::NoneThere;
+        this->plans[rules.name].answered(order, answer, RuntimeClock::now());
     }
+    co_return hasNone;
 }
 
 std::map<DataCentre, FleetCount> FleetDesk::servingOf(const ServiceName &service) const
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -45,7 +45,7 @@
     , relay(environment, exchange, this->routed, this->outcome)
 {
     this->outcome.arrival = RuntimeClock::now();
-    this->outcome.requestId = randomHexId();
+    this->outcome.requestId = environment.interface.requestId(exchange.request());
 }
 
 CallerExchange::~CallerExchange()
@@ -90,9 +90,6 @@
     this->outcome.configAge = this->outcome.arrival - (snapshot->freshUntil() - this->environment.options.freshnessLimit);
     BOOST_OUTCOME_TRY(decided, this->environment.interface.route(*snapshot, this->exchange.request(), this->outcome.arrival));
     this->routed = std::move(decided);
-    if (!this->routed.requestId.empty()) {
-        this->outcome.requestId = this->routed.requestId;
-    }
     this->outcome.route = this->routed.route;
     this->relay.setCallerHeaders(this->environment.interface.ownHeaders(this->outcome.requestId, this->span.context()));
     this->outcome.clientAccount = this->routed.profile.clientAccount;
--- a/src/relay/openaiinterface.cpp
+++ b/src/relay/openaiinterface.cpp
@@ -36,6 +36,9 @@
 CallerInterface openAiInterface(const std::string &keySecret, const RequestClass &openClass)
 {
     CallerInterface interface;
+    interface.requestId = [](const HttpRequest &) {
+        return randomHexId();
+    };
     interface.route = [router = RequestRouter(keySecret, openClass)](
                           const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) {
         return router.route(snapshot, request, now);
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -191,3 +191,8 @@
     quarantined.reason = RefusalReason::Quarantined;
     EXPECT_EQ(this->interface.renderRefusal(quarantined).status, 503);
 }
+
+TEST_F(CallerWireTest, ARequestKeepsTheIdOfItsClientAlsoWhenItIsRefused)
+{
+    EXPECT_EQ(this->interface.requestId(requestFor("/nowhere/1", "stolen")), "id-1");
+}
