--- a/include/flamingosaddle/control/usagemeter.h
+++ b/include/flamingosaddle/control/usagemeter.h
@@ -26,7 +26,7 @@
     struct Options {
         Incarnation self;
         std::chrono::milliseconds windowLength{60000};
-        Duration flushInterval = std::chrono::milliseconds(2500); ///< what an instance that dies loses at most
+        Duration flushInterval = std::chrono::milliseconds(800); ///< what an instance that dies loses at most
         /** After a window's end, for requests whose beginning is known a little later. */
         std::chrono::milliseconds settleTime{400};
         std::function<std::chrono::milliseconds()> unixTime;
--- a/src/state/leadership.cpp
+++ b/src/state/leadership.cpp
@@ -42,7 +42,7 @@
 
 LeadershipRecord Leadership::release(TimePoint now)
 {
-    const LeadershipRecord record{{this->self, ++this->sequence}, this->heldFence, true};
+    LeadershipRecord record{{this->self, ++this->sequence}, this->heldFence, true};
     // Records that are still under way must not give it back.
     this->pending.clear();
     this->drop(now);
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -70,7 +70,7 @@
 
 std::string writtenFile(const std::string &text)
 {
-    const std::string path = testing::TempDir() + "flamingosaddle-settings-" + std::to_string(::getpid()) + ".conf";
+    std::string path = testing::TempDir() + "flamingosaddle-settings-" + std::to_string(::getpid()) + ".conf";
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -154,7 +154,7 @@
 }
 
 CallerSetup::CallerSetup(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
-    CallerHooks hooks, CallerOptions options)
+    CallerHooks hooks, CallerOptions options, CallerInterface interface)
     : config(exampleConfig())
 {
     for (const FakeBackend *engine : engines) {
@@ -172,7 +172,7 @@
                                   .board(&this->board)
                                   .gate(this->gate.get())
                                   .keys(&this->keys)
-                                  .interface(openAiInterface(secret, RequestClass()))
+                                  .interface(std::move(interface))
                                   .options(options)
                                   .hooks(std::move(hooks))
                                   .contexts({&this->thread.context})
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -54,7 +54,7 @@
 {
 public:
     CallerSetup(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
-        CallerHooks hooks = {}, CallerOptions options = {});
+        CallerHooks hooks = {}, CallerOptions options = {}, CallerInterface interface = openAiInterface(secret, RequestClass()));
     ~CallerSetup();
 
     void withdrawKey();
