A stream without events keeps the fields of its backend server

Ruled out: a spoilt answer (the server's run ended whole). Test NumberedStream.OneWithoutEvents... fails before, passes after.

--- a/src/relay/answerrelay.cpp
+++ b/src/relay/answerrelay.cpp
@@ -119,7 +119,7 @@
     if (reported.has_value()) {
         this->usage = reported.value();
     }
-    co_return co_await this->endEvents();
+    co_return co_await this->endEvents(call);
 }
 
 asio::awaitable<Result<void>> AnswerRelay::beginStream(int status, HttpHeaders headers)
@@ -129,14 +129,12 @@
     co_return co_await this->exchange.beginStream(status, std::move(headers));
 }
 
-asio::awaitable<AttemptResult> AnswerRelay::endEvents()
+asio::awaitable<AttemptResult> AnswerRelay::endEvents(const BackendCall &call)
 {
     this->environment.step(RequestStep::LastByte);
     if (!this->streamBegun) {
-        // A stream of the end mark alone.
-        HttpHeaders headers = this->callerHeaders;
-        headers.set("Content-Type", std::string(eventStreamType));
-        const Result<void> begun = co_await this->beginStream(200, std::move(headers));
+        // A stream without events, as of a caller that resumes behind the last one.
+        const Result<void> begun = co_await this->beginStream(call.head().status, this->answerHeaders(call.head().headers));
         if (!begun.has_value()) {
             co_return callerGone();
         }
--- a/src/relay/answerrelay.h
+++ b/src/relay/answerrelay.h
@@ -66,7 +66,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(BackendCall &call, TrafficGrant &grant);
     boost::asio::awaitable<AttemptResult> relayLarge(BackendCall &call, HttpResponse begun);
     boost::asio::awaitable<AttemptResult> answerWhole(HttpResponse response);
-    boost::asio::awaitable<AttemptResult> endEvents();
+    boost::asio::awaitable<AttemptResult> endEvents(const BackendCall &call);
     boost::asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers);
 
     AttemptResult failed(const Error &error) const;
--- a/tests/relay/numberedstream_test.cpp
+++ b/tests/relay/numberedstream_test.cpp
@@ -121,3 +121,16 @@
     EXPECT_FALSE(isWhole(answer)) << answer;
     EXPECT_EQ(countOf(answer, "data: te\n"), 0);
 }
+
+TEST(NumberedStream, OneWithoutEventsKeepsTheFieldsOfItsServer)
+{
+    const std::string answer = answerWith([](HttpExchange &exchange) -> asio::awaitable<void> {
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        headers.add("X-Signature", "of the server");
+        Result<void> written = co_await exchange.beginStream(200, std::move(headers));
+        written = co_await exchange.endStream();
+    });
+    EXPECT_NE(answer.find("X-Signature: of the server"), std::string::npos) << answer;
+    EXPECT_TRUE(isWhole(answer));
+}
