--- a/tests/traffic/prompt_test.cpp
+++ b/tests/traffic/prompt_test.cpp
@@ -28,6 +28,17 @@
     return server;
 }
 
+std::vector<BackendServer> twelveServers()
+{
+    constexpr int count = 12;
+    std::vector<BackendServer> servers;
+    servers.reserve(count);
+    for (int i = 0; i < count; ++i) {
+        servers.push_back(serverOf(i));
+    }
+    return servers;
+}
+
 RequestProfile profileOf(const std::string &name, std::uint32_t tokens, int tier, std::chrono::milliseconds objective)
 {
     RequestProfile profile;
@@ -72,11 +83,7 @@
 
     void SetUp() override
     {
-        std::vector<BackendServer> servers;
-        for (int i = 0; i < 12; ++i) {
-            servers.push_back(serverOf(i));
-        }
-        this->dispatcher.setServers(servers, this->now);
+        this->dispatcher.setServers(twelveServers(), this->now);
     }
 
     std::optional<Ticket> submit(RequestProfile profile)
@@ -148,11 +155,7 @@
 {
     this->teachClasses();
     Dispatcher other{DispatcherOptions()};
-    std::vector<BackendServer> servers;
-    for (int i = 0; i < 12; ++i) {
-        servers.push_back(serverOf(i));
-    }
-    other.setServers(servers, this->now);
+    other.setServers(twelveServers(), this->now);
     for (int i = 0; i < 20; ++i) {
         for (const RequestProfile &profile : {chat(), plan()}) {
             const Ticket ticket = std::get<Ticket>(other.submit(profile, this->now));
@@ -188,7 +191,11 @@
     std::optional<Ticket> waiting;
     while (!waiting.has_value()) {
         const Ticket ticket = *this->submit(plan());
-        this->started.contains(ticket) ? running.push_back(ticket) : (void)(waiting = ticket);
+        if (this->started.contains(ticket)) {
+            running.push_back(ticket);
+        } else {
+            waiting = ticket;
+        }
     }
     this->now += 500ms;
     for (const Ticket ticket : running) {
