--- a/tests/http/drain_test.cpp
+++ b/tests/http/drain_test.cpp
@@ -18,13 +18,14 @@
 
 /** A server whose one exchange streams a piece and ends when the test says so. */
 struct DrainTest : testing::Test {
-    std::unique_ptr<Timer> release;
+    Timer *release = nullptr; // of the exchange that runs
     TestServer server{[this](HttpExchange &exchange) -> awaitable<void> {
-        this->release = std::make_unique<Timer>(co_await boost::asio::this_coro::executor, TimePoint::max());
+        Timer untilReleased(co_await boost::asio::this_coro::executor, TimePoint::max());
+        this->release = &untilReleased;
         Result<void> written = co_await exchange.beginStream(200, {});
         written = co_await exchange.writePiece("first");
         boost::system::error_code ignored;
-        co_await this->release->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await untilReleased.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
         written = co_await exchange.endStream();
     }};
     RawClient client{server.endpoint()};
