Fault matrix: the repeat of a request does not inherit a racing clock

Cause: the harness moves the paused clock on while a request waits for a silent engine, and went on doing so while the repeat of a named request was under way. When the server thread armed its 120 s wait for the next request and did not run for a moment, the clock passed it, the connection closed, and the repeat had no outcome: 20 s of wall clock, "did not end". Ruled out: the relay (the first answer was right in both), the claim's hand-over. Change: the mark of a silent engine belongs to one request, and the clock stands for 1 ms between two seconds.

--- a/tests/fault/faultcell.cpp
+++ b/tests/fault/faultcell.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::chrono::milliseconds patience{100}; // of the wall clock, after which the paused clock moves on
+constexpr std::chrono::milliseconds clockPause{1}; // of the wall clock, between two seconds of the paused one
 constexpr std::chrono::seconds waitBound{20}; // of the wall clock, for a request to end
 constexpr std::chrono::seconds pastDeadline{301}; // the class's deadline is 300 s
 
@@ -79,7 +80,9 @@
         this->log.setDown(false);
         if (this->kind == RequestKind::OnceNamed && !this->withdrawn && !this->draining && result.record.ended) {
             this->script.setFault(EngineFault::None);
+            const TimePoint before = RuntimeClock::now();
             this->send(2, result.record);
+            result.repeatTook = RuntimeClock::now() - before;
         }
         result.record.runs = this->runs();
         result.runsOnSecond = this->second.requests().size();
@@ -130,6 +133,7 @@
     {
         RawClient connection(this->setup.endpoint());
         this->client = &connection;
+        this->stalled = false;
         connection.send(this->request());
         std::future<std::string> answer = std::async(std::launch::async, [&connection]() {
             return connection.readAll();
@@ -147,6 +151,8 @@
             }
             if (this->stalled || passed > patience) {
                 RuntimeClock::advance(std::chrono::seconds(1));
+                // Lets the server act on what has arrived before the next second is over.
+                std::this_thread::sleep_for(clockPause);
             }
             std::this_thread::yield();
         }
--- a/tests/fault/faultcell.h
+++ b/tests/fault/faultcell.h
@@ -2,6 +2,7 @@
 
 #include "checks.h"
 
+#include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/relay/requeststep.h>
 
 #include <optional>
@@ -51,6 +52,7 @@
     CellRecord record;
     std::size_t injected = 0; ///< injections whose step was reached
     std::size_t runsOnSecond = 0; ///< of the second engine
+    Duration repeatTook{0}; ///< on the paused clock; zero without a repeat
 };
 
 /**
--- a/tests/fault/faultmatrix_test.cpp
+++ b/tests/fault/faultmatrix_test.cpp
@@ -1,5 +1,7 @@
 #include "faultcell.h"
 
+#include <flamingosaddle/http/server.h>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -128,6 +130,14 @@
     }
 }
 
+TEST(FaultMatrixTable, TheRepeatDoesNotInheritTheWaitForASilentEngine)
+{
+    const CellResult result = runCell({{RequestStep::FirstToken, Fault::SilentConnection}}, RequestKind::OnceNamed);
+    EXPECT_TRUE(result.record.ended);
+    // Where the clock runs on, it passes the server's wait for the next request before the repeat is read.
+    EXPECT_LT(result.repeatTook, HttpServerLimits().idleTimeout);
+}
+
 TEST_P(FaultMatrix, HoldsTheInvariants)
 {
     const CellResult result = runCell({GetParam().injection}, GetParam().kind);
