Test fixtures: a loopback address for each process; the thread ends before the pool

Seen: 12 processes of fault_matrix_test beside each other under TSan, 4 of 36 runs fail: "ran more than once", two runs where one was sent, and a race between a watchdog and the destructor of the pool. Cause: a request for an engine that a test had stopped reached another test process that had got the same port. Shown by a trial that prints the runs: the second one has the priority and trace of another caller. The race is the fixture's: it destroyed the pool while its thread ran. Ruled out: the relay sending twice (the trace ids differ). Change: fixtures listen on an address made of the process id; CallerSetup ends its thread first.

--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include <pthread.h>
+#include <unistd.h>
 
 #include <array>
 #include <ctime>
@@ -23,10 +24,17 @@
 }
 
 ContextThread::~ContextThread()
+{
+    this->stop();
+}
+
+void ContextThread::stop()
 {
     this->guard.reset();
     this->context.stop();
-    this->thread.join();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
 }
 
 std::chrono::nanoseconds ContextThread::cpuTime()
@@ -39,10 +47,20 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+std::string ownLoopbackAddress()
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    const auto part = [process](unsigned shift, unsigned mask) {
+        return std::to_string((process >> shift) & mask);
+    };
+    // Between 127.64.0.0 and 127.127.255.255, which the machine's own services do not use.
+    return "127." + std::to_string(64 + ((process >> 16) & 0x3f)) + "." + part(8, 0xff) + "." + part(0, 0xff);
+}
+
 TestServer::TestServer(HttpHandler handler, HttpServerLimits limits)
 {
     auto started = HttpServer::Builder()
-                       .listenOn({"127.0.0.1", 0})
+                       .listenOn({ownLoopbackAddress(), 0})
                        .limits(limits)
                        .handler(std::move(handler))
                        .contexts({&this->thread.context})
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -30,6 +30,9 @@
     ContextThread();
     ~ContextThread();
 
+    /** Ends the thread; what waits in the context is not run any more. */
+    void stop();
+
     boost::asio::io_context context{1};
 
     /**
@@ -75,7 +78,13 @@
 };
 
 /**
- * A server with a handler of the test's, on a free port of the loopback address.
+ * A loopback address that no other process uses: a port that one test closed is not opened by another test that runs beside
+ * it, so that no test receives requests meant for a server that has gone.
+ */
+std::string ownLoopbackAddress();
+
+/**
+ * A server with a handler of the test's, on a free port of ownLoopbackAddress().
  */
 class TestServer
 {
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -179,7 +179,7 @@
                                   .build()
                                   .value());
     this->server = std::move(HttpServer::Builder()
-                                 .listenOn({"127.0.0.1", 0})
+                                 .listenOn({ownLoopbackAddress(), 0})
                                  .handler(this->handler->handler())
                                  .contexts({&this->thread.context})
                                  .start()
@@ -193,6 +193,8 @@
     while (this->server->connectionCount() > 0) {
         std::this_thread::yield();
     }
+    // Timers of idle connections to engines would run beside the destructor of their pool.
+    this->thread.stop();
 }
 
 void CallerSetup::publish(TimePoint freshUntil)
