Peers tell each other which tiers wait; less urgent requests leave the servers to them

Ruled out: the order inside one instance (the queue serves higher tiers first), the unread bound by tier (it is compared with reports that are a heartbeat old). Change: heartbeats carry the most urgent tier that waits at each model or service, in place of a count by tier that nobody filled in; a dispatcher starts only what is at least as urgent as what waits at a peer that is heard. The test fails with the comparison taken out.

--- a/benchmark/peer/heartbeat_benchmark.cpp
+++ b/benchmark/peer/heartbeat_benchmark.cpp
@@ -19,7 +19,7 @@
 
 using namespace flamingosaddle;
 
-constexpr int tiers = 3;
+constexpr int models = 3;
 constexpr int busyServers = 64;
 constexpr int busyAccounts = 32;
 
@@ -37,8 +37,8 @@
 HeartbeatMessage busyHeartbeat(const Incarnation &from)
 {
     HeartbeatMessage message = bareHeartbeat(from);
-    for (int tier = 0; tier < tiers; ++tier) {
-        message.pressure.push_back({tier, 100});
+    for (int model = 0; model < models; ++model) {
+        message.waiting.push_back({ModelName("model-" + std::to_string(model)), ServiceName(), 0});
     }
     for (int server = 0; server < busyServers; ++server) {
         message.loads.push_back({BackendServerId("kerala-south-a-engine-" + std::to_string(server)), 4});
--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -28,6 +28,7 @@
     void describe(HeartbeatMessage &message);
 
     void takeLoads(const std::vector<ServerLoad> &loads);
+    void takeWaiting(const std::vector<WaitingTier> &waiting);
     void takeServices(const std::vector<ServiceCount> &services);
     void takeQuarantines(const QuarantinesMessage &message);
     void takeServingCount(std::size_t count);
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -30,11 +30,13 @@
     std::function<bool()> readsLog; ///< whether this instance read the config stream to its end a short time ago
     std::function<std::string()> configSnapshot;
     std::function<std::vector<KeyId>()> tombstones; ///< that the log may not have yet
-    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads and services
+    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads, waiting tiers and services
 
     std::function<void(const std::string &)> onConfigSnapshot;
     std::function<void(const KeyId &)> onTombstone;
     std::function<void(const std::vector<ServerLoad> &)> onLoads; ///< requests of all peers together, by backend server
+    /** The most urgent tier that waits at any peer, for each model or service where one does. */
+    std::function<void(const std::vector<WaitingTier> &)> onWaiting;
     std::function<void(const std::vector<ServiceCount> &)> onServices;
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
@@ -107,6 +109,8 @@
     std::vector<PeerMessage> greeting() const;
     void broadcast(const PeerMessage &message);
     void passOnLoads();
+    void passOnWaiting();
+    bool isHeard(const InstanceId &instance) const;
     void noteServingCount();
 
     boost::asio::io_context &context;
@@ -117,6 +121,7 @@
     std::unique_ptr<PeerServer> server;
     std::map<Endpoint, std::unique_ptr<PeerLink>> links;
     std::map<InstanceId, std::vector<ServerLoad>> loads; ///< what each peer runs
+    std::map<InstanceId, std::vector<WaitingTier>> waiting; ///< what waits at each peer
     std::set<BackendServerId> reportedServers; ///< whose load was passed on at the last heartbeat
     std::map<InstanceId, PeerConfig> configs; ///< by each peer's last heartbeat
     HeartbeatMessage current; ///< of this interval; all links send the same one
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/state/incarnation.h>
 #include <flamingosaddle/state/membership.h>
+#include <flamingosaddle/state/waitingtier.h>
 
 #include <chrono>
 #include <cstdint>
@@ -27,13 +28,6 @@
     friend bool operator==(const HelloMessage &, const HelloMessage &) = default;
 };
 
-struct TierPressure {
-    std::int32_t tier = 0;
-    std::uint32_t waiting = 0; ///< requests in the queue
-
-    friend bool operator==(const TierPressure &, const TierPressure &) = default;
-};
-
 struct ServerLoad {
     BackendServerId server;
     std::uint32_t inFlight = 0; ///< requests that the sender runs there
@@ -57,7 +51,7 @@
     Heartbeat member;
     std::uint64_t configOffset = 0; ///< next offset of the config stream
     bool readsLog = false; ///< whether the sender read the config stream to its end within its freshness limit
-    std::vector<TierPressure> pressure;
+    std::vector<WaitingTier> waiting;
     std::vector<ServerLoad> loads;
     std::vector<ServiceCount> services;
 
--- /dev/null
+++ b/include/flamingosaddle/state/waitingtier.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <flamingosaddle/base/id.h>
+
+#include <cstdint>
+
+namespace flamingosaddle
+{
+
+/**
+ * The most urgent tier of which requests wait at an instance for room at the backend servers of a model or service.
+ */
+struct WaitingTier {
+    ModelName model; ///< empty for a plain service
+    ServiceName service; ///< empty for a model
+    std::int32_t tier = 0;
+
+    friend bool operator==(const WaitingTier &, const WaitingTier &) = default;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/state/waitingtier.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/types.h>
 
@@ -98,6 +99,9 @@
     /** Fills @p services, after clearing it, with what was served here since the last call, for the peers. */
     void takeService(std::vector<ServiceReport> &services);
 
+    /** What waits at the peers, instead of what the last call said: less urgent requests leave the servers to it. */
+    void notePeersWaiting(const std::vector<WaitingTier> &waiting);
+
     /** The cheap backend servers of a data centre are being reclaimed: no new work goes to them. */
     void excludeDataCentre(const DataCentre &dataCentre, TimePoint now);
 
@@ -122,6 +126,8 @@
     // Queries.
 
     std::size_t waitingCount() const;
+    /** Fills @p waiting, after clearing it, with what found no room at the last dispatch(), for the peers. */
+    void waitingTiers(std::vector<WaitingTier> &waiting) const;
     std::size_t runningCount() const;
     std::uint32_t inFlight(const BackendServerId &server) const;
     /** Tokens of this instance's prompts that the server has not read. */
--- a/include/flamingosaddle/traffic/fairqueue.h
+++ b/include/flamingosaddle/traffic/fairqueue.h
@@ -109,6 +109,9 @@
 
     std::uint32_t waiting(TargetIndex target) const;
 
+    /** The highest tier that waits at @p target; nothing when none does. */
+    std::optional<int> mostUrgent(TargetIndex target) const;
+
     /** Waiting requests of higher tiers than @p tier at @p target. */
     std::uint32_t waitingAbove(TargetIndex target, int tier) const;
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -256,6 +256,9 @@
         hooks.peerLoads = [this](const std::vector<ServerLoad> &loads) {
             this->peerTraffic.takeLoads(loads);
         };
+        hooks.peersWaiting = [this](const std::vector<WaitingTier> &waiting) {
+            this->peerTraffic.takeWaiting(waiting);
+        };
         hooks.peerServices = [this](const std::vector<ServiceCount> &services) {
             this->peerTraffic.takeServices(services);
         };
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -58,6 +58,7 @@
                 message.loads.push_back({server, inFlight, dispatcher.unreadTokens(server)});
             }
         }
+        dispatcher.waitingTiers(message.waiting);
         dispatcher.takeService(this->served);
     });
     for (const ServiceReport &report : this->served) {
@@ -74,6 +75,13 @@
     });
 }
 
+void PeerTraffic::takeWaiting(const std::vector<WaitingTier> &waiting)
+{
+    this->gate.update([&waiting](Dispatcher &dispatcher, TimePoint) {
+        dispatcher.notePeersWaiting(waiting);
+    });
+}
+
 void PeerTraffic::takeServices(const std::vector<ServiceCount> &services)
 {
     this->gate.update([&services](Dispatcher &dispatcher, TimePoint) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -518,6 +518,7 @@
     };
     peerHooks.describeTraffic = this->hooks.describeTraffic;
     peerHooks.onLoads = this->hooks.peerLoads;
+    peerHooks.onWaiting = this->hooks.peersWaiting;
     peerHooks.onServices = this->hooks.peerServices;
     peerHooks.onQuarantines = this->hooks.peerQuarantines;
     peerHooks.onServingCount = this->hooks.servingCount;
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -69,6 +69,7 @@
         this->current = this->nextHeartbeat();
         this->refreshLinks();
         this->passOnLoads();
+        this->passOnWaiting();
         this->noteServingCount();
         co_await delay(this->options.timing.heartbeatInterval);
     }
@@ -155,6 +156,7 @@
         this->hooks.onConfigSnapshot(snapshot->text);
     } else if (std::holds_alternative<LeaveMessage>(message)) {
         this->loads.erase(from.from.instance);
+        this->waiting.erase(from.from.instance);
     }
 }
 
@@ -166,6 +168,7 @@
         return;
     }
     this->loads[from.from.instance] = message.loads;
+    this->waiting[from.from.instance] = message.waiting;
     this->hooks.onServices(message.services);
     this->helpIfBehind(message);
     this->configs[from.from.instance] = {message.configOffset, now};
@@ -326,8 +329,7 @@
     }
     this->reportedServers.clear();
     for (const auto &[instance, serverLoads] : this->loads) {
-        const Member *member = this->members.find(instance);
-        if (member == nullptr || member->state == MemberState::Gone) {
+        if (!this->isHeard(instance)) {
             continue;
         }
         for (const ServerLoad &load : serverLoads) {
@@ -346,6 +348,32 @@
     this->hooks.onLoads(all);
 }
 
+void PeerExchange::passOnWaiting()
+{
+    std::map<std::pair<ModelName, ServiceName>, std::int32_t> mostUrgent;
+    for (const auto &[instance, tiers] : this->waiting) {
+        if (!this->isHeard(instance)) {
+            continue;
+        }
+        for (const WaitingTier &known : tiers) {
+            const auto entry = mostUrgent.try_emplace({known.model, known.service}, known.tier).first;
+            entry->second = std::min(entry->second, known.tier);
+        }
+    }
+    std::vector<WaitingTier> all;
+    all.reserve(mostUrgent.size());
+    for (const auto &[target, tier] : mostUrgent) {
+        all.push_back({target.first, target.second, tier});
+    }
+    this->hooks.onWaiting(all);
+}
+
+bool PeerExchange::isHeard(const InstanceId &instance) const
+{
+    const Member *member = this->members.find(instance);
+    return member != nullptr && member->state != MemberState::Gone;
+}
+
 void PeerExchange::noteServingCount()
 {
     const std::size_t count = this->members.serving().size() + 1;
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -49,9 +49,9 @@
     return std::tie(value.from, value.sequence, value.state, value.address, value.dataCentre);
 }
 
-auto fieldsOf(Is<TierPressure> auto &value)
+auto fieldsOf(Is<WaitingTier> auto &value)
 {
-    return std::tie(value.tier, value.waiting);
+    return std::tie(value.model, value.service, value.tier);
 }
 
 auto fieldsOf(Is<ServerLoad> auto &value)
@@ -86,7 +86,7 @@
 
 auto fieldsOf(Is<HeartbeatMessage> auto &value)
 {
-    return std::tie(value.member, value.configOffset, value.readsLog, value.pressure, value.loads, value.services);
+    return std::tie(value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services);
 }
 
 auto fieldsOf(Is<TombstonesMessage> auto &value)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -94,6 +94,11 @@
     this->implementation->takeService(services);
 }
 
+void Dispatcher::notePeersWaiting(const std::vector<WaitingTier> &waiting)
+{
+    this->implementation->notePeersWaiting(waiting);
+}
+
 void Dispatcher::excludeDataCentre(const DataCentre &dataCentre, TimePoint /*now*/)
 {
     this->implementation->setExcluded(dataCentre, true);
@@ -130,6 +135,11 @@
     return this->implementation->runningCount();
 }
 
+void Dispatcher::waitingTiers(std::vector<WaitingTier> &waiting) const
+{
+    this->implementation->waitingTiers(waiting);
+}
+
 std::uint32_t Dispatcher::inFlight(const BackendServerId &server) const
 {
     const std::optional<ServerIndex> index = this->implementation->pool.find(server);
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -325,6 +325,11 @@
     Availability available = this->pool.availability(target);
     if (available.reliable || available.cheap) {
         available.lowestTier = this->lowestTierToStart(target, now);
+        // Whatever an instance starts here is in front of what waits at a peer for the same servers.
+        const auto peers = this->peersWaiting.find(target);
+        if (peers != this->peersWaiting.end()) {
+            available.lowestTier = std::min(available.lowestTier, peers->second);
+        }
     }
     return available;
 }
@@ -446,6 +451,29 @@
     });
 }
 
+void Dispatcher::Implementation::notePeersWaiting(const std::vector<WaitingTier> &waiting)
+{
+    this->peersWaiting.clear();
+    for (const WaitingTier &known : waiting) {
+        const std::optional<TargetIndex> target = this->pool.findTarget(known.model, known.service);
+        if (target.has_value()) {
+            this->peersWaiting.emplace(*target, known.tier);
+        }
+    }
+}
+
+void Dispatcher::Implementation::waitingTiers(std::vector<WaitingTier> &waiting) const
+{
+    waiting.clear();
+    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
+        const std::optional<int> tier = this->queue.mostUrgent(target);
+        if (tier.has_value()) {
+            const auto &[model, service] = this->pool.targetName(target);
+            waiting.push_back(WaitingTier{model, service, *tier});
+        }
+    }
+}
+
 std::optional<TimePoint> Dispatcher::Implementation::nextWakeup() const
 {
     if (this->deadlines.isEmpty()) {
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -11,6 +11,8 @@
 #include <flamingosaddle/traffic/reserve.h>
 #include <flamingosaddle/traffic/retrybudget.h>
 
+#include <map>
+
 namespace flamingosaddle
 {
 
@@ -37,6 +39,7 @@
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
     void pressure(const ModelName &model, const ServiceName &service, TimePoint now, std::vector<TierWait> &waits);
     void takeService(std::vector<ServiceReport> &services);
+    void notePeersWaiting(const std::vector<WaitingTier> &waiting);
 
     ServerPool pool;
     Selector selector;
@@ -55,6 +58,7 @@
         return this->requests.size() - this->waitingCount();
     }
 
+    void waitingTiers(std::vector<WaitingTier> &waiting) const;
     std::optional<TimePoint> nextWakeup() const;
 
 private:
@@ -115,6 +119,7 @@
     RetryBudget retryBudget;
     std::vector<ResendLimit> resendLimits; // by target
     std::vector<PromptBacklog> backlogs; // by target
+    std::map<TargetIndex, int> peersWaiting; // most urgent tier; without those targets where nothing waits
     RequestTable requests;
     DeadlineHeap deadlines; // of waiting requests
     std::vector<Tier> tiers; // highest first
--- a/src/traffic/fairqueue.cpp
+++ b/src/traffic/fairqueue.cpp
@@ -100,6 +100,18 @@
     return sum;
 }
 
+std::optional<int> FairQueue::mostUrgent(TargetIndex target) const
+{
+    if (target < this->targets.size()) {
+        for (const GroupIndex group : this->targets[target].groups) {
+            if (this->groups[group].waiting > 0) {
+                return this->groups[group].tier; // the groups stand in the order of their tiers
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::uint32_t FairQueue::waitingOfClass(TargetIndex target, ClassIndex requestClass) const
 {
     std::uint32_t sum = 0;
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -73,6 +73,7 @@
         };
         hooks.describeTraffic = [](HeartbeatMessage &) {};
         hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
+        hooks.peersWaiting = [](const std::vector<WaitingTier> &) {};
         hooks.peerServices = [](const std::vector<ServiceCount> &) {};
         hooks.peerQuarantines = [](const QuarantinesMessage &) {};
         hooks.servingCount = [](std::size_t) {};
@@ -194,6 +195,7 @@
     hooks.keyWithdrawn = [](const KeyId &) {};
     hooks.describeTraffic = [](HeartbeatMessage &) {};
     hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
+    hooks.peersWaiting = [](const std::vector<WaitingTier> &) {};
     hooks.peerServices = [](const std::vector<ServiceCount> &) {};
     hooks.peerQuarantines = [](const QuarantinesMessage &) {};
     hooks.servingCount = [](std::size_t) {};
--- /dev/null
+++ b/tests/control/peerexchange_test.cpp
@@ -0,0 +1,111 @@
+#include "rununtil.h"
+
+#include <flamingosaddle/control/peerexchange.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+
+namespace
+{
+
+Platform platformWithoutInstances()
+{
+    Platform platform;
+    platform.instances = []() -> Platform::Answer<std::vector<InstanceEntry>> {
+        co_return std::vector<InstanceEntry>();
+    };
+    return platform;
+}
+
+/** One instance: what waits there and what it hears of its peers. */
+struct ExchangingInstance {
+    ExchangingInstance(boost::asio::io_context &context, const std::string &name, std::vector<Endpoint> seeds)
+        : exchange(context, this->platform, optionsOf(name, std::move(seeds)), this->hooks())
+    {
+        EXPECT_TRUE(this->exchange.listen(Endpoint{"127.0.0.1", 0}).has_value());
+        this->exchange.setState(MemberState::Serving);
+        boost::asio::co_spawn(context, this->exchange.runTicks(), boost::asio::detached);
+    }
+
+    static PeerExchangeOptions optionsOf(const std::string &name, std::vector<Endpoint> seeds)
+    {
+        PeerExchangeOptions options;
+        options.self = Incarnation{InstanceId(name), 1};
+        options.seeds = std::move(seeds);
+        options.timing.heartbeatInterval = std::chrono::milliseconds(20);
+        return options;
+    }
+
+    PeerExchangeHooks hooks()
+    {
+        PeerExchangeHooks hooks;
+        hooks.configOffset = [] {
+            return 0;
+        };
+        hooks.readsLog = [] {
+            return true;
+        };
+        hooks.configSnapshot = [] {
+            return std::string();
+        };
+        hooks.tombstones = [] {
+            return std::vector<KeyId>();
+        };
+        hooks.describeTraffic = [this](HeartbeatMessage &message) {
+            message.waiting = this->waiting;
+        };
+        hooks.onConfigSnapshot = [](const std::string &) {};
+        hooks.onTombstone = [](const KeyId &) {};
+        hooks.onLoads = [](const std::vector<ServerLoad> &) {};
+        hooks.onWaiting = [this](const std::vector<WaitingTier> &tiers) {
+            this->heard = tiers;
+        };
+        hooks.onServices = [](const std::vector<ServiceCount> &) {};
+        hooks.onQuarantines = [](const QuarantinesMessage &) {};
+        hooks.onServingCount = [](std::size_t) {};
+        return hooks;
+    }
+
+    Platform platform = platformWithoutInstances();
+    std::vector<WaitingTier> waiting;
+    std::vector<WaitingTier> heard;
+    PeerExchange exchange;
+};
+
+const WaitingTier urgent{ModelName("m"), ServiceName(), 1};
+const WaitingTier patient{ModelName("m"), ServiceName(), 3};
+
+} // namespace
+
+TEST(PeerExchange, PassesOnTheMostUrgentTierThatWaitsAtAPeer)
+{
+    boost::asio::io_context context;
+    ExchangingInstance one(context, "one", {});
+    ExchangingInstance two(context, "two", {one.exchange.localEndpoint()});
+    ExchangingInstance three(context, "three", {one.exchange.localEndpoint()});
+    two.waiting = {patient};
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.heard == std::vector{patient};
+    }));
+    three.waiting = {urgent};
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.heard == std::vector{urgent};
+    }));
+    three.exchange.stop();
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.heard == std::vector{patient};
+    }));
+    two.waiting.clear();
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.heard.empty();
+    }));
+    two.exchange.stop();
+    one.exchange.stop();
+    // Lets the coroutines that still wait end before their objects.
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+}
--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -27,7 +27,7 @@
         = *rc::gen::element(MemberState::Joining, MemberState::Serving, MemberState::Draining, MemberState::Gone);
     message.configOffset = *rc::gen::arbitrary<std::uint64_t>();
     for (const int tier : *rc::gen::arbitrary<std::vector<int>>()) {
-        message.pressure.push_back({tier, *rc::gen::arbitrary<std::uint32_t>()});
+        message.waiting.push_back({ModelName(*rc::gen::arbitrary<std::string>()), ServiceName(), tier});
     }
     for (const std::string &server : *rc::gen::arbitrary<std::vector<std::string>>()) {
         message.loads.push_back(
--- a/tests/peer/messages.h
+++ b/tests/peer/messages.h
@@ -23,7 +23,7 @@
     HeartbeatMessage message;
     message.member = sampleHeartbeat(instance);
     message.configOffset = 9;
-    message.pressure.push_back({2, 40});
+    message.waiting.push_back({ModelName("m1"), ServiceName(), 2});
     message.loads.push_back({BackendServerId("s1"), 5});
     message.services.push_back({ClientAccountId("bakers"), ModelName("m1"), ServiceName(), 1, 500, 1200});
     return message;
--- a/tests/traffic/prompt_test.cpp
+++ b/tests/traffic/prompt_test.cpp
@@ -120,6 +120,37 @@
 
 } // namespace
 
+TEST_F(PromptTest, LowerTiersLeaveTheServersToHigherOnesThatWaitAtAPeer)
+{
+    this->teachClasses();
+    const RequestProfile glossary = profileOf("glossary", planTokens / 2, 1, 2500ms);
+    Dispatcher peer{optionsOfTest()};
+    peer.setServers(twelveServers(), this->now);
+    std::vector<WaitingTier> waiting;
+    for (int i = 0; i < 1000 && waiting.empty(); ++i) {
+        RequestProfile profile = glossary;
+        profile.arrival = this->now;
+        EXPECT_TRUE(std::holds_alternative<Ticket>(peer.submit(profile, this->now)));
+        Decisions ignored;
+        peer.dispatch(this->now, ignored);
+        peer.waitingTiers(waiting);
+    }
+    ASSERT_EQ(waiting.size(), 1U);
+    EXPECT_EQ(waiting.front().tier, 1);
+
+    this->dispatcher.notePeersWaiting(waiting);
+    const Ticket low = *this->submit(plan());
+    EXPECT_FALSE(this->started.contains(low)) << "starts in front of a glossary that waits elsewhere";
+    const Ticket same = *this->submit(glossary);
+    EXPECT_TRUE(this->started.contains(same));
+    const Ticket high = *this->submit(chat());
+    EXPECT_TRUE(this->started.contains(high));
+
+    this->dispatcher.notePeersWaiting({});
+    this->dispatch();
+    EXPECT_TRUE(this->started.contains(low));
+}
+
 TEST_F(PromptTest, LongPromptsKeepOffTheServersOfShortOnes)
 {
     this->teachClasses();
