Long beginnings are read once: shared between instances, no false stragglers, room for kept ones

(1) A server of long prompts gives tokens slowly between the chunks that it reads, so its time between tokens was compared with servers of chats. (2) An instance knew only what it had itself had read, so that each kept its own copies and counted 17,000 tokens unread where 3,700 were. (3) The bound on what is unread did not see that a kept beginning takes no time. Ruled out: eviction (a server keeps 490,000 tokens, its share of all beginnings is 125,000), lanes that differ by instance. Change: where prompts are known, servers are judged by how long reading took against what was expected; heartbeats carry the beginnings that were read since the last one; a kept beginning makes room for as much more at its server. Request lines name the prompt, its shared part and its beginning, the inputs of its placement. Each of the new tests fails with its mechanism taken out.

--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -30,6 +30,7 @@
     void takeLoads(const std::vector<ServerLoad> &loads);
     void takeWaiting(const std::vector<WaitingTier> &waiting);
     void takeServices(const std::vector<ServiceCount> &services);
+    void takeReads(const std::vector<PromptRead> &reads);
     void takeQuarantines(const QuarantinesMessage &message);
     void takeServingCount(std::size_t count);
 
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -53,10 +53,11 @@
     std::function<void(std::shared_ptr<const RoutingSnapshot>)> publish;
     std::function<void(const std::vector<BackendServer> &)> setServers;
     std::function<void(const KeyId &)> keyWithdrawn; ///< running exchanges with the key have to end
-    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads, waiting tiers and services
+    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in what it says of traffic
     std::function<void(const std::vector<ServerLoad> &)> peerLoads;
     std::function<void(const std::vector<WaitingTier> &)> peersWaiting; ///< the most urgent tiers, for models and services
     std::function<void(const std::vector<ServiceCount> &)> peerServices;
+    std::function<void(const std::vector<PromptRead> &)> peerReads;
     std::function<void(const QuarantinesMessage &)> peerQuarantines;
     std::function<void(std::size_t)> servingCount; ///< instances that serve, this one included
 };
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -30,7 +30,7 @@
     std::function<bool()> readsLog; ///< whether this instance read the config stream to its end a short time ago
     std::function<std::string()> configSnapshot;
     std::function<std::vector<KeyId>()> tombstones; ///< that the log may not have yet
-    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in loads, waiting tiers and services
+    std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in what it says of traffic
 
     std::function<void(const std::string &)> onConfigSnapshot;
     std::function<void(const KeyId &)> onTombstone;
@@ -38,6 +38,7 @@
     /** The most urgent tier that waits at any peer, for each model or service where one does. */
     std::function<void(const std::vector<WaitingTier> &)> onWaiting;
     std::function<void(const std::vector<ServiceCount> &)> onServices;
+    std::function<void(const std::vector<PromptRead> &)> onReads;
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
 };
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/state/incarnation.h>
 #include <flamingosaddle/state/membership.h>
+#include <flamingosaddle/state/promptread.h>
 #include <flamingosaddle/state/waitingtier.h>
 
 #include <chrono>
@@ -54,6 +55,7 @@
     std::vector<WaitingTier> waiting;
     std::vector<ServerLoad> loads;
     std::vector<ServiceCount> services;
+    std::vector<PromptRead> reads; ///< since the sender's last heartbeat
 
     friend bool operator==(const HeartbeatMessage &, const HeartbeatMessage &) = default;
 };
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -38,6 +38,9 @@
     int tier = 0;
     RouteId route; ///< empty for a model, and where none was found
     BackendServerId server; ///< the last one that was asked; empty when none was
+    std::uint32_t promptTokens = 0; ///< as its placement takes them; 0 where it has no prompt
+    std::uint32_t sharedTokens = 0; ///< of the beginning that other requests share
+    std::uint64_t prefixHash = 0; ///< of that beginning; 0 where there is none
     std::uint64_t configOffset = 0; ///< of the configuration that decided
     std::optional<Duration> configAge; ///< since that configuration was last known to be current
     std::string error; ///< why it failed, where no decision of the dispatcher ended it
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/state/promptread.h>
 #include <flamingosaddle/state/waitingtier.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/types.h>
@@ -99,6 +100,15 @@
     /** Fills @p services, after clearing it, with what was served here since the last call, for the peers. */
     void takeService(std::vector<ServiceReport> &services);
 
+    /** A peer had the beginning of a prompt read at a server, which keeps it. */
+    void notePeerRead(const PromptRead &read);
+
+    /**
+     * Fills @p reads, after clearing it, with the beginnings that requests from here had read since the last call, for the
+     * peers; the newest ones when there were very many.
+     */
+    void takeReads(std::vector<PromptRead> &reads);
+
     /** What waits at the peers, instead of what the last call said: less urgent requests leave the servers to it. */
     void notePeersWaiting(const std::vector<WaitingTier> &waiting);
 
--- a/include/flamingosaddle/traffic/promptplacement.h
+++ b/include/flamingosaddle/traffic/promptplacement.h
@@ -57,8 +57,9 @@
  *   get servers of their own, as many as their part of the work takes, ordinary ones before those that may be reclaimed.
  *   Each instance derives the same order of servers without a message.
  * - Many requests with the same long beginning. The server that has read it is worth the whole time of reading it again;
- *   another one is taken once that much more is unread at the first. Where this instance has not seen it read, it is expected
- *   at its home, the server that rendezvous hashing gives it, since the other instances expect it there as well.
+ *   another one is taken once that much more is unread at the first. Instances tell each other what they had read where.
+ *   What none of them told is expected at its home, the server that rendezvous hashing gives it, since the other instances
+ *   expect it there as well.
  * - Bursts of long prompts. What a server has not read yet is bounded by half of the tightest objective of the long classes;
  *   the rest waits here, where the order of service still can change, instead of in the engine's queue. Lower tiers leave
  *   room for higher ones that wait at other instances.
@@ -79,6 +80,8 @@
     /** How likely a beginning is kept at its home though this instance has not seen it read there. */
     static constexpr double homeLikelihood = 0.7;
     static constexpr double firstTokensPerMillisecond = 20.0; ///< until reading was measured
+    /** Of a first token, without what is read before it: the step that makes it and the ways there and back. */
+    static constexpr Duration firstTokenOverhead = std::chrono::milliseconds(50);
     static constexpr std::size_t maxPrefixes = 512; ///< remembered for one server
     static constexpr Duration workHorizon = std::chrono::seconds(10); ///< over which the work of the lanes is weighed
 
@@ -86,10 +89,12 @@
     void noteArrival(const PromptRequest &request, TimePoint now);
     /** The request starts at @p server. Answers what is read there before its first token. */
     PromptStart start(const ServerPool &pool, ServerIndex server, const PromptRequest &request);
-    /** The first token came, @p taken after the start. */
-    void noteRead(ServerIndex server, const PromptStart &started, Duration taken);
+    /** The first token came, @p taken after the start. Answers how many times as long as expected that was. */
+    double noteRead(ServerIndex server, const PromptStart &started, Duration taken);
     /** The attempt ended before its first token. */
     void drop(ServerIndex server, double tokens);
+    /** A peer's request had this beginning read at the server. */
+    void noteKept(const ServerPool &pool, ServerIndex server, std::uint64_t prefixHash);
     /** Tokens that peers have not had read there. */
     void reportPeers(ServerIndex server, double tokens);
     /** Prepares cost() for the servers of one target; comes before it whenever the servers or the lanes changed. */
@@ -122,6 +127,8 @@
     };
 
     Server &serverAt(ServerIndex index);
+    Server &stateOf(const ServerPool &pool, ServerIndex index);
+    void keep(Server &server, std::uint64_t prefixHash);
     const Server *find(ServerIndex index) const;
     bool keeps(ServerIndex index, const PromptRequest &request) const;
     double shortPart() const;
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -47,6 +47,7 @@
     double ownTokens = 0.0; ///< expected to be left of the requests that this instance runs there
     MovingAverage firstTokenSeconds{0.2};
     MovingAverage interTokenSeconds{0.2};
+    MovingAverage readingPace{0.2}; ///< of prompts, how many times as long as expected
     TimePoint measuredAt;
     Duration probeWait = std::chrono::seconds(0); ///< until a straggler is tried again
     double slowdown = 1.0; ///< against the median of the servers of its targets, at least 1
@@ -110,6 +111,11 @@
 
     void noteFirstToken(ServerIndex server, Duration sinceStart, TimePoint now);
     void noteInterToken(ServerIndex server, Duration perToken, TimePoint now);
+    /**
+     * A prompt was read in @p pace times the expected time. Where that is known, servers are judged by nothing else: tokens
+     * and first tokens come slowly wherever long prompts are read.
+     */
+    void noteReading(ServerIndex server, double pace, TimePoint now);
     void noteFailure(ServerIndex server, TimePoint now);
     void noteSuccess(ServerIndex server);
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -262,6 +262,9 @@
         hooks.peerServices = [this](const std::vector<ServiceCount> &services) {
             this->peerTraffic.takeServices(services);
         };
+        hooks.peerReads = [this](const std::vector<PromptRead> &reads) {
+            this->peerTraffic.takeReads(reads);
+        };
         hooks.peerQuarantines = [this](const QuarantinesMessage &message) {
             this->peerTraffic.takeQuarantines(message);
         };
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -59,6 +59,7 @@
             }
         }
         dispatcher.waitingTiers(message.waiting);
+        dispatcher.takeReads(message.reads);
         dispatcher.takeService(this->served);
     });
     for (const ServiceReport &report : this->served) {
@@ -91,6 +92,15 @@
     });
 }
 
+void PeerTraffic::takeReads(const std::vector<PromptRead> &reads)
+{
+    this->gate.update([&reads](Dispatcher &dispatcher, TimePoint) {
+        for (const PromptRead &read : reads) {
+            dispatcher.notePeerRead(read);
+        }
+    });
+}
+
 void PeerTraffic::takeQuarantines(const QuarantinesMessage &message)
 {
     this->gate.update([&message](Dispatcher &dispatcher, TimePoint now) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -520,6 +520,7 @@
     peerHooks.onLoads = this->hooks.peerLoads;
     peerHooks.onWaiting = this->hooks.peersWaiting;
     peerHooks.onServices = this->hooks.peerServices;
+    peerHooks.onReads = this->hooks.peerReads;
     peerHooks.onQuarantines = this->hooks.peerQuarantines;
     peerHooks.onServingCount = this->hooks.servingCount;
     return peerHooks;
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -170,6 +170,7 @@
     this->loads[from.from.instance] = message.loads;
     this->waiting[from.from.instance] = message.waiting;
     this->hooks.onServices(message.services);
+    this->hooks.onReads(message.reads);
     this->helpIfBehind(message);
     this->configs[from.from.instance] = {message.configOffset, now};
     this->noteAgreement(message, now);
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -59,6 +59,11 @@
     return std::tie(value.server, value.inFlight, value.unreadTokens);
 }
 
+auto fieldsOf(Is<PromptRead> auto &value)
+{
+    return std::tie(value.server, value.prefixHash);
+}
+
 auto fieldsOf(Is<ServiceCount> auto &value)
 {
     return std::tie(value.clientAccount, value.model, value.service, value.tier, value.weightThousandths, value.tokens);
@@ -86,7 +91,7 @@
 
 auto fieldsOf(Is<HeartbeatMessage> auto &value)
 {
-    return std::tie(value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services);
+    return std::tie(value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services, value.reads);
 }
 
 auto fieldsOf(Is<TombstonesMessage> auto &value)
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -95,6 +95,9 @@
     this->outcome.clientAccount = this->routed.profile.clientAccount;
     this->outcome.className = this->routed.profile.requestClass.name;
     this->outcome.tier = this->routed.profile.requestClass.tier;
+    this->outcome.promptTokens = this->routed.profile.promptTokens;
+    this->outcome.sharedTokens = this->routed.profile.sharedTokens;
+    this->outcome.prefixHash = this->routed.profile.prefixHash;
     BOOST_OUTCOME_TRYV(this->registerKey());
     this->environment.step(RequestStep::Authenticate);
     return done();
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -94,6 +94,20 @@
     this->implementation->takeService(services);
 }
 
+void Dispatcher::notePeerRead(const PromptRead &read)
+{
+    const std::optional<ServerIndex> index = this->implementation->pool.find(read.server);
+    if (index.has_value()) {
+        this->implementation->selector.prompts.noteKept(this->implementation->pool, *index, read.prefixHash);
+    }
+}
+
+void Dispatcher::takeReads(std::vector<PromptRead> &reads)
+{
+    reads.swap(this->implementation->reads);
+    this->implementation->reads.clear();
+}
+
 void Dispatcher::notePeersWaiting(const std::vector<WaitingTier> &waiting)
 {
     this->implementation->notePeersWaiting(waiting);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -26,10 +26,12 @@
     record.lastTokenAt = now;
     record.outstandingTokens -= record.promptTokens;
     this->pool.noteProgress(record.server, record.promptTokens);
-    this->pool.noteFirstToken(record.server, now - record.startedAt, now);
     this->forecast.noteFirstToken(record.entry.target, now - record.startedAt);
     if (record.isPromptKnown()) {
-        this->selector.prompts.noteRead(record.server, record.started, now - record.startedAt);
+        const double pace = this->selector.prompts.noteRead(record.server, record.started, now - record.startedAt);
+        this->pool.noteReading(record.server, pace, now);
+    } else {
+        this->pool.noteFirstToken(record.server, now - record.startedAt, now);
     }
     this->queue.shares().noteServed(record.share, record.promptTokens);
 }
@@ -48,7 +50,7 @@
     this->pool.noteProgress(record.server, reserved);
     this->queue.shares().charge(record.share, count - reserved);
     this->queue.shares().noteServed(record.share, count);
-    if (record.firstTokenSeen && now > record.lastTokenAt) {
+    if (record.firstTokenSeen && now > record.lastTokenAt && !record.isPromptKnown()) {
         this->pool.noteInterToken(record.server, (now - record.lastTokenAt) / count, now);
     }
     record.lastTokenAt = now;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -13,6 +13,7 @@
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
 constexpr std::chrono::seconds longestRetryAfter{60};
+constexpr std::size_t maxReadsTold = 64; // in one heartbeat: 4 KB with names of 50 bytes, half a second at letter 1's peak
 constexpr Duration parkedInterval = std::chrono::milliseconds(100); // between two looks at suspects that run elsewhere
 constexpr Duration holdInterval = std::chrono::milliseconds(500); // after which rates of arrival are looked at again
 
@@ -403,10 +404,22 @@
     this->pool.acquire(server, record.entry.target, record.outstandingTokens);
     if (record.isPromptKnown()) {
         record.started = this->selector.prompts.start(this->pool, server, record.prompt);
+        this->noteRead(this->pool.server(server).id, record.prompt.prefixHash);
     }
     decisions.assignments.push_back(Assignment{this->requests.ticket(index), this->pool.server(server).id, suspect});
 }
 
+void Dispatcher::Implementation::noteRead(const BackendServerId &server, std::uint64_t prefixHash)
+{
+    if (prefixHash == 0) {
+        return;
+    }
+    if (this->reads.size() >= maxReadsTold) {
+        this->reads.erase(this->reads.begin());
+    }
+    this->reads.push_back(PromptRead{server, prefixHash});
+}
+
 void Dispatcher::Implementation::cancel(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -44,6 +44,7 @@
     ServerPool pool;
     Selector selector;
     Quarantine quarantine;
+    std::vector<PromptRead> reads; // since the peers were told, the newest of them
     std::uint32_t instanceCount = 0; // that share the servers; 0 while unknown
 
     // Queries.
@@ -108,6 +109,7 @@
     void startWaiting(TargetIndex target, TimePoint now, Decisions &decisions);
     std::optional<RefusalReason> reasonNotToStart(const RequestRecord &record, TimePoint now) const;
     void start(RequestIndex index, ServerIndex server, TimePoint now, Decisions &decisions);
+    void noteRead(const BackendServerId &server, std::uint64_t prefixHash);
     void endAttempt(RequestRecord &record, AttemptEnd end, TimePoint now);
     void noteServerOutcome(const RequestRecord &record, AttemptEnd end, TimePoint now);
     std::optional<RefusalReason> reasonNotToRetry(const RequestRecord &record, AttemptEnd end, TimePoint now);
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -98,12 +98,7 @@
     order.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
         order.push_back({{pool.server(candidate.server).cheap, mixed(candidate.nameHash ^ laneSeed)}, candidate.server});
-        Server &state = this->serverAt(candidate.server);
-        if (state.nameHash != candidate.nameHash) {
-            state = Server();
-            state.nameHash = candidate.nameHash;
-        }
-        state.forShort = false;
+        this->stateOf(pool, candidate.server).forShort = false;
     }
     if (this->longestShort <= 0.0 || order.size() < 2) {
         return;
@@ -149,7 +144,8 @@
     const double lost = (1.0 - kept) * request.sharedTokens;
     cost.tokens
         = (unread + toRead + lost) * server.slowdown + runningTokens * (server.inFlight + server.peersInFlight) * server.slowdown;
-    const double bound = this->unreadBound(request.tier);
+    // A beginning that is kept takes no time of the server: it leaves room for as much more.
+    const double bound = this->unreadBound(request.tier) + kept * request.sharedTokens;
     const bool isShort = this->isShort(request.requestClass);
     // A long prompt waits rather than stall the streams of the short ones.
     cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= bound);
@@ -158,33 +154,41 @@
 
 PromptStart PromptPlacement::start(const ServerPool &pool, ServerIndex index, const PromptRequest &request)
 {
-    Server &state = this->serverAt(index);
-    if (state.nameHash != pool.server(index).nameHash) {
-        state = Server();
-        state.nameHash = pool.server(index).nameHash;
-    }
+    Server &state = this->stateOf(pool, index);
     const double toRead = request.promptTokens - (this->keeps(index, request) ? request.sharedTokens : 0);
     const PromptStart started{toRead, state.own + state.peers};
     state.own += toRead;
     if (request.prefixHash != 0) {
         // The next request with this beginning is read after this one, so that it finds it kept.
-        state.prefixes[request.prefixHash] = ++this->uses;
-        if (state.prefixes.size() > maxPrefixes) {
-            state.prefixes.erase(
-                std::min_element(state.prefixes.begin(), state.prefixes.end(), [](const auto &left, const auto &right) {
-                    return left.second < right.second;
-                }));
-        }
+        this->keep(state, request.prefixHash);
     }
     return started;
 }
 
-void PromptPlacement::noteRead(ServerIndex server, const PromptStart &started, Duration taken)
+void PromptPlacement::noteKept(const ServerPool &pool, ServerIndex index, std::uint64_t prefixHash)
+{
+    this->keep(this->stateOf(pool, index), prefixHash);
+}
+
+void PromptPlacement::keep(Server &server, std::uint64_t prefixHash)
+{
+    server.prefixes[prefixHash] = ++this->uses;
+    if (server.prefixes.size() > maxPrefixes) {
+        server.prefixes.erase(
+            std::min_element(server.prefixes.begin(), server.prefixes.end(), [](const auto &left, const auto &right) {
+                return left.second < right.second;
+            }));
+    }
+}
+
+double PromptPlacement::noteRead(ServerIndex server, const PromptStart &started, Duration taken)
 {
     this->drop(server, started.own);
+    const double expected = millisecondsOf(firstTokenOverhead) + (started.own + started.ahead) / this->tokensPerMillisecond();
     if (started.own >= smallestMeasured && taken > Duration::zero()) {
         this->speed.add(std::clamp((started.own + started.ahead) / millisecondsOf(taken), slowestReading, fastestReading));
     }
+    return millisecondsOf(taken) / expected;
 }
 
 void PromptPlacement::drop(ServerIndex server, double tokens)
@@ -215,6 +219,17 @@
     return state != nullptr && request.prefixHash != 0 && state->prefixes.contains(request.prefixHash);
 }
 
+PromptPlacement::Server &PromptPlacement::stateOf(const ServerPool &pool, ServerIndex index)
+{
+    Server &state = this->serverAt(index);
+    const std::uint64_t nameHash = pool.server(index).nameHash;
+    if (state.nameHash != nameHash) {
+        state = Server();
+        state.nameHash = nameHash;
+    }
+    return state;
+}
+
 PromptPlacement::Server &PromptPlacement::serverAt(ServerIndex index)
 {
     if (index >= this->servers.size()) {
--- a/src/traffic/serverpoolspeed.cpp
+++ b/src/traffic/serverpoolspeed.cpp
@@ -19,6 +19,12 @@
     this->noteMeasured(index, now);
 }
 
+void ServerPool::noteReading(ServerIndex index, double pace, TimePoint now)
+{
+    this->servers[index].readingPace.add(pace);
+    this->noteMeasured(index, now);
+}
+
 void ServerPool::noteFailure(ServerIndex index, TimePoint now)
 {
     ServerState &state = this->servers[index];
@@ -60,6 +66,7 @@
     const Target &target = this->targets[targetIndex];
     const double firstToken = this->medianOf(target, &ServerState::firstTokenSeconds);
     const double interToken = this->medianOf(target, &ServerState::interTokenSeconds);
+    const double reading = this->medianOf(target, &ServerState::readingPace);
     const auto ratio = [](const MovingAverage &measure, double median) {
         return measure.count() < minSamples || median <= 0.0 ? 1.0 : measure.value() / median;
     };
@@ -67,8 +74,9 @@
         ServerState &state = this->servers[candidate.server];
         // Inter-token times tell more: first-token times also vary with the lengths of the prompts.
         const bool streams = state.interTokenSeconds.count() >= minSamples;
-        const double slow = streams ? ratio(state.interTokenSeconds, interToken) : ratio(state.firstTokenSeconds, firstToken);
-        state.slowdown = std::max(1.0, slow);
+        const double answering
+            = streams ? ratio(state.interTokenSeconds, interToken) : ratio(state.firstTokenSeconds, firstToken);
+        state.slowdown = std::max(1.0, reading > 0.0 ? ratio(state.readingPace, reading) : answering);
         state.probeWait = state.slowdown < stragglerSlowdown ? Duration() : std::max(state.probeWait, firstProbeWait);
         this->refresh(candidate.server);
     }
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -75,6 +75,7 @@
         hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
         hooks.peersWaiting = [](const std::vector<WaitingTier> &) {};
         hooks.peerServices = [](const std::vector<ServiceCount> &) {};
+        hooks.peerReads = [](const std::vector<PromptRead> &) {};
         hooks.peerQuarantines = [](const QuarantinesMessage &) {};
         hooks.servingCount = [](std::size_t) {};
         return hooks;
@@ -197,6 +198,7 @@
     hooks.peerLoads = [](const std::vector<ServerLoad> &) {};
     hooks.peersWaiting = [](const std::vector<WaitingTier> &) {};
     hooks.peerServices = [](const std::vector<ServiceCount> &) {};
+    hooks.peerReads = [](const std::vector<PromptRead> &) {};
     hooks.peerQuarantines = [](const QuarantinesMessage &) {};
     hooks.servingCount = [](std::size_t) {};
     ControllerOptions options;
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -65,6 +65,7 @@
             this->heard = tiers;
         };
         hooks.onServices = [](const std::vector<ServiceCount> &) {};
+        hooks.onReads = [](const std::vector<PromptRead> &) {};
         hooks.onQuarantines = [](const QuarantinesMessage &) {};
         hooks.onServingCount = [](std::size_t) {};
         return hooks;
--- a/tests/traffic/prompt_test.cpp
+++ b/tests/traffic/prompt_test.cpp
@@ -151,6 +151,74 @@
     EXPECT_TRUE(this->started.contains(low));
 }
 
+TEST_F(PromptTest, APromptGoesWhereAPeerHadItsBeginningRead)
+{
+    this->teachClasses();
+    constexpr std::uint64_t beginning = 77;
+    // Another beginning, to find a server that the first one would not choose.
+    std::uint64_t other = beginning + 1;
+    const BackendServerId home = this->started[*this->submit(plan(beginning))];
+    BackendServerId elsewhere = home;
+    for (; elsewhere == home; ++other) {
+        elsewhere = this->started[*this->submit(plan(other))];
+    }
+    Dispatcher peer{optionsOfTest()};
+    std::swap(this->dispatcher, peer);
+    this->dispatcher.setServers(twelveServers(), this->now);
+    this->teachClasses();
+    this->dispatcher.notePeerRead({elsewhere, beginning});
+    EXPECT_EQ(this->started[*this->submit(plan(beginning))], elsewhere);
+}
+
+TEST_F(PromptTest, TellsEachBeginningOnce)
+{
+    this->teachClasses();
+    const BackendServerId server = this->started[*this->submit(plan(5))];
+    std::vector<PromptRead> reads;
+    this->dispatcher.takeReads(reads);
+    EXPECT_EQ(reads, (std::vector<PromptRead>{{server, 5}}));
+    this->dispatcher.takeReads(reads);
+    EXPECT_TRUE(reads.empty());
+}
+
+TEST_F(PromptTest, AKeptBeginningMakesRoomAtItsServer)
+{
+    this->teachClasses();
+    // A class with a tight objective leaves the lower one little room.
+    const RequestProfile glossary = profileOf("glossary", planTokens / 2, 1, 1000ms);
+    const Ticket read = *this->submit(glossary);
+    this->dispatcher.firstToken(read, this->now);
+    this->dispatcher.finish(read, AttemptEnd::Completed, this->now);
+    const BackendServerId server = this->started[*this->submit(plan(5))];
+    // 17000 tokens are unread there, of which the second prompt shares 13000.
+    EXPECT_EQ(this->started[*this->submit(plan(5))], server);
+}
+
+TEST_F(PromptTest, ServersThatReadLongPromptsAreNoStragglers)
+{
+    this->teachClasses();
+    const BackendServerId home = this->started[*this->submit(plan(5))];
+    for (int round = 0; round < 20; ++round) {
+        // Several at a time, so that several servers are measured.
+        const std::vector<Ticket> chats{*this->submit(chat()), *this->submit(chat()), *this->submit(chat())};
+        const Ticket planning = *this->submit(plan(5));
+        ASSERT_EQ(this->started[planning], home) << "in round " << round;
+        this->now += 125ms; // both prompts are read as fast as was expected
+        for (const Ticket chatting : chats) {
+            this->dispatcher.firstToken(chatting, this->now);
+        }
+        this->now += 125ms;
+        this->dispatcher.firstToken(planning, this->now);
+        for (const Ticket chatting : chats) {
+            this->dispatcher.tokens(chatting, 50, this->now);
+            this->dispatcher.finish(chatting, AttemptEnd::Completed, this->now);
+        }
+        this->now += 100ms; // the next long prompt is read between two tokens of this one
+        this->dispatcher.tokens(planning, 1, this->now);
+        this->dispatcher.finish(planning, AttemptEnd::Completed, this->now);
+    }
+}
+
 TEST_F(PromptTest, LongPromptsKeepOffTheServersOfShortOnes)
 {
     this->teachClasses();
