--- a/include/flamingosaddle/control/fleetdesk.h
+++ b/include/flamingosaddle/control/fleetdesk.h
@@ -5,6 +5,7 @@
 #include <flamingosaddle/control/duties.h>
 #include <flamingosaddle/control/dutylog.h>
 #include <flamingosaddle/state/fleetplan.h>
+#include <flamingosaddle/state/servicedemand.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,6 +29,8 @@
     /** Runs until stop(); the object has to outlive the coroutine. */
     boost::asio::awaitable<void> run();
     void stop();
+    /** What an instance's requests asked for since it last told; also while another instance leads. */
+    void noteDemand(const ServiceDemand &demand);
 
 private:
     /** Sends the orders that are due; answers whether servers were asked for that are not to be had. */
@@ -38,6 +41,7 @@
     DutyLog &duties;
     const Directory &directory;
     std::map<ServiceName, FleetPlan> plans;
+    DemandMeter demand;
     std::uint64_t plannedUnder = 0; // fence of the lead that the plans were made under
     bool stopped = false;
 };
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -39,6 +39,7 @@
     std::function<void(const std::vector<WaitingTier> &)> onWaiting;
     std::function<void(const std::vector<ServiceCount> &)> onServices;
     std::function<void(const std::vector<PromptRead> &)> onReads;
+    std::function<void(const std::vector<ServiceDemand> &)> onDemands; ///< of each instance, this one included
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
 };
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/state/incarnation.h>
 #include <flamingosaddle/state/membership.h>
 #include <flamingosaddle/state/promptread.h>
+#include <flamingosaddle/state/servicedemand.h>
 #include <flamingosaddle/state/waitingtier.h>
 
 #include <chrono>
@@ -56,6 +57,7 @@
     std::vector<ServerLoad> loads;
     std::vector<ServiceCount> services;
     std::vector<PromptRead> reads; ///< since the sender's last heartbeat
+    std::vector<ServiceDemand> demands; ///< since the sender's last heartbeat
 
     friend bool operator==(const HeartbeatMessage &, const HeartbeatMessage &) = default;
 };
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/state/promptread.h>
+#include <flamingosaddle/state/servicedemand.h>
 #include <flamingosaddle/state/waitingtier.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/types.h>
@@ -109,6 +110,12 @@
      */
     void takeReads(std::vector<PromptRead> &reads);
 
+    /**
+     * Fills @p demands, after clearing it, with the time of servers that requests with known prompts asked for here since the
+     * last call, refused ones included.
+     */
+    void takeDemands(std::vector<ServiceDemand> &demands);
+
     /** What waits at the peers, instead of what the last call said: less urgent requests leave the servers to it. */
     void notePeersWaiting(const std::vector<WaitingTier> &waiting);
 
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -60,6 +60,7 @@
         }
         dispatcher.waitingTiers(message.waiting);
         dispatcher.takeReads(message.reads);
+        dispatcher.takeDemands(message.demands);
         dispatcher.takeService(this->served);
     });
     for (const ServiceReport &report : this->served) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -521,6 +521,13 @@
     peerHooks.onWaiting = this->hooks.peersWaiting;
     peerHooks.onServices = this->hooks.peerServices;
     peerHooks.onReads = this->hooks.peerReads;
+    peerHooks.onDemands = [this](const std::vector<ServiceDemand> &demands) {
+        for (const ServiceDemand &demand : demands) {
+            if (this->duties) {
+                this->duties->fleet.noteDemand(demand);
+            }
+        }
+    };
     peerHooks.onQuarantines = this->hooks.peerQuarantines;
     peerHooks.onServingCount = this->hooks.servingCount;
     return peerHooks;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -52,6 +52,7 @@
         }
         if (succeeded) {
             this->serverBackoff.reset();
+            co_await delay(this->options.serverPause);
         } else if (!this->stopped) {
             co_await delay(this->serverBackoff.next());
         }
--- a/src/control/fleetdesk.cpp
+++ b/src/control/fleetdesk.cpp
@@ -59,6 +59,11 @@
     this->stopped = true;
 }
 
+void FleetDesk::noteDemand(const ServiceDemand &noted)
+{
+    this->demand.note(noted, RuntimeClock::now());
+}
+
 boost::asio::awaitable<bool> FleetDesk::orderFor(ServiceRules rules)
 {
     const std::map<DataCentre, FleetCount> serving = this->servingOf(rules.name);
@@ -66,7 +71,9 @@
         // Nothing has registered yet: what serves is not known.
         co_return false;
     }
-    const std::vector<FleetOrder> orders = this->plans[rules.name].due(*rules.scaling, serving, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<BusyServers> busy = this->demand.busyServers(rules.name, now);
+    const std::vector<FleetOrder> orders = this->plans[rules.name].due(*rules.scaling, serving, busy, now);
     bool hasNone = false;
     for (const FleetOrder &order : orders) {
         if (!this->duties.isLeading() || this->stopped) {
@@ -76,7 +83,9 @@
         const Result<void> sent = co_await this->hooks.orderServers(rules.name, order, stamp);
         logStateChange(sent.has_value() ? LogLevel::Info : LogLevel::Warning, "control", "servers ordered",
             {{"service", rules.name.text()}, {"data_centre", order.dataCentre.text()}, {"count", std::to_string(order.count)},
-                {"cheap", order.cheap ? "yes" : "no"}, {"fence", std::to_string(stamp.fence)},
+                {"cheap", order.cheap ? "yes" : "no"},
+                {"busy_steady", busy.has_value() ? std::to_string(busy->steady) : "unknown"},
+                {"busy_peak", busy.has_value() ? std::to_string(busy->peak) : "unknown"}, {"fence", std::to_string(stamp.fence)},
                 {"outcome", sent.has_value() ? "accepted" : sent.error().text()}});
         const FleetAnswer answer = answerOf(sent);
         hasNone = hasNone || answer == FleetAnswer::NoneThere;
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -171,6 +171,7 @@
     this->waiting[from.from.instance] = message.waiting;
     this->hooks.onServices(message.services);
     this->hooks.onReads(message.reads);
+    this->hooks.onDemands(message.demands);
     this->helpIfBehind(message);
     this->configs[from.from.instance] = {message.configOffset, now};
     this->noteAgreement(message, now);
@@ -303,6 +304,7 @@
     message.configOffset = this->hooks.configOffset();
     message.readsLog = this->hooks.readsLog();
     this->hooks.describeTraffic(message);
+    this->hooks.onDemands(message.demands);
     return message;
 }
 
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -64,6 +64,11 @@
     return std::tie(value.server, value.prefixHash);
 }
 
+auto fieldsOf(Is<ServiceDemand> auto &value)
+{
+    return std::tie(value.service, value.serverMilliseconds);
+}
+
 auto fieldsOf(Is<ServiceCount> auto &value)
 {
     return std::tie(value.clientAccount, value.model, value.service, value.tier, value.weightThousandths, value.tokens);
@@ -91,7 +96,8 @@
 
 auto fieldsOf(Is<HeartbeatMessage> auto &value)
 {
-    return std::tie(value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services, value.reads);
+    return std::tie(
+        value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services, value.reads, value.demands);
 }
 
 auto fieldsOf(Is<TombstonesMessage> auto &value)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -4,6 +4,8 @@
 
 #include <flamingosaddle/base/hash.h>
 
+#include <utility>
+
 namespace flamingosaddle
 {
 
@@ -108,6 +110,14 @@
     this->implementation->reads.clear();
 }
 
+void Dispatcher::takeDemands(std::vector<ServiceDemand> &demands)
+{
+    demands.clear();
+    for (const auto &[service, milliseconds] : std::exchange(this->implementation->demands, {})) {
+        demands.push_back(ServiceDemand{service, static_cast<std::uint64_t>(milliseconds)});
+    }
+}
+
 void Dispatcher::notePeersWaiting(const std::vector<WaitingTier> &waiting)
 {
     this->implementation->notePeersWaiting(waiting);
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -62,6 +62,7 @@
     QueueEntry entry = this->entryOf(profile, *target);
     if (profile.outputTokens > 0) {
         this->selector.prompts.noteArrival(promptOf(profile, entry), now);
+        this->demands[profile.service] += profile.promptTokens / this->selector.prompts.tokensPerMillisecond();
         if (!this->selector.prompts.isShort(entry.requestClass)) {
             entry.target = this->pool.internTarget(ServerPool::longPrompts(), profile.service);
         }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -44,6 +44,7 @@
     ServerPool pool;
     Selector selector;
     Quarantine quarantine;
+    std::map<ServiceName, double> demands; // milliseconds of servers, since the peers were told
     std::vector<PromptRead> reads; // since the peers were told, the newest of them
     std::uint32_t instanceCount = 0; // that share the servers; 0 while unknown
 
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -66,6 +66,7 @@
         };
         hooks.onServices = [](const std::vector<ServiceCount> &) {};
         hooks.onReads = [](const std::vector<PromptRead> &) {};
+        hooks.onDemands = [](const std::vector<ServiceDemand> &) {};
         hooks.onQuarantines = [](const QuarantinesMessage &) {};
         hooks.onServingCount = [](std::size_t) {};
         return hooks;
--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -32,6 +32,7 @@
     for (const std::string &server : *rc::gen::arbitrary<std::vector<std::string>>()) {
         message.loads.push_back(
             {BackendServerId(server), *rc::gen::arbitrary<std::uint32_t>(), *rc::gen::arbitrary<std::uint64_t>()});
+        message.demands.push_back({ServiceName(server), *rc::gen::arbitrary<std::uint64_t>()});
         message.reads.push_back({BackendServerId(server), *rc::gen::arbitrary<std::uint64_t>()});
         message.services.push_back({ClientAccountId(server), ModelName(server), ServiceName(server),
             *rc::gen::arbitrary<std::int32_t>(), *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()});
--- a/tests/peer/messages.h
+++ b/tests/peer/messages.h
@@ -25,6 +25,7 @@
     message.configOffset = 9;
     message.waiting.push_back({ModelName("m1"), ServiceName(), 2});
     message.loads.push_back({BackendServerId("s1"), 5});
+    message.demands.push_back({ServiceName("engines"), 1500});
     message.reads.push_back({BackendServerId("s1"), 77});
     message.services.push_back({ClientAccountId("bakers"), ModelName("m1"), ServiceName(), 1, 500, 1200});
     return message;
