Placement of a prompt: lanes, bounds and their order are kept instead of made for each server

Cause: each selection sorted all servers of its target and made a set of tiers for each of them (list of the last reading).

--- a/include/flamingosaddle/traffic/promptplacement.h
+++ b/include/flamingosaddle/traffic/promptplacement.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace flamingosaddle
@@ -97,14 +98,20 @@
     void noteKept(const ServerPool &pool, ServerIndex server, std::uint64_t prefixHash);
     /** Tokens that peers have not had read there. */
     void reportPeers(ServerIndex server, double tokens);
-    /** Prepares cost() for the servers of one target; comes before it whenever the servers or the lanes changed. */
+    /** Prepares isOwnLane() and cost() for one target; comes before them whenever servers or arrivals changed. */
     void divide(const ServerPool &pool, TargetIndex target);
 
     // Queries.
-    /** @param isHome whether rendezvous hashing gives the shared beginning to this server */
-    PromptCost cost(const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome) const;
+    /** Tokens that may be unread at a server where a long prompt of this tier starts. */
+    double unreadBound(int tier) const;
+    /**
+     * @param isHome whether rendezvous hashing gives the shared beginning to this server
+     * @param bound unreadBound() of the request's tier
+     */
+    PromptCost cost(
+        const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome, double bound) const;
     /** Whether the server is one for prompts of this length, as the last divide() says. */
-    bool isOwnLane(ServerIndex server, ClassIndex requestClass) const;
+    bool isOwnLane(TargetIndex target, ServerIndex server, ClassIndex requestClass) const;
     bool isShort(ClassIndex requestClass) const;
     double unreadHere(ServerIndex server) const; ///< tokens of this instance's requests
     double tokensPerMillisecond() const;
@@ -114,7 +121,6 @@
         std::uint64_t nameHash = 0; // tells a server of another name at the same index
         double own = 0.0;
         double peers = 0.0;
-        bool forShort = false;
         std::unordered_map<std::uint64_t, std::uint64_t> prefixes; // hash, count of uses at the last use
     };
 
@@ -126,19 +132,31 @@
         TimePoint decayedAt;
     };
 
+    // How the servers of one target are divided.
+    struct Division {
+        std::uint64_t generation = 0; // of the pool's candidates
+        std::size_t shortCount = 0;
+        std::vector<bool> forShort; // by server index
+    };
+
     Server &serverAt(ServerIndex index);
     Server &stateOf(const ServerPool &pool, ServerIndex index);
     void keep(Server &server, std::uint64_t prefixHash);
     const Server *find(ServerIndex index) const;
     bool keeps(ServerIndex index, const PromptRequest &request) const;
-    double shortPart() const;
-    double unreadBound(int tier) const;
     void findLanes();
+    void weighLanes();
+    std::size_t shortCountOf(std::size_t servers) const;
 
     std::vector<Server> servers;
+    std::vector<Division> divisions; // by target
     std::vector<Class> classes; // by class index
+    std::vector<double> means; // of the classes' prompts; kept for its memory
+    std::vector<int> longTiers; // of long classes that were asked for lately, each once
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, ServerIndex>> order; // kept for its memory
     std::uint64_t uses = 0;
     Duration tightestLong = Duration::max(); // objective of the long classes
+    double shortPart = 0.0; // of the work
     double longestShort = 0.0; // mean tokens of a prompt that still count as short; 0 when all are alike
     MovingAverage speed{0.05}; // tokens a millisecond
 };
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -154,6 +154,12 @@
 
     Availability availability(TargetIndex target) const;
 
+    /** Changes whenever the candidates of any target change. */
+    std::uint64_t generation() const
+    {
+        return this->rebuilds;
+    }
+
     /** Slots of the target that are free for a class. */
     std::uint32_t freeSlots(TargetIndex target, bool cheapAllowed) const
     {
@@ -242,6 +248,7 @@
     std::vector<ServerState> servers;
     std::vector<Target> targets;
     std::vector<bool> excludedZones; // by zone index
+    std::uint64_t rebuilds = 0;
     std::pair<ModelName, ServiceName> targetKey; // kept so that a look-up copies into existing memory
     std::vector<double> scratch; // for medians
     std::uint32_t instanceCount = 0;
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <utility>
 
 namespace flamingosaddle
@@ -47,24 +46,25 @@
     own.tier = request.tier;
     own.work += request.promptTokens + outputWeight * request.outputTokens;
     this->findLanes();
+    this->weighLanes();
 }
 
 void PromptPlacement::findLanes()
 {
-    std::vector<double> means;
+    this->means.clear();
     for (const Class &known : this->classes) {
         if (known.promptTokens.count() > 0) {
-            means.push_back(known.promptTokens.value());
+            this->means.push_back(known.promptTokens.value());
         }
     }
-    std::sort(means.begin(), means.end());
+    std::sort(this->means.begin(), this->means.end());
     double widest = laneRatio;
     this->longestShort = 0.0;
-    for (std::size_t i = 1; i < means.size(); ++i) {
-        const double ratio = means[i] / std::max(means[i - 1], 1.0);
+    for (std::size_t i = 1; i < this->means.size(); ++i) {
+        const double ratio = this->means[i] / std::max(this->means[i - 1], 1.0);
         if (ratio >= widest) {
             widest = ratio;
-            this->longestShort = means[i - 1];
+            this->longestShort = this->means[i - 1];
         }
     }
     this->tightestLong = Duration::max();
@@ -80,58 +80,80 @@
     return requestClass < this->classes.size() && this->classes[requestClass].promptTokens.value() <= this->longestShort;
 }
 
-double PromptPlacement::shortPart() const
+void PromptPlacement::weighLanes()
 {
     double shortWork = 0.0;
     double allWork = 0.0;
+    this->longTiers.clear();
     for (ClassIndex index = 0; index < this->classes.size(); ++index) {
-        allWork += this->classes[index].work;
-        shortWork += this->isShort(index) ? this->classes[index].work : 0.0;
+        const Class &known = this->classes[index];
+        allWork += known.work;
+        if (this->isShort(index)) {
+            shortWork += known.work;
+        } else if (known.work >= 1.0
+            && std::find(this->longTiers.begin(), this->longTiers.end(), known.tier) == this->longTiers.end()) {
+            // A class that has not been asked for lately needs no room.
+            this->longTiers.push_back(known.tier);
+        }
     }
-    return allWork > 0.0 ? shortWork / allWork : 0.0;
+    this->shortPart = allWork > 0.0 ? shortWork / allWork : 0.0;
+}
+
+std::size_t PromptPlacement::shortCountOf(std::size_t servers) const
+{
+    if (this->longestShort <= 0.0 || servers < 2) {
+        return 0;
+    }
+    const double wanted = this->shortPart * laneHeadroom * static_cast<double>(servers);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(wanted)), 1, servers / 2);
 }
 
 void PromptPlacement::divide(const ServerPool &pool, TargetIndex target)
 {
     const std::vector<Candidate> &candidates = pool.candidates(target);
-    std::vector<std::pair<std::pair<bool, std::uint64_t>, ServerIndex>> order;
-    order.reserve(candidates.size());
-    for (const Candidate &candidate : candidates) {
-        order.push_back({{pool.server(candidate.server).cheap, mixed(candidate.nameHash ^ laneSeed)}, candidate.server});
-        this->stateOf(pool, candidate.server).forShort = false;
+    if (target >= this->divisions.size()) {
+        this->divisions.resize(target + 1);
     }
-    if (this->longestShort <= 0.0 || order.size() < 2) {
+    Division &division = this->divisions[target];
+    const std::size_t count = this->shortCountOf(candidates.size());
+    if (division.generation == pool.generation() && division.shortCount == count) {
         return;
     }
-    const double wanted = this->shortPart() * laneHeadroom * static_cast<double>(order.size());
-    const auto count = std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(wanted)), 1, order.size() / 2);
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    division.generation = pool.generation();
+    division.shortCount = count;
+    this->order.clear();
+    for (const Candidate &candidate : candidates) {
+        this->order.push_back({{pool.server(candidate.server).cheap, mixed(candidate.nameHash ^ laneSeed)}, candidate.server});
+        this->stateOf(pool, candidate.server); // forgets what a server of another name kept
+    }
+    std::partial_sort(this->order.begin(), this->order.begin() + static_cast<std::ptrdiff_t>(count), this->order.end());
+    division.forShort.assign(this->servers.size(), false);
     for (std::size_t i = 0; i < count; ++i) {
-        this->servers[order[i].second].forShort = true;
+        division.forShort[this->order[i].second] = true;
     }
 }
 
 double PromptPlacement::unreadBound(int tier) const
 {
-    std::set<int> higher;
-    for (ClassIndex index = 0; index < this->classes.size(); ++index) {
-        // A class that has not been asked for lately needs no room.
-        if (!this->isShort(index) && this->classes[index].work >= 1.0 && this->classes[index].tier < tier) {
-            higher.insert(this->classes[index].tier);
-        }
-    }
+    const auto higher = std::count_if(this->longTiers.begin(), this->longTiers.end(), [tier](int known) {
+        return known < tier;
+    });
     const double bound = this->tokensPerMillisecond() * millisecondsOf(this->tightestLong) * unreadPart;
-    return std::ldexp(bound, -static_cast<int>(higher.size()));
+    return std::ldexp(bound, -static_cast<int>(higher));
 }
 
-bool PromptPlacement::isOwnLane(ServerIndex server, ClassIndex requestClass) const
+bool PromptPlacement::isOwnLane(TargetIndex target, ServerIndex server, ClassIndex requestClass) const
 {
-    const Server *state = this->find(server);
-    return this->longestShort <= 0.0 || (state != nullptr && state->forShort) == this->isShort(requestClass);
+    if (this->longestShort <= 0.0) {
+        return true;
+    }
+    const bool forShort = target < this->divisions.size() && server < this->divisions[target].forShort.size()
+        && this->divisions[target].forShort[server];
+    return forShort == this->isShort(requestClass);
 }
 
 PromptCost PromptPlacement::cost(
-    const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome) const
+    const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome, double bound) const
 {
     const Server *state = this->find(candidate.server);
     const ServerState &server = pool.server(candidate.server);
@@ -139,16 +161,16 @@
     const double kept = this->keeps(candidate.server, request) ? 1.0 : (isHome ? homeLikelihood : 0.0);
     const double toRead = request.promptTokens - kept * request.sharedTokens;
     PromptCost cost;
-    cost.isOwnLane = this->isOwnLane(candidate.server, request.requestClass);
+    cost.isOwnLane = this->isOwnLane(request.target, candidate.server, request.requestClass);
     // What is read although another server keeps it is lost to the others: it counts twice.
     const double lost = (1.0 - kept) * request.sharedTokens;
     cost.tokens
         = (unread + toRead + lost) * server.slowdown + runningTokens * (server.inFlight + server.peersInFlight) * server.slowdown;
     // A beginning that is kept takes no time of the server: it leaves room for as much more.
-    const double bound = this->unreadBound(request.tier) + kept * request.sharedTokens;
+    const double room = bound + kept * request.sharedTokens;
     const bool isShort = this->isShort(request.requestClass);
     // A long prompt waits rather than stall the streams of the short ones.
-    cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= bound);
+    cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= room);
     return cost;
 }
 
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -95,7 +95,7 @@
     for (const Candidate &candidate : pool.candidates(request.target)) {
         const std::uint64_t weight = mixedWeight(candidate.nameHash, request.prefixHash);
         const bool isBetter = home == noServer || weight > highest;
-        if (isBetter && this->prompts.isOwnLane(candidate.server, request.prompt->requestClass)) {
+        if (isBetter && this->prompts.isOwnLane(request.target, candidate.server, request.prompt->requestClass)) {
             home = candidate.server;
             highest = weight;
         }
@@ -115,14 +115,18 @@
 {
     this->prompts.divide(pool, request.target);
     const ServerIndex home = this->homeOf(pool, request);
+    const double bound = this->prompts.unreadBound(request.prompt->tier);
     // A server that failed lately has nothing unread, and yet no room: it is taken only when all have failed.
     const bool allFailed = this->haveAllFailed(pool, request.target, now);
     ServerIndex best = noServer;
     std::tuple<int, bool, double, std::uint64_t> least;
     for (const Candidate &candidate : pool.candidates(request.target)) {
         const bool isFree = candidate.freePosition != std::numeric_limits<std::uint32_t>::max();
-        const PromptCost cost = this->prompts.cost(pool, candidate, *request.prompt, candidate.server == home);
-        if (!isFree || !cost.isAllowed || (pool.server(candidate.server).cheap && !request.cheapAllowed)) {
+        if (!isFree || (pool.server(candidate.server).cheap && !request.cheapAllowed)) {
+            continue;
+        }
+        const PromptCost cost = this->prompts.cost(pool, candidate, *request.prompt, candidate.server == home, bound);
+        if (!cost.isAllowed) {
             continue;
         }
         if (!allFailed && pool.server(candidate.server).avoidUntil > now) {
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -213,6 +213,7 @@
 
 void ServerPool::rebuildTargets()
 {
+    ++this->rebuilds;
     for (Target &target : this->targets) {
         target.candidates.clear();
         target.freeReliable.clear();
