--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -57,7 +57,7 @@
 struct DirectoryOptions {
     std::chrono::milliseconds configWait{1000}; ///< of one read; the proof that a configuration is current is this old at most
     std::chrono::milliseconds serverWait{2000}; ///< of one read; a silent connection is noticed this late
-    /** After a read that brought something: many servers renew their entries all the time, and each call has a price. */
+    /** Between two reads: many servers renew their entries all the time, and each call has a price. */
     std::chrono::milliseconds serverPause{300};
     ServerTableOptions servers;
     std::uint64_t seed = 1;
--- a/src/state/fleetplan.cpp
+++ b/src/state/fleetplan.cpp
@@ -48,7 +48,8 @@
         Zone &zone = this->zones[dataCentre];
         if (busy.has_value()) {
             const double wanted = std::max(busy->steady * this->mix.steadyHeadroom, busy->peak * this->mix.peakHeadroom);
-            sizeByLoad(zone, present, wanted / static_cast<double>(rules.prices.size()), now);
+            const double share = wanted / static_cast<double>(rules.prices.size());
+            sizeByLoad(zone, present, std::min<double>(share, rules.most), now);
         } else {
             this->sizeAtFirst(zone, present, now);
         }
--- a/tests/state/fleetplan_test.cpp
+++ b/tests/state/fleetplan_test.cpp
@@ -99,7 +99,7 @@
     plan.answered({here, 6, true}, FleetAnswer::Accepted, TimePoint(1s));
     EXPECT_TRUE(dueAt(plan, {1, 6}, TimePoint(20s), 5.5).empty()) << "not so many too many";
     EXPECT_EQ(dueAt(plan, {1, 6}, TimePoint(40s), 4.0), (std::vector<FleetOrder>{{here, 3, true}}));
-    EXPECT_EQ(dueAt(plan, {1, 6}, TimePoint(41s), 100.0), (std::vector<FleetOrder>{{here, 7, true}})) << "the operator's bound";
+    EXPECT_EQ(dueAt(plan, {1, 6}, TimePoint(41s), 1e30), (std::vector<FleetOrder>{{here, 7, true}})) << "the operator's bound";
 }
 
 TEST(FleetPlan, AnInstanceThatHasJustBegunToLeadGivesUpNothing)
