One decay of sums and one mixing of bits in place of copies

The exponential decay stood in promptbacklog, promptplacement and servicedemand, the finaliser of splitmix64 in selection and promptplacement. They are base/decay.h and traffic/mixbits.h now; the constants and with them all homes and lanes are the same. RateMeter in forecast.cpp keeps its own: arrivals come to it out of order, and the shared one counts a step back as no time.

--- a/src/state/servicedemand.cpp
+++ b/src/state/servicedemand.cpp
@@ -1,7 +1,8 @@
 #include <flamingosaddle/state/servicedemand.h>
 
+#include <flamingosaddle/base/decay.h>
+
 #include <algorithm>
-#include <cmath>
 
 namespace flamingosaddle
 {
@@ -9,11 +10,6 @@
 namespace
 {
 
-double decay(Duration passed, Duration horizon)
-{
-    return std::exp(-std::max(0.0, std::chrono::duration<double>(passed) / std::chrono::duration<double>(horizon)));
-}
-
 /** Servers that a decayed sum stands for, of load that began @p age ago. */
 double serversOf(double milliseconds, Duration age, Duration horizon)
 {
--- a/src/traffic/promptbacklog.cpp
+++ b/src/traffic/promptbacklog.cpp
@@ -1,7 +1,8 @@
 #include <flamingosaddle/traffic/promptbacklog.h>
 
+#include <flamingosaddle/base/decay.h>
+
 #include <algorithm>
-#include <cmath>
 
 namespace flamingosaddle
 {
@@ -18,11 +19,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-double decay(Duration passed)
-{
-    return std::exp(-secondsOf(passed) / secondsOf(PromptBacklog::horizon));
-}
-
 } // namespace
 
 void PromptBacklog::noteWaiting(int tier, double tokens, TimePoint now)
@@ -41,14 +37,14 @@
     double &line = this->waiting[tier];
     line = std::max(0.0, line - tokens);
     if (started) {
-        this->started = this->started * decay(now - this->decayedAt) + tokens;
+        this->started = this->started * decay(now - this->decayedAt, horizon) + tokens;
         this->decayedAt = now;
     }
 }
 
 double PromptBacklog::startedPerSecond(TimePoint now) const
 {
-    return this->started * decay(now - this->decayedAt) / secondsOf(horizon);
+    return this->started * decay(now - this->decayedAt, horizon) / secondsOf(horizon);
 }
 
 Duration PromptBacklog::expectedWait(int tier, TimePoint now) const
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -1,5 +1,9 @@
 #include <flamingosaddle/traffic/promptplacement.h>
 
+#include "mixbits.h"
+
+#include <flamingosaddle/base/decay.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -16,13 +20,6 @@
 constexpr double fastestReading = 1000.0;
 constexpr double smallestMeasured = 2000.0; // tokens of a prompt from which on reading dominates the first token's time
 
-std::uint64_t mixed(std::uint64_t value)
-{
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31);
-}
-
 double millisecondsOf(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -36,8 +33,7 @@
         this->classes.resize(request.requestClass + 1);
     }
     for (Class &known : this->classes) {
-        const double passed = std::chrono::duration<double>(now - known.decayedAt) / std::chrono::duration<double>(workHorizon);
-        known.work *= std::exp(-std::max(passed, 0.0));
+        known.work *= decay(now - known.decayedAt, workHorizon);
         known.decayedAt = now;
     }
     Class &own = this->classes[request.requestClass];
@@ -123,7 +119,7 @@
     division.shortCount = count;
     this->order.clear();
     for (const Candidate &candidate : candidates) {
-        this->order.push_back({{pool.server(candidate.server).cheap, mixed(candidate.nameHash ^ laneSeed)}, candidate.server});
+        this->order.push_back({{pool.server(candidate.server).cheap, mixBits(candidate.nameHash ^ laneSeed)}, candidate.server});
         this->stateOf(pool, candidate.server); // forgets what a server of another name kept
     }
     std::partial_sort(this->order.begin(), this->order.begin() + static_cast<std::ptrdiff_t>(count), this->order.end());
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -1,5 +1,7 @@
 #include <flamingosaddle/traffic/selection.h>
 
+#include "mixbits.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -12,13 +14,10 @@
 
 constexpr double unknownRequestTokens = 500.0; // of a peer's request, while nothing was measured
 
-// Mixes a server's hash and a prefix hash into a rendezvous weight (the finaliser of splitmix64).
+// Mixes a server's hash and a prefix hash into a rendezvous weight.
 std::uint64_t mixedWeight(std::uint64_t nameHash, std::uint64_t prefixHash)
 {
-    std::uint64_t value = nameHash ^ (prefixHash * 0x9e3779b97f4a7c15ULL);
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31);
+    return mixBits(nameHash ^ (prefixHash * 0x9e3779b97f4a7c15ULL));
 }
 
 double expectedTokens(const ServerState &state)
