WindowReporter reads the fixed windows once a tick, twice when counts were read

Each of its three steps decoded all fixed windows of the duty log again. They are handed on now and taken anew only after the one wait in which the log can have gone on.

--- a/include/flamingosaddle/control/windowreporter.h
+++ b/include/flamingosaddle/control/windowreporter.h
@@ -42,16 +42,18 @@
     void stop();
 
 private:
+    using FixedWindows = std::map<std::uint64_t, FixedWindow>; // by number
+
     static constexpr std::size_t slots = 12; // windows whose figures the duty log keeps
 
     boost::asio::awaitable<void> readCounts();
-    boost::asio::awaitable<void> reportFixed();
-    void fixEnded();
-    std::map<std::uint64_t, FixedWindow> fixedWindows() const;
+    boost::asio::awaitable<void> reportFixed(FixedWindows fixed);
+    void fixEnded(const FixedWindows &fixed);
+    FixedWindows fixedWindows() const;
     /** Whether a window has ended whose figures are not fixed: only then the counts are read. */
-    bool hasUnfixedWindow() const;
+    bool hasUnfixedWindow(const FixedWindows &fixed) const;
     bool isDue(std::uint64_t window) const;
-    std::uint64_t reportedBefore(const std::map<std::uint64_t, FixedWindow> &fixed) const;
+    std::uint64_t reportedBefore(const FixedWindows &fixed) const;
 
     const DutyHooks &hooks;
     DutyLog &duties;
--- a/src/control/windowreporter.cpp
+++ b/src/control/windowreporter.cpp
@@ -28,11 +28,14 @@
 {
     while (!this->stopped) {
         if (this->duties.isLeading()) {
-            if (this->hasUnfixedWindow()) {
+            FixedWindows fixed = this->fixedWindows();
+            if (this->hasUnfixedWindow(fixed)) {
                 co_await this->readCounts();
-                this->fixEnded();
+                // The duty log may have gone on meanwhile.
+                fixed = this->fixedWindows();
+                this->fixEnded(fixed);
             }
-            co_await this->reportFixed();
+            co_await this->reportFixed(fixed);
         }
         co_await delay(this->options.tick);
     }
@@ -65,9 +68,9 @@
     this->next = batch.value().nextOffset;
 }
 
-std::map<std::uint64_t, FixedWindow> WindowReporter::fixedWindows() const
+WindowReporter::FixedWindows WindowReporter::fixedWindows() const
 {
-    std::map<std::uint64_t, FixedWindow> fixed;
+    FixedWindows fixed;
     for (const auto &[key, value] : this->duties.decisions()) {
         if (!key.starts_with(keyPrefix)) {
             continue;
@@ -91,17 +94,15 @@
     return sinceEnd >= this->options.patience || this->book.isComplete(window);
 }
 
-bool WindowReporter::hasUnfixedWindow() const
+bool WindowReporter::hasUnfixedWindow(const FixedWindows &fixed) const
 {
-    const std::map<std::uint64_t, FixedWindow> fixed = this->fixedWindows();
     const std::chrono::milliseconds settled = this->options.unixTime() - this->options.settleTime;
     const auto running = static_cast<std::uint64_t>(settled / this->options.windowLength);
     return fixed.empty() || fixed.rbegin()->first + 1 < running;
 }
 
-void WindowReporter::fixEnded()
+void WindowReporter::fixEnded(const FixedWindows &fixed)
 {
-    const std::map<std::uint64_t, FixedWindow> fixed = this->fixedWindows();
     const std::optional<std::uint64_t> first = this->book.firstWindow();
     if (fixed.empty() && !first.has_value()) {
         return;
@@ -119,7 +120,7 @@
     this->book.forgetBefore(window > slots ? window - slots : 0);
 }
 
-std::uint64_t WindowReporter::reportedBefore(const std::map<std::uint64_t, FixedWindow> &fixed) const
+std::uint64_t WindowReporter::reportedBefore(const FixedWindows &fixed) const
 {
     std::uint64_t before = 0;
     for (const auto &[window, decision] : fixed) {
@@ -137,9 +138,8 @@
     return before;
 }
 
-boost::asio::awaitable<void> WindowReporter::reportFixed()
+boost::asio::awaitable<void> WindowReporter::reportFixed(FixedWindows fixed)
 {
-    const std::map<std::uint64_t, FixedWindow> fixed = this->fixedWindows();
     const std::uint64_t from = this->reportedBefore(fixed);
     for (const auto &[window, decision] : fixed) {
         if (window < from || this->reported.contains(window)) {
