--- a/include/flamingosaddle/app/integration.h
+++ b/include/flamingosaddle/app/integration.h
@@ -19,11 +19,11 @@
     CallerInterface callerInterface;
     Platform platform;
     std::optional<DirectoryHooks> directory; ///< where configuration and backend servers are read; empty for the change log
-    std::optional<DutyHooks> duties; ///< with a directory: usage reports and server orders of one instance at a time
+    DutyHooks duties; ///< usage reports and server orders of one instance at a time
     std::function<void(const Settings &)> reload; ///< takes over the settings that a reload changed; may be empty
 };
 
-/** The project's own interfaces: OpenAI-shaped requests, the change log, HTTP calls to the platform. */
-Integration ownIntegration(const Settings &settings);
+/** The project's own requests, in the shape of OpenAI's. */
+CallerInterface ownCallerInterface(const Settings &settings);
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -90,9 +90,8 @@
     // Control.
     std::chrono::milliseconds freshnessLimit{5000};
     std::chrono::milliseconds heartbeatInterval{500};
-    std::chrono::milliseconds leaseDuration{10000};
-    std::chrono::milliseconds orderLifetime{2000};
-    std::chrono::milliseconds usageFlushInterval{1000};
+    std::chrono::milliseconds leaseDuration{2500};
+    std::chrono::milliseconds usageFlushInterval{800};
     std::chrono::milliseconds usageWindow{60000};
     std::size_t snapshotEveryRecords = 500;
     std::chrono::milliseconds drainNotice{0};
--- a/include/flamingosaddle/cli/hooks.h
+++ b/include/flamingosaddle/cli/hooks.h
@@ -4,7 +4,7 @@
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/cli/options.h>
 #include <flamingosaddle/http/client.h>
-#include <flamingosaddle/platform/httpplatform.h>
+#include <flamingosaddle/platform/platform.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -22,7 +22,7 @@
 struct CliHooks {
     VariableLookup environment;
     std::function<Result<std::string>(const std::string &path)> readFile;
-    std::function<Platform(const HttpPlatformOptions &options)> connectPlatform;
+    std::function<Platform(const Endpoint &endpoint)> connectPlatform;
     std::function<boost::asio::awaitable<Result<HttpResponse>>(Endpoint endpoint, HttpRequest request, FetchOptions options)>
         fetch;
     /** Bytes from the system's generator of random numbers, as hexadecimal text. */
@@ -33,7 +33,8 @@
 
 /**
  * The hooks of the real program: files, sockets, the standard streams.
+ * @param connectPlatform the change log at an address
  */
-CliHooks systemHooks();
+CliHooks systemHooks(std::function<Platform(const Endpoint &endpoint)> connectPlatform);
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -7,12 +7,9 @@
 #include <flamingosaddle/control/duties.h>
 #include <flamingosaddle/control/dutylog.h>
 #include <flamingosaddle/control/fleetdesk.h>
-#include <flamingosaddle/control/leasekeeper.h>
-#include <flamingosaddle/control/orderdesk.h>
 #include <flamingosaddle/control/peerexchange.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/control/snapshotkeeper.h>
-#include <flamingosaddle/control/usagedesk.h>
 #include <flamingosaddle/control/usagemeter.h>
 #include <flamingosaddle/control/windowreporter.h>
 #include <flamingosaddle/platform/platform.h>
@@ -24,7 +21,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace flamingosaddle
@@ -34,11 +30,10 @@
     Incarnation self;
     DataCentre dataCentre;
     Duration freshnessLimit = std::chrono::seconds(5);
-    LeaseTiming leaseTiming;
-    Duration usageFlushInterval = std::chrono::seconds(1);
+    Duration leaseDuration = std::chrono::milliseconds(2500); ///< of the lead that one instance has
+    Duration usageFlushInterval = std::chrono::milliseconds(800);
     std::chrono::seconds usageWindow{60};
     std::uint64_t snapshotEveryRecords = 500;
-    bool manageServers = true; ///< whether this instance may order backend servers
     std::function<std::chrono::seconds()> wallTime; ///< since the epoch
     std::function<std::chrono::milliseconds()> systemTime; ///< the machine's time of day since the epoch, steps included
     std::vector<Endpoint> seedPeers; ///< contacted besides the platform's list
@@ -71,10 +66,10 @@
     /**
      * @param directory where configuration and backend servers are read; empty for the project's change log. With a directory
      * only the instances() of @p platform is called.
-     * @param duties of one instance at a time; only with a directory
+     * @param duties of one instance at a time; backend servers are ordered only with a directory
      */
     Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
-        const std::optional<DutyHooks> &duties, ControllerOptions options, ControllerHooks hooks);
+        const DutyHooks &duties, ControllerOptions options, ControllerHooks hooks);
     ~Controller();
 
     // Commands.
@@ -87,8 +82,7 @@
 
     /**
      * Hands over what has to outlive the instance, for a shutdown: waits for @p limit at most until the log has taken the
-     * usage counts, the outcomes of claims and those of orders, then gives up the leases. The lease of a data centre with an
-     * order whose answer is missing is left to lapse, since the order may still take effect.
+     * outcomes of claims and the usage counts, then gives up the lead.
      */
     boost::asio::awaitable<void> handOver(Duration limit);
 
@@ -104,8 +98,8 @@
     /** A backend server began a request of the client account @p ago before now. */
     void countBegun(const ClientAccountId &clientAccount, Duration ago);
 
-    /** Counts what a request used. */
-    void countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals);
+    /** A request of the client account has ended. */
+    void countTokens(const ClientAccountId &clientAccount, const TokenCounts &tokens);
 
     /** Decides whether named non-idempotent requests run; for the traffic threads. */
     ClaimHook claimHook();
@@ -116,11 +110,11 @@
     /** The configuration in force, an empty one at first. */
     std::shared_ptr<const ConfigState> config() const;
     const ConfigTail &configTail() const;
-    const LeaseKeeper &leaseKeeper() const;
-    const UsageDesk &usageDesk() const;
+    const DutyLog &dutyLog() const;
+    const UsageMeter &usageMeter() const;
+    const WindowReporter &windowReporter() const;
     const ClaimDesk &claimDesk() const;
     const PeerExchange &peerExchange() const;
-    const OrderDesk &orderDesk() const;
     const std::set<KeyId> &tombstones() const;
     const ControllerOptions &options() const;
 
@@ -129,17 +123,15 @@
     void spawn(boost::asio::awaitable<void> coroutine);
     void startLog();
     void startDirectory();
+    void startDuties();
     PeerExchangeHooks peerHooks();
     std::optional<TimePoint> lastReadAt() const;
     /** Whether any configuration was read. Before it nothing is published, so that requests are refused as not run. */
     bool hasConfig() const;
-    void addDataCentre(const DataCentre &dataCentre);
-    void updateRoles();
     void configAdvanced();
     boost::asio::awaitable<void> runFreshness();
     void publishSnapshot();
     void announceWithdrawals(const ConfigState &before, const ConfigState &after);
-    bool hasUnappended() const;
 
     boost::asio::io_context &context;
     Platform platform;
@@ -152,11 +144,7 @@
     std::unique_ptr<Directory> directory;
     std::unique_ptr<Duties> duties;
     ConfigTail tail;
-    LeaseKeeper leases;
-    UsageDesk usage;
     ClaimDesk claims;
-    OrderDesk orders;
-    std::set<DataCentre> dataCentres; // with an order role; one that was named once stays
     SnapshotKeeper snapshots;
     PeerExchange peers;
     bool stopped = false;
--- a/include/flamingosaddle/control/duties.h
+++ b/include/flamingosaddle/control/duties.h
@@ -48,21 +48,25 @@
 };
 
 /**
- * How the duties that one instance does at a time reach a platform. A call that fails with Conflict was refused; Unavailable
- * and Unreachable mean that it was not carried out; after any other failure it may have been, or may still be.
+ * How the duties that one instance does at a time reach a platform. A call that fails with Conflict was refused; Unavailable,
+ * Unreachable and Cancelled mean that it was not carried out; after any other failure it may have been, or may still be.
  */
 struct DutyHooks {
     template <typename T>
     using Answer = boost::asio::awaitable<Result<T>>;
+    using Permission = std::function<Duration()>;
 
     /** Appends to the duty log when it ends at @p at; answers the offset. */
     std::function<Answer<std::uint64_t>(std::string key, std::string value, std::uint64_t at)> appendDuty;
     /** Reads the duty log from @p from on, or its newest entries. Fails with Trimmed when @p from is gone. */
     std::function<Answer<KeyedReading>(std::optional<std::uint64_t> from)> readDuties;
     std::function<Answer<std::uint64_t>(std::string record)> appendCounts;
+    /** Reads counts from @p from on, or from the oldest record that there still is. */
     std::function<Answer<LogBatch>(std::uint64_t from)> readCounts;
-    std::function<Answer<void>(WindowCounts counts, DutyStamp stamp)> reportWindow;
-    std::function<Answer<void>(ServiceName service, FleetOrder order, DutyStamp stamp)> orderServers;
+    /** Both send only while @p permission answers a time above zero: how much longer the lead is held, as
+     * FetchOptions::permission. They fail with Cancelled when it was over and nothing was sent. */
+    std::function<Answer<void>(WindowCounts counts, DutyStamp stamp, Permission permission)> reportWindow;
+    std::function<Answer<void>(ServiceName service, FleetOrder order, DutyStamp stamp, Permission permission)> orderServers;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/control/dutylog.h
+++ b/include/flamingosaddle/control/dutylog.h
@@ -52,6 +52,10 @@
     // Queries.
     bool isLeading() const;
     DutyStamp stamp() const;
+    /** How much longer the lead is held under the present stamp, for a call that is about to be sent. */
+    DutyHooks::Permission permission() const;
+    /** The newest record of who leads, whoever wrote it. */
+    const std::optional<LeadershipRecord> &newestLead() const;
     /** Decisions that are in the log, by key. */
     const std::map<std::string, std::string> &decisions() const;
     bool hasPending(const std::string &key) const;
--- a/include/flamingosaddle/control/logreplica.h
+++ b/include/flamingosaddle/control/logreplica.h
@@ -32,7 +32,7 @@
 class LogReplica
 {
 public:
-    LogReplica(const Platform &platform, LogStream stream, LogStream snapshots, LogReplicaHooks hooks, std::uint64_t seed);
+    LogReplica(const Platform &platform, LogStream stream, LogReplicaHooks hooks, std::uint64_t seed);
 
     // Commands.
 
@@ -52,7 +52,6 @@
 
     const Platform &platform;
     LogStream stream;
-    LogStream snapshots;
     LogReplicaHooks hooks;
     LogTail tail;
     bool positioned = false;
--- a/include/flamingosaddle/control/snapshotkeeper.h
+++ b/include/flamingosaddle/control/snapshotkeeper.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
-#include <flamingosaddle/control/leasekeeper.h>
 #include <flamingosaddle/platform/platform.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -18,27 +17,28 @@
  * A state that is written as snapshots, so that an instance can start when the log no longer holds the first records.
  */
 struct SnapshotSource {
-    LogStream snapshots = LogStream::ConfigSnapshot;
+    LogStream stream = LogStream::Config;
     std::function<std::uint64_t()> nextOffset; ///< of the state
     std::function<std::string()> encode;
 };
 
 /**
- * Appends snapshots while it holds the lease of the role. The lease only saves repetitions: a snapshot states a prefix of
- * the log, so that one from an instance that is no longer in charge is as true as any, and an older one than the state in
- * force is ignored by every reader. Lives on the control thread.
+ * Writes snapshots while this instance leads. The lead only saves repetitions: a snapshot states a prefix of the log, so that
+ * one from an instance that leads no longer is as true as any, and an older one than the state in force is ignored by every
+ * reader. Lives on the control thread.
  */
 class SnapshotKeeper
 {
 public:
     struct Options {
-        Role role = Role("snapshots");
         std::uint64_t everyRecords = 500; ///< records after which a stream gets a new snapshot
-        Duration maxAge = std::chrono::minutes(5); ///< after which a stream with any new record gets one
+        /** After which a stream with any new record gets one: less than half of the 300 s that the platform keeps records. */
+        Duration maxAge = std::chrono::minutes(2);
         Duration interval = std::chrono::seconds(1); ///< between two looks at what is due
     };
 
-    SnapshotKeeper(const Platform &platform, const LeaseKeeper &leases, std::vector<SnapshotSource> sources, Options options);
+    SnapshotKeeper(
+        const Platform &platform, std::function<bool()> isLeading, std::vector<SnapshotSource> sources, Options options);
 
     // Commands.
 
@@ -53,14 +53,14 @@
     struct Entry {
         SnapshotSource source;
         std::uint64_t covered = 0; ///< next offset of the last snapshot that this process wrote
-        TimePoint writtenAt; ///< of the last snapshot, or when this process began to hold the lease
+        TimePoint writtenAt; ///< of the last snapshot, or when this process began
     };
 
     bool isDue(const Entry &entry, TimePoint now) const;
     boost::asio::awaitable<void> writeIfDue(Entry &entry);
 
     const Platform &platform;
-    const LeaseKeeper &leases;
+    std::function<bool()> isLeading;
     std::vector<Entry> entries;
     Options options;
     std::uint64_t written = 0;
--- a/include/flamingosaddle/control/usagemeter.h
+++ b/include/flamingosaddle/control/usagemeter.h
@@ -17,8 +17,8 @@
 {
 
 /**
- * Counts the requests that backend servers began for this instance, by client account and window, and appends the counts for
- * whoever reports them. Lives on the control thread.
+ * Counts the requests that backend servers began for this instance, and the tokens of those that ended, by client account and
+ * window, and appends the counts for whoever reports them. Lives on the control thread.
  */
 class UsageMeter
 {
@@ -39,22 +39,28 @@
 
     /** A backend server began a request @p ago before now. */
     void count(const ClientAccountId &clientAccount, Duration ago);
+    /** A request has ended and used so many tokens. */
+    void countTokens(const ClientAccountId &clientAccount, const TokenCounts &tokens);
     /** Runs until stop(); the object has to outlive the coroutine. */
     boost::asio::awaitable<void> run();
     /** Appends all that was counted, for a shutdown; tries until @p deadline. */
     boost::asio::awaitable<void> finish(TimePoint deadline);
     void stop();
 
+    // Queries.
+    std::size_t waitingRecords() const; ///< that the log has not taken yet, what is counted at present included
+
 private:
     bool isFlushDue(TimePoint now) const;
     void cutRecord(bool leaving);
     boost::asio::awaitable<bool> appendFront();
     std::uint64_t windowOf(std::chrono::milliseconds unixTime) const;
+    void add(std::chrono::milliseconds unixTime, const AccountCount &count);
 
     const DutyHooks &hooks;
     Options options;
     Backoff backoff;
-    std::map<std::uint64_t, std::map<ClientAccountId, std::uint64_t>> counted;
+    std::map<std::uint64_t, std::map<ClientAccountId, AccountCount>> counted; // by window
     std::deque<MeterRecord> records; // not in the log yet; the first may be under way
     std::uint64_t sequence = 0;
     std::uint64_t toldCompleteBefore = 0;
--- a/include/flamingosaddle/control/windowreporter.h
+++ b/include/flamingosaddle/control/windowreporter.h
@@ -41,19 +41,22 @@
     boost::asio::awaitable<void> run();
     void stop();
 
-private:
-    using FixedWindows = std::map<std::uint64_t, FixedWindow>; // by number
+    // Queries.
+    using FixedWindows = std::map<std::uint64_t, FixedWindow>; ///< by number
+    /** The windows whose figures the duty log keeps. */
+    FixedWindows fixedWindows() const;
+    /** The first of these windows that is not known to be reported, or one more than the last of them. */
+    std::uint64_t reportedBefore(const FixedWindows &fixed) const;
 
+private:
     static constexpr std::size_t slots = 12; // windows whose figures the duty log keeps
 
     boost::asio::awaitable<void> readCounts();
     boost::asio::awaitable<void> reportFixed(FixedWindows fixed);
     void fixEnded(const FixedWindows &fixed);
-    FixedWindows fixedWindows() const;
     /** Whether a window has ended whose figures are not fixed: only then the counts are read. */
     bool hasUnfixedWindow(const FixedWindows &fixed) const;
     bool isDue(std::uint64_t window) const;
-    std::uint64_t reportedBefore(const FixedWindows &fixed) const;
 
     const DutyHooks &hooks;
     DutyLog &duties;
--- a/include/flamingosaddle/http/deadlineguard.h
+++ b/include/flamingosaddle/http/deadlineguard.h
@@ -24,9 +24,12 @@
     DeadlineGuard(const DeadlineGuard &) = delete;
     DeadlineGuard &operator=(const DeadlineGuard &) = delete;
 
-    /** Whether the guard works; without a timer nothing may be sent. */
+    /** Whether the guard works; where guards are supported, nothing may be sent without one. */
     bool isArmed() const;
 
+    /** Whether the system has the timers that guards need. Some keep processes from making any. */
+    static bool isSupported();
+
 private:
     timer_t timer{};
     bool armed = false;
--- a/include/flamingosaddle/platform/platform.h
+++ b/include/flamingosaddle/platform/platform.h
@@ -1,15 +1,17 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/base/result.h>
-#include <flamingosaddle/state/order.h>
+#include <flamingosaddle/state/incarnation.h>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,23 +19,15 @@
 {
 
 /**
- * A stream of the platform's log.
+ * A stream of the product's own log.
  */
 enum class LogStream {
     Config,
-    ConfigSnapshot,
-    Leases,
-    LeasesSnapshot,
-    Orders,
-    OrdersSnapshot,
-    Usage,
-    UsageSnapshot,
     Claims,
-    ClaimsSnapshot,
 };
 
 /**
- * The stream's name in the platform's interface, for instance "config".
+ * The stream's name in the log, for instance "config".
  */
 const char *toString(LogStream stream);
 
@@ -70,35 +64,9 @@
 };
 
 /**
- * A machine that the backend server interface of one data centre knows of.
- */
-struct BackendMachine {
-    std::string id;
-    std::string address; ///< as Endpoint::parse() reads it
-    DataCentre dataCentre;
-    std::string model;
-    bool cheap = false;
-    bool reclaimNotice = false; ///< will be taken away within seconds
-    std::string orderId; ///< of the order that started it
-
-    friend bool operator==(const BackendMachine &, const BackendMachine &) = default;
-};
-
-struct UsageReport {
-    std::string clientAccount;
-    std::uint64_t window = 0; ///< start of the window, seconds of the platform's time
-    std::uint64_t requests = 0;
-    std::uint64_t promptTokens = 0;
-    std::uint64_t completionTokens = 0;
-    std::uint64_t fencing = 0;
-    std::string holder;
-
-    friend bool operator==(const UsageReport &, const UsageReport &) = default;
-};
-
-/**
- * The platform's interfaces. Each hook runs one call; its failure kind tells whether the action may have taken effect:
- * Unreachable, Refused and Cancelled mean that it has not, anything else that nobody knows.
+ * What the product asks of a platform to keep its own log and to find its instances. Each hook runs one call; its failure
+ * kind tells whether the action may have taken effect: Unavailable, Unreachable, Conflict, Refused and Cancelled mean that it
+ * has not, anything else that nobody knows.
  */
 struct Platform {
     template <typename T>
@@ -107,21 +75,21 @@
     /** Appends one record and answers its offset. */
     std::function<Answer<std::uint64_t>(LogStream stream, std::string body)> append;
     /**
-     * Reads records from @p from on, waiting up to @p wait for one to come. Fails with Trimmed when the log no longer
-     * holds @p from; the message names the oldest offset.
+     * Reads records from @p from on, waiting up to @p wait for one to come. Fails with Trimmed when the log no longer holds
+     * @p from.
      */
     std::function<Answer<LogBatch>(LogStream stream, std::uint64_t from, std::chrono::milliseconds wait)> read;
     /** What the stream holds at present. */
     std::function<Answer<LogBounds>(LogStream stream)> bounds;
-    std::function<Answer<std::vector<InstanceEntry>>()> instances;
-    std::function<Answer<std::vector<BackendMachine>>(DataCentre dataCentre)> backendMachines;
     /**
-     * Sends an order while @p permission answers a time above zero: how much longer the lease is held, as
-     * FetchOptions::permission. Fails with Cancelled when it was over and nothing was sent.
+     * Keeps a snapshot of what the stream's records come to, in place of the one before. Records expire, the newest snapshot
+     * stays. Fails with Conflict when another instance keeps one at the same time; the one before then stays in force.
      */
-    std::function<Answer<void>(PlatformOrder order, std::function<Duration()> permission)> order;
-    /** Sends a report, with a permission as for an order. */
-    std::function<Answer<void>(UsageReport report, std::function<Duration()> permission)> reportUsage;
+    std::function<Answer<void>(LogStream stream, std::string snapshot)> saveSnapshot;
+    /** The newest snapshot, or nothing where none was kept. */
+    std::function<Answer<std::optional<std::string>>(LogStream stream)> newestSnapshot;
+    /** Tells that this instance lives and where its peers reach it; answers the others that did so lately. */
+    std::function<Answer<std::vector<InstanceEntry>>(Incarnation self, Endpoint peerAddress)> instances;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/state/leadership.h
+++ b/include/flamingosaddle/state/leadership.h
@@ -64,6 +64,7 @@
 
     // Queries.
     bool isHeld(TimePoint now) const;
+    Duration remaining(TimePoint now) const; ///< how much longer the lead is held; zero while it is not
     std::uint64_t fence() const; ///< 0 while the lead is not held
     bool isRenewalDue(TimePoint now) const;
     bool mayClaim(TimePoint now) const;
--- a/include/flamingosaddle/state/usagebook.h
+++ b/include/flamingosaddle/state/usagebook.h
@@ -15,12 +15,25 @@
 namespace flamingosaddle
 {
 
+struct TokenCounts {
+    std::uint64_t prompt = 0;
+    std::uint64_t completion = 0;
+
+    TokenCounts &operator+=(const TokenCounts &other);
+
+    friend bool operator==(const TokenCounts &, const TokenCounts &) = default;
+};
+
 /**
- * Requests of a client account that backend servers began in one window.
+ * Requests of a client account that backend servers began in one window, and the tokens of those that ended in it.
  */
 struct AccountCount {
     ClientAccountId clientAccount;
     std::uint64_t requests = 0;
+    std::optional<TokenCounts> tokens = std::nullopt; ///< nothing where nobody counted any
+
+    /** Adds the counts of the same client account. */
+    void add(const AccountCount &other);
 
     friend bool operator==(const AccountCount &, const AccountCount &) = default;
 };
@@ -88,7 +101,7 @@
     };
 
     std::map<Incarnation, Writer> writers;
-    std::map<std::uint64_t, std::map<ClientAccountId, std::uint64_t>> windows;
+    std::map<std::uint64_t, std::map<ClientAccountId, AccountCount>> windows;
     std::uint64_t forgotten = 0;
 };
 
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -37,6 +37,17 @@
         {"id", result.id.text()}, {"offset", result.offset}, {"outcome", toString(result.outcome)}, {"detail", result.detail}};
 }
 
+nlohmann::json accountsOf(const WindowCounts &counts)
+{
+    nlohmann::json accounts = nlohmann::json::array();
+    for (const AccountCount &account : counts.accounts) {
+        const TokenCounts tokens = account.tokens.value_or(TokenCounts());
+        accounts.push_back({{"clientAccount", account.clientAccount.text()}, {"requests", account.requests},
+            {"promptTokens", tokens.prompt}, {"completionTokens", tokens.completion}});
+    }
+    return accounts;
+}
+
 } // namespace
 
 AdminHandler::AdminHandler(Controller &controller, MetricsRegistry &metrics, std::function<TrafficStatus()> trafficStatus,
@@ -149,31 +160,25 @@
 
 HttpResponse AdminHandler::leasesResponse() const
 {
-    const LeaseKeeper &keeper = this->controller.leaseKeeper();
-    const TimePoint now = RuntimeClock::now();
+    const DutyLog &duties = this->controller.dutyLog();
     nlohmann::json leases = nlohmann::json::array();
-    for (const auto &[role, lease] : keeper.table().leases()) {
-        leases.push_back({{"role", role.text()}, {"holder", lease.holder.text()}, {"epoch", lease.epoch},
-            {"released", lease.released}, {"heldHere", keeper.isHeld(role, now)}});
+    if (duties.newestLead().has_value()) {
+        leases.push_back({{"role", "duties"}, {"holder", duties.newestLead()->id.writer.text()},
+            {"released", duties.newestLead()->released}, {"heldHere", duties.isLeading()}, {"fence", duties.stamp().fence}});
     }
     return jsonResponse(200, nlohmann::json{{"leases", std::move(leases)}}.dump());
 }
 
 HttpResponse AdminHandler::usageResponse() const
 {
-    const UsageDesk &desk = this->controller.usageDesk();
-    nlohmann::json pending = nlohmann::json::array();
-    for (const UsageFigure &figure : desk.ledger().pendingReports()) {
-        pending.push_back({{"clientAccount", figure.clientAccount.text()}, {"window", figure.window},
-            {"requests", figure.totals.requests}, {"promptTokens", figure.totals.promptTokens},
-            {"completionTokens", figure.totals.completionTokens}, {"lateRequests", figure.corrections.requests}});
+    const WindowReporter &reporter = this->controller.windowReporter();
+    const WindowReporter::FixedWindows fixed = reporter.fixedWindows();
+    const std::uint64_t reportedBefore = reporter.reportedBefore(fixed);
+    nlohmann::json windows = nlohmann::json::array();
+    for (const auto &[number, window] : fixed) {
+        windows.push_back({{"window", number}, {"reported", number < reportedBefore}, {"accounts", accountsOf(window.counts)}});
     }
-    const nlohmann::json body = {
-        {"unflushed", desk.unflushedCount()},
-        {"unappended", desk.unappendedCount()},
-        {"reportsSent", desk.reportCount()},
-        {"unconfirmed", std::move(pending)},
-    };
+    const nlohmann::json body = {{"unappended", this->controller.usageMeter().waitingRecords()}, {"windows", std::move(windows)}};
     return jsonResponse(200, body.dump());
 }
 
--- a/src/app/controlmetrics.cpp
+++ b/src/app/controlmetrics.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/app/controlmetrics.h>
 
 #include <chrono>
+#include <iterator>
 
 namespace flamingosaddle
 {
@@ -22,13 +23,19 @@
         .set(std::chrono::duration<double>(left).count());
 }
 
+std::size_t unreportedWindows(const WindowReporter &reporter)
+{
+    const WindowReporter::FixedWindows fixed = reporter.fixedWindows();
+    const auto first = fixed.lower_bound(reporter.reportedBefore(fixed));
+    return static_cast<std::size_t>(std::distance(first, fixed.end()));
+}
+
 void updateLeaseMetrics(MetricsRegistry &registry, const Controller &controller)
 {
-    const TimePoint now = RuntimeClock::now();
-    for (const auto &[role, lease] : controller.leaseKeeper().table().leases()) {
-        registry.gauge("flamingosaddle_lease_held", "1 when this instance holds the lease.", {{"role", role.text()}})
-            .set(controller.leaseKeeper().isHeld(role, now) ? 1 : 0);
-    }
+    registry.gauge("flamingosaddle_lease_held", "1 when this instance holds the lease.", {{"role", "duties"}})
+        .set(controller.dutyLog().isLeading() ? 1 : 0);
+    registry.gauge("flamingosaddle_fencing_number", "Fencing number that this instance holds; 0 without the lease.")
+        .set(static_cast<double>(controller.dutyLog().stamp().fence));
 }
 
 } // namespace
@@ -38,9 +45,9 @@
     updateConfigMetrics(registry, controller);
     updateLeaseMetrics(registry, controller);
     registry.gauge("flamingosaddle_usage_unappended", "Usage records that the log has not taken yet.")
-        .set(static_cast<double>(controller.usageDesk().unappendedCount()));
-    registry.gauge("flamingosaddle_usage_unreported", "Closed windows and client accounts whose report is not confirmed.")
-        .set(static_cast<double>(controller.usageDesk().ledger().pendingReports().size()));
+        .set(static_cast<double>(controller.usageMeter().waitingRecords()));
+    registry.gauge("flamingosaddle_usage_unreported", "Windows with fixed figures that are not known to be reported.")
+        .set(static_cast<double>(unreportedWindows(controller.windowReporter())));
     registry.gauge("flamingosaddle_claims", "Idempotency keys that are remembered.")
         .set(static_cast<double>(controller.claimDesk().table().size()));
     registry.gauge("flamingosaddle_serving_instances", "Instances that serve, this one included.")
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -100,8 +100,7 @@
     options.self = {instanceIdOf(settings, seed), static_cast<std::uint64_t>(wallMilliseconds().count())};
     options.dataCentre = settings.dataCentre;
     options.freshnessLimit = settings.freshnessLimit;
-    options.leaseTiming.duration = settings.leaseDuration;
-    options.leaseTiming.longestOrderLife = settings.orderLifetime;
+    options.leaseDuration = settings.leaseDuration;
     options.usageFlushInterval = settings.usageFlushInterval;
     options.usageWindow = std::chrono::duration_cast<std::chrono::seconds>(settings.usageWindow);
     options.snapshotEveryRecords = settings.snapshotEveryRecords;
@@ -300,8 +299,8 @@
         CallerHooks hooks;
         hooks.claim = this->controller.claimHook();
         hooks.usage = [this](const UsageEvent &event) {
-            boost::asio::post(this->controlContext, [this, account = event.clientAccount, totals = totalsOf(event)] {
-                this->controller.countUsage(account, totals);
+            boost::asio::post(this->controlContext, [this, account = event.clientAccount, tokens = tokensOf(event)] {
+                this->controller.countTokens(account, tokens);
             });
         };
         hooks.begun = [this](const ClientAccountId &account, Duration ago) {
@@ -339,9 +338,9 @@
             this->settings.traceSampling);
     }
 
-    static UsageTotals totalsOf(const UsageEvent &event)
+    static TokenCounts tokensOf(const UsageEvent &event)
     {
-        return {1, event.promptTokens, event.completionTokens};
+        return {event.promptTokens, event.completionTokens};
     }
 
     CallerHandler::Builder callerHandlerBuilder()
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -365,9 +365,9 @@
     all.push_back(endpointSetting("peer-listen", "Address for other instances.", &Settings::peerListen));
     all.push_back(endpointSetting("ready-listen",
         "Address that answers only whether the instance takes requests; port 0 for none.", &Settings::readyListen));
-    all.push_back(required(endpointSetting("platform", "Address of the platform's services.", &Settings::platform)));
-    all.push_back(endpointSetting(
-        "platform-api", "Address that takes usage reports and server orders, where the store does not.", &Settings::platformApi));
+    all.push_back(required(endpointSetting("platform", "Address of the platform's store.", &Settings::platform)));
+    all.push_back(endpointSetting("platform-api",
+        "Address that takes usage reports and server orders; port 0 for that of the store.", &Settings::platformApi));
     all.push_back(seedPeersSetting());
     all.push_back(required(nameSetting("data-centre", "Data centre that this instance stands in.", &Settings::dataCentre)));
     all.push_back(
@@ -425,9 +425,8 @@
         &Settings::freshnessLimit, 100, hour));
     all.push_back(
         timeSetting("heartbeat-interval", "Time between two heartbeats to a peer.", &Settings::heartbeatInterval, 10, 60000));
-    all.push_back(timeSetting("lease-duration", "Length of a lease on a role.", &Settings::leaseDuration, 100, hour));
-    all.push_back(
-        timeSetting("order-lifetime", "Longest time that an order may be under way.", &Settings::orderLifetime, 100, hour));
+    all.push_back(timeSetting("lease-duration", "Length of the lease of the instance that reports usage and orders servers.",
+        &Settings::leaseDuration, 100, hour));
     all.push_back(timeSetting("usage-flush-interval",
         "Time between two appends of usage counts: what is lost at most when the instance dies.", &Settings::usageFlushInterval,
         10, hour));
--- a/src/cli/hooks.cpp
+++ b/src/cli/hooks.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <utility>
 #include <vector>
 
 namespace flamingosaddle
@@ -47,12 +48,12 @@
 
 } // namespace
 
-CliHooks systemHooks()
+CliHooks systemHooks(std::function<Platform(const Endpoint &endpoint)> connectPlatform)
 {
     CliHooks hooks;
     hooks.environment = systemVariable;
     hooks.readFile = readWholeFile;
-    hooks.connectPlatform = httpPlatform;
+    hooks.connectPlatform = std::move(connectPlatform);
     hooks.fetch = fetch;
     hooks.randomHex = systemRandomHex;
     hooks.out = &std::cout;
--- a/src/cli/session.cpp
+++ b/src/cli/session.cpp
@@ -36,9 +36,7 @@
     , endsAt(RuntimeClock::now() + this->cliOptions.timeout)
 {
     if (this->cliOptions.platform.has_value()) {
-        HttpPlatformOptions platformOptions;
-        platformOptions.endpoint = *this->cliOptions.platform;
-        this->platform = this->cliHooks.connectPlatform(platformOptions);
+        this->platform = this->cliHooks.connectPlatform(*this->cliOptions.platform);
     }
 }
 
--- a/src/control/claimdesk.cpp
+++ b/src/control/claimdesk.cpp
@@ -31,7 +31,7 @@
     : control(control)
     , platform(platform)
     , options(std::move(options))
-    , replica(platform, LogStream::Claims, LogStream::ClaimsSnapshot,
+    , replica(platform, LogStream::Claims,
           LogReplicaHooks{
               [this] {
                   return this->claimTable.nextOffset();
@@ -115,7 +115,8 @@
     pending->decided.expires_after(this->options.timeout);
     this->waiting.emplace(record.id, pending);
     const Result<std::uint64_t> appended = co_await this->platform.append(LogStream::Claims, encodeClaimRecord(record));
-    const bool mayBeInTheLog = appended.has_value() || appended.error().kind() != ErrorKind::Unreachable;
+    const bool mayBeInTheLog = appended.has_value()
+        || (appended.error().kind() != ErrorKind::Unreachable && appended.error().kind() != ErrorKind::Unavailable);
     if (mayBeInTheLog && !pending->result) {
         boost::system::error_code ignored;
         co_await pending->decided.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/src/control/configtail.cpp
+++ b/src/control/configtail.cpp
@@ -7,7 +7,7 @@
 
 ConfigTail::ConfigTail(const Platform &platform, std::function<void()> onAdvance, std::uint64_t seed)
     : onAdvance(std::move(onAdvance))
-    , replica(platform, LogStream::Config, LogStream::ConfigSnapshot,
+    , replica(platform, LogStream::Config,
           LogReplicaHooks{
               [this] {
                   return this->working.nextOffset();
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -15,35 +15,12 @@
 namespace
 {
 
-const Role usageRole("usage");
-const Role snapshotRole("snapshots");
 constexpr std::chrono::milliseconds handOverPollInterval(10);
-// With a directory the platform ends the process soon after the last requests may be cut.
+// The platform ends the process soon after the last requests may be cut.
 constexpr Duration longestDutyHandOver = std::chrono::milliseconds(800);
 // Parts of the freshness limit after which a snapshot with a later limit is published.
 constexpr int freshnessSteps = 8;
 
-LeaseKeeper::Options leaseOptions(const ControllerOptions &options)
-{
-    LeaseKeeper::Options lease;
-    lease.self = options.self;
-    lease.timing = options.leaseTiming;
-    lease.seed = options.seed;
-    return lease;
-}
-
-UsageDesk::Options usageOptions(const ControllerOptions &options)
-{
-    UsageDesk::Options usage;
-    usage.self = options.self;
-    usage.role = usageRole;
-    usage.windowLength = options.usageWindow;
-    usage.flushInterval = options.usageFlushInterval;
-    usage.wallTime = options.wallTime;
-    usage.seed = options.seed;
-    return usage;
-}
-
 ClaimDesk::Options claimOptions(const ControllerOptions &options)
 {
     ClaimDesk::Options claims;
@@ -64,19 +41,9 @@
     return peers;
 }
 
-OrderDesk::Options orderOptions(const ControllerOptions &options)
-{
-    OrderDesk::Options orders;
-    orders.self = options.self;
-    orders.orderLife = options.leaseTiming.longestOrderLife;
-    orders.seed = options.seed;
-    return orders;
-}
-
 SnapshotKeeper::Options snapshotOptions(const ControllerOptions &options)
 {
     SnapshotKeeper::Options snapshots;
-    snapshots.role = snapshotRole;
     snapshots.everyRecords = options.snapshotEveryRecords;
     return snapshots;
 }
@@ -96,8 +63,8 @@
 {
     DutyLog::Options duties;
     duties.self = options.self;
-    duties.timing.lease = options.leaseTiming.duration;
-    duties.timing.rest = options.leaseTiming.duration + std::chrono::seconds(1);
+    duties.timing.lease = options.leaseDuration;
+    duties.timing.rest = options.leaseDuration + std::chrono::seconds(1);
     duties.seed = options.seed;
     return duties;
 }
@@ -108,14 +75,16 @@
  * The duties of one instance at a time, and the counts that each instance keeps for them.
  */
 struct Controller::Duties {
-    Duties(const DutyHooks &dutyHooks, const Directory &directory, const ControllerOptions &options)
+    Duties(const DutyHooks &dutyHooks, const Directory *directory, const ControllerOptions &options)
         : hooks(dutyHooks)
         , systemTime(options.systemTime)
         , log(this->hooks, dutyOptions(options))
         , meter(this->hooks, this->meterOptions(options))
         , reporter(this->hooks, this->log, this->reporterOptions(options))
-        , fleet(this->hooks, this->log, directory)
     {
+        if (directory != nullptr) {
+            this->fleet.emplace(this->hooks, this->log, *directory);
+        }
     }
 
     std::chrono::milliseconds unixTime()
@@ -128,6 +97,7 @@
         UsageMeter::Options meter;
         meter.self = options.self;
         meter.windowLength = options.usageWindow;
+        meter.flushInterval = options.usageFlushInterval;
         meter.unixTime = [this] {
             return this->unixTime();
         };
@@ -150,13 +120,20 @@
         this->log.stop();
         this->meter.stop();
         this->reporter.stop();
-        this->fleet.stop();
+        this->stopFleet();
+    }
+
+    void stopFleet()
+    {
+        if (this->fleet.has_value()) {
+            this->fleet->stop();
+        }
     }
 
     boost::asio::awaitable<void> handOver(Duration limit)
     {
         this->reporter.stop();
-        this->fleet.stop();
+        this->stopFleet();
         co_await this->meter.finish(RuntimeClock::now() + limit);
         co_await this->log.release();
     }
@@ -167,11 +144,11 @@
     DutyLog log;
     UsageMeter meter;
     WindowReporter reporter;
-    FleetDesk fleet;
+    std::optional<FleetDesk> fleet; // only with a directory
 };
 
 Controller::Controller(boost::asio::io_context &context, Platform platform, const std::optional<DirectoryHooks> &directory,
-    const std::optional<DutyHooks> &duties, ControllerOptions options, ControllerHooks hooks)
+    const DutyHooks &duties, ControllerOptions options, ControllerHooks hooks)
     : context(context)
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
@@ -180,20 +157,20 @@
           [this] {
               this->configAdvanced();
           }))
-    , duties(directory.has_value() && duties.has_value()
-              ? std::make_unique<Duties>(*duties, *this->directory, this->controllerOptions)
-              : nullptr)
+    , duties(std::make_unique<Duties>(duties, this->directory.get(), this->controllerOptions))
     , tail(
           this->platform,
           [this] {
               this->configAdvanced();
           },
           this->controllerOptions.seed)
-    , leases(this->platform, leaseOptions(this->controllerOptions))
-    , usage(this->platform, this->leases, usageOptions(this->controllerOptions))
     , claims(context.get_executor(), this->platform, claimOptions(this->controllerOptions))
-    , orders(this->platform, this->leases, orderOptions(this->controllerOptions))
-    , snapshots(this->platform, this->leases, this->snapshotSources(), snapshotOptions(this->controllerOptions))
+    , snapshots(
+          this->platform,
+          [this] {
+              return this->duties->log.isLeading();
+          },
+          this->snapshotSources(), snapshotOptions(this->controllerOptions))
     , peers(context, this->platform, peerOptions(this->controllerOptions), this->peerHooks())
 {
 }
@@ -212,6 +189,7 @@
     } else {
         this->startLog();
     }
+    this->startDuties();
     this->spawn(this->peers.runTicks());
     this->spawn(this->peers.runList());
     this->spawn(this->runFreshness());
@@ -221,32 +199,24 @@
 {
     this->spawn(this->directory->runConfig());
     this->spawn(this->directory->runServers());
-    if (this->duties) {
-        this->spawn(this->duties->log.run());
-        this->spawn(this->duties->meter.run());
-        this->spawn(this->duties->reporter.run());
-        this->spawn(this->duties->fleet.run());
+}
+
+void Controller::startDuties()
+{
+    this->spawn(this->duties->log.run());
+    this->spawn(this->duties->meter.run());
+    this->spawn(this->duties->reporter.run());
+    if (this->duties->fleet.has_value()) {
+        this->spawn(this->duties->fleet->run());
     }
 }
 
 void Controller::startLog()
 {
-    this->updateRoles();
     this->spawn(this->tail.run());
-    this->spawn(this->leases.runTail());
-    this->spawn(this->leases.runKeeper());
-    this->spawn(this->usage.runTail());
-    this->spawn(this->usage.runAppender());
-    this->spawn(this->usage.runFlush());
-    this->spawn(this->usage.runReporter());
     this->spawn(this->claims.runTail());
     this->spawn(this->claims.runAppender());
     this->spawn(this->snapshots.run());
-    if (this->controllerOptions.manageServers) {
-        this->spawn(this->orders.runTail());
-        this->spawn(this->orders.runAppender());
-        this->addDataCentre(this->controllerOptions.dataCentre);
-    }
 }
 
 void Controller::stop()
@@ -258,36 +228,21 @@
     if (this->directory) {
         this->directory->stop();
     }
-    if (this->duties) {
-        this->duties->stop();
-    }
+    this->duties->stop();
     this->peers.stop();
     this->tail.stop();
-    this->leases.stop();
-    this->usage.stop();
     this->claims.stop();
-    this->orders.stop();
     this->snapshots.stop();
 }
 
 boost::asio::awaitable<void> Controller::handOver(Duration limit)
 {
-    if (this->directory) {
-        if (this->duties) {
-            co_await this->duties->handOver(std::min(limit, longestDutyHandOver));
-        }
-        co_return;
-    }
     const TimePoint deadline = RuntimeClock::now() + limit;
-    this->usage.flush();
-    this->orders.finish();
-    while (this->hasUnappended() && RuntimeClock::now() < deadline) {
+    while (this->claims.unappendedCount() > 0 && RuntimeClock::now() < deadline) {
         co_await delay(handOverPollInterval);
     }
     this->snapshots.stop();
-    this->orders.stop();
-    this->updateRoles();
-    co_await this->leases.releaseAll();
+    co_await this->duties->handOver(std::min(limit, longestDutyHandOver));
 }
 
 void Controller::withdrawKey(const KeyId &id)
@@ -313,14 +268,12 @@
 
 void Controller::countBegun(const ClientAccountId &clientAccount, Duration ago)
 {
-    if (this->duties) {
-        this->duties->meter.count(clientAccount, ago);
-    }
+    this->duties->meter.count(clientAccount, ago);
 }
 
-void Controller::countUsage(const ClientAccountId &clientAccount, const UsageTotals &totals)
+void Controller::countTokens(const ClientAccountId &clientAccount, const TokenCounts &tokens)
 {
-    this->usage.count(clientAccount, totals);
+    this->duties->meter.countTokens(clientAccount, tokens);
 }
 
 ClaimHook Controller::claimHook()
@@ -370,14 +323,19 @@
     return this->tail;
 }
 
-const LeaseKeeper &Controller::leaseKeeper() const
+const DutyLog &Controller::dutyLog() const
 {
-    return this->leases;
+    return this->duties->log;
 }
 
-const UsageDesk &Controller::usageDesk() const
+const UsageMeter &Controller::usageMeter() const
 {
-    return this->usage;
+    return this->duties->meter;
+}
+
+const WindowReporter &Controller::windowReporter() const
+{
+    return this->duties->reporter;
 }
 
 const ClaimDesk &Controller::claimDesk() const
@@ -390,11 +348,6 @@
     return this->peers;
 }
 
-const OrderDesk &Controller::orderDesk() const
-{
-    return this->orders;
-}
-
 const std::set<KeyId> &Controller::tombstones() const
 {
     return this->earlyTombstones;
@@ -407,51 +360,21 @@
 
 std::vector<SnapshotSource> Controller::snapshotSources()
 {
-    const auto source = [](LogStream stream, std::function<std::uint64_t()> nextOffset, std::function<std::string()> encode) {
-        return SnapshotSource{stream, std::move(nextOffset), std::move(encode)};
-    };
-    return {
-        source(
-            LogStream::ConfigSnapshot,
-            [this] {
-                return this->tail.state()->nextOffset();
-            },
-            [this] {
-                return encodeConfigSnapshot(*this->tail.state());
-            }),
-        source(
-            LogStream::LeasesSnapshot,
-            [this] {
-                return this->leases.table().nextOffset();
-            },
-            [this] {
-                return encodeLeaseSnapshot(this->leases.table());
-            }),
-        source(
-            LogStream::UsageSnapshot,
-            [this] {
-                return this->usage.ledger().nextOffset();
-            },
-            [this] {
-                return encodeUsageSnapshot(this->usage.ledger());
-            }),
-        source(
-            LogStream::ClaimsSnapshot,
-            [this] {
-                return this->claims.table().nextOffset();
-            },
-            [this] {
-                return encodeClaimSnapshot(this->claims.table());
-            }),
-        source(
-            LogStream::OrdersSnapshot,
-            [this] {
-                return this->orders.ledger().nextOffset();
-            },
-            [this] {
-                return encodeOrderSnapshot(this->orders.ledger());
-            }),
-    };
+    const SnapshotSource config{LogStream::Config,
+        [this] {
+            return this->tail.state()->nextOffset();
+        },
+        [this] {
+            return encodeConfigSnapshot(*this->tail.state());
+        }};
+    const SnapshotSource claimed{LogStream::Claims,
+        [this] {
+            return this->claims.table().nextOffset();
+        },
+        [this] {
+            return encodeClaimSnapshot(this->claims.table());
+        }};
+    return {config, claimed};
 }
 
 void Controller::spawn(boost::asio::awaitable<void> coroutine)
@@ -459,37 +382,6 @@
     boost::asio::co_spawn(this->context, std::move(coroutine), boost::asio::detached);
 }
 
-bool Controller::hasUnappended() const
-{
-    const bool counts = this->usage.unflushedCount() + this->usage.unappendedCount() > 0;
-    return counts || this->claims.unappendedCount() > 0 || !this->orders.isIdle();
-}
-
-void Controller::addDataCentre(const DataCentre &dataCentre)
-{
-    if (dataCentre.isEmpty() || this->orders.isStopped()) {
-        return;
-    }
-    const bool isNew = this->dataCentres.insert(dataCentre).second;
-    if (!isNew) {
-        return;
-    }
-    this->updateRoles();
-    this->spawn(this->orders.run(dataCentre));
-}
-
-void Controller::updateRoles()
-{
-    std::set<Role> roles{usageRole, snapshotRole};
-    for (const DataCentre &dataCentre : this->dataCentres) {
-        // A role that is dropped is not released, so its lease lapses.
-        if (!this->orders.isStopped() || !this->orders.hasUnanswered(dataCentre)) {
-            roles.insert(orderRole(dataCentre));
-        }
-    }
-    this->leases.setRoles(roles);
-}
-
 PeerExchangeHooks Controller::peerHooks()
 {
     PeerExchangeHooks peerHooks;
@@ -523,8 +415,8 @@
     peerHooks.onReads = this->hooks.peerReads;
     peerHooks.onDemands = [this](const std::vector<ServiceDemand> &demands) {
         for (const ServiceDemand &demand : demands) {
-            if (this->duties) {
-                this->duties->fleet.noteDemand(demand);
+            if (this->duties->fleet.has_value()) {
+                this->duties->fleet->noteDemand(demand);
             }
         }
     };
@@ -562,13 +454,7 @@
     if (!changed) {
         return;
     }
-    const std::vector<BackendServer> servers = backendServersOf(*after);
-    this->hooks.setServers(servers);
-    if (this->controllerOptions.manageServers && !this->directory) {
-        for (const BackendServer &server : servers) {
-            this->addDataCentre(server.dataCentre);
-        }
-    }
+    this->hooks.setServers(backendServersOf(*after));
     this->announceWithdrawals(before ? *before : ConfigState(), *after);
 }
 
--- a/src/control/dutylog.cpp
+++ b/src/control/dutylog.cpp
@@ -68,6 +68,18 @@
     return {this->options.self.instance, this->leadership.fence()};
 }
 
+DutyHooks::Permission DutyLog::permission() const
+{
+    return [this, fence = this->leadership.fence()] {
+        return this->leadership.fence() == fence ? this->leadership.remaining(RuntimeClock::now()) : Duration::zero();
+    };
+}
+
+const std::optional<LeadershipRecord> &DutyLog::newestLead() const
+{
+    return this->leadership.newest();
+}
+
 const std::map<std::string, std::string> &DutyLog::decisions() const
 {
     return this->newest;
--- a/src/control/fleetdesk.cpp
+++ b/src/control/fleetdesk.cpp
@@ -80,7 +80,7 @@
             co_return false;
         }
         const DutyStamp stamp = this->duties.stamp();
-        const Result<void> sent = co_await this->hooks.orderServers(rules.name, order, stamp);
+        const Result<void> sent = co_await this->hooks.orderServers(rules.name, order, stamp, this->duties.permission());
         logStateChange(sent.has_value() ? LogLevel::Info : LogLevel::Warning, "control", "servers ordered",
             {{"service", rules.name.text()}, {"data_centre", order.dataCentre.text()}, {"count", std::to_string(order.count)},
                 {"cheap", order.cheap ? "yes" : "no"},
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -78,7 +78,8 @@
 boost::asio::awaitable<void> PeerExchange::runList()
 {
     while (!this->stopped) {
-        const Result<std::vector<InstanceEntry>> listed = co_await this->platform.instances();
+        const Result<std::vector<InstanceEntry>> listed
+            = co_await this->platform.instances(this->options.self, this->localEndpoint());
         if (listed.has_value()) {
             this->members.setSeeds(seedsOf(listed.value()));
         }
--- a/src/control/snapshotkeeper.cpp
+++ b/src/control/snapshotkeeper.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/control/snapshotkeeper.h>
 
 #include <flamingosaddle/base/delay.h>
+#include <flamingosaddle/base/log.h>
 
 #include <utility>
 
@@ -8,9 +9,9 @@
 {
 
 SnapshotKeeper::SnapshotKeeper(
-    const Platform &platform, const LeaseKeeper &leases, std::vector<SnapshotSource> sources, Options options)
+    const Platform &platform, std::function<bool()> isLeading, std::vector<SnapshotSource> sources, Options options)
     : platform(platform)
-    , leases(leases)
+    , isLeading(std::move(isLeading))
     , options(std::move(options))
 {
     for (SnapshotSource &source : sources) {
@@ -21,7 +22,7 @@
 boost::asio::awaitable<void> SnapshotKeeper::run()
 {
     while (!this->stopped) {
-        if (this->leases.isHeld(this->options.role, RuntimeClock::now())) {
+        if (this->isLeading()) {
             for (Entry &entry : this->entries) {
                 co_await this->writeIfDue(entry);
             }
@@ -56,12 +57,15 @@
         co_return;
     }
     const std::uint64_t next = entry.source.nextOffset();
-    const Result<std::uint64_t> appended = co_await this->platform.append(entry.source.snapshots, entry.source.encode());
-    if (appended.has_value()) {
-        entry.covered = next;
-        entry.writtenAt = RuntimeClock::now();
-        ++this->written;
+    const Result<void> saved = co_await this->platform.saveSnapshot(entry.source.stream, entry.source.encode());
+    if (saved.has_error()) {
+        logStateChange(LogLevel::Warning, "control", "a snapshot was not kept",
+            {{"stream", toString(entry.source.stream)}, {"next", std::to_string(next)}, {"reason", saved.error().text()}});
+        co_return;
     }
+    entry.covered = next;
+    entry.writtenAt = RuntimeClock::now();
+    ++this->written;
 }
 
 } // namespace flamingosaddle
--- a/src/control/usagemeter.cpp
+++ b/src/control/usagemeter.cpp
@@ -30,9 +30,19 @@
 void UsageMeter::count(const ClientAccountId &clientAccount, Duration ago)
 {
     const std::chrono::milliseconds began = this->options.unixTime() - std::chrono::duration_cast<std::chrono::milliseconds>(ago);
+    this->add(began, AccountCount{clientAccount, 1});
+}
+
+void UsageMeter::countTokens(const ClientAccountId &clientAccount, const TokenCounts &tokens)
+{
+    this->add(this->options.unixTime(), AccountCount{clientAccount, 0, tokens});
+}
+
+void UsageMeter::add(std::chrono::milliseconds unixTime, const AccountCount &count)
+{
     // What was told to be complete stays so.
-    const std::uint64_t window = std::max(this->windowOf(began), this->toldCompleteBefore);
-    ++this->counted[window][clientAccount];
+    const std::uint64_t window = std::max(this->windowOf(unixTime), this->toldCompleteBefore);
+    this->counted[window].try_emplace(count.clientAccount, AccountCount{count.clientAccount}).first->second.add(count);
 }
 
 boost::asio::awaitable<void> UsageMeter::run()
@@ -67,6 +77,11 @@
     this->stopped = true;
 }
 
+std::size_t UsageMeter::waitingRecords() const
+{
+    return this->records.size() + (this->counted.empty() ? 0 : 1);
+}
+
 bool UsageMeter::isFlushDue(TimePoint now) const
 {
     const std::uint64_t complete = this->windowOf(this->options.unixTime() - this->options.settleTime);
@@ -83,8 +98,8 @@
     for (const auto &[window, accounts] : this->counted) {
         WindowCounts counts;
         counts.window = window;
-        for (const auto &[account, requests] : accounts) {
-            counts.accounts.push_back({account, requests});
+        for (const auto &[id, account] : accounts) {
+            counts.accounts.push_back(account);
         }
         record.windows.push_back(std::move(counts));
     }
--- a/src/control/windowreporter.cpp
+++ b/src/control/windowreporter.cpp
@@ -50,10 +50,8 @@
 {
     const Result<LogBatch> batch = co_await this->hooks.readCounts(this->next);
     if (batch.has_error()) {
-        if (batch.error().kind() == ErrorKind::Trimmed) {
-            // The message names no offset that can be trusted: the next read finds the oldest record by the bounds.
-            this->next = 0;
-        }
+        logStateChange(LogLevel::Warning, "control", "the counts of ended windows could not be read",
+            {{"from", std::to_string(this->next)}, {"reason", batch.error().text()}});
         co_return;
     }
     for (const LogRecord &record : batch.value().records) {
@@ -149,7 +147,7 @@
             co_return;
         }
         const DutyStamp stamp = this->duties.stamp();
-        const Result<void> sent = co_await this->hooks.reportWindow(decision.counts, stamp);
+        const Result<void> sent = co_await this->hooks.reportWindow(decision.counts, stamp, this->duties.permission());
         if (sent.has_error()) {
             logStateChange(LogLevel::Warning, "control", "a usage report was not taken",
                 {{"window", std::to_string(window)}, {"fence", std::to_string(stamp.fence)}, {"reason", sent.error().text()}});
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace flamingosaddle
@@ -61,8 +62,11 @@
         co_return sent;
     }
     // The guard comes before the check, so that a stop of the process between check and write is covered.
-    const DeadlineGuard guard(connection.nativeHandle(), permission());
-    if (!guard.isArmed() || permission() <= Duration::zero()) {
+    std::optional<DeadlineGuard> guard;
+    if (DeadlineGuard::isSupported()) {
+        guard.emplace(connection.nativeHandle(), permission());
+    }
+    if ((guard.has_value() && !guard->isArmed()) || permission() <= Duration::zero()) {
         co_return fail(ErrorKind::Cancelled, "the permission to send was over", "nothing was sent; ask for a new permission");
     }
     const Result<void> sent = co_await connection.send(request, limit.left());
--- a/src/http/deadlineguard.cpp
+++ b/src/http/deadlineguard.cpp
@@ -1,5 +1,7 @@
 #include <flamingosaddle/http/deadlineguard.h>
 
+#include <flamingosaddle/base/log.h>
+
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -45,6 +47,21 @@
     return {count / nanosecondsPerSecond, count % nanosecondsPerSecond};
 }
 
+bool canCreateTimers()
+{
+    sigevent event{};
+    event.sigev_notify = SIGEV_NONE;
+    timer_t timer{};
+    if (timer_create(CLOCK_BOOTTIME, &event, &timer) != 0) {
+        logStateChange(LogLevel::Warning, "http",
+            "the system has no timers for processes: a call that is sent late because "
+            "the process was stopped is told by its fencing number only");
+        return false;
+    }
+    timer_delete(timer);
+    return true;
+}
+
 } // namespace
 
 DeadlineGuard::DeadlineGuard(int socket, Duration remaining)
@@ -83,4 +100,10 @@
     return this->armed;
 }
 
+bool DeadlineGuard::isSupported()
+{
+    static const bool supported = canCreateTimers();
+    return supported;
+}
+
 } // namespace flamingosaddle
--- a/src/state/configchange.cpp
+++ b/src/state/configchange.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
+// The platform takes 256 KiB as one record.
 constexpr RecordFormat changeFormat{
-    ErrorKind::InvalidConfiguration, "correct it and send the change again", std::size_t{1} << 20, false};
+    ErrorKind::InvalidConfiguration, "correct it and send the change again", std::size_t{256} * 1024, false};
 
 enum class ChangeKind {
     PutTemplate,
--- a/src/state/leadership.cpp
+++ b/src/state/leadership.cpp
@@ -88,6 +88,11 @@
     return this->heldFence != 0 && now < this->heldUntil;
 }
 
+Duration Leadership::remaining(TimePoint now) const
+{
+    return this->isHeld(now) ? this->heldUntil - now : Duration::zero();
+}
+
 std::uint64_t Leadership::fence() const
 {
     return this->heldFence;
--- a/src/state/usagebook.cpp
+++ b/src/state/usagebook.cpp
@@ -7,11 +7,19 @@
 namespace flamingosaddle
 {
 
+template <typename Archive>
+static void describe(Archive &archive, typename Archive::template Ref<TokenCounts> value)
+{
+    archive.required("p", value.prompt);
+    archive.required("c", value.completion);
+}
+
 template <typename Archive>
 static void describe(Archive &archive, typename Archive::template Ref<AccountCount> value)
 {
     archive.required("a", value.clientAccount);
     archive.required("r", value.requests);
+    archive.optional("t", value.tokens);
 }
 
 template <typename Archive>
@@ -37,6 +45,21 @@
     archive.optional("reportedBefore", value.reportedBefore);
 }
 
+TokenCounts &TokenCounts::operator+=(const TokenCounts &other)
+{
+    this->prompt += other.prompt;
+    this->completion += other.completion;
+    return *this;
+}
+
+void AccountCount::add(const AccountCount &other)
+{
+    this->requests += other.requests;
+    if (other.tokens.has_value()) {
+        this->tokens = this->tokens.value_or(TokenCounts()) += *other.tokens;
+    }
+}
+
 std::string encodeMeterRecord(const MeterRecord &record)
 {
     return encodeRecord(record);
@@ -71,7 +94,9 @@
             continue;
         }
         for (const AccountCount &account : counts.accounts) {
-            this->windows[counts.window][account.clientAccount] += account.requests;
+            this->windows[counts.window]
+                .try_emplace(account.clientAccount, AccountCount{account.clientAccount})
+                .first->second.add(account);
         }
     }
 }
@@ -97,8 +122,8 @@
     counts.window = window;
     const auto found = this->windows.find(window);
     if (found != this->windows.end()) {
-        for (const auto &[account, requests] : found->second) {
-            counts.accounts.push_back({account, requests});
+        for (const auto &[id, account] : found->second) {
+            counts.accounts.push_back(account);
         }
     }
     return counts;
--- a/tests/process/checkers.h
+++ b/tests/process/checkers.h
@@ -45,14 +45,14 @@
 Violations checkPlainAnswer(const std::string &path, const std::string &request, const std::string &body);
 
 /**
- * Orders that the platform or an engine applied came from one holder in each epoch, never from an older epoch after a
- * newer one, and none was applied twice. @p orders is in the order of arrival, fencing numbers in `epoch`.
+ * Orders that the platform applied came from one holder in each epoch, and for a service never from an older epoch after a
+ * newer one. @p orders is in the order of arrival, fencing numbers in `epoch`.
  */
 Violations checkOrders(const Json &orders);
 
 /**
- * Every window of a client account was reported with one figure, by one holder in each epoch, and never from an older
- * epoch after a newer one.
+ * Every window was reported with one set of counts, by one holder in each epoch, and never from an older epoch after a newer
+ * one.
  */
 Violations checkUsageReports(const Json &reports);
 
--- a/tests/standins/platformmain.cpp
+++ b/tests/standins/platformmain.cpp
@@ -9,7 +9,7 @@
 using namespace flamingosaddle;
 
 /**
- * The platform's stand-in: log, instance list, backend server interface and usage reports.
+ * The platform's stand-in: its store and its API for usage reports and server orders.
  */
 int main(int argc, char **argv)
 {
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -41,15 +41,10 @@
     }
 }
 
-Integration integrationOf(const Settings &settings)
-{
-    return settings.configuration == ConfigurationSource::Operator ? platform::integration(settings) : ownIntegration(settings);
-}
-
 int runDaemon(const Settings &settings, SettingsWatch::Load reload)
 {
     initializeLogging(settings.logLevel, LogOutput::StandardOutput);
-    auto daemon = Daemon::create(settings, integrationOf(settings), std::move(reload));
+    auto daemon = Daemon::create(settings, platform::integration(settings), std::move(reload));
     if (daemon.has_error()) {
         std::cerr << "flamingosaddled: " << daemon.error().text() << '\n';
         return exitFailed;
