Instances tell each other of all that they hear

Cause: the store's group hands out twelve partitions, so that log-owners names twelve members.

Ruled out: more topics in the group, since nothing says that partitions of several topics are spread over different members.

Change: on a new connection an instance tells all instances that it hears, and later those that are new. Like the platform's list this only says whom to contact, for 30 s. Frame version 3; two messages that nothing sent are gone, and with them ConfigTail::applyForwarded.

--- a/include/flamingosaddle/control/configtail.h
+++ b/include/flamingosaddle/control/configtail.h
@@ -34,9 +34,6 @@
     boost::asio::awaitable<void> run();
     void stop();
 
-    /** A record that a peer read from the log. Taken when it is the next one; answers whether it was. */
-    bool applyForwarded(std::uint64_t offset, std::string_view body);
-
     /** A snapshot that a peer holds. Taken when it is ahead; answers whether it was. */
     bool adoptSnapshot(const ConfigState &snapshot);
 
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -112,6 +112,9 @@
     void broadcast(const PeerMessage &message);
     void passOnLoads();
     void passOnWaiting();
+    /** Tells the peers of instances that are heard since the last call. */
+    void passOnInstances();
+    std::map<InstanceId, Endpoint> heardInstances() const;
     bool isHeard(const InstanceId &instance) const;
     void noteServingCount();
 
@@ -125,6 +128,7 @@
     std::map<InstanceId, std::vector<ServerLoad>> loads; ///< what each peer runs
     std::map<InstanceId, std::vector<WaitingTier>> waiting; ///< what waits at each peer
     std::set<BackendServerId> reportedServers; ///< whose load was passed on at the last heartbeat
+    std::map<InstanceId, Endpoint> toldInstances; ///< that the peers were told of
     std::map<InstanceId, PeerConfig> configs; ///< by each peer's last heartbeat
     HeartbeatMessage current; ///< of this interval; all links send the same one
     std::set<InstanceId> electorate; ///< members that were known when anyone last read the log, and those since
--- a/include/flamingosaddle/peer/frame.h
+++ b/include/flamingosaddle/peer/frame.h
@@ -17,7 +17,7 @@
 {
 
 struct PeerFrameFormat {
-    static constexpr std::uint8_t version = 2;
+    static constexpr std::uint8_t version = 3;
     static constexpr std::size_t headerBytes = 4;
     static constexpr std::size_t maxFrameBytes = std::size_t{8}
         << 20; ///< after the header; holds a snapshot of 12,000 backend servers twice
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/state/incarnation.h>
 #include <flamingosaddle/state/membership.h>
@@ -98,20 +99,20 @@
     friend bool operator==(const QuarantinesMessage &, const QuarantinesMessage &) = default;
 };
 
-struct ForwardedRecord {
-    std::uint64_t offset = 0;
-    std::string body;
+struct KnownInstance {
+    InstanceId id;
+    Endpoint address; ///< where its peers reach it
 
-    friend bool operator==(const ForwardedRecord &, const ForwardedRecord &) = default;
+    friend bool operator==(const KnownInstance &, const KnownInstance &) = default;
 };
 
 /**
- * Records of the config stream that the sender read from the log.
+ * Instances that the sender hears. The platform's list may leave some out; every instance is to know all others.
  */
-struct ConfigRecordsMessage {
-    std::vector<ForwardedRecord> records;
+struct InstancesMessage {
+    std::vector<KnownInstance> instances;
 
-    friend bool operator==(const ConfigRecordsMessage &, const ConfigRecordsMessage &) = default;
+    friend bool operator==(const InstancesMessage &, const InstancesMessage &) = default;
 };
 
 /**
@@ -123,16 +124,6 @@
     friend bool operator==(const ConfigSnapshotMessage &, const ConfigSnapshotMessage &) = default;
 };
 
-/**
- * A record of the usage stream, kept by the receiver until the log has it.
- */
-struct UsageCopyMessage {
-    RecordId id;
-    std::string record;
-
-    friend bool operator==(const UsageCopyMessage &, const UsageCopyMessage &) = default;
-};
-
 /**
  * The sender ends. What it holds is in the log or lost.
  */
@@ -151,7 +142,7 @@
     friend bool operator==(const AckMessage &, const AckMessage &) = default;
 };
 
-using PeerMessage = std::variant<HelloMessage, HeartbeatMessage, TombstonesMessage, QuarantinesMessage, ConfigRecordsMessage,
-    UsageCopyMessage, LeaveMessage, AckMessage, ConfigSnapshotMessage>;
+using PeerMessage = std::variant<HelloMessage, HeartbeatMessage, TombstonesMessage, QuarantinesMessage, InstancesMessage,
+    LeaveMessage, AckMessage, ConfigSnapshotMessage>;
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/state/membership.h
+++ b/include/flamingosaddle/state/membership.h
@@ -70,6 +70,7 @@
 struct MembershipTiming {
     Duration silentAfter = std::chrono::seconds(3); ///< without a heartbeat a member counts as gone
     Duration forgetAfter = std::chrono::minutes(10); ///< longer than any heartbeat is under way
+    Duration hearsayLife = std::chrono::seconds(30); ///< how long an instance is looked for that only a peer told of
 
     friend bool operator==(const MembershipTiming &, const MembershipTiming &) = default;
 };
@@ -98,6 +99,9 @@
     /** Replaces what the platform's list says. */
     void setSeeds(std::vector<Seed> seeds);
 
+    /** A peer hears an instance at @p address. Like the list, this only says whom to contact. */
+    void noteHearsay(const InstanceId &instance, const Endpoint &address, TimePoint now);
+
     /**
      * Ends members that have been silent too long, and forgets those gone for long. After a pause of the process, take
      * in the heartbeats that have come before calling this.
@@ -117,7 +121,7 @@
     /** Members that take requests and that the platform does not list as leaving. */
     std::vector<Heartbeat> serving() const;
 
-    /** Where to look for instances: entries of the list that are no live member. */
+    /** Where to look for instances: those that the list or a peer told of and that are no live member. */
     std::vector<Endpoint> contacts() const;
 
     /**
@@ -130,14 +134,22 @@
     std::optional<TimePoint> nextDeadline() const;
 
 private:
+    // What a peer told of an instance.
+    struct Hearsay {
+        Endpoint address;
+        TimePoint until;
+    };
+
     void endOthersAt(const Endpoint &address, const InstanceId &except, TimePoint now);
     bool isLeaving(const InstanceId &instance) const;
+    bool isLive(const InstanceId &instance) const;
     TimePoint deadlineOf(const Member &member) const;
 
     Heartbeat own;
     MembershipTiming timing;
     std::map<InstanceId, Member> table;
     std::vector<Seed> seeds;
+    std::map<InstanceId, Hearsay> hearsay;
 };
 
 } // namespace flamingosaddle
--- a/src/control/configtail.cpp
+++ b/src/control/configtail.cpp
@@ -37,16 +37,6 @@
     this->replica.stop();
 }
 
-bool ConfigTail::applyForwarded(std::uint64_t offset, std::string_view body)
-{
-    if (offset != this->working.nextOffset()) {
-        return false;
-    }
-    this->apply(offset, body);
-    this->publish();
-    return true;
-}
-
 bool ConfigTail::adoptSnapshot(const ConfigState &snapshot)
 {
     if (snapshot.nextOffset() <= this->working.nextOffset()) {
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -5,6 +5,7 @@
 #include <flamingosaddle/base/log.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace flamingosaddle
@@ -33,6 +34,15 @@
     return seeds;
 }
 
+InstancesMessage messageOf(const std::map<InstanceId, Endpoint> &instances)
+{
+    InstancesMessage message;
+    for (const auto &[id, address] : instances) {
+        message.instances.push_back({id, address});
+    }
+    return message;
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(
@@ -70,6 +80,7 @@
         this->refreshLinks();
         this->passOnLoads();
         this->passOnWaiting();
+        this->passOnInstances();
         this->noteServingCount();
         co_await delay(this->options.timing.heartbeatInterval);
     }
@@ -153,6 +164,10 @@
         }
     } else if (const auto *quarantines = std::get_if<QuarantinesMessage>(&message)) {
         this->hooks.onQuarantines(*quarantines);
+    } else if (const auto *known = std::get_if<InstancesMessage>(&message)) {
+        for (const KnownInstance &instance : known->instances) {
+            this->members.noteHearsay(instance.id, instance.address, RuntimeClock::now());
+        }
     } else if (const auto *snapshot = std::get_if<ConfigSnapshotMessage>(&message)) {
         this->hooks.onConfigSnapshot(snapshot->text);
     } else if (std::holds_alternative<LeaveMessage>(message)) {
@@ -313,6 +328,7 @@
 {
     std::vector<PeerMessage> messages;
     messages.emplace_back(TombstonesMessage{this->hooks.tombstones()});
+    messages.emplace_back(messageOf(this->heardInstances()));
     return messages;
 }
 
@@ -372,6 +388,29 @@
     this->hooks.onWaiting(all);
 }
 
+std::map<InstanceId, Endpoint> PeerExchange::heardInstances() const
+{
+    std::map<InstanceId, Endpoint> heard;
+    for (const auto &[id, member] : this->members.members()) {
+        if (member.state != MemberState::Gone) {
+            heard.emplace(id, member.last.address);
+        }
+    }
+    return heard;
+}
+
+void PeerExchange::passOnInstances()
+{
+    std::map<InstanceId, Endpoint> heard = this->heardInstances();
+    std::map<InstanceId, Endpoint> fresh;
+    std::set_difference(
+        heard.begin(), heard.end(), this->toldInstances.begin(), this->toldInstances.end(), std::inserter(fresh, fresh.end()));
+    if (!fresh.empty()) {
+        this->broadcast(messageOf(fresh));
+    }
+    this->toldInstances = std::move(heard);
+}
+
 bool PeerExchange::isHeard(const InstanceId &instance) const
 {
     const Member *member = this->members.find(instance);
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -39,11 +39,6 @@
     return std::tie(value.instance, value.number);
 }
 
-auto fieldsOf(Is<RecordId> auto &value)
-{
-    return std::tie(value.writer, value.sequence);
-}
-
 auto fieldsOf(Is<Heartbeat> auto &value)
 {
     return std::tie(value.from, value.sequence, value.state, value.address, value.dataCentre);
@@ -84,9 +79,9 @@
     return std::tie(value.fingerprint, value.remaining);
 }
 
-auto fieldsOf(Is<ForwardedRecord> auto &value)
+auto fieldsOf(Is<KnownInstance> auto &value)
 {
-    return std::tie(value.offset, value.body);
+    return std::tie(value.id, value.address);
 }
 
 auto fieldsOf(Is<HelloMessage> auto &value)
@@ -110,9 +105,9 @@
     return std::tie(value.deaths, value.suspects);
 }
 
-auto fieldsOf(Is<ConfigRecordsMessage> auto &value)
+auto fieldsOf(Is<InstancesMessage> auto &value)
 {
-    return std::tie(value.records);
+    return std::tie(value.instances);
 }
 
 auto fieldsOf(Is<ConfigSnapshotMessage> auto &value)
@@ -120,11 +115,6 @@
     return std::tie(value.text);
 }
 
-auto fieldsOf(Is<UsageCopyMessage> auto &value)
-{
-    return std::tie(value.id, value.record);
-}
-
 auto fieldsOf(Is<LeaveMessage> auto &value)
 {
     return std::tie(value.from);
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -93,8 +93,18 @@
     this->seeds = std::move(seeds);
 }
 
+void Membership::noteHearsay(const InstanceId &instance, const Endpoint &address, TimePoint now)
+{
+    if (instance != this->own.from.instance && !this->isLive(instance)) {
+        this->hearsay[instance] = {address, now + this->timing.hearsayLife};
+    }
+}
+
 void Membership::advance(TimePoint now)
 {
+    std::erase_if(this->hearsay, [this, now](const auto &entry) {
+        return entry.second.until <= now || this->isLive(entry.first);
+    });
     std::erase_if(this->table, [this, now](const auto &entry) {
         return entry.second.state == MemberState::Gone && this->deadlineOf(entry.second) <= now;
     });
@@ -130,6 +140,12 @@
     });
 }
 
+bool Membership::isLive(const InstanceId &instance) const
+{
+    const Member *member = this->find(instance);
+    return member != nullptr && member->state != MemberState::Gone;
+}
+
 std::vector<Heartbeat> Membership::serving() const
 {
     std::vector<Heartbeat> serving;
@@ -145,12 +161,15 @@
 {
     std::vector<Endpoint> contacts;
     for (const Seed &seed : this->seeds) {
-        const Member *member = this->find(seed.instance);
-        const bool isLive = member != nullptr && member->state != MemberState::Gone;
-        if (!isLive && !seed.leaving && seed.instance != this->own.from.instance) {
+        if (!this->isLive(seed.instance) && !seed.leaving && seed.instance != this->own.from.instance) {
             contacts.push_back(seed.address);
         }
     }
+    for (const auto &[instance, told] : this->hearsay) {
+        if (!this->isLive(instance)) {
+            contacts.push_back(told.address);
+        }
+    }
     return contacts;
 }
 
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -111,3 +111,23 @@
     context.restart();
     context.run_for(std::chrono::milliseconds(100));
 }
+
+TEST(PeerExchange, InstancesThatKnowOneOfThemFindAllOthers)
+{
+    boost::asio::io_context context;
+    ExchangingInstance one(context, "one", {});
+    ExchangingInstance two(context, "two", {one.exchange.localEndpoint()});
+    ExchangingInstance three(context, "three", {one.exchange.localEndpoint()});
+    const auto knowsTwoOthers = [](const ExchangingInstance &instance) {
+        return instance.exchange.membership().serving().size() == 2;
+    };
+    EXPECT_TRUE(runUntil(context, [&] {
+        return knowsTwoOthers(one) && knowsTwoOthers(two) && knowsTwoOthers(three);
+    }));
+    for (ExchangingInstance *instance : {&one, &two, &three}) {
+        instance->exchange.stop();
+    }
+    // Lets the coroutines that still wait end before their objects.
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+}
