A prompt waits where its beginning is kept; crowded servers use most of their slots

A keeper counted as full at half of the tightest objective of all long classes, 500 ms of reading, and an idle server as cheaper from 700 ms on. Besides, where instances outnumber the slots of a server (32 and 6), half of the slots stayed free for the others: bookings waited 0.3 s in the middle at a load of a third.

Change: a request waits for the server that keeps its beginning as long as half of its own objective; a token that is read although another server keeps it counts six times beyond its reading; one slot in six stays free where there are more instances than slots.

Tests, each fails on the code before: APromptWaitsWhereItsBeginningIsKept..., ABurstOverColdServersReadsEachBeginningFewTimes (36 readings of 24 beginnings before, 29 now, at most 30), ManyInstancesUseMostOfTheSlotsOfAFewServers.

--- a/include/flamingosaddle/traffic/promptplacement.h
+++ b/include/flamingosaddle/traffic/promptplacement.h
@@ -80,6 +80,8 @@
     static constexpr double unreadPart = 0.5;
     /** How likely a beginning is kept at its home though this instance has not seen it read there. */
     static constexpr double homeLikelihood = 0.7;
+    /** How much a token that is read although another server keeps it counts beyond its reading. */
+    static constexpr double lostWeight = 6.0;
     static constexpr double firstTokensPerMillisecond = 20.0; ///< until reading was measured
     /** Of a first token, without what is read before it: the step that makes it and the ways there and back. */
     static constexpr Duration firstTokenOverhead = std::chrono::milliseconds(50);
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -72,7 +72,8 @@
  * A server is usable when it is configured, not leaving and, if it is cheap, its data centre is not excluded. It has a
  * free slot when fewer requests than its slots run there, those of peers included. Since the peers' reports are old, an
  * instance that shares its servers with others may always use its even part of the slots, and takes more only while a
- * slot for each of the others stays free, at most half of them: the others may be about to take more as well. A
+ * slot for each of the others stays free, at most half of them: the others may be about to take more as well. Where there
+ * are more instances than slots, fewer stay free. A
  * straggler's slots are divided by its slowdown. The requests on the cheap servers of one data centre never exceed the target's
  * slots elsewhere, so that what a lost zone ran can go on outside; this holds as long as there are slots elsewhere at all.
  */
@@ -80,6 +81,8 @@
 {
 public:
     static constexpr double stragglerSlowdown = 2.0;
+    /** One in so many slots stays free for the others where there are more instances than slots. */
+    static constexpr std::uint32_t crowdedMarginPart = 6;
     static constexpr std::uint64_t minSamples = 5; ///< before a server is judged
     static constexpr Duration firstProbeWait = std::chrono::seconds(30); ///< doubles with each try that finds it slow
     static constexpr Duration longestProbeWait = std::chrono::minutes(8);
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -158,12 +158,14 @@
     const double toRead = request.promptTokens - kept * request.sharedTokens;
     PromptCost cost;
     cost.isOwnLane = this->isOwnLane(request.target, candidate.server, request.requestClass);
-    // What is read although another server keeps it is lost to the others: it counts twice.
-    const double lost = (1.0 - kept) * request.sharedTokens;
+    // What is read although another server keeps it is lost to the others, here and in the memory of the server.
+    const double lost = lostWeight * (1.0 - kept) * request.sharedTokens;
     cost.tokens
         = (unread + toRead + lost) * server.slowdown + runningTokens * (server.inFlight + server.peersInFlight) * server.slowdown;
-    // A beginning that is kept takes no time of the server: it leaves room for as much more.
-    const double room = bound + kept * request.sharedTokens;
+    // A beginning that is kept takes no time of the server: it leaves room for as much more. A request waits for it as long
+    // as its own objective allows, since reading it elsewhere takes the time of all.
+    const double patience = this->tokensPerMillisecond() * millisecondsOf(request.objective) * unreadPart;
+    const double room = kept > 0.0 ? std::max(bound, kept * patience) + kept * request.sharedTokens : bound;
     const bool isShort = this->isShort(request.requestClass);
     // A long prompt waits rather than stall the streams of the short ones.
     cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= room);
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -272,7 +272,8 @@
     }
     const std::uint32_t usable = this->usableSlots(state);
     const std::uint32_t others = this->instanceCount > 1 ? this->instanceCount - 1 : 0;
-    const std::uint32_t margin = std::min(others, usable / 2);
+    // More instances than slots run so little each that all of them rarely come at once, and a server queues a few more.
+    const std::uint32_t margin = others < usable ? std::min(others, usable / 2) : usable / crowdedMarginPart;
     const std::uint32_t taken = state.inFlight + state.peersInFlight + margin;
     const std::uint32_t shared = taken < usable ? usable - taken : 0;
     const std::uint32_t evenPart = others > 0 ? usable / this->instanceCount : 0;
--- a/tests/traffic/prompt_test.cpp
+++ b/tests/traffic/prompt_test.cpp
@@ -118,6 +118,49 @@
     }
 };
 
+/** Engines that read one prompt after the other and keep every beginning. All prompts are plans. */
+class ReadingServers
+{
+public:
+    /** Takes in what was started and forgets it. */
+    void start(std::map<Ticket, BackendServerId> &started, TimePoint now)
+    {
+        constexpr double tokensPerMillisecond = 37.9;
+        for (const auto &[ticket, server] : started) {
+            const std::uint64_t beginning = this->beginnings.at(ticket);
+            const bool isNew = this->kept[server].insert(beginning).second;
+            this->newReadings += isNew ? 1 : 0;
+            const double tokens = isNew ? planTokens : planTokens - plan(1).sharedTokens;
+            TimePoint &free = this->freeAt[server];
+            free = std::max(free, now) + std::chrono::microseconds(static_cast<int>(tokens / tokensPerMillisecond * 1000));
+            this->ends.emplace(free, ticket);
+        }
+        started.clear();
+    }
+
+    /** Tells of first tokens up to @p now; the rest of an answer takes no time. */
+    void advance(Dispatcher &dispatcher, TimePoint now)
+    {
+        for (auto end = this->ends.begin(); end != this->ends.end() && end->first <= now; end = this->ends.erase(end)) {
+            dispatcher.firstToken(end->second, end->first);
+            dispatcher.finish(end->second, AttemptEnd::Completed, end->first);
+        }
+    }
+
+    std::uint64_t readings() const
+    {
+        return this->newReadings;
+    }
+
+    std::map<Ticket, std::uint64_t> beginnings; // of the prompts
+
+private:
+    std::map<BackendServerId, std::set<std::uint64_t>> kept;
+    std::map<BackendServerId, TimePoint> freeAt;
+    std::multimap<TimePoint, Ticket> ends;
+    std::uint64_t newReadings = 0;
+};
+
 } // namespace
 
 TEST_F(PromptTest, LowerTiersLeaveTheServersToHigherOnesThatWaitAtAPeer)
@@ -194,6 +237,42 @@
     EXPECT_EQ(this->started[*this->submit(plan(5))], server);
 }
 
+TEST_F(PromptTest, APromptWaitsWhereItsBeginningIsKeptAsLongAsItsOwnObjectiveAllows)
+{
+    this->teachClasses();
+    const RequestProfile glossary = profileOf("glossary", planTokens / 2, 1, 1000ms);
+    const Ticket tight = *this->submit(glossary);
+    const Ticket first = *this->submit(plan(5));
+    const BackendServerId server = this->started[first];
+    for (const Ticket ticket : {tight, first}) {
+        this->dispatcher.firstToken(ticket, this->now);
+        this->dispatcher.finish(ticket, AttemptEnd::Completed, this->now);
+    }
+    constexpr std::uint64_t unread = 25000; // more than the glossary's objective leaves room for
+    this->dispatcher.report({server, 2, 0, this->now, unread});
+    EXPECT_EQ(this->started[*this->submit(plan(5))], server) << "read again elsewhere";
+}
+
+TEST_F(PromptTest, ABurstOverColdServersReadsEachBeginningFewTimes)
+{
+    this->teachClasses();
+    ReadingServers servers;
+    constexpr std::uint64_t beginnings = 24;
+    constexpr int requests = 400;
+    constexpr std::chrono::milliseconds step(12); // 3 times what the servers read when every prompt is read whole
+    for (int i = 0; i < requests; ++i) {
+        const std::uint64_t beginning = 100 + static_cast<std::uint64_t>(i) % beginnings;
+        servers.beginnings[*this->submit(plan(beginning))] = beginning;
+        servers.start(this->started, this->now);
+        this->now += step;
+        servers.advance(this->dispatcher, this->now);
+        this->dispatch();
+        servers.start(this->started, this->now);
+    }
+    // A quarter of them twice: whatever is read again takes the time of prompts that wait.
+    EXPECT_LE(servers.readings(), beginnings * 5 / 4);
+}
+
 TEST_F(PromptTest, ServersThatReadLongPromptsAreNoStragglers)
 {
     this->teachClasses();
--- a/tests/traffic/servers_test.cpp
+++ b/tests/traffic/servers_test.cpp
@@ -84,6 +84,17 @@
     EXPECT_FALSE(pool.availability(0).reliable);
 }
 
+TEST(ServerPool, ManyInstancesUseMostOfTheSlotsOfAFewServers)
+{
+    ServerPool pool;
+    pool.setServers({serverOf(0, "a", false, 6)});
+    pool.setInstanceCount(32);
+    pool.report(ServerReport{BackendServerId("s0"), 4, 0, TimePoint(1s)});
+    EXPECT_TRUE(pool.availability(0).reliable) << "half of the slots stay unused";
+    pool.report(ServerReport{BackendServerId("s0"), 5, 0, TimePoint(2s)});
+    EXPECT_FALSE(pool.availability(0).reliable);
+}
+
 TEST(Selector, PassesOverStragglersUntilTheyAreDueForAnotherTry)
 {
     ServerPool pool;
