--- a/include/flamingosaddle/control/dutylog.h
+++ b/include/flamingosaddle/control/dutylog.h
@@ -31,6 +31,9 @@
         LeadershipTiming timing;
         Duration tick = std::chrono::milliseconds(200); ///< between two looks at what is due
         Duration readInterval = std::chrono::milliseconds(1500); ///< of an instance that does not lead
+        /** Of an instance that hears from a peer that it leads: the word of a peer only spares calls, the log decides. */
+        Duration readIntervalWithLeader = std::chrono::seconds(10);
+        Duration leaderWordLife = std::chrono::milliseconds(1000); ///< four heartbeats, after which the log is read again
         Duration claimSpread = std::chrono::milliseconds(300); ///< claims of several instances are spread over this time
         std::uint64_t seed = 1;
     };
@@ -46,6 +49,8 @@
     boost::asio::awaitable<void> release();
     /** Keeps a decision under @p key. It is dropped when the lead is lost before it is in the log. */
     void decide(std::string key, std::string value);
+    /** A peer says that it leads. */
+    void noteLeader();
     /** A call with this instance's fence was refused, since a higher one was seen. */
     void lose();
 
@@ -67,6 +72,8 @@
     boost::asio::awaitable<void> lead();
     boost::asio::awaitable<void> claimIfFree();
     void take(const KeyedEntry &entry, TimePoint now);
+    bool hearsLeader(TimePoint now) const;
+    bool isReadDue(TimePoint now) const;
     bool isDecided(const std::string &key, const std::string &value) const;
     void noteChange();
 
@@ -78,7 +85,9 @@
     bool endKnown = false; // whether nothing can have been appended since but by this instance
     std::map<std::string, std::string> newest;
     std::deque<std::pair<std::string, std::string>> pending;
-    TimePoint nextRead;
+    TimePoint lastRead;
+    bool readAtOnce = true; // not only at the next interval
+    std::optional<TimePoint> heardLeaderAt;
     std::optional<TimePoint> claimAt;
     bool wasLeading = false;
     bool stopped = false;
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -28,6 +28,7 @@
 struct PeerExchangeHooks {
     std::function<std::uint64_t()> configOffset; ///< next offset of the config stream
     std::function<bool()> readsLog; ///< whether this instance read the config stream to its end a short time ago
+    std::function<bool()> leads; ///< whether this instance does the duties of one instance at a time
     std::function<std::string()> configSnapshot;
     std::function<std::vector<KeyId>()> tombstones; ///< that the log may not have yet
     std::function<void(HeartbeatMessage &)> describeTraffic; ///< fills in what it says of traffic
@@ -40,6 +41,7 @@
     std::function<void(const std::vector<ServiceCount> &)> onServices;
     std::function<void(const std::vector<PromptRead> &)> onReads;
     std::function<void(const std::vector<ServiceDemand> &)> onDemands; ///< of each instance, this one included
+    std::function<void()> onLeader; ///< a peer says that it leads
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
 };
--- a/include/flamingosaddle/control/usagemeter.h
+++ b/include/flamingosaddle/control/usagemeter.h
@@ -26,7 +26,8 @@
     struct Options {
         Incarnation self;
         std::chrono::milliseconds windowLength{60000};
-        Duration flushInterval = std::chrono::milliseconds(800); ///< what an instance that dies loses at most
+        /** What an instance that dies loses at most; longer where there are many, since it is a smaller part of the whole. */
+        Duration flushInterval = std::chrono::milliseconds(800);
         /** After a window's end, for requests whose beginning is known a little later. */
         std::chrono::milliseconds settleTime{400};
         std::function<std::chrono::milliseconds()> unixTime;
@@ -46,12 +47,15 @@
     /** Appends all that was counted, for a shutdown; tries until @p deadline. */
     boost::asio::awaitable<void> finish(TimePoint deadline);
     void stop();
+    /** How many instances count: the more, the less is lost with one of them, and the more calls they make together. */
+    void setInstances(std::size_t count);
 
     // Queries.
     std::size_t waitingRecords() const; ///< that the log has not taken yet, what is counted at present included
 
 private:
     bool isFlushDue(TimePoint now) const;
+    Duration flushInterval() const;
     void cutRecord(bool leaving);
     boost::asio::awaitable<bool> appendFront();
     std::uint64_t windowOf(std::chrono::milliseconds unixTime) const;
@@ -65,6 +69,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t toldCompleteBefore = 0;
     TimePoint lastFlush;
+    std::size_t instances = 1;
     bool stopped = false;
 };
 
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -54,6 +54,7 @@
     Heartbeat member;
     std::uint64_t configOffset = 0; ///< next offset of the config stream
     bool readsLog = false; ///< whether the sender read the config stream to its end within its freshness limit
+    bool leads = false; ///< whether the sender does the duties of one instance at a time, by its own clock
     std::vector<WaitingTier> waiting;
     std::vector<ServerLoad> loads;
     std::vector<ServiceCount> services;
--- a/include/flamingosaddle/state/fleetplan.h
+++ b/include/flamingosaddle/state/fleetplan.h
@@ -68,6 +68,9 @@
     static constexpr Duration retryDelay = std::chrono::seconds(2); ///< after a refusal or an unknown outcome
     /** Between a newly known server and the first orders: the list of a large fleet comes in parts. */
     static constexpr Duration settleTime = std::chrono::milliseconds(1500);
+    /** From the first look on, before the load is known, for a data centre of which no server is known: it may not be read yet.
+     */
+    static constexpr Duration emptyPatience = std::chrono::seconds(5);
     /** Part of the servers that has to be too many before some are given up: each change costs starts. */
     static constexpr double slack = 0.25;
     static constexpr Duration fallDelay = std::chrono::seconds(10); ///< from the first look at the load to the first fall
@@ -104,6 +107,7 @@
 
     FleetMix mix;
     std::map<DataCentre, Zone> zones;
+    std::optional<TimePoint> firstLook;
     TimePoint settledAt; // before it servers that were there from the start may still become known
 };
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -393,6 +393,12 @@
         const std::optional<TimePoint> readAt = this->lastReadAt();
         return readAt && RuntimeClock::now() - *readAt <= this->controllerOptions.freshnessLimit;
     };
+    peerHooks.leads = [this] {
+        return this->duties->log.isLeading();
+    };
+    peerHooks.onLeader = [this] {
+        this->duties->log.noteLeader();
+    };
     peerHooks.configSnapshot = [this] {
         return encodeConfigSnapshot(*this->config());
     };
@@ -421,7 +427,10 @@
         }
     };
     peerHooks.onQuarantines = this->hooks.peerQuarantines;
-    peerHooks.onServingCount = this->hooks.servingCount;
+    peerHooks.onServingCount = [this](std::size_t count) {
+        this->duties->meter.setInstances(count);
+        this->hooks.servingCount(count);
+    };
     return peerHooks;
 }
 
--- a/src/control/dutylog.cpp
+++ b/src/control/dutylog.cpp
@@ -52,6 +52,23 @@
     this->pending.emplace_back(std::move(key), std::move(value));
 }
 
+void DutyLog::noteLeader()
+{
+    this->heardLeaderAt = RuntimeClock::now();
+}
+
+bool DutyLog::hearsLeader(TimePoint now) const
+{
+    return this->heardLeaderAt.has_value() && now < *this->heardLeaderAt + this->options.leaderWordLife;
+}
+
+bool DutyLog::isReadDue(TimePoint now) const
+{
+    const bool hearsLeader = this->hearsLeader(now);
+    const Duration interval = hearsLeader ? this->options.readIntervalWithLeader : this->options.readInterval;
+    return (this->readAtOnce && !hearsLeader) || now >= this->lastRead + interval;
+}
+
 void DutyLog::lose()
 {
     this->leadership.lose(RuntimeClock::now());
@@ -105,7 +122,7 @@
     if (!leading) {
         this->pending.clear();
     }
-    if (leading ? !this->endKnown : now >= this->nextRead) {
+    if (leading ? !this->endKnown : this->isReadDue(now)) {
         const bool succeeded = co_await this->readOnce();
         if (!succeeded) {
             co_return;
@@ -128,7 +145,8 @@
         co_return false;
     }
     const TimePoint now = RuntimeClock::now();
-    this->nextRead = now + this->options.readInterval;
+    this->lastRead = now;
+    this->readAtOnce = false;
     for (const KeyedEntry &entry : reading.value().entries) {
         this->take(entry, now);
     }
@@ -179,7 +197,8 @@
 boost::asio::awaitable<void> DutyLog::claimIfFree()
 {
     const TimePoint now = RuntimeClock::now();
-    if (!this->endKnown || !this->leadership.mayClaim(now)) {
+    // Who only heard of the leader has not read what it may have appended since.
+    if (!this->endKnown || this->hearsLeader(now) || !this->leadership.mayClaim(now)) {
         this->claimAt.reset();
         co_return;
     }
@@ -209,7 +228,7 @@
     }
     // Another instance appended, or nobody knows whether this record is in the log: only reading it tells.
     this->endKnown = false;
-    this->nextRead = RuntimeClock::now();
+    this->readAtOnce = true;
 }
 
 void DutyLog::noteChange()
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -188,6 +188,9 @@
     this->hooks.onServices(message.services);
     this->hooks.onReads(message.reads);
     this->hooks.onDemands(message.demands);
+    if (message.leads) {
+        this->hooks.onLeader();
+    }
     this->helpIfBehind(message);
     this->configs[from.from.instance] = {message.configOffset, now};
     this->noteAgreement(message, now);
@@ -319,6 +322,7 @@
     message.member = this->members.nextHeartbeat();
     message.configOffset = this->hooks.configOffset();
     message.readsLog = this->hooks.readsLog();
+    message.leads = this->hooks.leads();
     this->hooks.describeTraffic(message);
     this->hooks.onDemands(message.demands);
     return message;
--- a/src/control/usagemeter.cpp
+++ b/src/control/usagemeter.cpp
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingosaddle
@@ -16,6 +17,10 @@
 constexpr std::chrono::milliseconds longestRetryDelay(500);
 // Records that wait while the log is away; beyond them the newest take in what comes.
 constexpr std::size_t maxWaitingRecords = 4;
+// Instances that flush at the interval of the options; twice as many flush half as often.
+constexpr std::size_t instancesAFlush = 4;
+// Keeps the longest interval within half of the shortest windows, of 5 s.
+constexpr std::size_t mostFlushIntervals = 3;
 
 } // namespace
 
@@ -77,6 +82,11 @@
     this->stopped = true;
 }
 
+void UsageMeter::setInstances(std::size_t count)
+{
+    this->instances = count;
+}
+
 std::size_t UsageMeter::waitingRecords() const
 {
     return this->records.size() + (this->counted.empty() ? 0 : 1);
@@ -85,8 +95,13 @@
 bool UsageMeter::isFlushDue(TimePoint now) const
 {
     const std::uint64_t complete = this->windowOf(this->options.unixTime() - this->options.settleTime);
-    return complete > this->toldCompleteBefore
-        || (!this->counted.empty() && now - this->lastFlush >= this->options.flushInterval);
+    return complete > this->toldCompleteBefore || (!this->counted.empty() && now - this->lastFlush >= this->flushInterval());
+}
+
+Duration UsageMeter::flushInterval() const
+{
+    const std::size_t times = std::clamp<std::size_t>(this->instances / instancesAFlush, 1, mostFlushIntervals);
+    return this->options.flushInterval * static_cast<Duration::rep>(times);
 }
 
 void UsageMeter::cutRecord(bool leaving)
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -91,8 +91,8 @@
 
 auto fieldsOf(Is<HeartbeatMessage> auto &value)
 {
-    return std::tie(
-        value.member, value.configOffset, value.readsLog, value.waiting, value.loads, value.services, value.reads, value.demands);
+    return std::tie(value.member, value.configOffset, value.readsLog, value.leads, value.waiting, value.loads, value.services,
+        value.reads, value.demands);
 }
 
 auto fieldsOf(Is<TombstonesMessage> auto &value)
--- a/src/state/fleetplan.cpp
+++ b/src/state/fleetplan.cpp
@@ -42,9 +42,14 @@
     if (!rules.cheapPrice.has_value() || rules.most == 0 || rules.fewest > rules.most) {
         return orders;
     }
+    this->firstLook = this->firstLook.value_or(now);
     for (const auto &[dataCentre, price] : rules.prices) {
         const auto found = serving.find(dataCentre);
         const FleetCount present = found == serving.end() ? FleetCount() : found->second;
+        if (present == FleetCount() && !busy.has_value() && now < *this->firstLook + emptyPatience) {
+            // An order names a count: a small one would end the servers that are not known yet.
+            continue;
+        }
         Zone &zone = this->zones[dataCentre];
         if (busy.has_value()) {
             const double wanted = std::max(busy->steady * this->mix.steadyHeadroom, busy->peak * this->mix.peakHeadroom);
--- a/tests/adapter/fakestore.cpp
+++ b/tests/adapter/fakestore.cpp
@@ -21,7 +21,7 @@
 void FakeStore::append(const std::string &topic, std::string record)
 {
     const std::scoped_lock lock(this->mutex);
-    this->calls.log.append(topic, std::move(record));
+    this->store.log.append(topic, std::move(record));
 }
 
 void FakeStore::appendKeyed(const std::string &topic, const std::string &key, const std::string &value)
@@ -32,7 +32,7 @@
 void FakeStore::forget(const std::string &topic, std::uint64_t offset)
 {
     const std::scoped_lock lock(this->mutex);
-    this->calls.log.trim(topic, offset);
+    this->store.log.trim(topic, offset);
 }
 
 void FakeStore::refuseNext(int status)
@@ -51,22 +51,30 @@
 {
     const std::scoped_lock lock(this->mutex);
     std::vector<std::string> records;
-    for (standins::StoredRecord &record : this->calls.log.read(topic, 0, std::numeric_limits<std::size_t>::max())) {
+    for (standins::StoredRecord &record : this->store.log.read(topic, 0, std::numeric_limits<std::size_t>::max())) {
         records.push_back(std::move(record.body));
     }
     return records;
 }
 
+std::size_t FakeStore::calls(const std::string &path) const
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->callCounts.find(path);
+    return found == this->callCounts.end() ? 0 : found->second;
+}
+
 boost::asio::awaitable<void> FakeStore::answer(HttpExchange &exchange)
 {
     HttpResponse response;
     bool lost = false;
     {
         const std::scoped_lock lock(this->mutex);
+        ++this->callCounts[std::string(exchange.request().path())];
         if (this->refusal.has_value()) {
             response = jsonResponse(*std::exchange(this->refusal, std::nullopt), "{}");
         } else {
-            response = this->calls.answer(exchange.request(), RuntimeClock::now()).value_or(jsonResponse(404, "{}"));
+            response = this->store.answer(exchange.request(), RuntimeClock::now()).value_or(jsonResponse(404, "{}"));
             lost = std::exchange(this->losesAnswer, false);
         }
     }
--- a/tests/adapter/fakestore.h
+++ b/tests/adapter/fakestore.h
@@ -4,6 +4,8 @@
 #include "storecalls.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -35,14 +37,16 @@
 
     // Queries; any thread.
     std::vector<std::string> records(const std::string &topic) const;
+    std::size_t calls(const std::string &path) const; ///< that came so far
 
 private:
     boost::asio::awaitable<void> answer(HttpExchange &exchange);
 
     mutable std::mutex mutex;
-    standins::StoreCalls calls{2};
+    standins::StoreCalls store{2};
     std::optional<int> refusal;
     bool losesAnswer = false;
+    std::map<std::string, std::size_t, std::less<>> callCounts; // by path
     TestServer server;
 };
 
--- a/tests/adapter/membership_test.cpp
+++ b/tests/adapter/membership_test.cpp
@@ -23,6 +23,26 @@
     EXPECT_EQ(others, (std::vector<InstanceEntry>{{InstanceId("a"), "127.0.0.1:7001", {}, false}}));
 }
 
+TEST(InstanceGroup, AsksForTheMembersOnlyWhenTheGroupChanged)
+{
+    FakeStore store;
+    ContextThread thread;
+    const auto client = std::make_shared<const StoreClient>(StoreClientOptions{[&store] {
+        return store.endpoint();
+    }});
+    InstanceGroup first(client);
+    InstanceGroup second(client);
+    const Member a{InstanceId("a"), {"127.0.0.1", 7001}, 5};
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_TRUE(thread.await(first.list(a)).value().empty());
+    }
+    EXPECT_EQ(store.calls("/-/log-owners"), 1U);
+    ASSERT_TRUE(thread.await(second.list({InstanceId("b"), {"127.0.0.1", 7002}, 6})).has_value());
+    EXPECT_EQ(thread.await(first.list(a)).value().size(), 1U);
+    EXPECT_EQ(thread.await(first.list(a)).value().size(), 1U);
+    EXPECT_EQ(store.calls("/-/log-owners"), 3U);
+}
+
 TEST(InstanceGroup, AMemberNamesItsAddressAndStart)
 {
     const Member member{InstanceId("edge-1"), {"127.0.0.1", 7001}, 1700000000000};
--- a/tests/control/duties_test.cpp
+++ b/tests/control/duties_test.cpp
@@ -125,6 +125,44 @@
     EXPECT_GT(second.log.stamp().fence, fence);
 }
 
+TEST_F(DutiesTest, AnInstanceThatHearsTheLeaderSparesItsReadsAndFollowsItAllTheSame)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    Instance &second = &first == &this->a ? this->b : this->a;
+    const std::size_t before = this->duties.dutyReads;
+    for (int heartbeat = 0; heartbeat < 20; ++heartbeat) {
+        second.log.noteLeader();
+        passTime(this->context, 400ms);
+    }
+    EXPECT_LE(this->duties.dutyReads - before, 1U);
+    first.stop();
+    const TimePoint silent = RuntimeClock::now();
+    EXPECT_TRUE(passTimeUntil(this->context, [&second] {
+        return second.log.isLeading();
+    }));
+    const DutyLog::Options options;
+    EXPECT_LE(RuntimeClock::now() - silent,
+        options.leaderWordLife + options.timing.lease + options.timing.margin + options.claimSpread + 3 * options.tick);
+}
+
+TEST_F(DutiesTest, ManyInstancesAppendTheirCountsLessOften)
+{
+    const auto recordsOf = [this](std::size_t instances) {
+        const std::size_t before = this->duties.counts.size();
+        this->a.meter.setInstances(instances);
+        for (int i = 0; i < 60; ++i) {
+            this->a.meter.count(acme, 0s);
+            passTime(this->context, 200ms);
+        }
+        return this->duties.counts.size() - before;
+    };
+    this->startBoth();
+    this->b.stop();
+    EXPECT_GE(recordsOf(4), 12U);
+    EXPECT_LE(recordsOf(32), 8U);
+}
+
 TEST_F(DutiesTest, ALeaderThatLeavesFreesTheLeadAtOnce)
 {
     this->startBoth();
--- a/tests/control/fakeduties.h
+++ b/tests/control/fakeduties.h
@@ -47,6 +47,7 @@
     std::vector<std::pair<FleetOrder, DutyStamp>> orders;
     std::optional<Error> nextAppend; ///< answers the next append of a duty; it is carried out when the kind leaves that open
     std::optional<Error> nextReport; ///< answers the next report
+    std::size_t dutyReads = 0;
     bool isAway = false; ///< every call of the log is refused
 
 private:
@@ -76,6 +77,7 @@
 
     DutyHooks::Answer<KeyedReading> readDuties(std::optional<std::uint64_t> from)
     {
+        ++this->dutyReads;
         if (this->isAway) {
             co_return fail(away());
         }
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -49,6 +49,10 @@
         hooks.readsLog = [] {
             return true;
         };
+        hooks.leads = [] {
+            return false;
+        };
+        hooks.onLeader = [] {};
         hooks.configSnapshot = [] {
             return std::string();
         };
--- a/tests/state/fleetplan_test.cpp
+++ b/tests/state/fleetplan_test.cpp
@@ -90,6 +90,21 @@
     EXPECT_TRUE(dueAt(plan, {1, 3}, TimePoint(5s), std::nullopt).empty());
 }
 
+TEST(FleetPlan, OrdersNothingInADataCentreWhoseServersAreNotReadYet)
+{
+    const DataCentre there("there");
+    ScalingRules two = rules();
+    two.prices = {{here, 1.0}, {there, 1.0}};
+    FleetPlan plan;
+    // The first server that becomes known.
+    for (const FleetOrder &order : plan.due(two, {{here, {1, 0}}}, std::nullopt, TimePoint(10s))) {
+        EXPECT_EQ(order.dataCentre, here) << "an order for " << order.count << " ends the servers that are there";
+    }
+    plan.due(two, {{here, {4, 0}}, {there, {4, 0}}}, std::nullopt, TimePoint(12s));
+    const std::vector<FleetOrder> later = plan.due(two, {{here, {4, 0}}}, std::nullopt, TimePoint(16s));
+    EXPECT_FALSE(later.empty()) << "servers that are lost are replaced";
+}
+
 TEST(FleetPlan, FollowsTheLoadUpAtOnceAndDownBeyondItsSlack)
 {
     FleetPlan plan(mix);
