--- a/src/control/snapshotkeeper.cpp
+++ b/src/control/snapshotkeeper.cpp
@@ -12,7 +12,7 @@
     const Platform &platform, std::function<bool()> isLeading, std::vector<SnapshotSource> sources, Options options)
     : platform(platform)
     , isLeading(std::move(isLeading))
-    , options(std::move(options))
+    , options(options)
 {
     for (SnapshotSource &source : sources) {
         this->entries.push_back({std::move(source), 0, RuntimeClock::now()});
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -157,7 +157,13 @@
 DaemonProcess &Cluster::addDaemon(
     const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags)
 {
-    return this->daemonProcesses.emplace_back(this->platformStandin.address, dataCentre, instanceId, flags);
+    return this->addDaemonAt(this->platformStandin.address, dataCentre, instanceId, flags);
+}
+
+DaemonProcess &Cluster::addDaemonAt(
+    const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags)
+{
+    return this->daemonProcesses.emplace_back(platform, dataCentre, instanceId, flags);
 }
 
 std::unique_ptr<ChildProcess> Cluster::startCli(const std::vector<std::string> &arguments) const
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -74,6 +74,9 @@
     /** Starts a daemon and waits until it has told its addresses. */
     DaemonProcess &addDaemon(
         const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags = {});
+    /** The same, with another way to the platform. */
+    DaemonProcess &addDaemonAt(const Endpoint &platform, const std::string &dataCentre, const std::string &instanceId,
+        const std::vector<std::string> &flags);
     /** Starts the CLI with the running daemons' admin addresses and does not wait for it. */
     std::unique_ptr<ChildProcess> startCli(const std::vector<std::string> &arguments) const;
     CliResult cli(const std::vector<std::string> &arguments) const;
--- a/tests/process/loadrun.cpp
+++ b/tests/process/loadrun.cpp
@@ -113,23 +113,26 @@
     for (unsigned index = caller; !this->stopping; ++index) {
         const LoadKind kind = kinds[index % kinds.size()];
         const std::string name = this->targets[target].instanceId + "-" + std::to_string(caller) + "-" + std::to_string(index);
-        const LoadOutcome outcome = this->send(this->targets[target], kind, name);
+        const Target &own = this->targets[target];
+        const LoadOutcome outcome = sendLoad(own.instanceId, own.caller, this->key, kind, name);
         this->record(outcome);
         if (kind == LoadKind::Deposit && !isWhole(outcome)) {
             // Never to the first daemon, which the tests disturb: a frozen one would hold up the callers of another.
             const std::size_t next = target + 1 < this->targets.size() ? target + 1 : 1;
-            this->record(this->send(this->targets[next], kind, name));
+            const Target &other = this->targets[next];
+            this->record(sendLoad(other.instanceId, other.caller, this->key, kind, name));
         }
     }
 }
 
-LoadOutcome LoadRun::send(const Target &target, LoadKind kind, const std::string &name) const
+LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
+    const std::string &name, Duration timeout)
 {
     LoadOutcome outcome;
-    outcome.instanceId = target.instanceId;
+    outcome.instanceId = instanceId;
     outcome.kind = kind;
-    const HttpRequest request = withKey(requestOf(kind, name), this->key);
-    const Result<HttpResponse> response = call(target.caller, request, std::chrono::seconds(30));
+    const HttpRequest request = withKey(requestOf(kind, name), key);
+    const Result<HttpResponse> response = call(caller, request, timeout);
     if (response.has_error()) {
         outcome.failure = response.error().kind();
         outcome.detail = name + ": " + response.error().text();
--- a/tests/process/loadrun.h
+++ b/tests/process/loadrun.h
@@ -60,7 +60,6 @@
     };
 
     void runCaller(std::size_t target, unsigned caller);
-    LoadOutcome send(const Target &target, LoadKind kind, const std::string &name) const;
     void record(LoadOutcome outcome);
     /** Whole answers of the kind that has the fewest. */
     unsigned answered(const std::string &instanceId);
@@ -73,6 +72,10 @@
     std::vector<std::thread> threads;
 };
 
+/** Sends one request of the kind to a daemon and checks its answer. */
+LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
+    const std::string &name, Duration timeout = std::chrono::seconds(30));
+
 /** The outcomes that are neither a whole right answer nor a refusal which says that nothing ran. */
 Violations unservedRequests(const std::vector<LoadOutcome> &outcomes);
 
--- /dev/null
+++ b/tests/soak/loopbackproxy.cpp
@@ -0,0 +1,149 @@
+#include "loopbackproxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace flamingosaddle::process
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t pieceBytes = 16384;
+
+/** Closes with a reset in place of an orderly end. */
+void reset(tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+LoopbackProxy::Connection::Connection(Socket caller, Socket server)
+    : caller(std::move(caller))
+    , server(std::move(server))
+{
+}
+
+void LoopbackProxy::Connection::apply(LinkFault fault)
+{
+    if (fault == LinkFault::Reset) {
+        reset(this->caller);
+        reset(this->server);
+    }
+    this->forwardsRequests = this->forwardsRequests && fault != LinkFault::Silent;
+    this->forwardsAnswers = this->forwardsAnswers && fault != LinkFault::Silent && fault != LinkFault::OneWay;
+}
+
+LoopbackProxy::LoopbackProxy(Endpoint target)
+    : target(std::move(target))
+    , acceptor(this->context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    asio::co_spawn(this->context, this->accept(), asio::detached);
+    this->thread = std::thread([this] {
+        this->context.run();
+    });
+}
+
+LoopbackProxy::~LoopbackProxy()
+{
+    this->context.stop();
+    this->thread.join();
+}
+
+Endpoint LoopbackProxy::address() const
+{
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+void LoopbackProxy::setFault(LinkFault next)
+{
+    asio::post(this->context, [this, next] {
+        this->fault = next;
+        for (const std::weak_ptr<Connection> &known : this->connections) {
+            if (const std::shared_ptr<Connection> connection = known.lock()) {
+                connection->apply(next);
+            }
+        }
+    });
+}
+
+asio::awaitable<void> LoopbackProxy::accept()
+{
+    while (true) {
+        boost::system::error_code error;
+        Socket caller = co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            asio::co_spawn(this->context, this->serve(std::move(caller)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> LoopbackProxy::serve(Socket caller)
+{
+    if (this->fault == LinkFault::Reset) {
+        reset(caller);
+        co_return;
+    }
+    Socket server(this->context);
+    boost::system::error_code error;
+    const tcp::endpoint address(asio::ip::make_address(this->target.address), this->target.port);
+    co_await server.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        reset(caller);
+        co_return;
+    }
+    const auto connection = std::make_shared<Connection>(std::move(caller), std::move(server));
+    connection->apply(this->fault);
+    std::erase_if(this->connections, [](const std::weak_ptr<Connection> &known) {
+        return known.expired();
+    });
+    this->connections.push_back(connection);
+    asio::co_spawn(this->context, this->pump(connection, true), asio::detached);
+    co_await this->pump(connection, false);
+}
+
+asio::awaitable<void> LoopbackProxy::pump(std::shared_ptr<Connection> connection, bool isRequest)
+{
+    Socket &from = isRequest ? connection->caller : connection->server;
+    Socket &to = isRequest ? connection->server : connection->caller;
+    const bool &forwards = isRequest ? connection->forwardsRequests : connection->forwardsAnswers;
+    std::array<char, pieceBytes> piece{};
+    boost::system::error_code error;
+    while (!error) {
+        const std::size_t size
+            = co_await from.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+        if (this->fault == LinkFault::Delayed) {
+            asio::steady_timer timer(this->context, delay);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        if (!forwards) {
+            continue; // what comes is swallowed, an end of the connection too
+        }
+        if (error == asio::error::eof) {
+            boost::system::error_code ignored;
+            to.shutdown(tcp::socket::shutdown_send, ignored);
+        } else if (error) {
+            reset(to);
+        } else {
+            co_await asio::async_write(to, asio::buffer(piece.data(), size), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+}
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/soak/loopbackproxy.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/base/endpoint.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <list>
+#include <memory>
+#include <thread>
+
+namespace flamingosaddle::process
+{
+
+enum class LinkFault {
+    None,
+    Delayed, ///< each piece arrives later
+    Silent, ///< connections carry nothing any more, for good, and are not closed; new ones are like that, too
+    OneWay, ///< the same for what the server sends; the server hears its callers
+    Reset, ///< connections are reset, new ones at once
+};
+
+/**
+ * A TCP proxy on loopback that stands between two processes and harms what passes. Connections that went silent stay so when
+ * the fault is over; new ones work.
+ */
+class LoopbackProxy
+{
+public:
+    static constexpr Duration delay = std::chrono::milliseconds(150);
+
+    explicit LoopbackProxy(Endpoint target);
+    ~LoopbackProxy();
+    LoopbackProxy(const LoopbackProxy &) = delete;
+    LoopbackProxy &operator=(const LoopbackProxy &) = delete;
+
+    /** Any thread. */
+    void setFault(LinkFault fault);
+    Endpoint address() const;
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    struct Connection {
+        Connection(Socket caller, Socket server);
+        void apply(LinkFault fault);
+
+        Socket caller;
+        Socket server;
+        bool forwardsRequests = true;
+        bool forwardsAnswers = true;
+    };
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(Socket caller);
+    boost::asio::awaitable<void> pump(std::shared_ptr<Connection> connection, bool isRequest);
+
+    Endpoint target;
+    boost::asio::io_context context{1};
+    boost::asio::ip::tcp::acceptor acceptor;
+    LinkFault fault = LinkFault::None;
+    std::list<std::weak_ptr<Connection>> connections;
+    std::thread thread;
+};
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,375 @@
+#include "soak.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <sstream>
+
+namespace flamingosaddle::process
+{
+
+namespace
+{
+
+constexpr std::size_t daemonCount = 4;
+constexpr unsigned callerCount = 6;
+constexpr std::chrono::milliseconds pauseBetweenHarms(150); ///< half of the longest, on the average
+constexpr Duration callerPatience = std::chrono::seconds(3); ///< after which a caller leaves
+constexpr std::size_t shownLogBytes = 3000;
+constexpr std::array<const char *, daemonCount> places{"dc-a", "dc-a", "dc-b", "dc-c"};
+constexpr std::array<const char *, 4> backendIds{"engine-a", "engine-b", "bookings-b", "bookings-c"};
+constexpr std::array linkFaults{
+    LinkFault::None, LinkFault::None, LinkFault::Delayed, LinkFault::Silent, LinkFault::OneWay, LinkFault::Reset};
+constexpr std::array<const char *, linkFaults.size()> faultNames{
+    "works", "works", "delays", "is silent", "carries one way", "resets"};
+constexpr std::array loadKinds{LoadKind::StreamedChat, LoadKind::Deposit, LoadKind::PlainChat, LoadKind::Lookup};
+
+std::vector<std::string> daemonFlags()
+{
+    // Short times, so that a run of seconds sees leases lapse, windows end and silent servers given up.
+    return {"--usage-window", "1000", "--usage-flush-interval", "100", "--lease-duration", "800", "--first-byte-timeout", "1500",
+        "--progress-timeout", "1500", "--freshness-limit", "3000"};
+}
+
+} // namespace
+
+Soak::Soak(std::uint64_t seed)
+    : seed(seed)
+    , random(seed)
+    , began(RuntimeClock::now())
+    , targets(daemonCount)
+{
+    this->start();
+}
+
+Soak::~Soak()
+{
+    this->stopping = true;
+    for (std::thread &caller : this->callers) {
+        caller.join();
+    }
+    this->heal();
+}
+
+void Soak::start()
+{
+    const std::vector<std::string> pace{"--token-interval-us", "1000"};
+    this->platformLink = std::make_unique<LoopbackProxy>(this->cluster.platform().address);
+    for (const char *id : backendIds) {
+        const bool isEngine = std::string_view(id).starts_with("engine");
+        BackendProcess &backend = isEngine ? this->cluster.addEngine(id, "dc-a", pace) : this->cluster.addService(id, "dc-b");
+        const LoopbackProxy &link = this->backendLinks.emplace_back(backend.standin.address);
+        backend.configuration["endpoint"] = link.address().text();
+    }
+    for (std::size_t place = 0; place < daemonCount; ++place) {
+        this->daemons.push_back(nullptr);
+        this->daemons[place] = &this->addDaemon(place);
+    }
+    this->cluster.publishStandardConfiguration();
+    this->key = this->cluster.giveKey("bakery");
+    this->withdrawn = this->cluster.giveKey("bakery");
+    this->cluster.waitUntilServing(this->key);
+    for (std::size_t place = 0; place < daemonCount; ++place) {
+        this->setTarget(place, Target{this->daemons[place]->instanceId, this->daemons[place]->caller});
+    }
+    for (unsigned caller = 0; caller < callerCount; ++caller) {
+        this->callers.emplace_back([this, caller] {
+            this->callOn(caller);
+        });
+    }
+}
+
+DaemonProcess &Soak::addDaemon(std::size_t place)
+{
+    std::vector<std::string> flags = daemonFlags();
+    std::string seeds;
+    for (const DaemonProcess *peer : this->daemons) {
+        if (peer != nullptr && !peer->process.hasEnded()) {
+            seeds += (seeds.empty() ? "" : ",") + peer->peer.text();
+        }
+    }
+    if (!seeds.empty()) {
+        flags.insert(flags.end(), {"--seed-peers", seeds});
+    }
+    const std::string id = "i" + std::to_string(++this->starts);
+    return this->cluster.addDaemonAt(this->platformLink->address(), places[place], id, flags);
+}
+
+void Soak::callOn(unsigned caller)
+{
+    for (unsigned index = caller; !this->stopping; ++index) {
+        const LoadKind kind = loadKinds[index % loadKinds.size()];
+        const std::string name = std::to_string(caller) + "-" + std::to_string(index);
+        // A caller that got no whole answer to a deposit sends it again elsewhere.
+        for (unsigned sending = 0; sending < 2 && !this->stopping; ++sending) {
+            const std::optional<Target> target = this->anyTarget(index + sending);
+            if (!target.has_value()) {
+                continue;
+            }
+            LoadOutcome outcome = sendLoad(target->instanceId, target->caller, this->key.key, kind, name, callerPatience);
+            const bool isDone = outcome.status == 200 || kind != LoadKind::Deposit;
+            {
+                const std::lock_guard lock(this->mutex);
+                this->outcomes.push_back(std::move(outcome));
+            }
+            if (isDone) {
+                break;
+            }
+        }
+    }
+}
+
+std::optional<Soak::Target> Soak::anyTarget(std::uint64_t number)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->targets[number % this->targets.size()];
+}
+
+void Soak::setTarget(std::size_t place, std::optional<Target> target)
+{
+    const std::lock_guard lock(this->mutex);
+    this->targets[place] = std::move(target);
+}
+
+Violations Soak::run(Duration duration)
+{
+    const TimePoint end = RuntimeClock::now() + duration;
+    while (RuntimeClock::now() < end) {
+        this->harm();
+        std::this_thread::sleep_for(pauseBetweenHarms * (1 + this->below(3)) / 2);
+    }
+    this->heal();
+    Violations wrong = this->checkServing();
+    this->stopping = true;
+    for (std::thread &caller : this->callers) {
+        caller.join();
+    }
+    this->callers.clear();
+    for (const Violations &more : {this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
+        wrong.insert(wrong.end(), more.begin(), more.end());
+    }
+    return wrong;
+}
+
+void Soak::harm()
+{
+    switch (this->below(8)) {
+    case 0:
+    case 1:
+        this->harmLink();
+        break;
+    case 2:
+    case 3:
+    case 4:
+        this->harmDaemon();
+        break;
+    case 5:
+        this->harmPlatform();
+        break;
+    case 6:
+        this->harmBackend();
+        break;
+    default:
+        this->changeConfiguration();
+        break;
+    }
+}
+
+void Soak::harmLink()
+{
+    const std::size_t kind = this->below(linkFaults.size());
+    const std::size_t link = this->below(backendIds.size() + 1);
+    if (link < backendIds.size()) {
+        this->note(std::string("the link to ") + backendIds[link] + " " + faultNames[kind]);
+        this->backendLinks[link].setFault(linkFaults[kind]);
+    } else {
+        this->note(std::string("the link to the platform ") + faultNames[kind]);
+        this->platformLink->setFault(linkFaults[kind]);
+    }
+}
+
+void Soak::harmDaemon()
+{
+    const std::size_t place = this->below(daemonCount);
+    DaemonProcess &daemon = *this->daemons[place];
+    const auto frozenAt = std::find(this->frozen.begin(), this->frozen.end(), place);
+    if (frozenAt != this->frozen.end()) {
+        this->note(daemon.instanceId + " wakes");
+        daemon.process.wake();
+        this->frozen.erase(frozenAt);
+        return;
+    }
+    switch (this->below(5)) {
+    case 0:
+        this->note(daemon.instanceId + " freezes");
+        daemon.process.freeze();
+        this->frozen.push_back(place);
+        return;
+    case 1:
+        this->note(daemon.instanceId + " is told to reload");
+        daemon.process.signal(SIGHUP);
+        return;
+    case 2:
+        this->note(daemon.instanceId + " drains");
+        // Callers go on with it until it is gone.
+        daemon.process.signal(SIGTERM);
+        if (!daemon.process.waitForEnd(std::chrono::seconds(10)).has_value()) {
+            this->note(daemon.instanceId + " does not end");
+            daemon.process.kill();
+        }
+        break;
+    default:
+        this->note(daemon.instanceId + " is killed");
+        daemon.process.kill();
+        break;
+    }
+    this->setTarget(place, std::nullopt);
+    this->daemons[place] = &this->addDaemon(place);
+    this->setTarget(place, Target{this->daemons[place]->instanceId, this->daemons[place]->caller});
+}
+
+void Soak::harmPlatform()
+{
+    switch (this->below(4)) {
+    case 0:
+        this->note("the log is down");
+        this->cluster.platform().setFaults({{"log", {{"down", true}}}});
+        break;
+    case 1:
+        this->note("the platform works");
+        this->cluster.platform().setFaults({{"log", {{"down", false}, {"delayMs", 0}}}, {"usage", {{"down", false}}}});
+        break;
+    case 2:
+        this->note("answers of the platform are lost");
+        this->cluster.platform().setFaults({{"log", {{"loseAnswers", 3}, {"delayMs", 50}}}, {"usage", {{"loseAnswers", 1}}}});
+        break;
+    default:
+        this->note("usage reports are not taken");
+        this->cluster.platform().setFaults({{"usage", {{"down", true}}}});
+        break;
+    }
+}
+
+void Soak::harmBackend()
+{
+    const char *id = backendIds[this->below(backendIds.size())];
+    const std::vector<Json> faults{{{"loseAnswer", 1}}, {{"closeBeforeAnswer", 1}}, {{"delayMs", 200}}, {{"status", 503}},
+        {{"truncateAfter", 5}}, {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}}};
+    const Json &fault = faults[this->below(faults.size())];
+    this->note(std::string(id) + " " + fault.dump());
+    this->cluster.backend(id).standin.setFaults(fault);
+}
+
+void Soak::changeConfiguration()
+{
+    if (!this->isWithdrawn && this->below(3) == 0) {
+        this->note("a key is withdrawn");
+        this->isWithdrawn = this->cluster.cli({"--timeout", "2000", "key", "withdraw", this->withdrawn.id}).exitCode == 0;
+        return;
+    }
+    const std::string id = "village-" + std::to_string(++this->accounts);
+    this->note("client account " + id);
+    const Json account = {{"id", id}, {"templateName", "standard"}, {"templateVersion", 1}, {"models", {"baraka-8b"}}};
+    // Whether it is accepted depends on the platform.
+    static_cast<void>(this->cluster.cli({"--timeout", "1000", "account", "create", this->cluster.writeFile(account)}));
+}
+
+void Soak::heal()
+{
+    this->note("heals");
+    for (const std::size_t place : this->frozen) {
+        this->daemons[place]->process.wake();
+    }
+    this->frozen.clear();
+    this->platformLink->setFault(LinkFault::None);
+    for (LoopbackProxy &link : this->backendLinks) {
+        link.setFault(LinkFault::None);
+    }
+    this->cluster.platform().setFaults(
+        {{"log", {{"down", false}, {"delayMs", 0}, {"loseAnswers", 0}}}, {"usage", {{"down", false}, {"loseAnswers", 0}}}});
+    for (const char *id : backendIds) {
+        this->cluster.backend(id).standin.setFaults(
+            {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}, {"loseAnswer", 0}, {"closeBeforeAnswer", 0}});
+    }
+}
+
+Violations Soak::checkServing()
+{
+    Violations wrong;
+    for (const DaemonProcess *daemon : this->daemons) {
+        const bool isServing = waitUntil([&] {
+            const auto answer = call(daemon->caller, withKey(getRequest("/catalogue/healed"), this->key.key));
+            return daemon->isReady() && answer.has_value() && answer.value().status == 200;
+        });
+        if (!isServing) {
+            wrong.push_back(daemon->instanceId + " does not serve after all faults ended");
+        }
+    }
+    return wrong;
+}
+
+Violations Soak::checkWithdrawal()
+{
+    if (!this->isWithdrawn) {
+        return {};
+    }
+    Violations wrong;
+    for (const DaemonProcess *daemon : this->daemons) {
+        const bool isRefused = waitUntil(
+            [&] {
+                const auto answer = call(daemon->caller, withKey(getRequest("/catalogue/late"), this->withdrawn.key));
+                return answer.has_value() && answer.value().status == 401;
+            },
+            std::chrono::seconds(5));
+        if (!isRefused) {
+            wrong.push_back(daemon->instanceId + " takes a withdrawn key");
+        }
+    }
+    return wrong;
+}
+
+Violations Soak::checkOutcomes()
+{
+    const std::lock_guard lock(this->mutex);
+    Violations wrong = checkNotRun(this->cluster.backendAudits(), notRunRequestIds(this->outcomes));
+    for (const LoadOutcome &outcome : this->outcomes) {
+        wrong.insert(wrong.end(), outcome.violations.begin(), outcome.violations.end());
+    }
+    const auto served = std::count_if(this->outcomes.begin(), this->outcomes.end(), [](const LoadOutcome &outcome) {
+        return outcome.status == 200;
+    });
+    if (served == 0) {
+        wrong.emplace_back("no request was served");
+    }
+    return wrong;
+}
+
+std::string Soak::report() const
+{
+    std::ostringstream text;
+    text << "seed " << this->seed << '\n';
+    for (const std::string &line : this->log) {
+        text << line << '\n';
+    }
+    for (const DaemonProcess *daemon : this->daemons) {
+        const std::string output = daemon->process.output();
+        const std::size_t begin = output.size() > shownLogBytes ? output.size() - shownLogBytes : 0;
+        text << "--- " << daemon->instanceId << '\n' << output.substr(begin) << '\n';
+    }
+    return text.str();
+}
+
+void Soak::note(const std::string &what)
+{
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now() - this->began);
+    this->log.push_back(std::to_string(since.count()) + " ms " + what);
+}
+
+std::uint64_t Soak::below(std::uint64_t end)
+{
+    return this->random() % end;
+}
+
+} // namespace flamingosaddle::process
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "loadrun.h"
+#include "loopbackproxy.h"
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace flamingosaddle::process
+{
+
+/**
+ * Four daemons before engines and plain services, as separate processes with a proxy before the platform and each backend
+ * server, under load, while a seed harms them from outside: links, signals, restarts, faults of the platform and of backend
+ * servers, keys and configurations that change. What callers, backend servers and the platform saw is checked in the end.
+ */
+class Soak
+{
+public:
+    explicit Soak(std::uint64_t seed);
+    ~Soak();
+    Soak(const Soak &) = delete;
+    Soak &operator=(const Soak &) = delete;
+
+    /** Harms for @p duration, then heals; answers what was wrong. */
+    Violations run(Duration duration);
+    /** What was done and when, and the ends of the daemons' logs. */
+    std::string report() const;
+
+private:
+    struct Target {
+        std::string instanceId;
+        Endpoint caller;
+    };
+
+    void start();
+    DaemonProcess &addDaemon(std::size_t place);
+    void callOn(unsigned caller);
+    std::optional<Target> anyTarget(std::uint64_t number);
+    void setTarget(std::size_t place, std::optional<Target> target);
+
+    void harm();
+    void harmLink();
+    void harmDaemon();
+    void harmPlatform();
+    void harmBackend();
+    void changeConfiguration();
+    void heal();
+    Violations checkServing();
+    Violations checkWithdrawal();
+    Violations checkOutcomes();
+    void note(const std::string &what);
+    std::uint64_t below(std::uint64_t end);
+
+    std::uint64_t seed;
+    std::mt19937_64 random;
+    TimePoint began;
+    std::vector<std::string> log;
+    Cluster cluster;
+    std::unique_ptr<LoopbackProxy> platformLink;
+    std::deque<LoopbackProxy> backendLinks;
+    std::vector<DaemonProcess *> daemons; // by place; the present ones
+    std::vector<std::size_t> frozen; // places
+    std::size_t starts = 0;
+    GivenKey key;
+    GivenKey withdrawn;
+    bool isWithdrawn = false;
+    unsigned accounts = 0;
+
+    std::mutex mutex;
+    std::vector<std::optional<Target>> targets; // by place
+    std::vector<LoadOutcome> outcomes;
+    std::atomic<bool> stopping = false;
+    std::vector<std::thread> callers;
+};
+
+} // namespace flamingosaddle::process
