Polls of the configuration wait for 1 s again

Change: 1 s, a fifth of the freshness limit; test ControllerOptions.AnOutageOfTheStoreFindsTheLastProofYoung.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -55,8 +55,9 @@
 };
 
 struct DirectoryOptions {
-    /** Of one read; the proof that a configuration is current is this old at most, less than half of the freshness limit. */
-    std::chrono::milliseconds configWait{2000};
+    /** Of one read; the proof that a configuration is current is this old when an outage begins, a fifth of the freshness limit.
+     */
+    std::chrono::milliseconds configWait{1000};
     std::chrono::milliseconds serverWait{2000}; ///< of one read; a silent connection is noticed this late
     /** Between two reads: many servers renew their entries all the time, and each call has a price. */
     std::chrono::milliseconds serverPause{500};
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -177,6 +177,12 @@
     EXPECT_EQ(decodeMeterRecord(this->duties.counts.back()).value().windows.front().accounts.front().requests, 1U);
 }
 
+TEST(ControllerOptions, AnOutageOfTheStoreFindsTheLastProofYoung)
+{
+    // What a poll waits is lost to the requests that are served without the store.
+    EXPECT_LE(5 * DirectoryOptions().configWait, ControllerOptions().freshnessLimit);
+}
+
 TEST(ControllerWithoutALog, PublishesNothingBeforeItHasReadAConfiguration)
 {
     const PausedClock paused;
