--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -117,7 +117,6 @@
     /** Tells the peers of instances that are heard since the last call. */
     void passOnInstances();
     std::map<InstanceId, Endpoint> heardInstances() const;
-    bool isHeard(const InstanceId &instance) const;
     void noteServingCount();
 
     boost::asio::io_context &context;
--- a/include/flamingosaddle/control/usagemeter.h
+++ b/include/flamingosaddle/control/usagemeter.h
@@ -64,7 +64,7 @@
     const DutyHooks &hooks;
     Options options;
     Backoff backoff;
-    std::map<std::uint64_t, std::map<ClientAccountId, AccountCount>> counted; // by window
+    std::map<std::uint64_t, AccountTotals> counted; // by window
     std::deque<MeterRecord> records; // not in the log yet; the first may be under way
     std::uint64_t sequence = 0;
     std::uint64_t toldCompleteBefore = 0;
--- a/include/flamingosaddle/state/membership.h
+++ b/include/flamingosaddle/state/membership.h
@@ -115,6 +115,9 @@
     /** The newest incarnation known of an instance; nullptr for this one and for unknown ones. */
     const Member *find(const InstanceId &instance) const;
 
+    /** Whether an instance is heard: known and not gone. */
+    bool isLive(const InstanceId &instance) const;
+
     /** All members that are known, without this instance. */
     const std::map<InstanceId, Member> &members() const;
 
@@ -142,7 +145,6 @@
 
     void endOthersAt(const Endpoint &address, const InstanceId &except, TimePoint now);
     bool isLeaving(const InstanceId &instance) const;
-    bool isLive(const InstanceId &instance) const;
     TimePoint deadlineOf(const Member &member) const;
 
     Heartbeat own;
--- a/include/flamingosaddle/state/usagebook.h
+++ b/include/flamingosaddle/state/usagebook.h
@@ -38,6 +38,19 @@
     friend bool operator==(const AccountCount &, const AccountCount &) = default;
 };
 
+/**
+ * Counts that are added up by client account.
+ */
+class AccountTotals
+{
+public:
+    void add(const AccountCount &count);
+    std::vector<AccountCount> list() const; ///< in the order of their names
+
+private:
+    std::map<ClientAccountId, AccountCount> totals;
+};
+
 struct WindowCounts {
     std::uint64_t window = 0; ///< number of the window since the beginning of 1970
     std::vector<AccountCount> accounts;
@@ -101,7 +114,7 @@
     };
 
     std::map<Incarnation, Writer> writers;
-    std::map<std::uint64_t, std::map<ClientAccountId, AccountCount>> windows;
+    std::map<std::uint64_t, AccountTotals> windows;
     std::uint64_t forgotten = 0;
 };
 
--- a/include/flamingosaddle/traffic/promptplacement.h
+++ b/include/flamingosaddle/traffic/promptplacement.h
@@ -40,6 +40,16 @@
     friend bool operator==(const PromptCost &, const PromptCost &) = default;
 };
 
+/**
+ * Tokens that may be unread at a server where a prompt starts.
+ */
+struct PromptBounds {
+    double usual = 0.0;
+    double whereKept = 0.0; ///< at a server that surely keeps the shared beginning
+
+    friend bool operator==(const PromptBounds &, const PromptBounds &) = default;
+};
+
 /**
  * Tokens to be read when a request starts.
  */
@@ -104,14 +114,13 @@
     void divide(const ServerPool &pool, TargetIndex target);
 
     // Queries.
-    /** Tokens that may be unread at a server where a long prompt of this tier starts. */
-    double unreadBound(int tier) const;
+    PromptBounds boundsOf(const PromptRequest &request) const;
     /**
      * @param isHome whether rendezvous hashing gives the shared beginning to this server
-     * @param bound unreadBound() of the request's tier
+     * @param bounds boundsOf() the request, the same for all servers
      */
-    PromptCost cost(
-        const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome, double bound) const;
+    PromptCost cost(const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome,
+        const PromptBounds &bounds) const;
     /** Whether the server is one for prompts of this length, as the last divide() says. */
     bool isOwnLane(TargetIndex target, ServerIndex server, ClassIndex requestClass) const;
     bool isShort(ClassIndex requestClass) const;
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -274,10 +274,8 @@
     for (const Endpoint &contact : this->members.contacts()) {
         wanted.insert(contact);
     }
-    for (const auto &[id, member] : this->members.members()) {
-        if (member.state != MemberState::Gone) {
-            wanted.insert(member.last.address);
-        }
+    for (const auto &[id, address] : this->heardInstances()) {
+        wanted.insert(address);
     }
     wanted.erase(this->localEndpoint());
     std::erase_if(this->links, [&wanted](const auto &entry) {
@@ -353,7 +351,7 @@
     }
     this->reportedServers.clear();
     for (const auto &[instance, serverLoads] : this->loads) {
-        if (!this->isHeard(instance)) {
+        if (!this->members.isLive(instance)) {
             continue;
         }
         for (const ServerLoad &load : serverLoads) {
@@ -376,7 +374,7 @@
 {
     std::map<std::pair<ModelName, ServiceName>, std::int32_t> mostUrgent;
     for (const auto &[instance, tiers] : this->waiting) {
-        if (!this->isHeard(instance)) {
+        if (!this->members.isLive(instance)) {
             continue;
         }
         for (const WaitingTier &known : tiers) {
@@ -415,12 +413,6 @@
     this->toldInstances = std::move(heard);
 }
 
-bool PeerExchange::isHeard(const InstanceId &instance) const
-{
-    const Member *member = this->members.find(instance);
-    return member != nullptr && member->state != MemberState::Gone;
-}
-
 void PeerExchange::noteServingCount()
 {
     const std::size_t count = this->members.serving().size() + 1;
--- a/src/control/usagemeter.cpp
+++ b/src/control/usagemeter.cpp
@@ -47,7 +47,7 @@
 {
     // What was told to be complete stays so.
     const std::uint64_t window = std::max(this->windowOf(unixTime), this->toldCompleteBefore);
-    this->counted[window].try_emplace(count.clientAccount, AccountCount{count.clientAccount}).first->second.add(count);
+    this->counted[window].add(count);
 }
 
 boost::asio::awaitable<void> UsageMeter::run()
@@ -111,12 +111,7 @@
     record.leaving = leaving;
     record.completeBefore = this->windowOf(this->options.unixTime() - this->options.settleTime);
     for (const auto &[window, accounts] : this->counted) {
-        WindowCounts counts;
-        counts.window = window;
-        for (const auto &[id, account] : accounts) {
-            counts.accounts.push_back(account);
-        }
-        record.windows.push_back(std::move(counts));
+        record.windows.push_back({window, accounts.list()});
     }
     this->counted.clear();
     this->toldCompleteBefore = record.completeBefore;
--- a/src/state/usagebook.cpp
+++ b/src/state/usagebook.cpp
@@ -60,6 +60,21 @@
     }
 }
 
+void AccountTotals::add(const AccountCount &count)
+{
+    this->totals.try_emplace(count.clientAccount, AccountCount{count.clientAccount}).first->second.add(count);
+}
+
+std::vector<AccountCount> AccountTotals::list() const
+{
+    std::vector<AccountCount> counts;
+    counts.reserve(this->totals.size());
+    for (const auto &[id, count] : this->totals) {
+        counts.push_back(count);
+    }
+    return counts;
+}
+
 std::string encodeMeterRecord(const MeterRecord &record)
 {
     return encodeRecord(record);
@@ -94,9 +109,7 @@
             continue;
         }
         for (const AccountCount &account : counts.accounts) {
-            this->windows[counts.window]
-                .try_emplace(account.clientAccount, AccountCount{account.clientAccount})
-                .first->second.add(account);
+            this->windows[counts.window].add(account);
         }
     }
 }
@@ -118,15 +131,8 @@
 
 WindowCounts UsageBook::countsOf(std::uint64_t window) const
 {
-    WindowCounts counts;
-    counts.window = window;
     const auto found = this->windows.find(window);
-    if (found != this->windows.end()) {
-        for (const auto &[id, account] : found->second) {
-            counts.accounts.push_back(account);
-        }
-    }
-    return counts;
+    return {window, found == this->windows.end() ? std::vector<AccountCount>() : found->second.list()};
 }
 
 bool UsageBook::isComplete(std::uint64_t window) const
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -129,13 +129,15 @@
     }
 }
 
-double PromptPlacement::unreadBound(int tier) const
+PromptBounds PromptPlacement::boundsOf(const PromptRequest &request) const
 {
-    const auto higher = std::count_if(this->longTiers.begin(), this->longTiers.end(), [tier](int known) {
-        return known < tier;
+    const auto higher = std::count_if(this->longTiers.begin(), this->longTiers.end(), [&request](int known) {
+        return known < request.tier;
     });
     const double bound = this->tokensPerMillisecond() * millisecondsOf(this->tightestLong) * unreadPart;
-    return std::ldexp(bound, -static_cast<int>(higher));
+    // A request waits for what is kept as long as its own objective allows: reading it elsewhere takes the time of all.
+    const double patience = this->tokensPerMillisecond() * millisecondsOf(request.objective) * unreadPart;
+    return {std::ldexp(bound, -static_cast<int>(higher)), patience};
 }
 
 bool PromptPlacement::isOwnLane(TargetIndex target, ServerIndex server, ClassIndex requestClass) const
@@ -148,8 +150,8 @@
     return forShort == this->isShort(requestClass);
 }
 
-PromptCost PromptPlacement::cost(
-    const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome, double bound) const
+PromptCost PromptPlacement::cost(const ServerPool &pool, const Candidate &candidate, const PromptRequest &request, bool isHome,
+    const PromptBounds &bounds) const
 {
     const Server *state = this->find(candidate.server);
     const ServerState &server = pool.server(candidate.server);
@@ -162,10 +164,8 @@
     const double lost = lostWeight * (1.0 - kept) * request.sharedTokens;
     cost.tokens
         = (unread + toRead + lost) * server.slowdown + runningTokens * (server.inFlight + server.peersInFlight) * server.slowdown;
-    // A beginning that is kept takes no time of the server: it leaves room for as much more. A request waits for it as long
-    // as its own objective allows, since reading it elsewhere takes the time of all.
-    const double patience = this->tokensPerMillisecond() * millisecondsOf(request.objective) * unreadPart;
-    const double room = kept > 0.0 ? std::max(bound, kept * patience) + kept * request.sharedTokens : bound;
+    // A beginning that is kept takes no time of the server: it leaves room for as much more.
+    const double room = std::max(bounds.usual, kept * bounds.whereKept) + kept * request.sharedTokens;
     const bool isShort = this->isShort(request.requestClass);
     // A long prompt waits rather than stall the streams of the short ones.
     cost.isAllowed = isShort || (cost.isOwnLane && unread * server.slowdown <= room);
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -114,7 +114,7 @@
 {
     this->prompts.divide(pool, request.target);
     const ServerIndex home = this->homeOf(pool, request);
-    const double bound = this->prompts.unreadBound(request.prompt->tier);
+    const PromptBounds bounds = this->prompts.boundsOf(*request.prompt);
     // A server that failed lately has nothing unread, and yet no room: it is taken only when all have failed.
     const bool allFailed = this->haveAllFailed(pool, request.target, now);
     ServerIndex best = noServer;
@@ -124,7 +124,7 @@
         if (!isFree || (pool.server(candidate.server).cheap && !request.cheapAllowed)) {
             continue;
         }
-        const PromptCost cost = this->prompts.cost(pool, candidate, *request.prompt, candidate.server == home, bound);
+        const PromptCost cost = this->prompts.cost(pool, candidate, *request.prompt, candidate.server == home, bounds);
         if (!cost.isAllowed) {
             continue;
         }
--- a/tests/adapter/changelog_test.cpp
+++ b/tests/adapter/changelog_test.cpp
@@ -17,9 +17,7 @@
 struct ChangeLogTest : testing::Test {
     FakeStore store;
     ContextThread thread;
-    std::shared_ptr<const StoreClient> client = std::make_shared<const StoreClient>(StoreClientOptions{[this] {
-        return this->store.endpoint();
-    }});
+    std::shared_ptr<const StoreClient> client = this->store.client();
     Platform log = changeLog(client);
 
     Result<std::optional<std::string>> snapshot()
--- a/tests/adapter/dutycalls_test.cpp
+++ b/tests/adapter/dutycalls_test.cpp
@@ -34,12 +34,9 @@
         return this->answer(exchange);
     }};
     ContextThread thread;
-    DutyHooks hooks = dutyHooks(std::make_shared<const StoreClient>(StoreClientOptions{[this] {
-        return this->store.endpoint();
-    }}),
-        [this] {
-            return this->api.endpoint();
-        });
+    DutyHooks hooks = dutyHooks(this->store.client(), [this] {
+        return this->api.endpoint();
+    });
     const DutyStamp stamp{InstanceId("i1"), 7};
     const WindowCounts counts{41, {{ClientAccountId("acme"), 3, TokenCounts{5, 6}}}};
 
--- a/tests/adapter/fakestore.cpp
+++ b/tests/adapter/fakestore.cpp
@@ -13,9 +13,13 @@
 {
 }
 
-Endpoint FakeStore::endpoint() const
+std::shared_ptr<const platform::StoreClient> FakeStore::client() const
 {
-    return this->server.endpoint();
+    platform::StoreClientOptions options;
+    options.endpoint = [this] {
+        return this->server.endpoint();
+    };
+    return std::make_shared<const platform::StoreClient>(std::move(options));
 }
 
 void FakeStore::append(const std::string &topic, std::string record)
--- a/tests/adapter/fakestore.h
+++ b/tests/adapter/fakestore.h
@@ -3,9 +3,12 @@
 #include "httpfixture.h"
 #include "storecalls.h"
 
+#include <platform/storeclient.h>
+
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -23,7 +26,8 @@
 public:
     FakeStore();
 
-    Endpoint endpoint() const;
+    /** A client of this store, which has to outlive it. */
+    std::shared_ptr<const platform::StoreClient> client() const;
 
     // Commands; any thread.
     void append(const std::string &topic, std::string record);
--- a/tests/adapter/membership_test.cpp
+++ b/tests/adapter/membership_test.cpp
@@ -9,38 +9,38 @@
 using namespace flamingosaddle::platform;
 using namespace flamingosaddle::test;
 
-TEST(InstanceGroup, ListsTheOtherMembers)
+namespace
 {
+
+/** Two instances that enter the group of one store. */
+struct InstanceGroupTest : testing::Test {
     FakeStore store;
     ContextThread thread;
-    const auto client = std::make_shared<const StoreClient>(StoreClientOptions{[&store] {
-        return store.endpoint();
-    }});
-    InstanceGroup first(client);
-    InstanceGroup second(client);
-    EXPECT_TRUE(thread.await(first.list({InstanceId("a"), {"127.0.0.1", 7001}, 5})).value().empty());
-    const std::vector<InstanceEntry> others = thread.await(second.list({InstanceId("b"), {"127.0.0.1", 7002}, 6})).value();
+    InstanceGroup first{store.client()};
+    InstanceGroup second{store.client()};
+};
+
+} // namespace
+
+TEST_F(InstanceGroupTest, ListsTheOtherMembers)
+{
+    EXPECT_TRUE(this->thread.await(this->first.list({InstanceId("a"), {"127.0.0.1", 7001}, 5})).value().empty());
+    const std::vector<InstanceEntry> others
+        = this->thread.await(this->second.list({InstanceId("b"), {"127.0.0.1", 7002}, 6})).value();
     EXPECT_EQ(others, (std::vector<InstanceEntry>{{InstanceId("a"), "127.0.0.1:7001", {}, false}}));
 }
 
-TEST(InstanceGroup, AsksForTheMembersOnlyWhenTheGroupChanged)
+TEST_F(InstanceGroupTest, AsksForTheMembersOnlyWhenTheGroupChanged)
 {
-    FakeStore store;
-    ContextThread thread;
-    const auto client = std::make_shared<const StoreClient>(StoreClientOptions{[&store] {
-        return store.endpoint();
-    }});
-    InstanceGroup first(client);
-    InstanceGroup second(client);
     const Member a{InstanceId("a"), {"127.0.0.1", 7001}, 5};
     for (int i = 0; i < 5; ++i) {
-        EXPECT_TRUE(thread.await(first.list(a)).value().empty());
+        EXPECT_TRUE(this->thread.await(this->first.list(a)).value().empty());
     }
-    EXPECT_EQ(store.calls("/-/log-owners"), 1U);
-    ASSERT_TRUE(thread.await(second.list({InstanceId("b"), {"127.0.0.1", 7002}, 6})).has_value());
-    EXPECT_EQ(thread.await(first.list(a)).value().size(), 1U);
-    EXPECT_EQ(thread.await(first.list(a)).value().size(), 1U);
-    EXPECT_EQ(store.calls("/-/log-owners"), 3U);
+    EXPECT_EQ(this->store.calls("/-/log-owners"), 1U);
+    ASSERT_TRUE(this->thread.await(this->second.list({InstanceId("b"), {"127.0.0.1", 7002}, 6})).has_value());
+    EXPECT_EQ(this->thread.await(this->first.list(a)).value().size(), 1U);
+    EXPECT_EQ(this->thread.await(this->first.list(a)).value().size(), 1U);
+    EXPECT_EQ(this->store.calls("/-/log-owners"), 3U);
 }
 
 TEST(InstanceGroup, AMemberNamesItsAddressAndStart)
--- a/tests/adapter/storeclient_test.cpp
+++ b/tests/adapter/storeclient_test.cpp
@@ -16,9 +16,7 @@
 struct StoreClientTest : testing::Test {
     FakeStore store;
     ContextThread thread;
-    std::shared_ptr<const StoreClient> client = std::make_shared<const StoreClient>(StoreClientOptions{[this] {
-        return this->store.endpoint();
-    }});
+    std::shared_ptr<const StoreClient> client = this->store.client();
 
     Result<std::uint64_t> append(const std::string &record, std::optional<std::uint64_t> at)
     {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -39,6 +39,7 @@
     : seed(seed)
     , random(seed)
     , began(RuntimeClock::now())
+    , daemons(daemonCount)
     , targets(daemonCount)
 {
     this->start();
@@ -46,10 +47,7 @@
 
 Soak::~Soak()
 {
-    this->stopping = true;
-    for (std::thread &caller : this->callers) {
-        caller.join();
-    }
+    this->stopCallers();
     this->heal();
 }
 
@@ -64,15 +62,14 @@
         backend.configuration["endpoint"] = link.address().text();
     }
     for (std::size_t place = 0; place < daemonCount; ++place) {
-        this->daemons.push_back(nullptr);
-        this->daemons[place] = &this->addDaemon(place);
+        this->startDaemon(place);
     }
     this->cluster.publishStandardConfiguration();
     this->key = this->cluster.giveKey("bakery");
     this->withdrawn = this->cluster.giveKey("bakery");
     this->cluster.waitUntilServing(this->key);
     for (std::size_t place = 0; place < daemonCount; ++place) {
-        this->setTarget(place, Target{this->daemons[place]->instanceId, this->daemons[place]->caller});
+        this->offer(place, true);
     }
     for (unsigned caller = 0; caller < callerCount; ++caller) {
         this->callers.emplace_back([this, caller] {
@@ -81,7 +78,7 @@
     }
 }
 
-DaemonProcess &Soak::addDaemon(std::size_t place)
+void Soak::startDaemon(std::size_t place)
 {
     std::vector<std::string> flags = daemonFlags();
     std::string seeds;
@@ -94,7 +91,7 @@
         flags.insert(flags.end(), {"--seed-peers", seeds});
     }
     const std::string id = "i" + std::to_string(++this->starts);
-    return this->cluster.addDaemonAt(this->platformLink->address(), places[place], id, flags);
+    this->daemons[place] = &this->cluster.addDaemonAt(this->platformLink->address(), places[place], id, flags);
 }
 
 void Soak::callOn(unsigned caller)
@@ -127,10 +124,20 @@
     return this->targets[number % this->targets.size()];
 }
 
-void Soak::setTarget(std::size_t place, std::optional<Target> target)
+void Soak::offer(std::size_t place, bool isOffered)
 {
+    const DaemonProcess &daemon = *this->daemons[place];
     const std::lock_guard lock(this->mutex);
-    this->targets[place] = std::move(target);
+    this->targets[place] = isOffered ? std::optional(Target{daemon.instanceId, daemon.caller}) : std::nullopt;
+}
+
+void Soak::stopCallers()
+{
+    this->stopping = true;
+    for (std::thread &caller : this->callers) {
+        caller.join();
+    }
+    this->callers.clear();
 }
 
 Violations Soak::run(Duration duration)
@@ -142,11 +149,7 @@
     }
     this->heal();
     Violations wrong = this->checkServing();
-    this->stopping = true;
-    for (std::thread &caller : this->callers) {
-        caller.join();
-    }
-    this->callers.clear();
+    this->stopCallers();
     for (const Violations &more : {this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
         wrong.insert(wrong.end(), more.begin(), more.end());
     }
@@ -225,9 +228,9 @@
         daemon.process.kill();
         break;
     }
-    this->setTarget(place, std::nullopt);
-    this->daemons[place] = &this->addDaemon(place);
-    this->setTarget(place, Target{this->daemons[place]->instanceId, this->daemons[place]->caller});
+    this->offer(place, false);
+    this->startDaemon(place);
+    this->offer(place, true);
 }
 
 void Soak::harmPlatform()
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,10 +41,13 @@
     };
 
     void start();
-    DaemonProcess &addDaemon(std::size_t place);
     void callOn(unsigned caller);
     std::optional<Target> anyTarget(std::uint64_t number);
-    void setTarget(std::size_t place, std::optional<Target> target);
+    /** Starts a daemon at a place where there is none, or none any more. */
+    void startDaemon(std::size_t place);
+    /** Callers find the daemon of the place from now on, or nobody. */
+    void offer(std::size_t place, bool isOffered);
+    void stopCallers();
 
     void harm();
     void harmLink();
--- a/tests/standins/platformservice.cpp
+++ b/tests/standins/platformservice.cpp
@@ -96,22 +96,12 @@
         this->setFaults(body);
     } else if (what == "trim") {
         this->store.log.trim(body.at("topic").get<std::string>(), body.at("first"));
-    } else if (what == "append") {
-        this->appendKeyed(body);
     } else {
         return errorResponse(404, "not_found", "no such switch");
     }
     return ok();
 }
 
-void PlatformService::appendKeyed(const Json &record)
-{
-    const std::string key = record.at("key");
-    this->store.log.append(
-        record.at("topic").get<std::string>(), static_cast<char>(key.size()) + key + record.value("value", ""));
-    this->wakeReaders();
-}
-
 void PlatformService::setFaults(const Json &faults)
 {
     this->faults.set(faults);
--- a/tests/standins/platformservice.h
+++ b/tests/standins/platformservice.h
@@ -18,7 +18,6 @@
  * - `POST /admin/faults` `{"log": {"down", "delayMs", "loseAnswers"}, "orders": {..}, "usage": {..}, "instances": {..},
  *   "checkFencing", "retention"}`; a field that is left out stays as it is
  * - `POST /admin/trim` `{"topic", "first"}`
- * - `POST /admin/append` `{"topic", "key", "value"}`: what the platform's operator and backend servers write
  * - `GET /admin/audit`: `{"appends", "orders", "usageReports"}`, each in the order of arrival
  */
 class PlatformService
@@ -30,7 +29,6 @@
     boost::asio::awaitable<void> waitForRecord(const HttpRequest &request, CallWait &wait);
     HttpResponse call(const HttpRequest &request);
     HttpResponse admin(const HttpRequest &request);
-    void appendKeyed(const Json &record);
     void setFaults(const Json &faults);
     void wakeReaders();
 
