--- a/benchmark/peer/heartbeat_benchmark.cpp
+++ b/benchmark/peer/heartbeat_benchmark.cpp
@@ -109,7 +109,7 @@
             return HelloMessage{from, DataCentre("kerala-south-a"), 1};
         };
         hooks.heartbeat = [from] {
-            return bareHeartbeat(from);
+            return std::make_shared<const EncodedMessage>(encodeMessage(bareHeartbeat(from)));
         };
         hooks.greeting = [] {
             return std::vector<PeerMessage>();
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -125,6 +125,8 @@
     void startDirectory();
     void startDuties();
     PeerExchangeHooks peerHooks();
+    DirectoryRelayHooks directoryRelayHooks();
+    void addRelayHooks(PeerExchangeHooks &peerHooks);
     std::optional<TimePoint> lastReadAt() const;
     /** Whether any configuration was read. Before it nothing is published, so that requests are refused as not run. */
     bool hasConfig() const;
--- a/include/flamingosaddle/control/duties.h
+++ b/include/flamingosaddle/control/duties.h
@@ -60,7 +60,7 @@
     std::function<Answer<std::uint64_t>(std::string key, std::string value, std::uint64_t at)> appendDuty;
     /** Reads the duty log from @p from on, or its newest entries. Fails with Trimmed when @p from is gone. */
     std::function<Answer<KeyedReading>(std::optional<std::uint64_t> from)> readDuties;
-    std::function<Answer<std::uint64_t>(std::string record)> appendCounts;
+    std::function<Answer<std::uint64_t>(std::vector<std::string> records)> appendCounts; ///< all of them or none
     /** Reads counts from @p from on, or from the oldest record that there still is. */
     std::function<Answer<LogBatch>(std::uint64_t from)> readCounts;
     /** Both send only while @p permission answers a time above zero: how much longer the lead is held, as
--- a/include/flamingosaddle/control/dutylog.h
+++ b/include/flamingosaddle/control/dutylog.h
@@ -35,6 +35,10 @@
         Duration readIntervalWithLeader = std::chrono::seconds(10);
         Duration leaderWordLife = std::chrono::milliseconds(1000); ///< four heartbeats, after which the log is read again
         Duration claimSpread = std::chrono::milliseconds(300); ///< claims of several instances are spread over this time
+        /** Whether this instance may claim the lead. Few contest it, since each of them reads the log. */
+        std::function<bool()> mayContest = [] {
+            return true;
+        };
         std::uint64_t seed = 1;
     };
 
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -44,6 +44,16 @@
     std::function<void()> onLeader; ///< a peer says that it leads
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< instances that serve, this one included
+
+    std::function<StoreProgress()> progress; ///< at the store, for instances that rely on this one
+    /** How far the relay at an address was, when it answered a question that was sent at @p askedAt; @p isNear for one of the
+     * own data centre. */
+    std::function<void(const Endpoint &peer, bool isNear, const StoreProgress &progress, TimePoint askedAt)> onProgress;
+    std::function<ServersMessage(std::uint64_t from)> serversSince;
+    std::function<void(const ServersMessage &)> onServers;
+    /** Usage counts of an instance that relies on this one; @p taken is to be called once they are in the log. */
+    std::function<void(const std::string &record, std::function<void()> taken)> onCounts;
+    std::function<void(std::uint64_t sequence)> onCountsTaken; ///< of an own record of counts
 };
 
 struct PeerExchangeOptions {
@@ -53,6 +63,10 @@
     PeerTiming timing;
     MembershipTiming membership;
     Duration listInterval = std::chrono::seconds(2); ///< between two looks at the platform's list
+    /** Instances of a data centre that read the store for the others of it; two, so that one may be lost without a gap. */
+    std::size_t relaysPerDataCentre = 2;
+    /** Whether the word of peers may stand for a look at the log, so that lastAgreement() is kept up. */
+    bool agreesWithPeers = true;
     std::uint64_t seed = 1;
 };
 
@@ -79,8 +93,14 @@
     void setState(MemberState state);
     void sendTombstone(const KeyId &id);
     void sendQuarantines(const QuarantinesMessage &message);
+    /** Sends to the instance at @p peer, when there is a connection to it. */
+    void sendTo(const Endpoint &peer, const PeerMessage &message);
+    /** Sends to the first relay of this data centre that is connected; answers whether there was one. */
+    bool sendToRelay(const PeerMessage &message);
 
     // Queries.
+    /** Whether this instance reads the store for others: those of its data centre rely on the same few. */
+    bool isRelay() const;
     Endpoint localEndpoint() const;
     const Membership &membership() const;
     /**
@@ -106,9 +126,14 @@
     void updateElectorate();
     void helpIfBehind(const HeartbeatMessage &message);
     bool isHelperOf(const HeartbeatMessage &message) const;
+    void updateRelays();
+    void answerServersRequest(const HelloMessage &from, std::uint64_t offset);
+    void takeCounts(const HelloMessage &from, const CountsMessage &message);
+    /** Sends to an instance by its name, when it is heard and connected. */
+    void sendToInstance(const InstanceId &instance, const PeerMessage &message);
     void refreshLinks();
     void openLink(const Endpoint &endpoint);
-    PeerLinkHooks linkHooks();
+    PeerLinkHooks linkHooks(const Endpoint &peer);
     HeartbeatMessage nextHeartbeat();
     std::vector<PeerMessage> greeting() const;
     void broadcast(const PeerMessage &message);
@@ -131,9 +156,11 @@
     std::set<BackendServerId> reportedServers; ///< whose load was passed on at the last heartbeat
     std::map<InstanceId, Endpoint> toldInstances; ///< that the peers were told of
     std::map<InstanceId, PeerConfig> configs; ///< by each peer's last heartbeat
-    HeartbeatMessage current; ///< of this interval; all links send the same one
+    std::shared_ptr<const EncodedMessage> current; ///< the heartbeat of this interval, for all links
     std::set<InstanceId> electorate; ///< members that were known when anyone last read the log, and those since
     std::optional<TimePoint> agreedAt;
+    std::vector<Endpoint> relays; ///< of this data centre, without this instance, the preferred one first
+    bool relaying = true; ///< until it hears of others, an instance relies on itself
     std::uint64_t connections = 0;
     std::size_t servingCount = 0;
     bool stopped = false;
--- a/include/flamingosaddle/peer/frame.h
+++ b/include/flamingosaddle/peer/frame.h
@@ -17,7 +17,7 @@
 {
 
 struct PeerFrameFormat {
-    static constexpr std::uint8_t version = 3;
+    static constexpr std::uint8_t version = 4;
     static constexpr std::size_t headerBytes = 4;
     static constexpr std::size_t maxFrameBytes = std::size_t{8}
         << 20; ///< after the header; holds a snapshot of 12,000 backend servers twice
@@ -32,6 +32,21 @@
     friend bool operator==(const PeerFrame &, const PeerFrame &) = default;
 };
 
+/**
+ * A message that is encoded once and sent on many connections.
+ */
+struct EncodedMessage {
+    std::size_t type = 0; ///< the alternative of PeerMessage
+    std::string fields;
+
+    friend bool operator==(const EncodedMessage &, const EncodedMessage &) = default;
+};
+
+EncodedMessage encodeMessage(const PeerMessage &message);
+
+/** As encodeFrame() of the message's frame. */
+Result<std::string> encodeFrame(std::uint64_t sequence, const EncodedMessage &message);
+
 /**
  * The whole frame with its header. Fails with TooLarge when it is over the limit: send the message in parts.
  */
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -5,7 +5,9 @@
 #include <flamingosaddle/state/incarnation.h>
 #include <flamingosaddle/state/membership.h>
 #include <flamingosaddle/state/promptread.h>
+#include <flamingosaddle/state/servertable.h>
 #include <flamingosaddle/state/servicedemand.h>
+#include <flamingosaddle/state/storeprogress.h>
 #include <flamingosaddle/state/waitingtier.h>
 
 #include <chrono>
@@ -135,15 +137,57 @@
 };
 
 /**
- * Sent back for each frame, so that the sender of it knows that the connection is alive.
+ * Sent back for frames, so that their sender knows that the connection is alive.
  */
 struct AckMessage {
-    std::uint64_t sequence = 0; ///< of the frame
+    std::uint64_t sequence = 0; ///< of the newest frame that was taken; those before it were taken too
+    StoreProgress progress{}; ///< of whoever acknowledges, at that moment; empty when nobody relies on it
 
     friend bool operator==(const AckMessage &, const AckMessage &) = default;
 };
 
+/**
+ * Asks a relay for the changes of backend servers' entries from an offset on.
+ */
+struct ServersRequestMessage {
+    std::uint64_t from = 0;
+
+    friend bool operator==(const ServersRequestMessage &, const ServersRequestMessage &) = default;
+};
+
+/**
+ * A relay's answer to a ServersRequestMessage.
+ */
+struct ServersMessage {
+    std::uint64_t from = 0; ///< where the changes begin
+    std::uint64_t next = 0; ///< up to where the sender has read
+    bool isComplete = false; ///< whether the changes are all entries that there are
+    std::vector<ServerChange> changes; ///< oldest first
+    std::chrono::milliseconds grace{0}; ///< how much longer an entry that vanished is kept, after an outage of the store
+
+    friend bool operator==(const ServersMessage &, const ServersMessage &) = default;
+};
+
+/**
+ * A record of usage counts that the receiver appends to the log together with others.
+ */
+struct CountsMessage {
+    std::uint64_t sequence = 0; ///< of the record, by its writer
+    std::string record; ///< of encodeMeterRecord()
+
+    friend bool operator==(const CountsMessage &, const CountsMessage &) = default;
+};
+
+/**
+ * The record of usage counts is in the log.
+ */
+struct CountsTakenMessage {
+    std::uint64_t sequence = 0; ///< of the receiver's record
+
+    friend bool operator==(const CountsTakenMessage &, const CountsTakenMessage &) = default;
+};
+
 using PeerMessage = std::variant<HelloMessage, HeartbeatMessage, TombstonesMessage, QuarantinesMessage, InstancesMessage,
-    LeaveMessage, AckMessage, ConfigSnapshotMessage>;
+    LeaveMessage, AckMessage, ConfigSnapshotMessage, ServersRequestMessage, ServersMessage, CountsMessage, CountsTakenMessage>;
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/peer/peerlink.h
+++ b/include/flamingosaddle/peer/peerlink.h
@@ -2,7 +2,7 @@
 
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/result.h>
-#include <flamingosaddle/peer/message.h>
+#include <flamingosaddle/peer/frame.h>
 #include <flamingosaddle/peer/timing.h>
 
 #include <boost/asio/io_context.hpp>
@@ -29,9 +29,12 @@
 struct PeerLinkHooks {
     /** The first message of a connection. Its connection number has to grow with every call, over all links to a peer. */
     std::function<HelloMessage()> hello;
-    std::function<HeartbeatMessage()> heartbeat; ///< called once for each interval while connected
+    /** Called once for each interval while connected; never empty. */
+    std::function<std::shared_ptr<const EncodedMessage>()> heartbeat;
     /** Sent after the hello: all that the peer has to know and that may have been sent while there was no connection. */
     std::function<std::vector<PeerMessage>()> greeting;
+    /** The peer acknowledged a frame, with its progress at the store; the frame was sent at @p sentAt or later. */
+    std::function<void(const StoreProgress &progress, TimePoint sentAt)> onProgress;
 };
 
 struct PeerLinkCounters {
@@ -64,7 +67,7 @@
      * Sends @p message after those before it. Fails with Unavailable while there is no connection: the next one's
      * greeting has to bring it. Fails with TooLarge when it is over the limit of a frame.
      */
-    Result<void> send(PeerMessage message);
+    Result<void> send(const PeerMessage &message);
 
     // Queries.
     bool isConnected() const; ///< whether the peer acknowledged a frame of the present connection
--- a/include/flamingosaddle/peer/peerserver.h
+++ b/include/flamingosaddle/peer/peerserver.h
@@ -18,8 +18,7 @@
     Endpoint listen; ///< port 0 takes a free one
     PeerTiming timing;
     std::size_t maxConnections = 4096;
-
-    friend bool operator==(const PeerServerOptions &, const PeerServerOptions &) = default;
+    std::function<StoreProgress()> progress; ///< told in each acknowledgement; empty for none
 };
 
 /**
@@ -29,6 +28,7 @@
     std::uint64_t connections = 0;
     std::uint64_t frames = 0;
     std::uint64_t bytes = 0;
+    std::uint64_t acknowledgements = 0; ///< sent; one may stand for several frames
     std::uint64_t malformed = 0; ///< frames that hold no message, or one that has no place there; foreign versions
     std::uint64_t oversized = 0;
     std::uint64_t replayed = 0; ///< frames out of their sequence, connections that were opened before
--- a/include/flamingosaddle/peer/timing.h
+++ b/include/flamingosaddle/peer/timing.h
@@ -18,11 +18,26 @@
     Duration longestRetryDelay = std::chrono::seconds(5);
     std::size_t maxQueuedBytes = std::size_t{16} << 20; ///< waiting on one connection
 
+    /** Heartbeats that one acknowledgement stands for, unless it tells the progress of a relay. */
+    int acknowledgedHeartbeats = 4;
+
     Duration silenceLimit() const
     {
         return this->heartbeatInterval * this->silentHeartbeats;
     }
 
+    /** Between two acknowledgements of heartbeats, a little less than the heartbeats take: none is to come late by a tick. */
+    Duration acknowledgementInterval() const
+    {
+        return this->heartbeatInterval * this->acknowledgedHeartbeats - this->heartbeatInterval / 2;
+    }
+
+    /** Without an acknowledgement a connection is closed. */
+    Duration acknowledgementLimit() const
+    {
+        return this->silenceLimit() + this->heartbeatInterval * this->acknowledgedHeartbeats;
+    }
+
     friend bool operator==(const PeerTiming &, const PeerTiming &) = default;
 };
 
--- a/include/flamingosaddle/state/membership.h
+++ b/include/flamingosaddle/state/membership.h
@@ -128,8 +128,8 @@
     std::vector<Endpoint> contacts() const;
 
     /**
-     * The @p count instances of a data centre that exchange summaries for it, this one included: the serving ones of
-     * the highest rendezvous weight.
+     * The @p count instances of a data centre that relay for it, this one included: those of the highest rendezvous weight
+     * that are heard and do not leave. Instances whose views differ choose more of them for a while, or others.
      */
     std::vector<Incarnation> relays(const DataCentre &dataCentre, std::size_t count) const;
 
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -56,11 +56,17 @@
     bool expire(TimePoint now);
     void noteStoreLost();
     void noteStoreBack(TimePoint now);
+    /** Keeps entries that vanish until @p until: another instance sees that the store is back from an outage. */
+    void keepVanishedUntil(TimePoint until);
 
     // Queries.
     const std::map<BackendServerId, RegisteredServer> &servers() const;
     /** When expire() has something to do. */
     std::optional<TimePoint> nextExpiry() const;
+    /** Whether the entry has vanished and is kept for the grace only. */
+    bool isLapsing(const BackendServerId &id) const;
+    /** How much longer entries that vanish are kept; zero when they go at once. */
+    Duration graceLeft(TimePoint now) const;
 
 private:
     bool remove(const BackendServerId &id, TimePoint now);
--- a/src/app/controlmetrics.cpp
+++ b/src/app/controlmetrics.cpp
@@ -52,6 +52,8 @@
         .set(static_cast<double>(controller.claimDesk().table().size()));
     registry.gauge("flamingosaddle_serving_instances", "Instances that serve, this one included.")
         .set(static_cast<double>(controller.peerExchange().membership().serving().size() + 1));
+    registry.gauge("flamingosaddle_relay", "1 when this instance reads the store for others of its data centre.")
+        .set(controller.peerExchange().isRelay() ? 1 : 0);
     registry.gauge("flamingosaddle_peer_bytes", "Bytes sent to peers on the present connections.")
         .set(static_cast<double>(controller.peerExchange().sentBytes()));
     registry.gauge("flamingosaddle_waiting_requests", "Requests in the queue.").set(static_cast<double>(traffic.waiting));
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -30,13 +30,15 @@
     return claims;
 }
 
-PeerExchangeOptions peerOptions(const ControllerOptions &options)
+PeerExchangeOptions peerOptions(const ControllerOptions &options, bool hasDirectory)
 {
     PeerExchangeOptions peers;
     peers.self = options.self;
     peers.dataCentre = options.dataCentre;
     peers.seeds = options.seedPeers;
     peers.timing = options.peerTiming;
+    // With a directory only a relay's dated progress counts.
+    peers.agreesWithPeers = !hasDirectory;
     peers.seed = options.seed;
     return peers;
 }
@@ -48,25 +50,25 @@
     return snapshots;
 }
 
-std::unique_ptr<Directory> directoryOf(
-    const std::optional<DirectoryHooks> &hooks, const ControllerOptions &options, std::function<void()> onAdvance)
+std::unique_ptr<Directory> directoryOf(const std::optional<DirectoryHooks> &hooks, DirectoryRelayHooks relayHooks,
+    const ControllerOptions &options, std::function<void()> onAdvance)
 {
     if (!hooks.has_value()) {
         return nullptr;
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
-    return std::make_unique<Directory>(*hooks, directoryOptions, std::move(onAdvance));
+    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onAdvance));
 }
 
-DutyLog::Options dutyOptions(const ControllerOptions &options)
+ServersMessage messageOf(RelayedServers relayed)
 {
-    DutyLog::Options duties;
-    duties.self = options.self;
-    duties.timing.lease = options.leaseDuration;
-    duties.timing.rest = options.leaseDuration + std::chrono::seconds(1);
-    duties.seed = options.seed;
-    return duties;
+    return {relayed.from, relayed.reading.next, relayed.reading.isComplete, std::move(relayed.reading.changes), relayed.grace};
+}
+
+RelayedServers relayedServersOf(const ServersMessage &message)
+{
+    return {message.from, {message.next, message.isComplete, message.changes}, message.grace};
 }
 
 } // namespace
@@ -75,10 +77,11 @@
  * The duties of one instance at a time, and the counts that each instance keeps for them.
  */
 struct Controller::Duties {
-    Duties(const DutyHooks &dutyHooks, const Directory *directory, const ControllerOptions &options)
+    Duties(const DutyHooks &dutyHooks, const Directory *directory, PeerExchange &peers, const ControllerOptions &options)
         : hooks(dutyHooks)
+        , peers(peers)
         , systemTime(options.systemTime)
-        , log(this->hooks, dutyOptions(options))
+        , log(this->hooks, this->logOptions(options))
         , meter(this->hooks, this->meterOptions(options))
         , reporter(this->hooks, this->log, this->reporterOptions(options))
     {
@@ -87,6 +90,19 @@
         }
     }
 
+    DutyLog::Options logOptions(const ControllerOptions &options)
+    {
+        DutyLog::Options duties;
+        duties.self = options.self;
+        duties.timing.lease = options.leaseDuration;
+        duties.timing.rest = options.leaseDuration + std::chrono::seconds(1);
+        duties.mayContest = [this] {
+            return this->peers.isRelay();
+        };
+        duties.seed = options.seed;
+        return duties;
+    }
+
     std::chrono::milliseconds unixTime()
     {
         return this->wallTime.unixTime(this->systemTime(), RuntimeClock::now());
@@ -101,6 +117,9 @@
         meter.unixTime = [this] {
             return this->unixTime();
         };
+        meter.handToRelay = [this](std::uint64_t sequence, const std::string &record) {
+            return !this->peers.isRelay() && this->peers.sendToRelay(CountsMessage{sequence, record});
+        };
         meter.seed = options.seed;
         return meter;
     }
@@ -139,6 +158,7 @@
     }
 
     DutyHooks hooks;
+    PeerExchange &peers; // made after the duties, which use it once they run
     std::function<std::chrono::milliseconds()> systemTime;
     WallTime wallTime;
     DutyLog log;
@@ -153,11 +173,11 @@
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
     , hooks(std::move(hooks))
-    , directory(directoryOf(directory, this->controllerOptions,
+    , directory(directoryOf(directory, this->directoryRelayHooks(), this->controllerOptions,
           [this] {
               this->configAdvanced();
           }))
-    , duties(std::make_unique<Duties>(duties, this->directory.get(), this->controllerOptions))
+    , duties(std::make_unique<Duties>(duties, this->directory.get(), this->peers, this->controllerOptions))
     , tail(
           this->platform,
           [this] {
@@ -171,7 +191,7 @@
               return this->duties->log.isLeading();
           },
           this->snapshotSources(), snapshotOptions(this->controllerOptions))
-    , peers(context, this->platform, peerOptions(this->controllerOptions), this->peerHooks())
+    , peers(context, this->platform, peerOptions(this->controllerOptions, directory.has_value()), this->peerHooks())
 {
 }
 
@@ -382,6 +402,44 @@
     boost::asio::co_spawn(this->context, std::move(coroutine), boost::asio::detached);
 }
 
+DirectoryRelayHooks Controller::directoryRelayHooks()
+{
+    DirectoryRelayHooks relayHooks;
+    relayHooks.isRelay = [this] {
+        return this->peers.isRelay();
+    };
+    relayHooks.requestServers = [this](const Endpoint &peer, std::uint64_t from) {
+        this->peers.sendTo(peer, ServersRequestMessage{from});
+    };
+    return relayHooks;
+}
+
+void Controller::addRelayHooks(PeerExchangeHooks &peerHooks)
+{
+    peerHooks.progress = [this] {
+        return this->directory ? this->directory->progress() : StoreProgress();
+    };
+    peerHooks.onProgress = [this](const Endpoint &peer, bool isNear, const StoreProgress &progress, TimePoint askedAt) {
+        if (this->directory) {
+            this->directory->notePeerProgress(peer, isNear, progress, askedAt, RuntimeClock::now());
+        }
+    };
+    peerHooks.serversSince = [this](std::uint64_t from) {
+        return this->directory ? messageOf(this->directory->serversSince(from)) : ServersMessage();
+    };
+    peerHooks.onServers = [this](const ServersMessage &message) {
+        if (this->directory) {
+            this->directory->takeRelayedServers(relayedServersOf(message));
+        }
+    };
+    peerHooks.onCounts = [this](const std::string &record, std::function<void()> taken) {
+        this->duties->meter.gather(record, std::move(taken));
+    };
+    peerHooks.onCountsTaken = [this](std::uint64_t sequence) {
+        this->duties->meter.noteTaken(sequence);
+    };
+}
+
 PeerExchangeHooks Controller::peerHooks()
 {
     PeerExchangeHooks peerHooks;
@@ -431,6 +489,7 @@
         this->duties->meter.setInstances(count);
         this->hooks.servingCount(count);
     };
+    this->addRelayHooks(peerHooks);
     return peerHooks;
 }
 
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -3,6 +3,11 @@
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace flamingosaddle
@@ -16,19 +21,29 @@
 
 } // namespace
 
-Directory::Directory(DirectoryHooks hooks, DirectoryOptions options, std::function<void()> onAdvance)
+Directory::Directory(
+    DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onAdvance)
     : hooks(std::move(hooks))
+    , relayHooks(std::move(relayHooks))
     , options(options)
     , onAdvance(std::move(onAdvance))
     , configBackoff(firstRetryDelay, longestRetryDelay, options.seed)
     , serverBackoff(firstRetryDelay, longestRetryDelay, options.seed + 1)
     , table(options.servers)
+    , relayedConfig(options.configPatience)
+    , relayedServers(options.serverPatience)
 {
 }
 
 boost::asio::awaitable<void> Directory::runConfig()
 {
     while (!this->stopped) {
+        const TimePoint now = RuntimeClock::now();
+        this->noteReliance(!this->relayHooks.isRelay() && this->relayedConfig.isFollowed(now));
+        if (!this->isConfigReadDue(now)) {
+            co_await this->waitForReadDue(this->configWake, this->relayedConfig.followedUntil());
+            continue;
+        }
         const bool succeeded = co_await this->readConfigOnce();
         if (succeeded != this->configAnswers) {
             this->configAnswers = succeeded;
@@ -46,10 +61,15 @@
 boost::asio::awaitable<void> Directory::runServers()
 {
     while (!this->stopped) {
-        const bool succeeded = co_await this->readServersOnce();
         if (this->table.expire(RuntimeClock::now())) {
             this->publish();
         }
+        if (!this->isServerReadDue(RuntimeClock::now())) {
+            const TimePoint expiry = this->table.nextExpiry().value_or(TimePoint::max());
+            co_await this->waitForReadDue(this->serversWake, std::min(expiry, this->nextServerReadDue()));
+            continue;
+        }
+        const bool succeeded = co_await this->readServersOnce();
         if (succeeded) {
             this->serverBackoff.reset();
             co_await delay(this->options.serverPause);
@@ -62,6 +82,178 @@
 void Directory::stop()
 {
     this->stopped = true;
+    this->wakeReaders();
+}
+
+bool Directory::isConfigReadDue(TimePoint now) const
+{
+    const bool isBehind = !this->configNext.has_value() || this->relayedConfig.end() > *this->configNext;
+    return isBehind || this->relayHooks.isRelay() || !this->relayedConfig.isFollowed(now);
+}
+
+bool Directory::isServerReadDue(TimePoint now) const
+{
+    return !this->serversNext.has_value() || this->relayHooks.isRelay() || now >= this->nextServerReadDue();
+}
+
+TimePoint Directory::nextServerReadDue() const
+{
+    const TimePoint unfollowed = this->relayedServers.followedUntil();
+    return this->behindSince.has_value() ? std::min(unfollowed, *this->behindSince + this->options.behindLimit) : unfollowed;
+}
+
+void Directory::noteServersNext(std::uint64_t next)
+{
+    this->serversNext = next;
+    this->serversAskedAt.reset();
+    if (next >= this->relayedServers.end()) {
+        this->behindSince.reset();
+    }
+}
+
+void Directory::noteReliance(bool relies)
+{
+    if (relies != this->reliesOnRelays) {
+        this->reliesOnRelays = relies;
+        logStateChange(LogLevel::Info, "control", relies ? "relies on relays for the store" : "reads the store itself",
+            {{"config_next", std::to_string(this->configNext.value_or(0))}});
+    }
+}
+
+boost::asio::awaitable<void> Directory::waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline)
+{
+    // Whether others rely on this instance changes without a call.
+    const TimePoint latest = RuntimeClock::now() + this->options.behindLimit;
+    const auto wake = std::make_shared<Timer>(co_await boost::asio::this_coro::executor, std::min(deadline, latest));
+    timer = wake;
+    boost::system::error_code ignored;
+    co_await wake->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    timer.reset();
+}
+
+void Directory::wakeReaders()
+{
+    for (const std::shared_ptr<Timer> &timer : {this->configWake, this->serversWake}) {
+        if (timer) {
+            timer->cancel();
+        }
+    }
+}
+
+void Directory::notePeerProgress(
+    const Endpoint &peer, bool isNear, const StoreProgress &progress, TimePoint askedAt, TimePoint now)
+{
+    if (progress.config.has_value()) {
+        this->relayedConfig.note(*progress.config, askedAt, now);
+        this->adoptRelayedProof();
+    }
+    if (progress.servers.has_value()) {
+        this->relayedServers.note(*progress.servers, askedAt, now);
+        if (this->relayedServers.isFollowed(now)) {
+            this->table.noteStoreBack(now);
+        }
+        this->requestMissingServers(peer, isNear, *progress.servers, now);
+    }
+    if (this->isConfigReadDue(now)) {
+        this->wakeReaders();
+    }
+}
+
+void Directory::requestMissingServers(const Endpoint &peer, bool isNear, const TopicProgress &progress, TimePoint now)
+{
+    if (!this->serversNext.has_value() || progress.next <= *this->serversNext || this->relayHooks.isRelay()) {
+        return;
+    }
+    if (!this->behindSince.has_value()) {
+        this->behindSince = now;
+    }
+    const bool isAsking = this->serversAskedAt.has_value() && now < *this->serversAskedAt + this->options.behindLimit / 2;
+    if (isNear && !isAsking) {
+        this->serversAskedAt = now;
+        this->relayHooks.requestServers(peer, *this->serversNext);
+    }
+}
+
+void Directory::adoptRelayedProof()
+{
+    if (!this->configNext.has_value()) {
+        return;
+    }
+    const std::optional<TimePoint> relayed = this->relayedConfig.provedAt(*this->configNext);
+    if (relayed.has_value() && (!this->proof.has_value() || *relayed > *this->proof)) {
+        this->proof = relayed;
+        this->onAdvance();
+    }
+}
+
+void Directory::takeRelayedServers(const RelayedServers &relayed)
+{
+    const bool connects = relayed.reading.isComplete || relayed.from <= this->serversNext.value_or(0);
+    if (!this->serversNext.has_value() || !connects || relayed.reading.next <= *this->serversNext) {
+        return;
+    }
+    if (relayed.grace > std::chrono::milliseconds::zero()) {
+        this->table.keepVanishedUntil(RuntimeClock::now() + relayed.grace);
+    }
+    this->batches.clear();
+    this->noteServersNext(relayed.reading.next);
+    this->takeServers(relayed.reading);
+}
+
+StoreProgress Directory::progress() const
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto ageOf = [now](TimePoint proved) {
+        // Rounded up: an age may be told too long, never too short.
+        return std::chrono::ceil<std::chrono::milliseconds>(now - proved);
+    };
+    StoreProgress progress;
+    if (this->relayHooks.isRelay() && this->configNext.has_value() && this->ownConfigProof.has_value()) {
+        progress.config = TopicProgress{*this->configNext, ageOf(*this->ownConfigProof)};
+    }
+    if (this->relayHooks.isRelay() && this->serversNext.has_value() && this->ownServersProof.has_value()) {
+        progress.servers = TopicProgress{*this->serversNext, ageOf(*this->ownServersProof)};
+    }
+    return progress;
+}
+
+RelayedServers Directory::serversSince(std::uint64_t from) const
+{
+    const TimePoint now = RuntimeClock::now();
+    RelayedServers relayed;
+    relayed.reading.next = this->serversNext.value_or(0);
+    relayed.grace = std::chrono::ceil<std::chrono::milliseconds>(this->table.graceLeft(now));
+    const bool isKept = !this->batches.empty() && this->batches.front().from <= from;
+    if (isKept) {
+        relayed.from = from;
+        for (const Batch &batch : this->batches) {
+            if (batch.next > from) {
+                relayed.reading.changes.insert(relayed.reading.changes.end(), batch.changes.begin(), batch.changes.end());
+            }
+        }
+        return relayed;
+    }
+    relayed.reading.isComplete = true;
+    for (const auto &[id, server] : this->table.servers()) {
+        if (!this->table.isLapsing(id)) {
+            relayed.reading.changes.push_back({id, server});
+        }
+    }
+    return relayed;
+}
+
+void Directory::keepBatch(std::uint64_t from, const ServerReading &reading)
+{
+    if (reading.isComplete || (!this->batches.empty() && this->batches.back().next != from)) {
+        this->batches.clear();
+    }
+    if (reading.isComplete || reading.next == from) {
+        return;
+    }
+    this->batches.push_back({from, reading.next, reading.changes});
+    if (this->batches.size() > this->options.keptBatches) {
+        this->batches.pop_front();
+    }
 }
 
 boost::asio::awaitable<bool> Directory::readConfigOnce()
@@ -84,14 +276,18 @@
         this->takeConfig(std::move(*reading.value().newest));
     }
     if (reading.value().isAtEnd) {
-        this->proof = sentAt;
+        this->ownConfigProof = sentAt;
+        this->proof = std::max(this->proof.value_or(sentAt), sentAt);
         this->onAdvance();
     }
+    this->adoptRelayedProof();
     co_return true;
 }
 
 boost::asio::awaitable<bool> Directory::readServersOnce()
 {
+    const TimePoint sentAt = RuntimeClock::now();
+    const std::optional<std::uint64_t> from = this->serversNext;
     const std::optional<TimePoint> expiry = this->table.nextExpiry();
     const bool atOnce = !this->serversNext.has_value() || (expiry.has_value() && *expiry != TimePoint::max());
     const std::chrono::milliseconds wait = atOnce ? std::chrono::milliseconds(100) : this->options.serverWait;
@@ -108,7 +304,13 @@
         co_return false;
     }
     this->table.noteStoreBack(RuntimeClock::now());
-    this->serversNext = reading.value().next;
+    if (this->serversNext != from) {
+        // A peer's entries came meanwhile; the next read goes on after them.
+        co_return true;
+    }
+    this->noteServersNext(reading.value().next);
+    this->ownServersProof = sentAt;
+    this->keepBatch(from.value_or(0), reading.value());
     this->takeServers(reading.value());
     co_return true;
 }
--- a/src/control/dutylog.cpp
+++ b/src/control/dutylog.cpp
@@ -121,6 +121,10 @@
     const bool leading = this->leadership.isHeld(now);
     if (!leading) {
         this->pending.clear();
+        if (!this->options.mayContest()) {
+            this->claimAt.reset();
+            co_return;
+        }
     }
     if (leading ? !this->endKnown : this->isReadDue(now)) {
         const bool succeeded = co_await this->readOnce();
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -60,6 +60,7 @@
     PeerServerOptions serverOptions;
     serverOptions.listen = endpoint;
     serverOptions.timing = this->options.timing;
+    serverOptions.progress = this->hooks.progress;
     BOOST_OUTCOME_TRY(
         started, PeerServer::start(this->context, serverOptions, [this](const HelloMessage &from, const PeerMessage &message) {
             this->onMessage(from, message);
@@ -74,9 +75,12 @@
 boost::asio::awaitable<void> PeerExchange::runTicks()
 {
     while (!this->stopped) {
-        this->updateElectorate();
+        if (this->options.agreesWithPeers) {
+            this->updateElectorate();
+        }
         this->members.advance(RuntimeClock::now());
-        this->current = this->nextHeartbeat();
+        this->updateRelays();
+        this->current = std::make_shared<const EncodedMessage>(encodeMessage(this->nextHeartbeat()));
         this->refreshLinks();
         this->passOnLoads();
         this->passOnWaiting();
@@ -89,10 +93,13 @@
 boost::asio::awaitable<void> PeerExchange::runList()
 {
     while (!this->stopped) {
-        const Result<std::vector<InstanceEntry>> listed
-            = co_await this->platform.instances(this->options.self, this->localEndpoint());
-        if (listed.has_value()) {
-            this->members.setSeeds(seedsOf(listed.value()));
+        // The list holds relays, which know all others, and instances that have not met one.
+        if (this->relaying) {
+            const Result<std::vector<InstanceEntry>> listed
+                = co_await this->platform.instances(this->options.self, this->localEndpoint());
+            if (listed.has_value()) {
+                this->members.setSeeds(seedsOf(listed.value()));
+            }
         }
         co_await delay(this->options.listInterval);
     }
@@ -125,6 +132,29 @@
     this->broadcast(message);
 }
 
+void PeerExchange::sendTo(const Endpoint &peer, const PeerMessage &message)
+{
+    const auto link = this->links.find(peer);
+    if (link != this->links.end()) {
+        // Whoever expects an answer asks elsewhere after a while.
+        const Result<void> ignored = link->second->send(message);
+        static_cast<void>(ignored);
+    }
+}
+
+bool PeerExchange::sendToRelay(const PeerMessage &message)
+{
+    return std::any_of(this->relays.begin(), this->relays.end(), [this, &message](const Endpoint &relay) {
+        const auto link = this->links.find(relay);
+        return link != this->links.end() && link->second->isConnected() && link->second->send(message).has_value();
+    });
+}
+
+bool PeerExchange::isRelay() const
+{
+    return this->relaying;
+}
+
 Endpoint PeerExchange::localEndpoint() const
 {
     return this->server ? this->server->localEndpoint() : Endpoint();
@@ -168,6 +198,14 @@
         for (const KnownInstance &instance : known->instances) {
             this->members.noteHearsay(instance.id, instance.address, RuntimeClock::now());
         }
+    } else if (const auto *request = std::get_if<ServersRequestMessage>(&message)) {
+        this->answerServersRequest(from, request->from);
+    } else if (const auto *servers = std::get_if<ServersMessage>(&message)) {
+        this->hooks.onServers(*servers);
+    } else if (const auto *counts = std::get_if<CountsMessage>(&message)) {
+        this->takeCounts(from, *counts);
+    } else if (const auto *taken = std::get_if<CountsTakenMessage>(&message)) {
+        this->hooks.onCountsTaken(taken->sequence);
     } else if (const auto *snapshot = std::get_if<ConfigSnapshotMessage>(&message)) {
         this->hooks.onConfigSnapshot(snapshot->text);
     } else if (std::holds_alternative<LeaveMessage>(message)) {
@@ -191,9 +229,11 @@
     if (message.leads) {
         this->hooks.onLeader();
     }
-    this->helpIfBehind(message);
-    this->configs[from.from.instance] = {message.configOffset, now};
-    this->noteAgreement(message, now);
+    if (this->options.agreesWithPeers) {
+        this->helpIfBehind(message);
+        this->configs[from.from.instance] = {message.configOffset, now};
+        this->noteAgreement(message, now);
+    }
 }
 
 void PeerExchange::noteAgreement(const HeartbeatMessage &message, TimePoint now)
@@ -268,6 +308,47 @@
     });
 }
 
+void PeerExchange::answerServersRequest(const HelloMessage &from, std::uint64_t offset)
+{
+    this->sendToInstance(from.from.instance, this->hooks.serversSince(offset));
+}
+
+void PeerExchange::takeCounts(const HelloMessage &from, const CountsMessage &message)
+{
+    this->hooks.onCounts(message.record, [this, instance = from.from.instance, sequence = message.sequence] {
+        this->sendToInstance(instance, CountsTakenMessage{sequence});
+    });
+}
+
+void PeerExchange::sendToInstance(const InstanceId &instance, const PeerMessage &message)
+{
+    const Member *member = this->members.find(instance);
+    if (member != nullptr) {
+        this->sendTo(member->last.address, message);
+    }
+}
+
+void PeerExchange::updateRelays()
+{
+    this->relays.clear();
+    bool relaysNow = false;
+    for (const Incarnation &relay : this->members.relays(this->options.dataCentre, this->options.relaysPerDataCentre)) {
+        const Member *member = this->members.find(relay.instance);
+        if (member != nullptr) {
+            this->relays.push_back(member->last.address);
+        } else {
+            relaysNow = true;
+        }
+    }
+    // An instance that leaves relies on others, but not on nobody.
+    relaysNow = relaysNow || this->relays.empty();
+    if (relaysNow != this->relaying) {
+        this->relaying = relaysNow;
+        logStateChange(LogLevel::Info, "control", relaysNow ? "this instance is a relay" : "this instance is no relay",
+            {{"known_instances", std::to_string(this->members.members().size())}});
+    }
+}
+
 void PeerExchange::refreshLinks()
 {
     std::set<Endpoint> wanted(this->options.seeds.begin(), this->options.seeds.end());
@@ -294,12 +375,12 @@
     linkOptions.peer = endpoint;
     linkOptions.timing = this->options.timing;
     linkOptions.seed = hash64(endpoint.text(), this->options.seed);
-    auto link = std::make_unique<PeerLink>(this->context, linkOptions, this->linkHooks());
+    auto link = std::make_unique<PeerLink>(this->context, linkOptions, this->linkHooks(endpoint));
     link->start();
     this->links.emplace(endpoint, std::move(link));
 }
 
-PeerLinkHooks PeerExchange::linkHooks()
+PeerLinkHooks PeerExchange::linkHooks(const Endpoint &peer)
 {
     PeerLinkHooks linkHooks;
     linkHooks.hello = [this] {
@@ -311,6 +392,10 @@
     linkHooks.greeting = [this] {
         return this->greeting();
     };
+    linkHooks.onProgress = [this, peer](const StoreProgress &progress, TimePoint sentAt) {
+        const bool isNear = std::find(this->relays.begin(), this->relays.end(), peer) != this->relays.end();
+        this->hooks.onProgress(peer, isNear, progress, sentAt);
+    };
     return linkHooks;
 }
 
--- a/src/control/usagemeter.cpp
+++ b/src/control/usagemeter.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds longestRetryDelay(500);
 // Records that wait while the log is away; beyond them the newest take in what comes.
 constexpr std::size_t maxWaitingRecords = 4;
+constexpr std::size_t maxGatheredRecords = 256; // of other instances, each of a few kilobytes at most
 // Instances that flush at the interval of the options; twice as many flush half as often.
 constexpr std::size_t instancesAFlush = 4;
 // Keeps the longest interval within half of the shortest windows, of 5 s.
@@ -53,15 +54,16 @@
 boost::asio::awaitable<void> UsageMeter::run()
 {
     while (!this->stopped) {
-        if (this->isFlushDue(RuntimeClock::now()) && this->records.size() < maxWaitingRecords) {
+        const TimePoint now = RuntimeClock::now();
+        if (this->isFlushDue(now) && this->records.size() < maxWaitingRecords) {
             this->cutRecord(false);
         }
-        if (this->records.empty()) {
+        if (this->records.empty() && !this->hasGathered(now)) {
             co_await delay(tick);
             continue;
         }
-        const bool appended = co_await this->appendFront();
-        co_await delay(appended ? Duration(tick) : this->backoff.next());
+        const bool passedOn = co_await this->passOn();
+        co_await delay(passedOn ? Duration(tick) : this->backoff.next());
     }
 }
 
@@ -69,8 +71,8 @@
 {
     this->stopped = true;
     this->cutRecord(true);
-    while (!this->records.empty() && RuntimeClock::now() < deadline) {
-        const bool appended = co_await this->appendFront();
+    while ((!this->records.empty() || !this->gathered.empty()) && RuntimeClock::now() < deadline) {
+        const bool appended = co_await this->append();
         if (!appended) {
             co_await delay(firstRetryDelay);
         }
@@ -87,6 +89,24 @@
     this->instances = count;
 }
 
+void UsageMeter::noteTaken(std::uint64_t sequence)
+{
+    this->takenSequence = std::max(this->takenSequence, sequence);
+}
+
+void UsageMeter::gather(std::string record, std::function<void()> taken)
+{
+    // Beyond the limit the sender appends the record itself.
+    if (!this->stopped && this->gathered.size() < maxGatheredRecords) {
+        this->gathered.push_back({std::move(record), std::move(taken)});
+    }
+}
+
+bool UsageMeter::hasGathered(TimePoint now) const
+{
+    return !this->gathered.empty() && now - this->lastAppend >= this->options.gatherInterval;
+}
+
 std::size_t UsageMeter::waitingRecords() const
 {
     return this->records.size() + (this->counted.empty() ? 0 : 1);
@@ -119,14 +139,64 @@
     this->records.push_back(std::move(record));
 }
 
-boost::asio::awaitable<bool> UsageMeter::appendFront()
+boost::asio::awaitable<bool> UsageMeter::passOn()
 {
-    // A record whose answer was lost is appended again: readers know it by its number.
-    const Result<std::uint64_t> offset = co_await this->hooks.appendCounts(encodeMeterRecord(this->records.front()));
+    if (!this->records.empty() && this->gathered.empty()) {
+        const bool isTaken = co_await this->isTakenByRelay();
+        if (isTaken) {
+            this->records.pop_front();
+            this->backoff.reset();
+            co_return true;
+        }
+    }
+    const bool appended = co_await this->append();
+    co_return appended;
+}
+
+boost::asio::awaitable<bool> UsageMeter::isTakenByRelay()
+{
+    const MeterRecord &record = this->records.front();
+    const std::uint64_t handed = record.id.sequence;
+    if (!this->options.handToRelay(handed, encodeMeterRecord(record))) {
+        co_return false;
+    }
+    const TimePoint deadline = RuntimeClock::now() + this->options.relayAnswerLimit;
+    while (!this->stopped && this->takenSequence < handed && RuntimeClock::now() < deadline) {
+        co_await delay(tick);
+    }
+    co_return this->takenSequence >= handed;
+}
+
+boost::asio::awaitable<bool> UsageMeter::append()
+{
+    // A record whose answer was lost, or that a relay has appended unknown to its writer, comes twice: readers know it by its
+    // number.
+    std::vector<std::string> batch;
+    std::uint64_t own = 0;
+    if (!this->records.empty()) {
+        own = this->records.front().id.sequence;
+        batch.push_back(encodeMeterRecord(this->records.front()));
+    }
+    std::deque<Gathered> others;
+    others.swap(this->gathered);
+    for (const Gathered &other : others) {
+        batch.push_back(other.record);
+    }
+    this->lastAppend = RuntimeClock::now();
+    const Result<std::uint64_t> offset = co_await this->hooks.appendCounts(std::move(batch));
     if (offset.has_error()) {
+        // Their writers keep the records too; those that come meanwhile are newer.
+        others.insert(others.end(), this->gathered.begin(), this->gathered.end());
+        this->gathered.swap(others);
         co_return false;
     }
-    this->records.pop_front();
+    // A shutdown may have appended it meanwhile.
+    if (!this->records.empty() && this->records.front().id.sequence == own) {
+        this->records.pop_front();
+    }
+    for (const Gathered &other : others) {
+        other.taken();
+    }
     this->backoff.reset();
     co_return true;
 }
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -50,18 +50,6 @@
     return frame;
 }
 
-void packFrame(msgpack::sbuffer &buffer, const PeerFrame &frame)
-{
-    msgpack::packer<msgpack::sbuffer> packer(buffer);
-    packer.pack_array(frameFields);
-    packer.pack(frame.message.index());
-    packer.pack(frame.sequence);
-    const auto write = [&packer](const auto &message) {
-        wire::write(packer, message);
-    };
-    std::visit(write, frame.message);
-}
-
 std::string headerFor(std::size_t length)
 {
     std::string header;
@@ -73,21 +61,42 @@
 
 } // namespace
 
-Result<std::string> encodeFrame(const PeerFrame &frame)
+EncodedMessage encodeMessage(const PeerMessage &message)
 {
     msgpack::sbuffer buffer;
-    packFrame(buffer, frame);
-    const std::size_t length = buffer.size() + sizeof PeerFrameFormat::version;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    const auto write = [&packer](const auto &value) {
+        wire::write(packer, value);
+    };
+    std::visit(write, message);
+    return {message.index(), std::string(buffer.data(), buffer.size())};
+}
+
+Result<std::string> encodeFrame(std::uint64_t sequence, const EncodedMessage &message)
+{
+    msgpack::sbuffer prefix;
+    msgpack::packer<msgpack::sbuffer> packer(prefix);
+    packer.pack_array(frameFields);
+    packer.pack(message.type);
+    packer.pack(sequence);
+    const std::size_t length = sizeof PeerFrameFormat::version + prefix.size() + message.fields.size();
     if (length > PeerFrameFormat::maxFrameBytes) {
         return fail(ErrorKind::TooLarge, "a peer message of " + std::to_string(length) + " bytes is over the limit",
             "send it in several messages");
     }
     std::string bytes = headerFor(length);
+    bytes.reserve(bytes.size() + length);
     bytes.push_back(static_cast<char>(PeerFrameFormat::version));
-    bytes.append(buffer.data(), buffer.size());
+    bytes.append(prefix.data(), prefix.size());
+    bytes.append(message.fields);
     return bytes;
 }
 
+Result<std::string> encodeFrame(const PeerFrame &frame)
+{
+    return encodeFrame(frame.sequence, encodeMessage(frame.message));
+}
+
 Result<std::size_t> decodeFrameLength(const PeerFrameHeader &header)
 {
     std::size_t length = 0;
--- a/src/peer/peerlink.cpp
+++ b/src/peer/peerlink.cpp
@@ -55,13 +55,13 @@
         }
     }
 
-    Result<void> send(PeerMessage message)
+    Result<void> send(const EncodedMessage &message)
     {
         if (!this->established || !this->guard->isOpen()) {
             return fail(ErrorKind::Unavailable, "there is no connection to " + this->options.peer.text(),
                 "the greeting of the next one brings it");
         }
-        BOOST_OUTCOME_TRY(bytes, encodeFrame(PeerFrame{this->nextSequence, std::move(message)}));
+        BOOST_OUTCOME_TRY(bytes, encodeFrame(this->nextSequence, message));
         if (this->queuedBytes + bytes.size() > this->options.timing.maxQueuedBytes) {
             ++this->counts.overflows;
             this->guard->close();
@@ -112,7 +112,7 @@
             co_return false;
         }
         guard->socket().set_option(tcp::no_delay(true), error);
-        guard->closeAfter(core->options.timing.silenceLimit());
+        guard->closeAfter(core->options.timing.acknowledgementLimit());
         core->beginConnection();
         co_return true;
     }
@@ -126,9 +126,10 @@
         this->nextHeartbeat = RuntimeClock::now();
         this->queue.clear();
         this->queuedBytes = 0;
-        this->sendOrClose(this->hooks.hello());
-        for (PeerMessage &message : this->hooks.greeting()) {
-            this->sendOrClose(std::move(message));
+        this->sentAt.clear();
+        this->sendOrClose(encodeMessage(this->hooks.hello()));
+        for (const PeerMessage &message : this->hooks.greeting()) {
+            this->sendOrClose(encodeMessage(message));
         }
     }
 
@@ -143,9 +144,9 @@
     /**
      * A message that does not fit must not be left out silently: the peer would miss it for good.
      */
-    void sendOrClose(PeerMessage message)
+    void sendOrClose(const EncodedMessage &message)
     {
-        const Result<void> sent = this->send(std::move(message));
+        const Result<void> sent = this->send(message);
         if (sent.has_error() && this->guard) {
             this->guard->close();
         }
@@ -177,7 +178,7 @@
             return;
         }
         this->nextHeartbeat = RuntimeClock::now() + this->options.timing.heartbeatInterval;
-        this->sendOrClose(this->hooks.heartbeat());
+        this->sendOrClose(*this->hooks.heartbeat());
     }
 
     std::string takeFromQueue()
@@ -187,6 +188,7 @@
         this->queuedBytes -= bytes.size();
         ++this->counts.frames;
         this->counts.bytes += bytes.size();
+        this->sentAt.push_back(RuntimeClock::now());
         return bytes;
     }
 
@@ -199,19 +201,31 @@
         while (guard->isOpen()) {
             std::size_t bytes = 0;
             const Result<PeerFrame> frame = co_await readFrame(*guard, bytes);
-            const bool isAck = frame.has_value() && frame.value().message == PeerMessage(AckMessage{expected});
-            if (!isAck) {
+            const auto *ack = frame.has_value() ? std::get_if<AckMessage>(&frame.value().message) : nullptr;
+            // An acknowledgement stands for all frames up to its own.
+            if (ack == nullptr || ack->sequence < expected || ack->sequence - expected >= core->sentAt.size()) {
                 break;
             }
-            ++expected;
+            core->takeAck(*ack, ack->sequence - expected);
+            expected = ack->sequence + 1;
             core->acknowledged = true;
             core->backoff.reset();
-            guard->closeAfter(core->options.timing.silenceLimit());
+            guard->closeAfter(core->options.timing.acknowledgementLimit());
         }
         guard->close();
         core->wake.cancel();
     }
 
+    /** @param index of the acknowledged frame among those that were not acknowledged yet */
+    void takeAck(const AckMessage &ack, std::size_t index)
+    {
+        const TimePoint sentAt = this->sentAt[index];
+        this->sentAt.erase(this->sentAt.begin(), this->sentAt.begin() + static_cast<std::ptrdiff_t>(index + 1));
+        if (this->hooks.onProgress && ack.progress != StoreProgress()) {
+            this->hooks.onProgress(ack.progress, sentAt);
+        }
+    }
+
     boost::asio::io_context &context;
     PeerLinkOptions options;
     PeerLinkHooks hooks;
@@ -221,6 +235,7 @@
     std::shared_ptr<SocketGuard> guard; // of the present connection, also while it is being made
     std::deque<std::string> queue; // frames of the present connection
     std::size_t queuedBytes = 0;
+    std::deque<TimePoint> sentAt; // of the frames that are not acknowledged yet
     std::uint64_t nextSequence = 0;
     TimePoint nextHeartbeat;
     bool established = false;
@@ -249,9 +264,9 @@
     this->core->stop();
 }
 
-Result<void> PeerLink::send(PeerMessage message)
+Result<void> PeerLink::send(const PeerMessage &message)
 {
-    return this->core->send(std::move(message));
+    return this->core->send(encodeMessage(message));
 }
 
 bool PeerLink::isConnected() const
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -29,6 +29,7 @@
     std::shared_ptr<SocketGuard> guard;
     std::uint64_t nextSequence = 0;
     HelloMessage hello;
+    TimePoint acknowledgedAt;
 };
 
 /**
@@ -152,7 +153,13 @@
             if (core->stopped || !core->take(connection, frame, bytes)) {
                 break;
             }
-            const std::string ack = core->ackFor(frame.value());
+            const StoreProgress progress = core->options.progress ? core->options.progress() : StoreProgress();
+            if (!core->isAckDue(connection, frame.value(), progress)) {
+                continue;
+            }
+            connection.acknowledgedAt = RuntimeClock::now();
+            ++core->counts.acknowledgements;
+            const std::string ack = ackFor(frame.value(), progress);
             const Result<void> written = co_await writeBytes(*guard, ack);
             if (written.has_error()) {
                 break;
@@ -224,11 +231,17 @@
         this->counts.oversized += error.kind() == ErrorKind::TooLarge ? 1 : 0;
     }
 
-    std::string ackFor(const PeerFrame &frame) const
+    bool isAckDue(const PeerConnection &connection, const PeerFrame &frame, const StoreProgress &progress) const
+    {
+        return progress != StoreProgress() || !std::holds_alternative<HeartbeatMessage>(frame.message)
+            || RuntimeClock::now() >= connection.acknowledgedAt + this->options.timing.acknowledgementInterval();
+    }
+
+    static std::string ackFor(const PeerFrame &frame, const StoreProgress &progress)
     {
         PeerFrame ack;
         ack.sequence = frame.sequence;
-        ack.message = AckMessage{frame.sequence};
+        ack.message = AckMessage{frame.sequence, progress};
         return encodeFrame(ack).value();
     }
 
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -8,13 +8,15 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <type_traits>
 #include <vector>
 
 /**
- * How values stand in msgpack: a structure is the array of its fields in the order of fieldsOf(), a list is an array.
+ * How values stand in msgpack: a structure is the array of its fields in the order of fieldsOf(), a list is an array, and an
+ * optional value is an array of one or no element.
  * Reading throws msgpack::type_error for anything else.
  */
 namespace flamingosaddle::wire
@@ -30,6 +32,10 @@
 template <typename T>
 inline constexpr bool isVector<std::vector<T>> = true;
 template <typename T>
+inline constexpr bool isOptional = false;
+template <typename T>
+inline constexpr bool isOptional<std::optional<T>> = true;
+template <typename T>
 inline constexpr bool isId = false;
 template <typename Tag>
 inline constexpr bool isId<Id<Tag>> = true;
@@ -84,6 +90,32 @@
     return std::tie(value.id, value.address);
 }
 
+auto fieldsOf(Is<TopicProgress> auto &value)
+{
+    return std::tie(value.next, value.age);
+}
+
+auto fieldsOf(Is<StoreProgress> auto &value)
+{
+    return std::tie(value.config, value.servers);
+}
+
+auto fieldsOf(Is<BackendServer> auto &value)
+{
+    return std::tie(value.id, value.endpoint, value.dataCentre, value.kind, value.models, value.service, value.slots, value.cheap,
+        value.leaving, value.checksFencing);
+}
+
+auto fieldsOf(Is<RegisteredServer> auto &value)
+{
+    return std::tie(value.server, value.startedAt, value.leavesIn);
+}
+
+auto fieldsOf(Is<ServerChange> auto &value)
+{
+    return std::tie(value.id, value.server);
+}
+
 auto fieldsOf(Is<HelloMessage> auto &value)
 {
     return std::tie(value.from, value.dataCentre, value.connection);
@@ -121,6 +153,26 @@
 }
 
 auto fieldsOf(Is<AckMessage> auto &value)
+{
+    return std::tie(value.sequence, value.progress);
+}
+
+auto fieldsOf(Is<ServersRequestMessage> auto &value)
+{
+    return std::tie(value.from);
+}
+
+auto fieldsOf(Is<ServersMessage> auto &value)
+{
+    return std::tie(value.from, value.next, value.isComplete, value.changes, value.grace);
+}
+
+auto fieldsOf(Is<CountsMessage> auto &value)
+{
+    return std::tie(value.sequence, value.record);
+}
+
+auto fieldsOf(Is<CountsTakenMessage> auto &value)
 {
     return std::tie(value.sequence);
 }
@@ -136,6 +188,11 @@
         packer.pack(value.count());
     } else if constexpr (std::is_enum_v<T>) {
         packer.pack(static_cast<unsigned>(value));
+    } else if constexpr (isOptional<T>) {
+        packer.pack_array(value.has_value() ? 1 : 0);
+        if (value.has_value()) {
+            write(packer, *value);
+        }
     } else if constexpr (isVector<T>) {
         packer.pack_array(static_cast<std::uint32_t>(value.size()));
         for (const auto &element : value) {
@@ -168,13 +225,15 @@
     return endpoint.value();
 }
 
-inline MemberState readState(const msgpack::object &object)
+/** An enumeration whose last value is @p last. */
+template <typename T>
+T readEnum(const msgpack::object &object, T last)
 {
     const auto number = object.as<unsigned>();
-    if (number > static_cast<unsigned>(MemberState::Gone)) {
+    if (number > static_cast<unsigned>(last)) {
         throw msgpack::type_error();
     }
-    return static_cast<MemberState>(number);
+    return static_cast<T>(number);
 }
 
 template <typename T>
@@ -209,6 +268,16 @@
     return list;
 }
 
+template <typename T>
+T readOptional(const msgpack::object &object)
+{
+    const msgpack::object_array &array = arrayOf(object);
+    if (array.size > 1) {
+        throw msgpack::type_error();
+    }
+    return array.size == 0 ? T() : T(read<typename T::value_type>(array.ptr[0]));
+}
+
 template <typename T>
 T read(const msgpack::object &object)
 {
@@ -221,7 +290,11 @@
     } else if constexpr (std::is_same_v<T, std::chrono::milliseconds>) {
         return T(object.as<std::int64_t>());
     } else if constexpr (std::is_same_v<T, MemberState>) {
-        return readState(object);
+        return readEnum(object, MemberState::Gone);
+    } else if constexpr (std::is_same_v<T, BackendKind>) {
+        return readEnum(object, BackendKind::Service);
+    } else if constexpr (isOptional<T>) {
+        return readOptional<T>(object);
     } else if constexpr (isVector<T>) {
         return readList<T>(object);
     } else {
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -177,14 +177,15 @@
 {
     const std::uint64_t key = hash64(dataCentre.text());
     std::vector<std::pair<std::uint64_t, Incarnation>> weighted;
-    std::vector<Heartbeat> candidates = this->serving();
-    if (this->own.state == MemberState::Serving) {
-        candidates.push_back(this->own);
-    }
-    for (const Heartbeat &candidate : candidates) {
-        if (candidate.dataCentre == dataCentre) {
+    const auto consider = [&](const Heartbeat &candidate, MemberState state) {
+        const bool stays = state == MemberState::Joining || state == MemberState::Serving;
+        if (stays && candidate.dataCentre == dataCentre && !this->isLeaving(candidate.from.instance)) {
             weighted.emplace_back(rendezvousWeight(candidate.from.text(), key), candidate.from);
         }
+    };
+    consider(this->own, this->own.state);
+    for (const auto &[instance, member] : this->table) {
+        consider(member.last, member.state);
     }
     std::sort(weighted.rbegin(), weighted.rend());
     std::vector<Incarnation> relays;
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -92,6 +92,11 @@
     }
 }
 
+void ServerTable::keepVanishedUntil(TimePoint until)
+{
+    this->graceUntil = std::max(this->graceUntil.value_or(until), until);
+}
+
 const std::map<BackendServerId, RegisteredServer> &ServerTable::servers() const
 {
     return this->entries;
@@ -106,4 +111,14 @@
     return next;
 }
 
+bool ServerTable::isLapsing(const BackendServerId &id) const
+{
+    return this->lapsing.contains(id);
+}
+
+Duration ServerTable::graceLeft(TimePoint now) const
+{
+    return this->graceUntil.has_value() ? std::max(*this->graceUntil - now, Duration::zero()) : Duration::zero();
+}
+
 } // namespace flamingosaddle
--- /dev/null
+++ b/src/state/storeprogress.cpp
@@ -0,0 +1,47 @@
+#include <flamingosaddle/state/storeprogress.h>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+RelayedTopic::RelayedTopic(Duration patience)
+    : patience(patience)
+{
+}
+
+void RelayedTopic::note(const TopicProgress &progress, TimePoint askedAt, TimePoint now)
+{
+    this->highest = std::max(this->highest, progress.next);
+    const TimePoint provedAt = std::min(askedAt, now) - progress.age;
+    // A proof of an end below the highest known one is no proof of anything newer.
+    if (progress.next < this->highest) {
+        return;
+    }
+    if (progress.next > this->provedEnd || !this->proof.has_value() || provedAt > *this->proof) {
+        this->provedEnd = progress.next;
+        this->proof = provedAt;
+    }
+}
+
+std::optional<TimePoint> RelayedTopic::provedAt(std::uint64_t next) const
+{
+    return this->provedEnd <= next ? this->proof : std::nullopt;
+}
+
+bool RelayedTopic::isFollowed(TimePoint now) const
+{
+    return now < this->followedUntil();
+}
+
+TimePoint RelayedTopic::followedUntil() const
+{
+    return this->proof.has_value() ? *this->proof + this->patience : TimePoint::min();
+}
+
+std::uint64_t RelayedTopic::end() const
+{
+    return this->highest;
+}
+
+} // namespace flamingosaddle
--- a/tests/control/duties_test.cpp
+++ b/tests/control/duties_test.cpp
@@ -146,6 +146,26 @@
         options.leaderWordLife + options.timing.lease + options.timing.margin + options.claimSpread + 3 * options.tick);
 }
 
+TEST_F(DutiesTest, AnInstanceThatMayNotContestLeavesTheLogAlone)
+{
+    Instance other(this->duties.hooks(), "c", this->unixTime);
+    bool mayContest = false;
+    DutyLog::Options options = Instance::optionsOf("c");
+    options.mayContest = [&mayContest] {
+        return mayContest;
+    };
+    DutyLog log(other.hooks, options);
+    boost::asio::co_spawn(this->context, log.run(), boost::asio::detached);
+    passTime(this->context, 10s);
+    EXPECT_EQ(this->duties.dutyReads, 0U);
+    mayContest = true;
+    EXPECT_TRUE(passTimeUntil(this->context, [&log] {
+        return log.isLeading();
+    }));
+    log.stop();
+    passTime(this->context, 1s);
+}
+
 TEST_F(DutiesTest, ManyInstancesAppendTheirCountsLessOften)
 {
     const auto recordsOf = [this](std::size_t instances) {
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -73,6 +73,16 @@
         hooks.onDemands = [](const std::vector<ServiceDemand> &) {};
         hooks.onQuarantines = [](const QuarantinesMessage &) {};
         hooks.onServingCount = [](std::size_t) {};
+        hooks.progress = [] {
+            return StoreProgress();
+        };
+        hooks.onProgress = [](const Endpoint &, bool, const StoreProgress &, TimePoint) {};
+        hooks.serversSince = [](std::uint64_t) {
+            return ServersMessage();
+        };
+        hooks.onServers = [](const ServersMessage &) {};
+        hooks.onCounts = [](const std::string &, const std::function<void()> &) {};
+        hooks.onCountsTaken = [](std::uint64_t) {};
         return hooks;
     }
 
--- /dev/null
+++ b/tests/state/storeprogress_test.cpp
@@ -0,0 +1,61 @@
+#include <flamingosaddle/state/storeprogress.h>
+
+#include <gtest/gtest.h>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct RelayedTopicTest : testing::Test {
+    TimePoint start = TimePoint(100s);
+    RelayedTopic topic{2500ms};
+};
+
+} // namespace
+
+TEST_F(RelayedTopicTest, KnowsNothingBeforeAnAnswer)
+{
+    EXPECT_FALSE(this->topic.isFollowed(this->start));
+    EXPECT_FALSE(this->topic.provedAt(7).has_value());
+}
+
+TEST_F(RelayedTopicTest, AProofIsDatedFromTheQuestionLessTheAge)
+{
+    this->topic.note({5, 800ms}, this->start, this->start + 40ms);
+    EXPECT_EQ(this->topic.provedAt(5), this->start - 800ms);
+}
+
+TEST_F(RelayedTopicTest, AnAnswerOfARelayThatWasFrozenIsNoYounger)
+{
+    // The relay froze after it had made its answer, which arrives four seconds late.
+    this->topic.note({5, 800ms}, this->start, this->start + 4s);
+    EXPECT_EQ(this->topic.provedAt(5), this->start - 800ms);
+    EXPECT_FALSE(this->topic.isFollowed(this->start + 4s));
+}
+
+TEST_F(RelayedTopicTest, AProofOfALaterEndSaysNothingOfAnEarlierOne)
+{
+    this->topic.note({6, 100ms}, this->start, this->start + 2ms);
+    EXPECT_FALSE(this->topic.provedAt(5).has_value()) << "a configuration came that this instance has not read";
+    EXPECT_TRUE(this->topic.provedAt(6).has_value());
+    EXPECT_EQ(this->topic.end(), 6U);
+}
+
+TEST_F(RelayedTopicTest, ARelayThatLiesBehindProvesNothing)
+{
+    this->topic.note({6, 100ms}, this->start, this->start);
+    this->topic.note({5, 0ms}, this->start + 1s, this->start + 1s);
+    EXPECT_EQ(this->topic.provedAt(6), this->start - 100ms);
+    EXPECT_FALSE(this->topic.provedAt(5).has_value());
+}
+
+TEST_F(RelayedTopicTest, KeepsTheYoungestProofOfSeveralRelays)
+{
+    this->topic.note({5, 200ms}, this->start, this->start);
+    this->topic.note({5, 1500ms}, this->start + 250ms, this->start + 250ms);
+    EXPECT_EQ(this->topic.provedAt(5), this->start - 200ms);
+    EXPECT_TRUE(this->topic.isFollowed(this->start + 2s));
+    EXPECT_FALSE(this->topic.isFollowed(this->start + 2300ms));
+}
