Relays that are gone are missed within a second

Cause: an instance left relays only when their newest proof was two and a half seconds old; the shortest bounds of the deployments for a configuration and for a server that leaves are two seconds. Change: it also leaves them when none has answered for a second, which is four heartbeats. Two RelayedTopicTest cases fail without it; the RelaysTest case of killed relays holds with and without.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -90,6 +90,8 @@
     /** How old a relay's proof of the configuration may get before this instance reads the store. */
     Duration configPatience = std::chrono::milliseconds(2500);
     Duration serverPatience = std::chrono::milliseconds(3000); ///< the same for the entries of servers
+    /** How long no relay may have answered; they do at each heartbeat. */
+    Duration relayAnswerPatience = std::chrono::milliseconds(1000);
     /** How long this instance may lack entries that some relay has, before it reads the store. */
     Duration behindLimit = std::chrono::milliseconds(1000);
     std::size_t keptBatches = 256; ///< of changes of servers' entries, for instances that ask for them
--- a/include/flamingosaddle/state/storeprogress.h
+++ b/include/flamingosaddle/state/storeprogress.h
@@ -40,8 +40,12 @@
 class RelayedTopic
 {
 public:
-    /** @param patience how old the newest proof of a peer may be */
-    explicit RelayedTopic(Duration patience);
+    /**
+     * @param patience how old the newest proof of a peer may be
+     * @param answerPatience how long ago the last answer may have come: peers that are gone are missed sooner than the
+     * proof gets old
+     */
+    RelayedTopic(Duration patience, Duration answerPatience);
 
     // Commands.
     /** A peer answered a question that was sent at @p askedAt; the answer came at @p now. */
@@ -59,6 +63,8 @@
 
 private:
     Duration patience;
+    Duration answerPatience;
+    std::optional<TimePoint> answeredAt; // when the newest answer came
     std::uint64_t highest = 0; // the highest offset of all answers
     std::uint64_t provedEnd = 0; // the offset that the newest proof is of
     std::optional<TimePoint> proof;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -30,8 +30,8 @@
     , configBackoff(firstRetryDelay, longestRetryDelay, options.seed)
     , serverBackoff(firstRetryDelay, longestRetryDelay, options.seed + 1)
     , table(options.servers)
-    , relayedConfig(options.configPatience)
-    , relayedServers(options.serverPatience)
+    , relayedConfig(options.configPatience, options.relayAnswerPatience)
+    , relayedServers(options.serverPatience, options.relayAnswerPatience)
 {
 }
 
--- a/src/state/storeprogress.cpp
+++ b/src/state/storeprogress.cpp
@@ -5,13 +5,15 @@
 namespace flamingosaddle
 {
 
-RelayedTopic::RelayedTopic(Duration patience)
+RelayedTopic::RelayedTopic(Duration patience, Duration answerPatience)
     : patience(patience)
+    , answerPatience(answerPatience)
 {
 }
 
 void RelayedTopic::note(const TopicProgress &progress, TimePoint askedAt, TimePoint now)
 {
+    this->answeredAt = now;
     this->highest = std::max(this->highest, progress.next);
     const TimePoint provedAt = std::min(askedAt, now) - progress.age;
     // A proof of an end below the highest known one is no proof of anything newer.
@@ -36,7 +38,10 @@
 
 TimePoint RelayedTopic::followedUntil() const
 {
-    return this->proof.has_value() ? *this->proof + this->patience : TimePoint::min();
+    if (!this->proof.has_value()) {
+        return TimePoint::min();
+    }
+    return std::min(*this->proof + this->patience, *this->answeredAt + this->answerPatience);
 }
 
 std::uint64_t RelayedTopic::end() const
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -236,6 +236,18 @@
     EXPECT_FALSE(this->follower.knows("s1"));
 }
 
+TEST_F(RelaysTest, ItReadsTheStoreWithinTheShortestBoundWhenAllRelaysWereKilled)
+{
+    // The shortest of the deployments' bounds for a configuration and for a server that leaves.
+    constexpr Duration shortestBound = 2s;
+    this->exchange(2s);
+    this->store.publish(2);
+    this->store.remove("s1");
+    passTime(this->context, shortestBound);
+    EXPECT_EQ(this->follower.directory.config()->version, 2U);
+    EXPECT_FALSE(this->follower.knows("s1"));
+}
+
 TEST_F(RelaysTest, ARelayOfAnotherDataCentreShowsThatTheNearOneLiesBehind)
 {
     this->isSecondNear = false;
--- a/tests/state/storeprogress_test.cpp
+++ b/tests/state/storeprogress_test.cpp
@@ -10,7 +10,7 @@
 
 struct RelayedTopicTest : testing::Test {
     TimePoint start = TimePoint(100s);
-    RelayedTopic topic{2500ms};
+    RelayedTopic topic{2500ms, 1000ms};
 };
 
 } // namespace
@@ -56,6 +56,21 @@
     this->topic.note({5, 200ms}, this->start, this->start);
     this->topic.note({5, 1500ms}, this->start + 250ms, this->start + 250ms);
     EXPECT_EQ(this->topic.provedAt(5), this->start - 200ms);
-    EXPECT_TRUE(this->topic.isFollowed(this->start + 2s));
-    EXPECT_FALSE(this->topic.isFollowed(this->start + 2300ms));
+    EXPECT_EQ(this->topic.followedUntil(), this->start + 1250ms);
+}
+
+TEST_F(RelayedTopicTest, RelaysThatAreGoneAreMissedBeforeTheirProofGetsOld)
+{
+    this->topic.note({5, 0ms}, this->start, this->start);
+    EXPECT_TRUE(this->topic.isFollowed(this->start + 900ms));
+    EXPECT_FALSE(this->topic.isFollowed(this->start + 1s));
+}
+
+TEST_F(RelayedTopicTest, RelaysThatAnswerWithoutTheStoreAreLeftWhenTheirProofGetsOld)
+{
+    for (Duration passed{}; passed <= 3s; passed += 250ms) {
+        this->topic.note(
+            {5, std::chrono::duration_cast<std::chrono::milliseconds>(passed)}, this->start + passed, this->start + passed);
+    }
+    EXPECT_EQ(this->topic.followedUntil(), this->start + 2500ms);
 }
