What peers tell of ages, graces and counts stays within bounds

An age below zero would have dated a proof into the future and extended the right to serve after a key was withdrawn; a huge one overflowed. A record of counts over the log's limit would have failed every append of its relay from then on. Change: ages are clamped, the grace is at most the own one, records and their sum are bounded, and a relay drops what it could not append: the writers keep it. Tests: RelayedTopicTest.AnAgeOutOfRange..., CountsTest.ARecordThatTheLogWouldRefuse...

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -192,8 +192,10 @@
     if (!this->serversNext.has_value() || !connects || relayed.reading.next <= *this->serversNext) {
         return;
     }
-    if (relayed.grace > std::chrono::milliseconds::zero()) {
-        this->table.keepVanishedUntil(RuntimeClock::now() + relayed.grace);
+    const Duration grace = std::min<std::chrono::milliseconds>(
+        relayed.grace, std::chrono::ceil<std::chrono::milliseconds>(this->options.servers.returnGrace));
+    if (grace > Duration::zero()) {
+        this->table.keepVanishedUntil(RuntimeClock::now() + grace);
     }
     this->batches.clear();
     this->noteServersNext(relayed.reading.next);
--- a/src/control/usagemeter.cpp
+++ b/src/control/usagemeter.cpp
@@ -17,7 +17,9 @@
 constexpr std::chrono::milliseconds longestRetryDelay(500);
 // Records that wait while the log is away; beyond them the newest take in what comes.
 constexpr std::size_t maxWaitingRecords = 4;
-constexpr std::size_t maxGatheredRecords = 256; // of other instances, each of a few kilobytes at most
+// Of other instances' records; the log takes 256 KiB in a record and 2 MiB in a call.
+constexpr std::size_t maxGatheredRecordBytes = std::size_t{128} << 10;
+constexpr std::size_t maxGatheredBytes = std::size_t{1} << 20;
 // Instances that flush at the interval of the options; twice as many flush half as often.
 constexpr std::size_t instancesAFlush = 4;
 // Keeps the longest interval within half of the shortest windows, of 5 s.
@@ -96,8 +98,12 @@
 
 void UsageMeter::gather(std::string record, std::function<void()> taken)
 {
-    // Beyond the limit the sender appends the record itself.
-    if (!this->stopped && this->gathered.size() < maxGatheredRecords) {
+    std::size_t bytes = record.size();
+    for (const Gathered &other : this->gathered) {
+        bytes += other.record.size();
+    }
+    // Beyond the limits the sender appends the record itself.
+    if (!this->stopped && record.size() <= maxGatheredRecordBytes && bytes <= maxGatheredBytes) {
         this->gathered.push_back({std::move(record), std::move(taken)});
     }
 }
@@ -185,9 +191,7 @@
     this->lastAppend = RuntimeClock::now();
     const Result<std::uint64_t> offset = co_await this->hooks.appendCounts(std::move(batch));
     if (offset.has_error()) {
-        // Their writers keep the records too; those that come meanwhile are newer.
-        others.insert(others.end(), this->gathered.begin(), this->gathered.end());
-        this->gathered.swap(others);
+        // The writers of the others' records keep them, and append them when nothing confirms them.
         co_return false;
     }
     // A shutdown may have appended it meanwhile.
--- a/src/state/storeprogress.cpp
+++ b/src/state/storeprogress.cpp
@@ -5,6 +5,14 @@
 namespace flamingosaddle
 {
 
+namespace
+{
+
+// Older ones prove nothing that is of use.
+constexpr std::chrono::milliseconds oldestAge = std::chrono::hours(1);
+
+} // namespace
+
 RelayedTopic::RelayedTopic(Duration patience, Duration answerPatience)
     : patience(patience)
     , answerPatience(answerPatience)
@@ -15,7 +23,8 @@
 {
     this->answeredAt = now;
     this->highest = std::max(this->highest, progress.next);
-    const TimePoint provedAt = std::min(askedAt, now) - progress.age;
+    // A proof from the time after the question would extend the right to serve.
+    const TimePoint provedAt = std::min(askedAt, now) - std::clamp(progress.age, std::chrono::milliseconds(0), oldestAge);
     // A proof of an end below the highest known one is no proof of anything newer.
     if (progress.next < this->highest) {
         return;
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -393,3 +393,14 @@
     passTime(this->context, 5s);
     EXPECT_EQ(this->reported(), 1U);
 }
+
+TEST_F(CountsTest, ARecordThatTheLogWouldRefuseDoesNotHoldUpTheOthers)
+{
+    this->run();
+    this->relay.gather(std::string(std::size_t{1} << 20, 'x'), [] {
+        FAIL() << "it cannot be in the log";
+    });
+    this->follower.count(ClientAccountId("acme"), 0s);
+    passTime(this->context, 5s);
+    EXPECT_EQ(this->reported(), 1U);
+}
--- a/tests/state/storeprogress_test.cpp
+++ b/tests/state/storeprogress_test.cpp
@@ -35,6 +35,15 @@
     EXPECT_FALSE(this->topic.isFollowed(this->start + 4s));
 }
 
+TEST_F(RelayedTopicTest, AnAgeOutOfRangeIsNoYoungerThanTheQuestion)
+{
+    this->topic.note({5, -10s}, this->start, this->start);
+    EXPECT_EQ(this->topic.provedAt(5), this->start);
+    this->topic.note({6, std::chrono::milliseconds::max()}, this->start, this->start);
+    EXPECT_LT(this->topic.provedAt(6), this->start);
+    EXPECT_FALSE(this->topic.isFollowed(this->start));
+}
+
 TEST_F(RelayedTopicTest, AProofOfALaterEndSaysNothingOfAnEarlierOne)
 {
     this->topic.note({6, 100ms}, this->start, this->start + 2ms);
