--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -404,3 +404,19 @@
     passTime(this->context, 5s);
     EXPECT_EQ(this->reported(), 1U);
 }
+
+TEST_F(CountsTest, AShutdownBesideARunningAppendLosesNoRecord)
+{
+    this->hooks.appendCounts = [this](std::vector<std::string> records) -> DutyHooks::Answer<std::uint64_t> {
+        co_await delay(300ms);
+        this->duties.counts.insert(this->duties.counts.end(), records.begin(), records.end());
+        co_return this->duties.counts.size() - records.size();
+    };
+    boost::asio::co_spawn(this->context, this->relay.run(), boost::asio::detached);
+    this->relay.count(ClientAccountId("acme"), 0s);
+    passTime(this->context, 100ms); // the append of the first record is under way
+    this->relay.count(ClientAccountId("acme"), 0s);
+    boost::asio::co_spawn(this->context, this->relay.finish(RuntimeClock::now() + 5s), boost::asio::detached);
+    passTime(this->context, 5s);
+    EXPECT_EQ(this->reported(), 2U);
+}
