Directory gives and takes servers' entries as the peers' message

RelayedServers repeated ServersMessage field by field, with a converter each way. Found in reading the diff once more; behaviour and the tests' assertions stay.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -5,6 +5,7 @@
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/base/timer.h>
+#include <flamingosaddle/peer/message.h>
 #include <flamingosaddle/state/configstate.h>
 #include <flamingosaddle/state/publishedconfig.h>
 #include <flamingosaddle/state/servertable.h>
@@ -58,18 +59,6 @@
         readServers;
 };
 
-/**
- * Changes of servers' entries as one instance passes them on to another.
- */
-struct RelayedServers {
-    std::uint64_t from = 0; ///< where the changes begin; they may be applied to any state from there on
-    ServerReading reading;
-    /** How much longer an entry that vanished is kept, after an outage of the store. */
-    std::chrono::milliseconds grace{0};
-
-    friend bool operator==(const RelayedServers &, const RelayedServers &) = default;
-};
-
 /**
  * How the directory relies on other instances that read the store.
  */
@@ -122,14 +111,14 @@
      */
     void notePeerProgress(const Endpoint &peer, bool isNear, const StoreProgress &progress, TimePoint askedAt, TimePoint now);
     /** Entries that another instance read. */
-    void takeRelayedServers(const RelayedServers &relayed);
+    void takeRelayedServers(const ServersMessage &relayed);
 
     // Queries.
 
     /** How far this instance has read the store by itself, for those that rely on it. */
     StoreProgress progress() const;
     /** Changes of servers' entries from @p from on or earlier, or all entries when those are not kept any more. */
-    RelayedServers serversSince(std::uint64_t from) const;
+    ServersMessage serversSince(std::uint64_t from) const;
 
     /** The configuration with the servers that may be used; nullptr before the first configuration. */
     std::shared_ptr<const ConfigState> state() const;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -61,16 +61,6 @@
     return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onAdvance));
 }
 
-ServersMessage messageOf(RelayedServers relayed)
-{
-    return {relayed.from, relayed.reading.next, relayed.reading.isComplete, std::move(relayed.reading.changes), relayed.grace};
-}
-
-RelayedServers relayedServersOf(const ServersMessage &message)
-{
-    return {message.from, {message.next, message.isComplete, message.changes}, message.grace};
-}
-
 } // namespace
 
 /**
@@ -425,11 +415,11 @@
         }
     };
     peerHooks.serversSince = [this](std::uint64_t from) {
-        return this->directory ? messageOf(this->directory->serversSince(from)) : ServersMessage();
+        return this->directory ? this->directory->serversSince(from) : ServersMessage();
     };
     peerHooks.onServers = [this](const ServersMessage &message) {
         if (this->directory) {
-            this->directory->takeRelayedServers(relayedServersOf(message));
+            this->directory->takeRelayedServers(message);
         }
     };
     peerHooks.onCounts = [this](const std::string &record, std::function<void()> taken) {
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -186,10 +186,10 @@
     }
 }
 
-void Directory::takeRelayedServers(const RelayedServers &relayed)
+void Directory::takeRelayedServers(const ServersMessage &relayed)
 {
-    const bool connects = relayed.reading.isComplete || relayed.from <= this->serversNext.value_or(0);
-    if (!this->serversNext.has_value() || !connects || relayed.reading.next <= *this->serversNext) {
+    const bool connects = relayed.isComplete || relayed.from <= this->serversNext.value_or(0);
+    if (!this->serversNext.has_value() || !connects || relayed.next <= *this->serversNext) {
         return;
     }
     const Duration grace = std::min<std::chrono::milliseconds>(
@@ -198,8 +198,8 @@
         this->table.keepVanishedUntil(RuntimeClock::now() + grace);
     }
     this->batches.clear();
-    this->noteServersNext(relayed.reading.next);
-    this->takeServers(relayed.reading);
+    this->noteServersNext(relayed.next);
+    this->takeServers({relayed.next, relayed.isComplete, relayed.changes});
 }
 
 StoreProgress Directory::progress() const
@@ -219,26 +219,26 @@
     return progress;
 }
 
-RelayedServers Directory::serversSince(std::uint64_t from) const
+ServersMessage Directory::serversSince(std::uint64_t from) const
 {
     const TimePoint now = RuntimeClock::now();
-    RelayedServers relayed;
-    relayed.reading.next = this->serversNext.value_or(0);
+    ServersMessage relayed;
+    relayed.next = this->serversNext.value_or(0);
     relayed.grace = std::chrono::ceil<std::chrono::milliseconds>(this->table.graceLeft(now));
     const bool isKept = !this->batches.empty() && this->batches.front().from <= from;
     if (isKept) {
         relayed.from = from;
         for (const Batch &batch : this->batches) {
             if (batch.next > from) {
-                relayed.reading.changes.insert(relayed.reading.changes.end(), batch.changes.begin(), batch.changes.end());
+                relayed.changes.insert(relayed.changes.end(), batch.changes.begin(), batch.changes.end());
             }
         }
         return relayed;
     }
-    relayed.reading.isComplete = true;
+    relayed.isComplete = true;
     for (const auto &[id, server] : this->table.servers()) {
         if (!this->table.isLapsing(id)) {
-            relayed.reading.changes.push_back({id, server});
+            relayed.changes.push_back({id, server});
         }
     }
     return relayed;
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -292,9 +292,9 @@
     this->first.isCut = false;
     this->exchange(heartbeat * 4);
     ASSERT_TRUE(this->first.knows("s1"));
-    const RelayedServers whole = this->first.directory.serversSince(0);
-    ASSERT_TRUE(whole.reading.isComplete);
-    EXPECT_TRUE(whole.reading.changes.empty());
+    const ServersMessage whole = this->first.directory.serversSince(0);
+    ASSERT_TRUE(whole.isComplete);
+    EXPECT_TRUE(whole.changes.empty());
 }
 
 namespace
