Log and count the rate limits that backend servers state

No decision uses the limit yet.

A response counts only if it is the called server's own response to the request. A 421 comes from another server at the same address, so the check of responses has a value of its own for it (Misdirected); the test that expected NotExecuted for 421 expects the new value, and the pool's test shows that it is still a rejection that sent nothing.

--- a/include/flamingosaddle/app/adminhandler.h
+++ b/include/flamingosaddle/app/adminhandler.h
@@ -17,6 +17,7 @@
     std::size_t activeExchanges = 0;
     std::size_t waiting = 0;
     std::size_t running = 0;
+    std::size_t rateLimitedServers = 0; ///< backend servers with a known rate limit
     bool draining = false;
 
     friend bool operator==(const TrafficStatus &, const TrafficStatus &) = default;
--- a/include/flamingosaddle/app/trafficmetrics.h
+++ b/include/flamingosaddle/app/trafficmetrics.h
@@ -4,6 +4,8 @@
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/relay/callerhooks.h>
 
+#include <string_view>
+
 namespace flamingosaddle
 {
 
@@ -18,6 +20,8 @@
     TrafficMetrics(MetricsRegistry &registry, const SharedRoutingSnapshot &board);
 
     void observe(const RequestOutcome &outcome);
+    /** Counts a change of a backend server's known rate limit. @param source what the limit was learned from */
+    void observeRateLimitChange(std::string_view source);
 
 private:
     const RequestClass *classOf(const RoutingSnapshot &snapshot, const RequestOutcome &outcome) const;
--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -30,6 +30,8 @@
      * reports that the request completed.
      */
     std::function<void(std::uint64_t fingerprint, TimePoint until)> onSuspectRequest;
+    /** A response has changed the known rate limit of a backend server. */
+    std::function<void(const ServerRateLimit &limit)> onRateLimitChange;
 };
 
 /**
@@ -50,6 +52,8 @@
     bool isOpen() const; ///< whether neither finish() nor a refused retry() has ended it
 
     // Commands.
+    /** Records the rate limit that the server stated in the head of its response, or that it stated none. */
+    void recordRateLimit(std::optional<double> requestsPerSecond);
     void recordFirstToken();
     void recordTokens(std::uint32_t count);
     void finish(AttemptOutcome end);
@@ -97,6 +101,7 @@
     // Queries; thread-safe.
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
+    std::size_t rateLimitedCount() const;
 
 private:
     class WakeupTimer;
--- a/include/flamingosaddle/relay/protocoladapter.h
+++ b/include/flamingosaddle/relay/protocoladapter.h
@@ -45,6 +45,11 @@
     std::function<ResponseCheck(const HttpRequest &sent, const HttpResponseHead &head)> checkResponse;
     /** Returns the header fields of a backend server's response that are forwarded to the caller. */
     std::function<HttpHeaders(const HttpHeaders &fromBackend)> responseHeaders;
+    /**
+     * Returns the requests per second that the backend server states to accept from all instances together, or nothing if it
+     * states no valid limit.
+     */
+    std::function<std::optional<double>(const HttpHeaders &fromBackend)> rateLimit;
     /** Returns the header fields that the router adds to every response. */
     std::function<HttpHeaders(std::string_view requestId, const TraceContext &trace)> routerHeaders;
     /** Whether a response with @p status is retried at another backend server. */
@@ -58,6 +63,9 @@
     bool allowBodyUntilClose = false; ///< whether a response without a length may be delimited by connection close
 };
 
+/** Parses a rate limit: a decimal number of requests per second, not negative. Returns nothing for any other text. */
+std::optional<double> parseRateLimit(std::string_view text);
+
 /**
  * Returns the adapter for the OpenAI protocol.
  * @param keySecret secret of the keyed hash of callers' keys
--- a/include/flamingosaddle/relay/responsecheck.h
+++ b/include/flamingosaddle/relay/responsecheck.h
@@ -9,6 +9,7 @@
 enum class ResponseCheck {
     Valid, ///< the backend server's response to this request
     NotExecuted, ///< proves that the request has not run and will not run
+    Misdirected, ///< as NotExecuted, but from a server that is not the one that was called
     KeyReused, ///< belongs to an earlier request on the connection
     Invalid, ///< cannot be attributed; the request may have run
 };
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -69,6 +69,12 @@
     /** Replaces the contents of @p decisions with the requests that may start now and the waiting ones that are rejected. */
     void dispatch(TimePoint now, Decisions &decisions);
 
+    /**
+     * Handles the head of the response, in which the backend server states its rate limit, if it has one. Returns the limit if it
+     * differs from the known one.
+     */
+    std::optional<ServerRateLimit> onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now);
+
     /** Handles the first byte of the response. */
     void onFirstToken(Ticket ticket, TimePoint now);
 
@@ -150,6 +156,8 @@
     /** Replaces the contents of @p waiting with the requests that the last dispatch() left waiting, to be sent to peers. */
     void waitingTiers(std::vector<WaitingTier> &waiting) const;
     std::size_t runningCount() const;
+    /** Returns the number of backend servers that are known to have a rate limit. */
+    std::size_t rateLimitedCount() const;
     std::uint32_t inFlight(const BackendServerId &server) const;
     /** Returns the tokens of this instance's prompts that the server has not processed yet. */
     std::uint64_t backlogTokens(const BackendServerId &server) const;
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace flamingosaddle
@@ -135,6 +136,17 @@
     friend bool operator==(const ServedTokensReport &, const ServedTokensReport &) = default;
 };
 
+/**
+ * The rate limit of a backend server: how many requests per second it accepts from all instances together.
+ */
+struct ServerRateLimit {
+    BackendServerId server;
+    std::optional<double> requestsPerSecond; ///< empty if the server states no limit
+    TimePoint statedAt; ///< arrival of the response that stated it
+
+    friend bool operator==(const ServerRateLimit &, const ServerRateLimit &) = default;
+};
+
 /**
  * Forecast wait for a slot of one more request of a tier.
  */
--- a/src/app/controlmetrics.cpp
+++ b/src/app/controlmetrics.cpp
@@ -58,6 +58,8 @@
         .set(static_cast<double>(controller.peerExchange().sentBytes()));
     registry.gauge("flamingosaddle_waiting_requests", "Requests in the queue.").set(static_cast<double>(traffic.waiting));
     registry.gauge("flamingosaddle_running_requests", "Requests at backend servers.").set(static_cast<double>(traffic.running));
+    registry.gauge("flamingosaddle_rate_limited_servers", "Backend servers that are known to have a rate limit.")
+        .set(static_cast<double>(traffic.rateLimitedServers));
     registry.gauge("flamingosaddle_caller_connections", "Connections of callers.")
         .set(static_cast<double>(traffic.callerConnections));
 }
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/app/adminhandler.h>
 #include <flamingosaddle/app/peertraffic.h>
+#include <flamingosaddle/app/ratelimitlog.h>
 #include <flamingosaddle/app/requestlog.h>
 #include <flamingosaddle/app/trafficmetrics.h>
 #include <flamingosaddle/app/workerthreads.h>
@@ -284,9 +285,18 @@
             const auto remaining = std::max(left, std::chrono::milliseconds(0));
             this->tellQuarantines({{}, {{fingerprint, remaining}}});
         };
+        hooks.onRateLimitChange = [this](const ServerRateLimit &limit) {
+            this->observeRateLimit(limit, "response");
+        };
         return hooks;
     }
 
+    void observeRateLimit(const ServerRateLimit &limit, std::string_view source)
+    {
+        this->trafficMetrics.observeRateLimitChange(source);
+        this->rateLimitLog.observe(limit, source);
+    }
+
     void tellQuarantines(QuarantinesMessage message)
     {
         boost::asio::post(this->controlContext, [this, message = std::move(message)] {
@@ -364,6 +374,7 @@
         status.activeExchanges = this->callerServer->activeExchangeCount();
         status.waiting = this->gate.waitingCount();
         status.running = this->gate.runningCount();
+        status.rateLimitedServers = this->gate.rateLimitedCount();
         status.draining = this->draining;
         return status;
     }
@@ -432,6 +443,7 @@
     SharedRoutingSnapshot board;
     TrafficMetrics trafficMetrics{this->metrics, this->board};
     RequestLog requestLog;
+    RateLimitLog rateLimitLog;
     boost::asio::io_context controlContext{1};
     WorkerThreads workers;
     ConnectionRegistry keys;
--- a/src/app/trafficmetrics.cpp
+++ b/src/app/trafficmetrics.cpp
@@ -43,6 +43,14 @@
     }
 }
 
+void TrafficMetrics::observeRateLimitChange(std::string_view source)
+{
+    this->registry
+        .counter("flamingosaddle_rate_limit_changes_total", "Changes of a backend server's known rate limit.",
+            {{"source", std::string(source)}})
+        .add();
+}
+
 const RequestClass *TrafficMetrics::classOf(const RoutingSnapshot &snapshot, const RequestOutcome &outcome) const
 {
     const std::vector<RequestClass> *classes = snapshot.classesOf(outcome.clientAccount);
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -76,6 +76,13 @@
     return this->core != nullptr;
 }
 
+void ServerGrant::recordRateLimit(std::optional<double> requestsPerSecond)
+{
+    if (this->core) {
+        this->core->recordRateLimit(this->ticket, requestsPerSecond);
+    }
+}
+
 void ServerGrant::recordFirstToken()
 {
     if (this->core) {
@@ -200,4 +207,9 @@
     return this->core->runningCount();
 }
 
+std::size_t AsyncDispatcher::rateLimitedCount() const
+{
+    return this->core->rateLimitedCount();
+}
+
 } // namespace flamingosaddle
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -48,6 +48,19 @@
     return refusal;
 }
 
+void AsyncDispatcherCore::recordRateLimit(Ticket ticket, std::optional<double> requestsPerSecond)
+{
+    std::unique_lock lock(this->mutex);
+    const std::optional<ServerRateLimit> change = this->dispatcher.onResponseHead(ticket, requestsPerSecond, RuntimeClock::now());
+    if (!change.has_value()) {
+        return;
+    }
+    this->dispatchAndUnlock(lock, nullptr);
+    if (this->hooks.onRateLimitChange) {
+        this->hooks.onRateLimitChange(*change);
+    }
+}
+
 void AsyncDispatcherCore::recordFirstToken(Ticket ticket)
 {
     // The completed prefill may free capacity for another prompt.
@@ -187,4 +200,10 @@
     return this->dispatcher.runningCount();
 }
 
+std::size_t AsyncDispatcherCore::rateLimitedCount() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->dispatcher.rateLimitedCount();
+}
+
 } // namespace flamingosaddle
--- a/src/relay/asyncdispatchercore.h
+++ b/src/relay/asyncdispatchercore.h
@@ -52,6 +52,7 @@
     std::variant<Ticket, Refusal> submit(const RequestProfile &profile, const std::shared_ptr<WaitingRequest> &waiter);
     std::optional<Refusal> retry(
         Ticket ticket, AttemptOutcome end, bool anyByteSent, const std::shared_ptr<WaitingRequest> &waiter);
+    void recordRateLimit(Ticket ticket, std::optional<double> requestsPerSecond);
     void recordFirstToken(Ticket ticket);
     void recordTokens(Ticket ticket, std::uint32_t count);
     void finish(Ticket ticket, AttemptOutcome end);
@@ -68,6 +69,7 @@
     // Queries; thread-safe.
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
+    std::size_t rateLimitedCount() const;
 
 private:
     struct Delivery {
--- a/src/relay/backendheaders.cpp
+++ b/src/relay/backendheaders.cpp
@@ -1,5 +1,7 @@
 #include "backendheaders.h"
 
+#include <flamingosaddle/relay/protocoladapter.h>
+
 #include <algorithm>
 #include <array>
 #include <string>
@@ -13,9 +15,11 @@
 constexpr std::array<std::string_view, 8> forwardedToBackend
     = {"Accept", "Accept-Language", "Content-Language", "Content-Type", "Idempotency-Key", "If-Match", "If-None-Match", "Range"};
 
-constexpr std::array<std::string_view, 14> hiddenFromCaller = {"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate",
+constexpr std::string_view rateLimitHeader = "X-Flamingosaddle-Rate-Limit";
+
+constexpr std::array<std::string_view, 15> hiddenFromCaller = {"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate",
     "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "X-Request-Id", "traceparent",
-    "X-Flamingosaddle-Run-State", "X-Flamingosaddle-Priority"};
+    "X-Flamingosaddle-Run-State", "X-Flamingosaddle-Priority", rateLimitHeader};
 
 template <std::size_t size>
 bool isListed(const std::array<std::string_view, size> &names, const std::string &name)
@@ -52,4 +56,9 @@
     return headers;
 }
 
+std::optional<double> rateLimitOf(const HttpHeaders &fromBackend)
+{
+    return parseRateLimit(fromBackend.find(rateLimitHeader));
+}
+
 } // namespace flamingosaddle
--- a/src/relay/backendheaders.h
+++ b/src/relay/backendheaders.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/trace.h>
 #include <flamingosaddle/http/message.h>
 
+#include <optional>
 #include <string_view>
 
 namespace flamingosaddle
@@ -20,4 +21,7 @@
  */
 HttpHeaders headersForCaller(const HttpHeaders &fromBackend);
 
+/** Returns the rate limit that the backend server states, see ProtocolAdapter::rateLimit. */
+std::optional<double> rateLimitOf(const HttpHeaders &fromBackend);
+
 } // namespace flamingosaddle
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -183,10 +183,14 @@
 {
     for (int skipped = 0; skipped <= maxForeignResponses; ++skipped) {
         Result<HttpResponseHead> head = co_await connection.readHead(order.headTimeout);
-        if (!head.has_value() || !order.checkResponse) {
+        if (!head.has_value()) {
             co_return head;
         }
-        const ResponseCheck check = order.checkResponse(order.request, head.value());
+        const ResponseCheck check = order.checkResponse ? order.checkResponse(order.request, head.value()) : ResponseCheck::Valid;
+        const bool isFromCalledServer = check == ResponseCheck::Valid || check == ResponseCheck::NotExecuted;
+        if (isFromCalledServer && order.onResponseHead) {
+            order.onResponseHead(head.value());
+        }
         if (check == ResponseCheck::Valid) {
             co_return head;
         }
@@ -194,7 +198,7 @@
             break;
         }
         const Result<void> discarded = co_await this->discardBody(connection);
-        if (check == ResponseCheck::NotExecuted) {
+        if (check == ResponseCheck::NotExecuted || check == ResponseCheck::Misdirected) {
             const std::string status = std::to_string(head.value().status);
             co_return fail(ErrorKind::Refused, "the backend server rejected the request without running it: status " + status,
                 "try again later");
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -240,7 +240,10 @@
     attemptSpan.addAttribute("server", grant.server().text());
     this->outcome.server = grant.server();
     this->outcome.sentAt = RuntimeClock::now();
-    const BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
+    BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
+    parameters.onResponseHead = [this, &grant](const HttpResponseHead &head) {
+        grant.recordRateLimit(this->environment.adapter.rateLimit(head.headers));
+    };
     const auto step = [this](RequestStep requestStep) {
         this->environment.reportStep(requestStep);
     };
--- a/src/relay/openaiadapter.cpp
+++ b/src/relay/openaiadapter.cpp
@@ -48,6 +48,7 @@
         return ResponseCheck::Valid;
     };
     adapter.responseHeaders = headersForCaller;
+    adapter.rateLimit = rateLimitOf;
     adapter.routerHeaders = [](std::string_view requestId, const TraceContext &trace) {
         return HttpHeaders{{requestIdHeader, std::string(requestId)}, {traceHeader, trace.format()}};
     };
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -47,6 +47,11 @@
     this->implementation->dispatch(now, decisions);
 }
 
+std::optional<ServerRateLimit> Dispatcher::onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now)
+{
+    return this->implementation->onResponseHead(ticket, rateLimit, now);
+}
+
 void Dispatcher::onFirstToken(Ticket ticket, TimePoint now)
 {
     this->implementation->onFirstToken(ticket, now);
@@ -165,6 +170,11 @@
     this->implementation->waitingTiers(waiting);
 }
 
+std::size_t Dispatcher::rateLimitedCount() const
+{
+    return this->implementation->rateLimits.size();
+}
+
 std::uint32_t Dispatcher::inFlight(const BackendServerId &server) const
 {
     const std::optional<ServerIndex> index = this->implementation->pool.find(server);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -15,6 +15,18 @@
 
 } // namespace
 
+std::optional<ServerRateLimit> Dispatcher::Implementation::onResponseHead(
+    Ticket ticket, std::optional<double> rateLimit, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value() || !this->requests.record(*index).isRunning()) {
+        return std::nullopt;
+    }
+    const RequestRecord &record = this->requests.record(*index);
+    const ServerRateLimit stated{this->pool.server(record.server).id, rateLimit, now};
+    return this->rateLimits.applyResponse(stated, record.startedAt) ? std::optional(stated) : std::nullopt;
+}
+
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -5,6 +5,7 @@
 #include <flamingosaddle/traffic/policies.h>
 #include <flamingosaddle/traffic/promptbacklog.h>
 #include <flamingosaddle/traffic/quarantine.h>
+#include <flamingosaddle/traffic/ratelimits.h>
 #include <flamingosaddle/traffic/requeststatistics.h>
 #include <flamingosaddle/traffic/requesttable.h>
 #include <flamingosaddle/traffic/resendlimit.h>
@@ -28,6 +29,7 @@
 
     std::variant<Ticket, Refusal> submit(const RequestProfile &profile, TimePoint now);
     void dispatch(TimePoint now, Decisions &decisions);
+    std::optional<ServerRateLimit> onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now);
     void onFirstToken(Ticket ticket, TimePoint now);
     void onTokens(Ticket ticket, std::uint32_t count, TimePoint now);
     void finish(Ticket ticket, AttemptOutcome outcome, TimePoint now);
@@ -44,6 +46,7 @@
     ServerPool pool;
     Selector selector;
     Quarantine quarantine;
+    RateLimits rateLimits;
     std::map<ServiceName, double> demands; // server time in milliseconds since the last report to peers
     std::vector<PromptPrefill> prefills; // newest prefills since the last report to peers
     std::uint32_t instanceCount = 0; // instances that share the servers; 0 while unknown
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -168,7 +168,22 @@
     EXPECT_EQ(this->verdictFor(503, {own, notExecuted}), ResponseCheck::NotExecuted);
     EXPECT_EQ(this->verdictFor(503, {other, notExecuted}), ResponseCheck::KeyReused);
     EXPECT_EQ(this->verdictFor(503, {own}), ResponseCheck::Valid) << "it may have been executed";
-    EXPECT_EQ(this->verdictFor(421, {}), ResponseCheck::NotExecuted);
+    EXPECT_EQ(this->verdictFor(421, {}), ResponseCheck::Misdirected);
+}
+
+TEST_F(CallerWireTest, ReadsTheRateLimitOfAServer)
+{
+    const auto limit = [this](const std::string &value) {
+        return this->adapter.rateLimit({{"Server-Limit", value}});
+    };
+    EXPECT_EQ(limit("1"), 1.0);
+    EXPECT_EQ(limit(" 0.25 "), 0.25);
+    EXPECT_EQ(limit("0"), 0.0);
+    for (const char *invalid : {"", "-1", "inf", "nan", "2 per second", "1e3", "1,5"}) {
+        EXPECT_EQ(limit(invalid), std::nullopt) << invalid;
+    }
+    EXPECT_EQ(this->adapter.rateLimit({}), std::nullopt);
+    EXPECT_EQ(this->adapter.responseHeaders({{"Server-Limit", "1"}}).find("Server-Limit"), "1") << "callers see it, too";
 }
 
 TEST_F(CallerWireTest, RefusalsGuaranteeThatARequestDidNotRunOnlyIfThatIsKnown)
--- a/tests/relay/backendpool_test.cpp
+++ b/tests/relay/backendpool_test.cpp
@@ -176,6 +176,9 @@
 
 ResponseCheck checkById(const HttpRequest &sent, const HttpResponseHead &head)
 {
+    if (head.headers.has("Other-Server")) {
+        return ResponseCheck::Misdirected;
+    }
     if (head.headers.has("Not-Executed")) {
         return ResponseCheck::NotExecuted;
     }
@@ -189,7 +192,8 @@
 }
 
 /** Returns the body or the failure of a call to a server that responds with fixed bytes. */
-std::variant<std::string, BackendFailure> callRawServer(const std::string &response)
+std::variant<std::string, BackendFailure> callRawServer(
+    const std::string &response, const std::function<void(const HttpResponseHead &)> &onResponseHead = {})
 {
     RawServer server(response);
     ContextThread thread;
@@ -199,6 +203,7 @@
     order.endpoint = server.endpoint();
     order.request.headers = {{"Id", "mine"}};
     order.checkResponse = checkById;
+    order.onResponseHead = onResponseHead;
     return thread.await([](BackendPool &pool, BackendPool::CallParameters order,
                             DisconnectSignal &caller) -> awaitable<std::variant<std::string, BackendFailure>> {
         const auto step = [](RequestStep) {};
@@ -236,6 +241,22 @@
     EXPECT_EQ(failure.end, AttemptOutcome::Rejected);
 }
 
+// What a server states in its headers holds for that server only, so a response must not be taken for one of another server or
+// for one to another request.
+TEST(BackendPool, ReportsOnlyTheHeadOfTheCalledServersResponseToTheRequest)
+{
+    std::vector<std::string> reported;
+    const auto report = [&reported](const HttpResponseHead &head) {
+        reported.emplace_back(head.headers.find("Limit"));
+    };
+    callRawServer(responseText("earlier", "late", "Limit: 1\r\n") + responseText("mine", "own", "Limit: 2\r\n"), report);
+    callRawServer(responseText("mine", "full", "Not-Executed: 1\r\nLimit: 3\r\n"), report);
+    const auto misdirected = callRawServer(responseText("mine", "", "Other-Server: 1\r\nLimit: 4\r\n"), report);
+    EXPECT_EQ(reported, (std::vector<std::string>{"2", "3"}));
+    EXPECT_EQ(std::get<BackendFailure>(misdirected).end, AttemptOutcome::Rejected);
+    EXPECT_FALSE(std::get<BackendFailure>(misdirected).anyByteSent);
+}
+
 TEST_F(BackendPoolTest, ATimedOutRequestIsNotSentAgain)
 {
     EXPECT_EQ(this->call(true), std::nullopt);
