Failing test: all instances together keep the rate limit of a backend server

Each daemon logs that it learned the limit, so the first hypothesis is the one that is shown: no decision uses the limit.

The bound is that of the users' rule: one and a half times what the limit allows in 4 s, and 5 requests. The stand-in states a limit on request and its audit has arrival times.

--- a/tests/process/checkers.cpp
+++ b/tests/process/checkers.cpp
@@ -2,6 +2,7 @@
 
 #include "generation.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <sstream>
@@ -118,6 +119,35 @@
     return violations;
 }
 
+Violations checkRateLimit(const Json &backendAudit, double requestsPerSecond, std::chrono::milliseconds from)
+{
+    constexpr std::chrono::seconds window(4);
+    constexpr double toleratedFactor = 1.5;
+    constexpr double toleratedExtra = 5.0;
+    const double allowed = requestsPerSecond * window.count() * toleratedFactor + toleratedExtra;
+    std::vector<std::int64_t> arrivals;
+    for (const Json &run : backendAudit.at("runs")) {
+        if (run.at("arrivalMs").get<std::int64_t>() >= from.count()) {
+            arrivals.push_back(run.at("arrivalMs"));
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    Violations violations;
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < arrivals.size(); ++last) {
+        while (arrivals[last] - arrivals[first] >= std::chrono::milliseconds(window).count()) {
+            ++first;
+        }
+        most = std::max(most, last + 1 - first);
+    }
+    if (static_cast<double>(most) > allowed) {
+        violations.push_back("a server with a limit of " + std::to_string(requestsPerSecond) + " a second got "
+            + std::to_string(most) + " requests in " + std::to_string(window.count()) + " s, allowed " + std::to_string(allowed));
+    }
+    return violations;
+}
+
 StreamedAnswer parseStream(const std::string &body)
 {
     StreamedAnswer answer;
--- a/tests/process/checkers.h
+++ b/tests/process/checkers.h
@@ -2,6 +2,7 @@
 
 #include "json.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,12 @@
 /** No backend server received one of the callers' keys, in a header, the target or the body. */
 Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys);
 
+/**
+ * In each 4 s after @p from, on the steady clock, the backend server received at most one and a half times the requests that its
+ * rate limit allows, and 5 more.
+ */
+Violations checkRateLimit(const Json &backendAudit, double requestsPerSecond, std::chrono::milliseconds from);
+
 /** What the events of a streamed answer carry, joined. */
 struct StreamedAnswer {
     std::string text;
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -144,3 +144,24 @@
     EXPECT_EQ(checkUsageReports({report(60, 9, 1, "i1"), report(120, 9, 1, "i2")}).size(), 1U);
     EXPECT_EQ(checkUsageReports({report(60, 9, 2, "i2"), report(120, 9, 1, "i1")}).size(), 1U);
 }
+
+TEST(Checkers, FindAServerThatGotMoreThanItsRateLimitAllows)
+{
+    const auto arrivals = [](std::vector<int> times) {
+        std::vector<Json> runs;
+        for (const int time : times) {
+            runs.push_back({{"arrivalMs", time}});
+        }
+        return audit(runs);
+    };
+    // 1 a second allows 11 in 4 s.
+    const std::vector<int> eleven{0, 100, 200, 300, 400, 500, 600, 700, 800, 900, 3999};
+    std::vector<int> twelve = eleven;
+    twelve.push_back(3900);
+    std::vector<int> later = eleven;
+    later.push_back(4000);
+    EXPECT_EQ(checkRateLimit(arrivals(eleven), 1.0, std::chrono::milliseconds(0)), Violations{});
+    EXPECT_EQ(checkRateLimit(arrivals(later), 1.0, std::chrono::milliseconds(0)), Violations{});
+    EXPECT_EQ(checkRateLimit(arrivals(twelve), 1.0, std::chrono::milliseconds(0)).size(), 1U);
+    EXPECT_EQ(checkRateLimit(arrivals(twelve), 1.0, std::chrono::milliseconds(1)), Violations{}) << "before it binds";
+}
--- a/tests/standins/answerwriter.cpp
+++ b/tests/standins/answerwriter.cpp
@@ -1,14 +1,18 @@
 #include "answerwriter.h"
 
+#include "backendfront.h"
+
 namespace flamingosaddle::standins
 {
 
-AnswerWriter::AnswerWriter(HttpExchange &exchange, const GenerationRequest &request, std::uint32_t tokensPerWrite, bool muted)
+AnswerWriter::AnswerWriter(
+    HttpExchange &exchange, const GenerationRequest &request, std::uint32_t tokensPerWrite, bool muted, HttpHeaders headers)
     : exchange(exchange)
     , request(request)
     , format(request)
     , tokensPerWrite(tokensPerWrite)
     , muted(muted)
+    , headers(std::move(headers))
 {
 }
 
@@ -17,8 +21,8 @@
     if (this->muted || !this->request.stream) {
         co_return true;
     }
-    HttpHeaders headers{{"Content-Type", "text/event-stream"}};
-    const Result<void> begun = co_await this->exchange.beginStream(200, std::move(headers));
+    this->headers.set("Content-Type", "text/event-stream");
+    const Result<void> begun = co_await this->exchange.beginStream(200, this->headers);
     co_return begun.has_value();
 }
 
@@ -44,7 +48,9 @@
     }
     if (!this->request.stream) {
         const std::string text = answerText(this->request.mark, this->request.resumeFrom, this->request.maxTokens);
-        const Result<void> answered = co_await this->exchange.respond(jsonResponse(200, this->format.whole(text)));
+        HttpResponse whole = jsonResponse(200, this->format.whole(text));
+        addHeaders(whole, this->headers);
+        const Result<void> answered = co_await this->exchange.respond(std::move(whole));
         co_return answered.has_value();
     }
     const Result<void> written = co_await this->exchange.writePiece(this->piece + this->format.endEvents());
--- a/tests/standins/answerwriter.h
+++ b/tests/standins/answerwriter.h
@@ -16,8 +16,9 @@
 class AnswerWriter
 {
 public:
-    /** A muted writer writes nothing: the answer is lost. */
-    AnswerWriter(HttpExchange &exchange, const GenerationRequest &request, std::uint32_t tokensPerWrite, bool muted);
+    /** A muted writer writes nothing: the answer is lost. @param headers added to the answer */
+    AnswerWriter(
+        HttpExchange &exchange, const GenerationRequest &request, std::uint32_t tokensPerWrite, bool muted, HttpHeaders headers);
 
     boost::asio::awaitable<bool> begin();
     boost::asio::awaitable<bool> token(std::uint32_t index);
@@ -31,6 +32,7 @@
     CompletionFormat format;
     std::uint32_t tokensPerWrite;
     bool muted;
+    HttpHeaders headers;
     std::string piece; ///< events that are not written yet
     std::uint32_t unwritten = 0;
 };
--- a/tests/standins/backendfront.cpp
+++ b/tests/standins/backendfront.cpp
@@ -27,6 +27,22 @@
     return this->activeFaults;
 }
 
+HttpHeaders BackendFront::answerHeaders() const
+{
+    HttpHeaders headers;
+    if (this->activeFaults.rateLimit.has_value()) {
+        headers.add("X-Flamingosaddle-Rate-Limit", std::to_string(*this->activeFaults.rateLimit));
+    }
+    return headers;
+}
+
+void addHeaders(HttpResponse &response, const HttpHeaders &headers)
+{
+    for (const HttpHeader &field : headers.fields()) {
+        response.headers.set(field.name, field.value);
+    }
+}
+
 boost::asio::awaitable<void> BackendFront::handle(HttpExchange &exchange)
 {
     if (exchange.request().path().starts_with("/admin/")) {
--- a/tests/standins/backendfront.h
+++ b/tests/standins/backendfront.h
@@ -51,6 +51,8 @@
 
     // Queries.
     const BackendFaults &faults() const;
+    /** Header fields of every answer to a request that is run. */
+    HttpHeaders answerHeaders() const;
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange, CallWait &wait);
@@ -67,4 +69,7 @@
     std::set<CallWait *> waits;
 };
 
+/** Adds header fields to a response. */
+void addHeaders(HttpResponse &response, const HttpHeaders &headers);
+
 } // namespace flamingosaddle::standins
--- a/tests/standins/backendparts_test.cpp
+++ b/tests/standins/backendparts_test.cpp
@@ -49,8 +49,9 @@
 TEST(BackendFaults, SetsOnlyWhatIsNamed)
 {
     BackendFaults faults;
-    faults.set({{"truncateAfter", 4}, {"loseAnswer", 1}});
+    faults.set({{"truncateAfter", 4}, {"loseAnswer", 1}, {"rateLimit", 1.5}});
     faults.set({{"truncateAfter", nullptr}, {"slowFactor", 2.0}});
+    EXPECT_EQ(faults.rateLimit, 1.5);
     EXPECT_EQ(faults.truncateAfter, std::nullopt);
     EXPECT_TRUE(takeOne(faults.loseAnswer));
     EXPECT_FALSE(takeOne(faults.loseAnswer));
--- a/tests/standins/engineservice.cpp
+++ b/tests/standins/engineservice.cpp
@@ -78,7 +78,7 @@
 
 boost::asio::awaitable<RunEnd> EngineService::generate(BackendFront::Call call, const GenerationRequest &request)
 {
-    AnswerWriter writer(call.exchange, request, this->options.tokensPerWrite, call.loseAnswer);
+    AnswerWriter writer(call.exchange, request, this->options.tokensPerWrite, call.loseAnswer, this->front.answerHeaders());
     bool isCallerThere = co_await writer.begin();
     TimePoint next = RuntimeClock::now();
     for (std::uint32_t index = request.resumeFrom; isCallerThere && index < request.maxTokens; ++index) {
--- a/tests/standins/plainservice.cpp
+++ b/tests/standins/plainservice.cpp
@@ -23,7 +23,9 @@
         co_return;
     }
     const std::string text = body.dump(-1, ' ', false, Json::error_handler_t::replace);
-    const Result<void> answered = co_await call.exchange.respond(jsonResponse(200, text));
+    HttpResponse answer = jsonResponse(200, text);
+    addHeaders(answer, this->front.answerHeaders());
+    const Result<void> answered = co_await call.exchange.respond(std::move(answer));
     this->front.runs().end(call.run, answered.has_error() ? RunEnd::Cancelled : RunEnd::Whole);
 }
 
--- a/tests/standins/runaudit.cpp
+++ b/tests/standins/runaudit.cpp
@@ -1,5 +1,7 @@
 #include "runaudit.h"
 
+#include <flamingosaddle/base/clock.h>
+
 namespace flamingosaddle::standins
 {
 
@@ -14,9 +16,11 @@
     for (const HttpHeader &header : request.headers.fields()) {
         headers.push_back({{"name", header.name}, {"value", header.value}});
     }
-    return {{"method", request.method}, {"target", request.target}, {"requestId", request.headers.find("X-Request-Id")},
-        {"idempotencyKey", request.headers.find("Idempotency-Key")}, {"headers", std::move(headers)},
-        {"body", request.body.substr(0, maxBodyBytes)}};
+    // The steady clock is common to all processes of a machine.
+    const auto arrival = std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+    return {{"arrivalMs", arrival.count()}, {"method", request.method}, {"target", request.target},
+        {"requestId", request.headers.find("X-Request-Id")}, {"idempotencyKey", request.headers.find("Idempotency-Key")},
+        {"headers", std::move(headers)}, {"body", request.body.substr(0, maxBodyBytes)}};
 }
 
 } // namespace
