All instances together keep the rate limit of a backend server

Cause: the limit was passed on to the caller and no decision used it. Evidence: process_ratelimit_test on the code before: every instance logs that it learned the limit, and the server still gets 201 to 222 requests in 4 s.

Class of fault: a fact that one instance learns from a response and that binds all instances together. A server without a token is not free; if other instances share the whole limit, it is no candidate here and a request that needs it is refused as not run with Retry-After 1. The wait forecast counts the shares as the rate at which limited servers start requests, so a request that they cannot serve in time is refused at once. Draining instances keep their share, since they still send.

Ruled out: the limit applied by each instance to its own requests (n times the limit), and one instance for each server (an instance in five would have no server where all three of a service are limited).

--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -33,11 +33,15 @@
     void takePrefills(const std::vector<PromptPrefill> &reads);
     void takeQuarantines(const QuarantinesMessage &message);
     void takeServingCount(std::size_t count);
+    /** Applies the rate limits that a peer reports. Returns those that changed. */
+    std::vector<ServerRateLimit> applyRateLimits(const std::vector<RateLimitReport> &reports);
+    void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers);
 
 private:
     AsyncDispatcher &gate;
     std::vector<BackendServerId> servers;
     std::vector<ServedTokensReport> served; // kept for its memory
+    std::vector<ServerRateLimit> rateLimits; // a member to reuse its memory
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -57,6 +57,8 @@
     std::function<void(const std::vector<ServedTokens> &)> onPeerServedTokens;
     std::function<void(const std::vector<PromptPrefill> &)> onPeerPrefills;
     std::function<void(const QuarantinesMessage &)> onPeerQuarantines;
+    std::function<void(const std::vector<RateLimitReport> &)> onPeerRateLimits;
+    std::function<void(const std::vector<InstanceId> &)> onLiveInstances; ///< the other instances that are not gone
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
 };
 
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -41,6 +41,9 @@
     std::function<void(const std::vector<ServedTokens> &)> onServedTokens;
     std::function<void(const std::vector<PromptPrefill> &)> onPrefills;
     std::function<void(const std::vector<ServiceDemand> &)> onDemands; ///< demands of each instance, including this one
+    std::function<void(const std::vector<RateLimitReport> &)> onRateLimits; ///< not called without reports
+    std::function<void(const std::vector<InstanceId> &)>
+        onLiveInstances; ///< the other instances that are not gone, at each change
     std::function<void()> onLeaderHeartbeat; ///< a heartbeat of a peer that is the leader has arrived
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
@@ -147,6 +150,7 @@
     void gossipInstances();
     std::map<InstanceId, Endpoint> verifiedInstances() const;
     void updateServingCount();
+    void updateLiveInstances();
 
     boost::asio::io_context &context;
     const Platform &platform;
@@ -167,6 +171,7 @@
     bool actsAsRelay = true; ///< true until another relay is known
     std::uint64_t connectionCount = 0;
     std::size_t servingCount = 0;
+    std::vector<InstanceId> liveInstances; ///< other instances, as last passed to the hook
     bool stopped = false;
 };
 
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -58,6 +59,17 @@
     friend bool operator==(const ServedTokens &, const ServedTokens &) = default;
 };
 
+/**
+ * The rate limit that a backend server stated in a response to the sender.
+ */
+struct RateLimitReport {
+    BackendServerId server;
+    std::optional<std::uint64_t> requestsPer1000Seconds; ///< empty if the server has stopped stating a limit
+    std::chrono::milliseconds age{0}; ///< time since the response arrived
+
+    friend bool operator==(const RateLimitReport &, const RateLimitReport &) = default;
+};
+
 /**
  * A periodic message with the sender's membership state, load and progress.
  */
@@ -71,6 +83,7 @@
     std::vector<ServedTokens> servedTokens; ///< since the sender's last heartbeat
     std::vector<PromptPrefill> prefills; ///< prompts processed since the sender's last heartbeat
     std::vector<ServiceDemand> demands; ///< since the sender's last heartbeat
+    std::vector<RateLimitReport> rateLimits; ///< those that the sender was the last to read, as far as it knows
 
     friend bool operator==(const HeartbeatMessage &, const HeartbeatMessage &) = default;
 };
--- a/include/flamingosaddle/traffic/admission.h
+++ b/include/flamingosaddle/traffic/admission.h
@@ -14,7 +14,8 @@
  * higher one.
  */
 struct QueueSnapshot {
-    double slots = 0.0; ///< slots available to this instance, in use or free
+    double slots = 0.0; ///< slots available to this instance, in use or free, on servers without a rate limit
+    double rateLimitedStartsPerSecond = 0.0; ///< starts that the rate limits of the other servers allow
     double freeSlots = 0.0; ///< free slots that the class may use
     std::optional<double> holdSeconds; ///< mean time that a request occupies a slot; empty while unknown
     double higherArrivalsPerSecond = 0.0;
@@ -43,9 +44,10 @@
 
 /**
  * Forecasts the wait of a new request from the queue's order of service. Slots become free at a rate of `slots / holdSeconds`,
- * less the arrival rate of higher tiers. All waiting requests of higher tiers are served first. Within the tier, each request of
- * the same account that is served earlier costs one round over all accounts, up to the number of requests that wait. A floor
- * bounds the wait of its class. The forecast wait is zero when a slot is free or when there are too few measurements.
+ * plus the rate of starts on rate-limited servers, less the arrival rate of higher tiers. All waiting requests of higher tiers
+ * are served first. Within the tier, each request of the same account that is served earlier costs one round over all accounts,
+ * up to the number of requests that wait. A floor bounds the wait of its class. The forecast wait is zero when a slot is free or
+ * when there are too few measurements.
  */
 WaitForecast forecastWait(const QueueSnapshot &snapshot);
 
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -124,6 +124,18 @@
      */
     void takeDemands(std::vector<ServiceDemand> &demands);
 
+    /** Applies the rate limit of a backend server that a peer reports. Returns whether the known limit changed. */
+    bool applyPeerRateLimit(const ServerRateLimit &report, TimePoint now);
+
+    /**
+     * Replaces the contents of @p reports with the rate limits that this instance was the last to read in a response, to be sent
+     * to peers.
+     */
+    void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
+
+    /** Sets the instances that share the backend servers' rate limits: this one and its live peers. */
+    void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now);
+
     /** Replaces what is known of the requests waiting at peers. Lower tiers leave their servers to those requests. */
     void applyPeerWaitingTiers(const std::vector<WaitingTier> &waiting);
 
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -4,6 +4,8 @@
 #include <flamingosaddle/traffic/fairqueue.h>
 #include <flamingosaddle/traffic/interner.h>
 #include <flamingosaddle/traffic/movingaverage.h>
+#include <flamingosaddle/traffic/ratelimits.h>
+#include <flamingosaddle/traffic/tokenbucket.h>
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstdint>
@@ -53,6 +55,7 @@
     double slowdown = 1.0; ///< ratio to the median of the servers of its targets, at least 1
     std::uint32_t consecutiveFailures = 0; ///< failures since the last success
     TimePoint backoffUntil;
+    std::optional<TokenBucket> rateLimit; ///< this instance's share of the server's rate limit, if it has one
     std::vector<TargetMembership> memberships;
 };
 
@@ -66,14 +69,26 @@
     std::uint32_t freeSlots = 0;
 };
 
+/**
+ * What the rate-limited servers of a target contribute to its capacity.
+ */
+struct RateLimitedCapacity {
+    double startsPerSecond = 0.0; ///< this instance's share of the limits
+    std::uint32_t localInFlight = 0; ///< requests of the target that this instance runs on these servers
+    std::uint32_t freeSlots = 0;
+
+    friend bool operator==(const RateLimitedCapacity &, const RateLimitedCapacity &) = default;
+};
+
 /**
  * The backend servers with their load, and the free slots of each target.
  *
- * A server is usable if it is configured, not leaving and, if it is cheap, its data centre is not excluded. It has a free slot if
- * fewer requests than its slots run on it, including those of peers. Since reports from peers lag, an instance that shares its
- * servers may always use an even share of the slots. It takes more only while one slot for each of the other instances stays
- * free, up to half of the slots, because the others may be about to take more as well. If there are more instances than slots,
- * fewer stay free. The slots of a straggler are divided by its slowdown.
+ * A server is usable if it is configured, not leaving, not left to other instances by its rate limit and, if it is cheap, its
+ * data centre is not excluded. It has a free slot if fewer requests than its slots run on it, including those of peers. A server
+ * with a rate limit has no more free slots than tokens. Since reports from peers lag, an instance that shares its servers may
+ * always use an even share of the slots. It takes more only while one slot for each of the other instances stays free, up to half
+ * of the slots, because the others may be about to take more as well. If there are more instances than slots, fewer stay free.
+ * The slots of a straggler are divided by its slowdown.
  *
  * The requests on the cheap servers of one data centre never exceed the target's slots elsewhere, so that they can continue
  * elsewhere if that capacity is reclaimed. This rule applies only if there are slots elsewhere.
@@ -102,6 +117,12 @@
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
 
+    /** Limits the starts on a server to this instance's share of the server's rate limit; without a share, removes the limit. */
+    void setRateShare(ServerIndex server, const std::optional<RateShare> &share, TimePoint now);
+
+    /** Lets the servers with a rate limit take the requests that have become due until @p now. */
+    void refillRateLimits(TimePoint now);
+
     /** Enables or disables straggler detection, which is enabled initially. */
     void setStragglerDetection(bool enabled);
 
@@ -173,6 +194,17 @@
 
     bool hasUsableServer(TargetIndex target, bool cheapAllowed) const;
 
+    /** Returns whether rate limits leave a server of the target to other instances. */
+    bool hasServerOfOthers(TargetIndex target) const
+    {
+        return this->targets[target].otherInstancesCount > 0;
+    }
+
+    RateLimitedCapacity rateLimitedCapacity(TargetIndex target) const;
+
+    /** Returns when a rate limit next lets a server take a request that has none free now; nothing if there is no such server. */
+    std::optional<TimePoint> nextRateLimitedStart() const;
+
     /** Returns the requests known to run on the target's usable servers. slots() returns the slots of these servers. */
     std::uint32_t load(TargetIndex target) const
     {
@@ -226,14 +258,17 @@
         std::uint32_t localInFlight = 0; // requests of this target only
         std::uint32_t freeOrdinarySlots = 0;
         std::uint32_t freeCheapSlots = 0;
+        std::uint32_t otherInstancesCount = 0; // servers that rate limits leave to other instances
 
         std::uint32_t measurements = 0; // since the last update of slowdowns
     };
 
     void addServer(const BackendServer &server);
+    void removeServer(ServerState &state);
     void addMembership(ServerState &state, const std::vector<TargetMembership> &previous, TargetIndex target);
     void adjustInFlight(ServerIndex server, TargetIndex target, std::int64_t delta);
     bool isUsable(const ServerState &state) const;
+    static bool isLeftToOthers(const ServerState &state);
     void rebuildTargets();
     void addCandidate(ServerIndex server, const TargetMembership &membership);
     std::uint32_t usableSlots(const ServerState &state) const;
@@ -255,6 +290,7 @@
     std::vector<bool> excludedDataCentres; // by data centre index
     std::uint64_t candidateGeneration = 0;
     std::pair<ModelName, ServiceName> lookupKey; // a member to reuse its memory in look-ups
+    std::vector<ServerIndex> rateLimited; // servers with a rate limit
     std::vector<double> medianSamples; // a member to reuse its memory
     std::uint32_t instanceCount = 0;
     bool detectsStragglers = true;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -268,6 +268,14 @@
         hooks.onPeerQuarantines = [this](const QuarantinesMessage &message) {
             this->peerTraffic.takeQuarantines(message);
         };
+        hooks.onPeerRateLimits = [this](const std::vector<RateLimitReport> &reports) {
+            for (const ServerRateLimit &limit : this->peerTraffic.applyRateLimits(reports)) {
+                this->observeRateLimit(limit, "peer");
+            }
+        };
+        hooks.onLiveInstances = [this](const std::vector<InstanceId> &peers) {
+            this->peerTraffic.setInstances(this->controller.options().self.instance, peers);
+        };
         hooks.onServingCount = [this](std::size_t count) {
             this->peerTraffic.takeServingCount(count);
         };
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -1,5 +1,6 @@
 #include <flamingosaddle/app/peertraffic.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace flamingosaddle
@@ -9,6 +10,8 @@
 {
 
 constexpr double thousandths = 1000.0;
+constexpr double maxRateThousandths = 1e15; // fits into 64 bits
+constexpr std::chrono::milliseconds maxReportAge = std::chrono::hours(1); // assumed for older reports
 
 ServedTokens toMessage(const ServedTokensReport &report)
 {
@@ -34,6 +37,29 @@
     return report;
 }
 
+RateLimitReport toMessage(const ServerRateLimit &limit, TimePoint now)
+{
+    RateLimitReport report;
+    report.server = limit.server;
+    if (limit.requestsPerSecond.has_value()) {
+        report.requestsPer1000Seconds
+            = static_cast<std::uint64_t>(std::min(*limit.requestsPerSecond * thousandths, maxRateThousandths));
+    }
+    report.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.statedAt);
+    return report;
+}
+
+ServerRateLimit fromMessage(const RateLimitReport &report, TimePoint now)
+{
+    ServerRateLimit limit;
+    limit.server = report.server;
+    if (report.requestsPer1000Seconds.has_value()) {
+        limit.requestsPerSecond = static_cast<double>(*report.requestsPer1000Seconds) / thousandths;
+    }
+    limit.statedAt = now - std::clamp(report.age, std::chrono::milliseconds(0), maxReportAge);
+    return limit;
+}
+
 } // namespace
 
 PeerTraffic::PeerTraffic(AsyncDispatcher &gate)
@@ -51,7 +77,7 @@
 
 void PeerTraffic::describe(HeartbeatMessage &message)
 {
-    this->gate.update([this, &message](Dispatcher &dispatcher, TimePoint) {
+    this->gate.update([this, &message](Dispatcher &dispatcher, TimePoint now) {
         for (const BackendServerId &server : this->servers) {
             const std::uint32_t inFlight = dispatcher.inFlight(server);
             if (inFlight > 0) {
@@ -62,6 +88,10 @@
         dispatcher.takePrefills(message.prefills);
         dispatcher.takeDemands(message.demands);
         dispatcher.takeServedTokens(this->served);
+        dispatcher.rateLimitReports(this->rateLimits, now);
+        for (const ServerRateLimit &limit : this->rateLimits) {
+            message.rateLimits.push_back(toMessage(limit, now));
+        }
     });
     for (const ServedTokensReport &report : this->served) {
         message.servedTokens.push_back(toMessage(report));
@@ -121,4 +151,25 @@
     });
 }
 
+std::vector<ServerRateLimit> PeerTraffic::applyRateLimits(const std::vector<RateLimitReport> &reports)
+{
+    std::vector<ServerRateLimit> changes;
+    this->gate.update([&reports, &changes](Dispatcher &dispatcher, TimePoint now) {
+        for (const RateLimitReport &report : reports) {
+            const ServerRateLimit limit = fromMessage(report, now);
+            if (dispatcher.applyPeerRateLimit(limit, now)) {
+                changes.push_back(limit);
+            }
+        }
+    });
+    return changes;
+}
+
+void PeerTraffic::setInstances(const InstanceId &self, const std::vector<InstanceId> &peers)
+{
+    this->gate.update([&self, &peers](Dispatcher &dispatcher, TimePoint now) {
+        dispatcher.setInstances(self, peers, now);
+    });
+}
+
 } // namespace flamingosaddle
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -476,6 +476,8 @@
         }
     };
     peerHooks.onQuarantines = this->hooks.onPeerQuarantines;
+    peerHooks.onRateLimits = this->hooks.onPeerRateLimits;
+    peerHooks.onLiveInstances = this->hooks.onLiveInstances;
     peerHooks.onServingCount = [this](std::size_t count) {
         this->duties->meter.setInstanceCount(count);
         this->hooks.onServingCount(count);
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -86,6 +86,7 @@
         this->reportWaitingTiers();
         this->gossipInstances();
         this->updateServingCount();
+        this->updateLiveInstances();
         co_await delay(this->options.timing.heartbeatInterval);
     }
 }
@@ -226,6 +227,10 @@
     this->hooks.onServedTokens(message.servedTokens);
     this->hooks.onPrefills(message.prefills);
     this->hooks.onDemands(message.demands);
+    this->updateLiveInstances();
+    if (!message.rateLimits.empty()) {
+        this->hooks.onRateLimits(message.rateLimits);
+    }
     if (message.isLeader) {
         this->hooks.onLeaderHeartbeat();
     }
@@ -510,4 +515,18 @@
     logEvent(LogLevel::Info, "control", "serving instances changed", {{"count", std::to_string(count)}});
 }
 
+void PeerExchange::updateLiveInstances()
+{
+    std::vector<InstanceId> live;
+    for (const auto &[instance, member] : this->members.members()) {
+        if (member.state != MemberState::Gone) {
+            live.push_back(instance);
+        }
+    }
+    if (live != this->liveInstances) {
+        this->liveInstances = std::move(live);
+        this->hooks.onLiveInstances(this->liveInstances);
+    }
+}
+
 } // namespace flamingosaddle
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -74,6 +74,11 @@
     return std::tie(value.clientAccount, value.model, value.service, value.tier, value.weightThousandths, value.tokens);
 }
 
+auto fieldsOf(MaybeConst<RateLimitReport> auto &value)
+{
+    return std::tie(value.server, value.requestsPer1000Seconds, value.age);
+}
+
 auto fieldsOf(MaybeConst<DeathNotice> auto &value)
 {
     return std::tie(value.fingerprint, value.server);
@@ -123,7 +128,7 @@
 auto fieldsOf(MaybeConst<HeartbeatMessage> auto &value)
 {
     return std::tie(value.heartbeat, value.configOffset, value.hasFreshConfig, value.isLeader, value.waitingTiers, value.loads,
-        value.servedTokens, value.prefills, value.demands);
+        value.servedTokens, value.prefills, value.demands, value.rateLimits);
 }
 
 auto fieldsOf(MaybeConst<TombstonesMessage> auto &value)
--- a/src/traffic/admission.cpp
+++ b/src/traffic/admission.cpp
@@ -24,10 +24,12 @@
 {
     const double ahead = snapshot.higherWaiting + snapshot.tierWaiting;
     const bool startsAtOnce = snapshot.freeSlots > ahead;
-    if (startsAtOnce || !snapshot.holdSeconds.has_value() || snapshot.slots <= 0.0) {
+    const bool isRateUnknown = snapshot.slots > 0.0 && !snapshot.holdSeconds.has_value();
+    const double slotStartsPerSecond = snapshot.slots / std::max(snapshot.holdSeconds.value_or(0.0), 1e-3);
+    const double startsPerSecond = slotStartsPerSecond + snapshot.rateLimitedStartsPerSecond;
+    if (startsAtOnce || isRateUnknown || startsPerSecond <= 0.0) {
         return WaitForecast{0.0, snapshot.firstTokenSeconds};
     }
-    const double startsPerSecond = snapshot.slots / std::max(*snapshot.holdSeconds, 1e-3);
     const double availableRate = std::max(startsPerSecond - snapshot.higherArrivalsPerSecond, startsPerSecond * minRateFraction);
     const double rounds = snapshot.accountWaiting + snapshot.accountLead;
     const double tierAhead = std::min(snapshot.tierWaiting, rounds * snapshot.weightRatio + snapshot.weightRatio - 1.0);
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -23,9 +23,9 @@
 Dispatcher::Dispatcher(Dispatcher &&) noexcept = default;
 Dispatcher &Dispatcher::operator=(Dispatcher &&) noexcept = default;
 
-void Dispatcher::setServers(const std::vector<BackendServer> &servers, TimePoint /*now*/)
+void Dispatcher::setServers(const std::vector<BackendServer> &servers, TimePoint now)
 {
-    this->implementation->setServers(servers);
+    this->implementation->setServers(servers, now);
 }
 
 void Dispatcher::applyLoadReport(const ServerLoadReport &report)
@@ -123,6 +123,22 @@
     }
 }
 
+bool Dispatcher::applyPeerRateLimit(const ServerRateLimit &report, TimePoint now)
+{
+    return this->implementation->applyPeerRateLimit(report, now);
+}
+
+void Dispatcher::rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now)
+{
+    this->implementation->rateLimitReports(reports, now);
+}
+
+void Dispatcher::setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now)
+{
+    this->implementation->rateLimits.setInstances(self, peers);
+    this->implementation->updateRateShares(now);
+}
+
 void Dispatcher::applyPeerWaitingTiers(const std::vector<WaitingTier> &waiting)
 {
     this->implementation->applyPeerWaitingTiers(waiting);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -24,7 +24,11 @@
     }
     const RequestRecord &record = this->requests.record(*index);
     const ServerRateLimit stated{this->pool.server(record.server).id, rateLimit, now};
-    return this->rateLimits.applyResponse(stated, record.startedAt) ? std::optional(stated) : std::nullopt;
+    if (!this->rateLimits.applyResponse(stated, record.startedAt)) {
+        return std::nullopt;
+    }
+    this->updateRateShare(stated.server, now);
+    return stated;
 }
 
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
--- a/src/traffic/dispatcherforecast.cpp
+++ b/src/traffic/dispatcherforecast.cpp
@@ -13,7 +13,9 @@
     FairShares &shares = this->queue.shares();
     QueueSnapshot snapshot;
     snapshot.freeSlots = this->pool.freeSlots(target, true);
-    snapshot.slots = this->pool.localInFlight(target) + snapshot.freeSlots;
+    const RateLimitedCapacity limited = this->pool.rateLimitedCapacity(target);
+    snapshot.slots = this->pool.localInFlight(target) + snapshot.freeSlots - limited.localInFlight - limited.freeSlots;
+    snapshot.rateLimitedStartsPerSecond = limited.startsPerSecond;
     snapshot.holdSeconds = this->statistics.holdSeconds(target);
     snapshot.higherWaiting = this->queue.waitingAbove(target, tier);
     for (const Tier &known : this->tiers) {
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -12,6 +12,7 @@
 
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
+constexpr std::chrono::seconds otherInstanceRetryAfter{1}; // if other instances can serve the request
 constexpr std::chrono::seconds maxRetryAfter{60};
 // Per heartbeat. With names of 50 bytes this is 4 KB, or half a second of prefills at the reference peak load.
 constexpr std::size_t maxReportedPrefills = 64;
@@ -57,7 +58,7 @@
     }
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
     if (!target.has_value() || !this->pool.hasUsableServer(*target, profile.requestClass.cheapAllowed)) {
-        return refusalNotRun(RefusalReason::NoServer, noServerRetryAfter);
+        return this->refuseWithoutServer(target);
     }
     this->resendLimit(*target).recordRequest(now);
     QueueEntry entry = this->makeEntry(profile, *target);
@@ -82,6 +83,12 @@
     return this->enqueue(profile, entry, now);
 }
 
+Refusal Dispatcher::Implementation::refuseWithoutServer(std::optional<TargetIndex> target) const
+{
+    const bool hasServerOfOthers = target.has_value() && this->pool.hasServerOfOthers(*target);
+    return refusalNotRun(RefusalReason::NoServer, hasServerOfOthers ? otherInstanceRetryAfter : noServerRetryAfter);
+}
+
 bool Dispatcher::Implementation::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
     return this->quarantine.status(fingerprint, now) == Quarantine::Status::Refused;
@@ -289,6 +296,7 @@
     decisions.rejections.clear();
     this->lastDispatch = now;
     this->reserveRecheckAt.reset();
+    this->pool.refillRateLimits(now);
     this->rejectExpired(now);
     this->releaseParked(now);
     if (this->serversChanged) {
@@ -433,10 +441,46 @@
     }
 }
 
-void Dispatcher::Implementation::setServers(const std::vector<BackendServer> &servers)
+void Dispatcher::Implementation::setServers(const std::vector<BackendServer> &servers, TimePoint now)
 {
     this->pool.setServers(servers);
     this->serversChanged = true;
+    this->updateRateShares(now);
+}
+
+bool Dispatcher::Implementation::applyPeerRateLimit(const ServerRateLimit &report, TimePoint now)
+{
+    const bool changed = this->rateLimits.applyPeerReport(report);
+    if (changed) {
+        this->updateRateShare(report.server, now);
+    }
+    return changed;
+}
+
+void Dispatcher::Implementation::rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now)
+{
+    const auto isConfigured = [this](const BackendServerId &server) {
+        const std::optional<ServerIndex> index = this->pool.find(server);
+        return index.has_value() && this->pool.server(*index).present;
+    };
+    this->rateLimits.expire(isConfigured, now);
+    this->rateLimits.ownReports(reports);
+}
+
+void Dispatcher::Implementation::updateRateShares(TimePoint now)
+{
+    for (const BackendServerId &server : this->rateLimits.servers()) {
+        this->updateRateShare(server, now);
+    }
+}
+
+void Dispatcher::Implementation::updateRateShare(const BackendServerId &server, TimePoint now)
+{
+    const std::optional<ServerIndex> index = this->pool.find(server);
+    if (index.has_value()) {
+        this->pool.setRateShare(*index, this->rateLimits.share(server), now);
+        this->serversChanged = true;
+    }
 }
 
 void Dispatcher::Implementation::setExcluded(const DataCentre &dataCentre, bool excluded)
@@ -501,7 +545,8 @@
         // The message that ends the wait may be lost, so parked requests are also checked periodically.
         return std::min(deadline, this->lastDispatch + parkedRecheckInterval);
     }
-    return this->reserveRecheckAt.has_value() ? std::min(deadline, *this->reserveRecheckAt) : deadline;
+    const TimePoint next = std::min(deadline, this->pool.nextRateLimitedStart().value_or(deadline));
+    return std::min(next, this->reserveRecheckAt.value_or(next));
 }
 
 } // namespace flamingosaddle
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -35,13 +35,16 @@
     void finish(Ticket ticket, AttemptOutcome outcome, TimePoint now);
     std::optional<Refusal> retry(Ticket ticket, AttemptOutcome outcome, bool anyByteSent, TimePoint now);
     void cancel(Ticket ticket, TimePoint now);
-    void setServers(const std::vector<BackendServer> &servers);
+    void setServers(const std::vector<BackendServer> &servers, TimePoint now);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
     void applyPeerServedTokens(const ServedTokensReport &report);
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
     void forecastTierWaits(const ModelName &model, const ServiceName &service, TimePoint now, std::vector<TierWait> &waits);
     void takeServedTokens(std::vector<ServedTokensReport> &reports);
     void applyPeerWaitingTiers(const std::vector<WaitingTier> &waiting);
+    bool applyPeerRateLimit(const ServerRateLimit &report, TimePoint now);
+    void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
+    void updateRateShares(TimePoint now);
 
     ServerPool pool;
     Selector selector;
@@ -87,6 +90,8 @@
         std::chrono::milliseconds firstTokenTarget{0}; // of the latest request
     };
 
+    void updateRateShare(const BackendServerId &server, TimePoint now);
+    Refusal refuseWithoutServer(std::optional<TargetIndex> target) const;
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool mustPark(std::uint64_t fingerprint, TimePoint now) const;
     void park(RequestIndex index);
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -29,8 +29,7 @@
     }
     for (ServerState &state : this->servers) {
         if (!state.present && state.inFlight == 0 && !state.id.isEmpty()) {
-            this->serverNames.release(state.id);
-            state = ServerState();
+            this->removeServer(state);
         }
     }
     this->rebuildTargets();
@@ -62,6 +61,13 @@
     }
 }
 
+void ServerPool::removeServer(ServerState &state)
+{
+    std::erase(this->rateLimited, static_cast<ServerIndex>(&state - this->servers.data()));
+    this->serverNames.release(state.id);
+    state = ServerState();
+}
+
 void ServerPool::addMembership(ServerState &state, const std::vector<TargetMembership> &previous, TargetIndex target)
 {
     TargetMembership membership{target, 0, 0};
@@ -124,6 +130,69 @@
     this->rebuildTargets();
 }
 
+void ServerPool::setRateShare(ServerIndex index, const std::optional<RateShare> &share, TimePoint now)
+{
+    ServerState &state = this->servers[index];
+    const bool wasLeftToOthers = isLeftToOthers(state);
+    if (!share.has_value()) {
+        state.rateLimit.reset();
+        std::erase(this->rateLimited, index);
+    } else if (state.rateLimit.has_value()) {
+        state.rateLimit->setRate(share->requestsPerSecond, share->burst, now);
+    } else {
+        state.rateLimit.emplace(share->requestsPerSecond, share->burst, share->initialTokens, now);
+        this->rateLimited.push_back(index);
+    }
+    if (isLeftToOthers(state) != wasLeftToOthers) {
+        this->rebuildTargets();
+    } else {
+        this->refresh(index);
+    }
+}
+
+void ServerPool::refillRateLimits(TimePoint now)
+{
+    for (const ServerIndex index : this->rateLimited) {
+        TokenBucket &bucket = *this->servers[index].rateLimit;
+        const std::uint32_t before = bucket.wholeTokens();
+        bucket.refill(now);
+        if (bucket.wholeTokens() != before) {
+            this->refresh(index);
+        }
+    }
+}
+
+RateLimitedCapacity ServerPool::rateLimitedCapacity(TargetIndex target) const
+{
+    RateLimitedCapacity capacity;
+    for (const ServerIndex index : this->rateLimited) {
+        const ServerState &state = this->servers[index];
+        for (const TargetMembership &membership : state.memberships) {
+            if (membership.target != target) {
+                continue;
+            }
+            capacity.localInFlight += membership.inFlight;
+            if (this->isUsable(state)) {
+                capacity.startsPerSecond += state.rateLimit->tokensPerSecond();
+                capacity.freeSlots += this->targets[target].candidates[membership.position].freeSlots;
+            }
+        }
+    }
+    return capacity;
+}
+
+std::optional<TimePoint> ServerPool::nextRateLimitedStart() const
+{
+    std::optional<TimePoint> earliest;
+    for (const ServerIndex index : this->rateLimited) {
+        const std::optional<TimePoint> next = this->servers[index].rateLimit->nextTokenAt();
+        if (next.has_value() && this->isUsable(this->servers[index])) {
+            earliest = std::min(earliest.value_or(*next), *next);
+        }
+    }
+    return earliest;
+}
+
 void ServerPool::acquire(ServerIndex index, TargetIndex target, double tokens)
 {
     ServerState &state = this->servers[index];
@@ -131,6 +200,9 @@
         state.probeDelay = std::min(2 * state.probeDelay, maxProbeDelay);
     }
     state.localTokens += tokens;
+    if (state.rateLimit.has_value()) {
+        state.rateLimit->take();
+    }
     this->adjustInFlight(index, target, 1);
 }
 
@@ -140,8 +212,7 @@
     state.localTokens = std::max(0.0, state.localTokens - tokens);
     this->adjustInFlight(index, target, -1);
     if (!state.present && state.inFlight == 0) {
-        this->serverNames.release(state.id);
-        state = ServerState();
+        this->removeServer(state);
     }
 }
 
@@ -209,7 +280,12 @@
 {
     const bool excluded
         = state.cheap && state.dataCentre < this->excludedDataCentres.size() && this->excludedDataCentres[state.dataCentre];
-    return state.present && !state.leaving && !excluded;
+    return state.present && !state.leaving && !excluded && !isLeftToOthers(state);
+}
+
+bool ServerPool::isLeftToOthers(const ServerState &state)
+{
+    return state.rateLimit.has_value() && state.rateLimit->tokensPerSecond() <= 0.0;
 }
 
 void ServerPool::rebuildTargets()
@@ -225,6 +301,7 @@
         target.load = 0;
         target.freeOrdinarySlots = 0;
         target.freeCheapSlots = 0;
+        target.otherInstancesCount = 0;
         std::fill(target.cheapByDataCentre.begin(), target.cheapByDataCentre.end(), CheapCapacity());
     }
     for (ServerIndex index = 0; index < this->servers.size(); ++index) {
@@ -233,6 +310,10 @@
                 membership.position = static_cast<std::uint32_t>(this->targets[membership.target].candidates.size());
                 this->addCandidate(index, membership);
             }
+        } else if (this->servers[index].present && !this->servers[index].leaving && isLeftToOthers(this->servers[index])) {
+            for (const TargetMembership &membership : this->servers[index].memberships) {
+                ++this->targets[membership.target].otherInstancesCount;
+            }
         }
     }
     for (ServerIndex index = 0; index < this->servers.size(); ++index) {
@@ -279,7 +360,8 @@
     const std::uint32_t sharedSlots = occupied < usable ? usable - occupied : 0;
     const std::uint32_t evenShare = others > 0 ? usable / this->instanceCount : 0;
     const std::uint32_t ownRemaining = state.inFlight < evenShare ? evenShare - state.inFlight : 0;
-    return std::max(sharedSlots, ownRemaining);
+    const std::uint32_t free = std::max(sharedSlots, ownRemaining);
+    return state.rateLimit.has_value() ? std::min(free, state.rateLimit->wholeTokens()) : free;
 }
 
 bool ServerPool::isDataCentreFull(const ServerState &state, const Target &target) const
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -76,6 +76,8 @@
         hooks.onPeerServedTokens = [](const std::vector<ServedTokens> &) {};
         hooks.onPeerPrefills = [](const std::vector<PromptPrefill> &) {};
         hooks.onPeerQuarantines = [](const QuarantinesMessage &) {};
+        hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
+        hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
         hooks.onServingCount = [](std::size_t) {};
         return hooks;
     }
@@ -203,6 +205,8 @@
     hooks.onPeerServedTokens = [](const std::vector<ServedTokens> &) {};
     hooks.onPeerPrefills = [](const std::vector<PromptPrefill> &) {};
     hooks.onPeerQuarantines = [](const QuarantinesMessage &) {};
+    hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
+    hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
     hooks.onServingCount = [](std::size_t) {};
     ControllerOptions options;
     options.self = {InstanceId("i1"), 1};
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -61,6 +61,7 @@
         };
         hooks.fillTrafficState = [this](HeartbeatMessage &message) {
             message.waitingTiers = this->waiting;
+            message.rateLimits = this->limits;
         };
         hooks.onConfigSnapshot = [](const std::string &) {};
         hooks.onTombstone = [](const KeyId &) {};
@@ -73,6 +74,12 @@
         hooks.onDemands = [](const std::vector<ServiceDemand> &) {};
         hooks.onQuarantines = [](const QuarantinesMessage &) {};
         hooks.onServingCount = [](std::size_t) {};
+        hooks.onRateLimits = [this](const std::vector<RateLimitReport> &reports) {
+            this->reportedLimits = reports;
+        };
+        hooks.onLiveInstances = [this](const std::vector<InstanceId> &instances) {
+            this->liveInstances = instances;
+        };
         hooks.progress = [] {
             return StoreProgress();
         };
@@ -89,6 +96,9 @@
     Platform platform = platformWithoutInstances();
     std::vector<WaitingTier> waiting;
     std::vector<WaitingTier> reported;
+    std::vector<RateLimitReport> limits;
+    std::vector<RateLimitReport> reportedLimits;
+    std::vector<InstanceId> liveInstances;
     PeerExchange exchange;
 };
 
@@ -145,3 +155,30 @@
     context.restart();
     context.run_for(std::chrono::milliseconds(100));
 }
+
+TEST(PeerExchange, PassesOnRateLimitsAndTheInstancesThatShareThem)
+{
+    boost::asio::io_context context;
+    ExchangingInstance one(context, "one", {});
+    ExchangingInstance two(context, "two", {one.exchange.localEndpoint()});
+    const std::vector<RateLimitReport> limits{
+        {BackendServerId("s"), 2500, std::chrono::milliseconds(40)}, {BackendServerId("t"), std::nullopt, {}}};
+    two.limits = limits;
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.reportedLimits == limits && one.liveInstances == std::vector{InstanceId("two")};
+    }));
+    // A draining instance still sends requests, so it keeps its share.
+    two.exchange.setState(MemberState::Draining);
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.exchange.membership().serving().empty();
+    }));
+    EXPECT_EQ(one.liveInstances, std::vector{InstanceId("two")});
+    two.exchange.stop();
+    EXPECT_TRUE(runUntil(context, [&] {
+        return one.liveInstances.empty();
+    }));
+    one.exchange.stop();
+    // Lets the suspended coroutines end before the objects they use are destroyed.
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+}
--- a/tests/peer/messages.h
+++ b/tests/peer/messages.h
@@ -26,6 +26,8 @@
     message.waitingTiers.push_back({ModelName("m1"), ServiceName(), 2});
     message.loads.push_back({BackendServerId("s1"), 5});
     message.demands.push_back({ServiceName("engines"), 1500});
+    message.rateLimits.push_back({BackendServerId("s1"), 2500, std::chrono::milliseconds(300)});
+    message.rateLimits.push_back({BackendServerId("s2"), std::nullopt, std::chrono::milliseconds(0)});
     message.prefills.push_back({BackendServerId("s1"), 77});
     message.servedTokens.push_back({ClientAccountId("bakers"), ModelName("m1"), ServiceName(), 1, 500, 1200});
     return message;
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -29,6 +29,15 @@
     return server;
 }
 
+/** A request that is accepted whatever the wait for a server is. */
+RequestProfile patientProfile()
+{
+    RequestProfile profile = profileOf("a", 0);
+    profile.requestClass.firstTokenTarget = 60s;
+    profile.requestClass.deadline = 60s;
+    return profile;
+}
+
 Ticket submitAccepted(Dispatcher &dispatcher, const RequestProfile &profile)
 {
     return std::get<Ticket>(dispatcher.submit(profile, profile.arrival));
@@ -142,3 +151,90 @@
     ASSERT_EQ(decisions.rejections.size(), 1U);
     EXPECT_EQ(decisions.rejections.front().refusal.reason, RefusalReason::DeadlineMissed);
 }
+
+TEST(Dispatcher, SendsNoMoreThanItsShareOfARateLimit)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    EXPECT_TRUE(dispatcher.applyPeerRateLimit({BackendServerId("s"), 0.5, TimePoint()}, TimePoint()));
+    EXPECT_EQ(dispatcher.rateLimitedCount(), 1U);
+    const RequestProfile profile = patientProfile();
+    submitAccepted(dispatcher, profile);
+    submitAccepted(dispatcher, profile);
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_TRUE(decisions.assignments.empty());
+    EXPECT_EQ(dispatcher.nextWakeup(), TimePoint(2s)) << "nothing else would wake the waiting requests";
+    dispatcher.dispatch(TimePoint(2s), decisions);
+    ASSERT_EQ(decisions.assignments.size(), 1U);
+    EXPECT_EQ(dispatcher.onResponseHead(decisions.assignments[0].ticket, 0.5, TimePoint(2s)), std::nullopt);
+    EXPECT_EQ(dispatcher.nextWakeup(), TimePoint(4s));
+    const std::optional<ServerRateLimit> lifted
+        = dispatcher.onResponseHead(decisions.assignments[0].ticket, std::nullopt, TimePoint(2s));
+    EXPECT_EQ(lifted, (ServerRateLimit{BackendServerId("s"), std::nullopt, TimePoint(2s)}));
+    dispatcher.dispatch(TimePoint(2s), decisions);
+    EXPECT_EQ(decisions.assignments.size(), 1U);
+}
+
+TEST(Dispatcher, RefusesWhatARateLimitedServerCannotServeInTime)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    dispatcher.applyPeerRateLimit({BackendServerId("s"), 0.2, TimePoint()}, TimePoint());
+    RequestProfile low = profileOf("a", 1);
+    low.requestClass.firstTokenTarget = 8s;
+    RequestProfile high = profileOf("b", 0);
+    high.requestClass.firstTokenTarget = 8s;
+    submitAccepted(dispatcher, low);
+    const Ticket first = submitAccepted(dispatcher, high);
+    // The server takes one request in 5 s, so the third would wait for 15 s.
+    const std::variant<Ticket, Refusal> refused = dispatcher.submit(low, TimePoint());
+    ASSERT_TRUE(std::holds_alternative<Refusal>(refused));
+    EXPECT_EQ(std::get<Refusal>(refused).reason, RefusalReason::Overloaded);
+    EXPECT_EQ(std::get<Refusal>(refused).runState, RunState::NotRun);
+    EXPECT_GE(std::get<Refusal>(refused).retryAfter, 7s) << "15 s less the target, and more if requests of higher tiers follow";
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(5s), decisions);
+    ASSERT_EQ(decisions.assignments.size(), 1U);
+    EXPECT_EQ(decisions.assignments[0].ticket, first);
+}
+
+TEST(Dispatcher, RefusesForAnotherInstanceIfThatOneHasTheRateLimit)
+{
+    constexpr int instances = 50;
+    std::vector<InstanceId> peers;
+    peers.reserve(instances);
+    for (int i = 0; i < instances; ++i) {
+        peers.emplace_back("i" + std::to_string(i));
+    }
+    std::size_t served = 0;
+    for (const InstanceId &self : peers) {
+        Dispatcher dispatcher{DispatcherOptions()};
+        std::vector<InstanceId> others = peers;
+        std::erase(others, self);
+        dispatcher.setInstances(self, others, TimePoint());
+        dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+        dispatcher.applyPeerRateLimit({BackendServerId("s"), 2.0, TimePoint()}, TimePoint());
+        const std::variant<Ticket, Refusal> submitted = dispatcher.submit(patientProfile(), TimePoint());
+        if (std::holds_alternative<Ticket>(submitted)) {
+            ++served;
+            continue;
+        }
+        EXPECT_EQ(std::get<Refusal>(submitted), (Refusal{RefusalReason::NoServer, RunState::NotRun, 1s}));
+    }
+    EXPECT_EQ(served, 6U);
+}
+
+// The limit of a server whose entry vanishes for a moment, for instance in an outage of the store, still holds when it is back.
+TEST(Dispatcher, KeepsARateLimitWhileTheServerIsNotConfigured)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    dispatcher.applyPeerRateLimit({BackendServerId("s"), 1.0, TimePoint()}, TimePoint());
+    dispatcher.setServers({}, TimePoint());
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint(2s));
+    submitAccepted(dispatcher, patientProfile());
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(2s), decisions);
+    EXPECT_TRUE(decisions.assignments.empty());
+}
