An instance that connects later learns which requests killed backend servers

Callers lost engines to a request that was refused everywhere else: the deaths behind a quarantine were broadcast once, to the peers connected at that moment, so an instance that started later, or whose link was down, let the request through again.

Now the greeting of each new connection carries the counts of deaths, at most 512, merged by the higher count; a count expires no later than at its origin, so that instances cannot keep it alive for each other. process_backendfault_test ADaemonThatStartsLaterRefusesAQuarantinedRequest passes.

--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -32,6 +32,8 @@
     void takeServices(const std::vector<ServedTokens> &services);
     void takePrefills(const std::vector<PromptPrefill> &reads);
     void takeQuarantines(const QuarantinesMessage &message);
+    /** Returns the deaths of backend servers that a newly connected peer may have missed. */
+    QuarantinesMessage deathCounts();
     void takeServingCount(std::size_t count);
     /** Applies the rate limits that a peer reports. Returns those that changed. */
     std::vector<ServerRateLimit> applyRateLimits(const std::vector<RateLimitReport> &reports);
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -57,6 +57,7 @@
     std::function<void(const std::vector<ServedTokens> &)> onPeerServedTokens;
     std::function<void(const std::vector<PromptPrefill> &)> onPeerPrefills;
     std::function<void(const QuarantinesMessage &)> onPeerQuarantines;
+    std::function<QuarantinesMessage()> deathCounts; ///< deaths of backend servers that a newly connected peer may have missed
     std::function<void(const std::vector<RateLimitReport> &)> onPeerRateLimits;
     std::function<void(const std::vector<InstanceId> &)> onLiveInstances; ///< the other instances that are not gone
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -31,6 +31,7 @@
     std::function<bool()> isLeader; ///< whether this instance holds the leader lease
     std::function<std::string()> configSnapshot;
     std::function<std::vector<KeyId>()> tombstones; ///< keys whose withdrawal may not be in the log yet
+    std::function<QuarantinesMessage()> deathCounts; ///< deaths of backend servers that a newly connected peer may have missed
     std::function<void(HeartbeatMessage &)> fillTrafficState; ///< fills in the message's fields on traffic
 
     std::function<void(const std::string &)> onConfigSnapshot;
--- a/include/flamingosaddle/peer/message.h
+++ b/include/flamingosaddle/peer/message.h
@@ -117,12 +117,24 @@
     friend bool operator==(const SuspectNotice &, const SuspectNotice &) = default;
 };
 
+/**
+ * How many server deaths the sender attributes to the request with this fingerprint.
+ */
+struct DeathCountNotice {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t deaths = 0;
+    std::chrono::milliseconds validFor{0}; ///< counted from its arrival
+
+    friend bool operator==(const DeathCountNotice &, const DeathCountNotice &) = default;
+};
+
 /**
  * Server deaths and suspect requests, for the quarantine of requests that kill backend servers.
  */
 struct QuarantinesMessage {
     std::vector<DeathNotice> deaths;
     std::vector<SuspectNotice> suspects;
+    std::vector<DeathCountNotice> deathCounts; ///< for an instance that may have missed earlier notices
 
     friend bool operator==(const QuarantinesMessage &, const QuarantinesMessage &) = default;
 };
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/state/promptprefill.h>
 #include <flamingosaddle/state/servicedemand.h>
 #include <flamingosaddle/state/waitingtier.h>
+#include <flamingosaddle/traffic/quarantine.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/types.h>
 
@@ -103,6 +104,9 @@
      */
     void applyPeerSuspect(std::uint64_t fingerprint, TimePoint until, TimePoint now);
 
+    /** Applies a peer's count of the backend servers that died while they ran @p fingerprint. */
+    void applyPeerDeathCount(const DeathCount &count, TimePoint now);
+
     /** Applies a peer's report of the tokens served to a client account since its last report. */
     void applyPeerServedTokens(const ServedTokensReport &report);
 
@@ -164,6 +168,8 @@
 
     // Queries.
 
+    /** Returns the counts of deaths to be sent to a peer that may have missed them, at most @p most. */
+    std::vector<DeathCount> deathCounts(std::size_t most, TimePoint now) const;
     std::size_t waitingCount() const;
     /** Replaces the contents of @p waiting with the requests that the last dispatch() left waiting, to be sent to peers. */
     void waitingTiers(std::vector<WaitingTier> &waiting) const;
--- a/include/flamingosaddle/traffic/quarantine.h
+++ b/include/flamingosaddle/traffic/quarantine.h
@@ -5,10 +5,22 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace flamingosaddle
 {
 
+/**
+ * The number of backend servers that died while they ran a request.
+ */
+struct DeathCount {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t deaths = 0;
+    TimePoint expires;
+
+    friend bool operator==(const DeathCount &, const DeathCount &) = default;
+};
+
 /**
  * Tracks, by fingerprint, requests that were running when backend servers died.
  *
@@ -44,6 +56,9 @@
     /** Applies a peer's report that it runs the suspect until @p until at the latest. */
     void applyPeerRun(std::uint64_t fingerprint, TimePoint until, TimePoint now);
 
+    /** Applies a peer's count of the deaths that the request caused, which is valid until @p until. The higher count is kept. */
+    void applyPeerDeathCount(std::uint64_t fingerprint, std::uint32_t deaths, TimePoint until, TimePoint now);
+
     /** Clears the request after it completed, here or at a peer, without a server dying. */
     void clearSuspicion(std::uint64_t fingerprint);
 
@@ -56,6 +71,9 @@
     /** Returns the status of @p fingerprint. 0 means no fingerprint and is always clear. */
     Status status(std::uint64_t fingerprint, TimePoint now) const;
 
+    /** Returns the counts of deaths that have not expired. If there are more than @p most, those that expire last. */
+    std::vector<DeathCount> deathCounts(std::size_t most, TimePoint now) const;
+
     std::size_t size() const
     {
         return this->entries.size();
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -268,6 +268,9 @@
         hooks.onPeerQuarantines = [this](const QuarantinesMessage &message) {
             this->peerTraffic.takeQuarantines(message);
         };
+        hooks.deathCounts = [this] {
+            return this->peerTraffic.deathCounts();
+        };
         hooks.onPeerRateLimits = [this](const std::vector<RateLimitReport> &reports) {
             for (const ServerRateLimit &limit : this->peerTraffic.applyRateLimits(reports)) {
                 this->observeRateLimit(limit, "peer");
@@ -286,12 +289,12 @@
     {
         AsyncDispatcherHooks hooks;
         hooks.onServerDeath = [this](std::uint64_t fingerprint, const BackendServerId &server) {
-            this->tellQuarantines({{{fingerprint, server}}, {}});
+            this->tellQuarantines({{{fingerprint, server}}, {}, {}});
         };
         hooks.onSuspectRequest = [this](std::uint64_t fingerprint, TimePoint until) {
             const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - RuntimeClock::now());
             const auto remaining = std::max(left, std::chrono::milliseconds(0));
-            this->tellQuarantines({{}, {{fingerprint, remaining}}});
+            this->tellQuarantines({{}, {{fingerprint, remaining}}, {}});
         };
         hooks.onRateLimitChange = [this](const ServerRateLimit &limit) {
             this->observeRateLimit(limit, "response");
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -11,6 +11,7 @@
 
 constexpr double thousandths = 1000.0;
 constexpr double maxRateThousandths = 1e15; // fits into 64 bits
+constexpr std::size_t maxDeathCounts = 512; // sent to a newly connected peer, about 8 KB
 constexpr std::chrono::milliseconds maxReportAge = std::chrono::hours(1); // assumed for older reports
 
 ServedTokens toMessage(const ServedTokensReport &report)
@@ -141,7 +142,23 @@
         for (const SuspectNotice &suspect : message.suspects) {
             dispatcher.applyPeerSuspect(suspect.fingerprint, now + suspect.validFor, now);
         }
+        for (const DeathCountNotice &count : message.deathCounts) {
+            const auto validFor = std::min<Duration>(count.validFor, Quarantine::expiry);
+            dispatcher.applyPeerDeathCount({count.fingerprint, count.deaths, now + validFor}, now);
+        }
+    });
+}
+
+QuarantinesMessage PeerTraffic::deathCounts()
+{
+    QuarantinesMessage message;
+    this->gate.update([&message](const Dispatcher &dispatcher, TimePoint now) {
+        for (const DeathCount &count : dispatcher.deathCounts(maxDeathCounts, now)) {
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(count.expires - now);
+            message.deathCounts.push_back({count.fingerprint, count.deaths, left});
+        }
     });
+    return message;
 }
 
 void PeerTraffic::takeServingCount(std::size_t count)
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -476,6 +476,7 @@
         }
     };
     peerHooks.onQuarantines = this->hooks.onPeerQuarantines;
+    peerHooks.deathCounts = this->hooks.deathCounts;
     peerHooks.onRateLimits = this->hooks.onPeerRateLimits;
     peerHooks.onLiveInstances = this->hooks.onLiveInstances;
     peerHooks.onServingCount = [this](std::size_t count) {
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -422,6 +422,10 @@
     std::vector<PeerMessage> messages;
     messages.emplace_back(TombstonesMessage{this->hooks.tombstones()});
     messages.emplace_back(messageOf(this->verifiedInstances()));
+    QuarantinesMessage deaths = this->hooks.deathCounts();
+    if (!deaths.deathCounts.empty()) {
+        messages.emplace_back(std::move(deaths));
+    }
     return messages;
 }
 
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -89,6 +89,11 @@
     return std::tie(value.fingerprint, value.validFor);
 }
 
+auto fieldsOf(MaybeConst<DeathCountNotice> auto &value)
+{
+    return std::tie(value.fingerprint, value.deaths, value.validFor);
+}
+
 auto fieldsOf(MaybeConst<KnownInstance> auto &value)
 {
     return std::tie(value.id, value.address);
@@ -138,7 +143,7 @@
 
 auto fieldsOf(MaybeConst<QuarantinesMessage> auto &value)
 {
-    return std::tie(value.deaths, value.suspects);
+    return std::tie(value.deaths, value.suspects, value.deathCounts);
 }
 
 auto fieldsOf(MaybeConst<InstancesMessage> auto &value)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -91,6 +91,11 @@
     }
 }
 
+void Dispatcher::applyPeerDeathCount(const DeathCount &count, TimePoint now)
+{
+    this->implementation->quarantine.applyPeerDeathCount(count.fingerprint, count.deaths, count.expires, now);
+}
+
 void Dispatcher::applyPeerServedTokens(const ServedTokensReport &report)
 {
     this->implementation->applyPeerServedTokens(report);
@@ -171,6 +176,11 @@
     this->implementation->forecastTierWaits(model, service, now, waits);
 }
 
+std::vector<DeathCount> Dispatcher::deathCounts(std::size_t most, TimePoint now) const
+{
+    return this->implementation->quarantine.deathCounts(most, now);
+}
+
 std::size_t Dispatcher::waitingCount() const
 {
     return this->implementation->waitingCount();
--- a/src/traffic/quarantine.cpp
+++ b/src/traffic/quarantine.cpp
@@ -35,6 +35,18 @@
     entry.peerRunsUntil = std::max(entry.peerRunsUntil, until);
 }
 
+void Quarantine::applyPeerDeathCount(std::uint64_t fingerprint, std::uint32_t deaths, TimePoint until, TimePoint now)
+{
+    if (fingerprint == 0 || deaths == 0 || until <= now) {
+        return;
+    }
+    const bool isKnown = this->status(fingerprint, now) != Status::Clear;
+    Entry &entry = this->findOrAddEntry(fingerprint, now);
+    entry.deaths = std::max(entry.deaths, deaths);
+    // A count that instances pass on to each other must not outlive the expiry at its origin.
+    entry.expires = isKnown ? std::max(entry.expires, until) : std::min(until, now + expiry);
+}
+
 void Quarantine::clearSuspicion(std::uint64_t fingerprint)
 {
     const auto found = this->entries.find(fingerprint);
@@ -76,6 +88,21 @@
     return entry.running > 0 || entry.peerRunsUntil > now ? Status::SuspectRunning : Status::Suspect;
 }
 
+std::vector<DeathCount> Quarantine::deathCounts(std::size_t most, TimePoint now) const
+{
+    std::vector<DeathCount> counts;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        if (entry.deaths > 0 && entry.expires > now) {
+            counts.push_back({fingerprint, entry.deaths, entry.expires});
+        }
+    }
+    std::sort(counts.begin(), counts.end(), [](const DeathCount &left, const DeathCount &right) {
+        return left.expires > right.expires;
+    });
+    counts.resize(std::min(most, counts.size()));
+    return counts;
+}
+
 Quarantine::Entry &Quarantine::findOrAddEntry(std::uint64_t fingerprint, TimePoint now)
 {
     const auto found = this->entries.find(fingerprint);
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -76,6 +76,9 @@
         hooks.onPeerServedTokens = [](const std::vector<ServedTokens> &) {};
         hooks.onPeerPrefills = [](const std::vector<PromptPrefill> &) {};
         hooks.onPeerQuarantines = [](const QuarantinesMessage &) {};
+        hooks.deathCounts = [] {
+            return QuarantinesMessage();
+        };
         hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
         hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
         hooks.onServingCount = [](std::size_t) {};
@@ -205,6 +208,9 @@
     hooks.onPeerServedTokens = [](const std::vector<ServedTokens> &) {};
     hooks.onPeerPrefills = [](const std::vector<PromptPrefill> &) {};
     hooks.onPeerQuarantines = [](const QuarantinesMessage &) {};
+    hooks.deathCounts = [] {
+        return QuarantinesMessage();
+    };
     hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
     hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
     hooks.onServingCount = [](std::size_t) {};
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -72,7 +72,12 @@
         hooks.onServedTokens = [](const std::vector<ServedTokens> &) {};
         hooks.onPrefills = [](const std::vector<PromptPrefill> &) {};
         hooks.onDemands = [](const std::vector<ServiceDemand> &) {};
-        hooks.onQuarantines = [](const QuarantinesMessage &) {};
+        hooks.deathCounts = [this] {
+            return this->deaths;
+        };
+        hooks.onQuarantines = [this](const QuarantinesMessage &message) {
+            this->reportedDeaths = message;
+        };
         hooks.onServingCount = [](std::size_t) {};
         hooks.onRateLimits = [this](const std::vector<RateLimitReport> &reports) {
             this->reportedLimits = reports;
@@ -99,6 +104,8 @@
     std::vector<RateLimitReport> limits;
     std::vector<RateLimitReport> reportedLimits;
     std::vector<InstanceId> liveInstances;
+    QuarantinesMessage deaths;
+    QuarantinesMessage reportedDeaths;
     PeerExchange exchange;
 };
 
@@ -182,3 +189,20 @@
     context.restart();
     context.run_for(std::chrono::milliseconds(100));
 }
+
+TEST(PeerExchange, TellsANewlyConnectedPeerWhichRequestsKilledServers)
+{
+    boost::asio::io_context context;
+    ExchangingInstance one(context, "one", {});
+    one.deaths.deathCounts = {{7, 2, std::chrono::minutes(30)}};
+    ExchangingInstance two(context, "two", {one.exchange.localEndpoint()});
+    EXPECT_TRUE(runUntil(context, [&] {
+        return two.reportedDeaths == one.deaths;
+    }));
+    EXPECT_EQ(one.reportedDeaths, QuarantinesMessage()) << "nothing to tell";
+    two.exchange.stop();
+    one.exchange.stop();
+    // Lets the suspended coroutines end before the objects they use are destroyed.
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+}
--- a/tests/process/backendfault_test.cpp
+++ b/tests/process/backendfault_test.cpp
@@ -1,5 +1,7 @@
 #include "standardcluster.h"
 
+#include <algorithm>
+
 using namespace flamingosaddle;
 using namespace flamingosaddle::process;
 
@@ -142,6 +144,37 @@
     EXPECT_EQ(checkStreamedAnswer(chatPath, other.body, answer.value().body), Violations{}) << answer.value().body;
 }
 
+// A daemon that was not connected when engines died would let the request that killed them through again.
+TEST_F(BackendFault, ADaemonThatStartsLaterRefusesAQuarantinedRequest)
+{
+    const std::vector<const char *> engines{"engine-a", "engine-b", "engine-c", "engine-d"};
+    for (const char *id : {"engine-c", "engine-d"}) {
+        this->cluster.publish({"backend", "add"}, this->cluster.addEngine(id, "dc-c").configuration);
+    }
+    const auto alive = [&] {
+        return std::count_if(engines.begin(), engines.end(), [this](const char *id) {
+            return call(this->cluster.backend(id).standin.address, getRequest("/load")).has_value();
+        });
+    };
+    const HttpRequest fatal = withKey(chatRequest("[[crash]]", 20, true), this->key.key);
+    const auto isRefused = [&](const DaemonProcess &daemon) {
+        const auto answer = call(daemon.caller, fatal);
+        return answer.has_value() && answer.value().status == 400;
+    };
+    ASSERT_TRUE(waitUntil([&] {
+        return isRefused(this->daemon(0));
+    }));
+    const auto before = alive();
+    ASSERT_GE(before, 1);
+    const DaemonProcess &later = this->cluster.addDaemon("dc-a", "i5");
+    ASSERT_TRUE(waitUntil([&] {
+        const auto status = call(later.admin, getRequest("/v1/status"));
+        return later.isReady() && status.has_value() && Json::parse(status.value().body).at("servingInstances") == 5;
+    }));
+    EXPECT_TRUE(isRefused(later));
+    EXPECT_EQ(alive(), before);
+}
+
 TEST_F(BackendFault, ASilentServerIsGivenUp)
 {
     DaemonProcess &impatient
--- a/tests/traffic/guards_test.cpp
+++ b/tests/traffic/guards_test.cpp
@@ -148,3 +148,21 @@
     quarantine.clearSuspicion(7);
     EXPECT_EQ(quarantine.status(7, TimePoint(20s)), Quarantine::Status::Refused) << "a quarantined request stays refused";
 }
+
+TEST(Quarantine, AppliesAPeersCountOfDeaths)
+{
+    Quarantine quarantine(2);
+    const TimePoint now(1h);
+    quarantine.applyPeerDeathCount(7, 2, now + 10min, now);
+    EXPECT_EQ(quarantine.status(7, now), Quarantine::Status::Refused);
+    quarantine.applyPeerDeathCount(7, 1, now + 10min, now);
+    EXPECT_EQ(quarantine.status(7, now), Quarantine::Status::Refused) << "the higher count is kept";
+    quarantine.applyPeerDeathCount(8, 1, now + 10min, now);
+    EXPECT_EQ(quarantine.status(8, now), Quarantine::Status::Suspect);
+    EXPECT_EQ(quarantine.status(7, now + 10min), Quarantine::Status::Clear) << "no later than at the peer";
+    quarantine.applyPeerDeathCount(9, 2, now, now);
+    EXPECT_EQ(quarantine.status(9, now), Quarantine::Status::Clear) << "expired";
+    EXPECT_EQ(quarantine.deathCounts(10, now).size(), 2U);
+    EXPECT_EQ(quarantine.deathCounts(1, now).size(), 1U);
+    EXPECT_TRUE(quarantine.deathCounts(10, now + Quarantine::expiry).empty());
+}
