An instance out of contact with its peers keeps to its share of common limits

What callers would see: an instance that was cut off from its peers took the whole allowance for resends, and so did each of the others, so a service whose servers fail got a multiple of the resends that all instances together may send. The allowance followed the number of peers that are heard, which falls to one in a split, and is one for the first moments of every start.

Now limits common to all are divided among the instances that may be sending: members that are alive or drain, and those that vanished without draining less than 30 s ago. Until the others can be known, eight are assumed, as the allowance did already for an unknown number. The slots of servers still follow the instances that are heard, since there the peers' load reports bound the use.

Seen on the way and not changed: LeaveMessage never arrives, because PeerExchange::stop() closes the connections while the frame is still queued; a drained instance is recognised by its last state instead.

--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -59,7 +59,8 @@
     std::function<void(const QuarantinesMessage &)> onPeerQuarantines;
     std::function<QuarantinesMessage()> deathCounts; ///< deaths of backend servers that a newly connected peer may have missed
     std::function<void(const std::vector<RateLimitReport> &)> onPeerRateLimits;
-    std::function<void(const std::vector<InstanceId> &)> onLiveInstances; ///< the other instances that are not gone
+    std::function<void(const std::vector<InstanceId> &)>
+        onSharingInstances; ///< the other instances that share limits common to all
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
 };
 
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -43,8 +43,10 @@
     std::function<void(const std::vector<PromptPrefill> &)> onPrefills;
     std::function<void(const std::vector<ServiceDemand> &)> onDemands; ///< demands of each instance, including this one
     std::function<void(const std::vector<RateLimitReport> &)> onRateLimits; ///< not called without reports
-    std::function<void(const std::vector<InstanceId> &)>
-        onLiveInstances; ///< the other instances that are not gone, at each change
+    /**
+     * The other instances that share limits common to all, at each change. Not called before the instances can be known.
+     */
+    std::function<void(const std::vector<InstanceId> &)> onSharingInstances;
     std::function<void()> onLeaderHeartbeat; ///< a heartbeat of a peer that is the leader has arrived
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
@@ -151,7 +153,7 @@
     void gossipInstances();
     std::map<InstanceId, Endpoint> verifiedInstances() const;
     void updateServingCount();
-    void updateLiveInstances();
+    void updateSharingInstances();
 
     boost::asio::io_context &context;
     const Platform &platform;
@@ -172,7 +174,8 @@
     bool actsAsRelay = true; ///< true until another relay is known
     std::uint64_t connectionCount = 0;
     std::size_t servingCount = 0;
-    std::vector<InstanceId> liveInstances; ///< other instances, as last passed to the hook
+    std::optional<std::vector<InstanceId>> sharingInstances; ///< as last passed to the hook
+    TimePoint startedAt;
     bool stopped = false;
 };
 
--- a/include/flamingosaddle/state/membership.h
+++ b/include/flamingosaddle/state/membership.h
@@ -71,6 +71,8 @@
     Duration heartbeatTimeout = std::chrono::seconds(3); ///< time without a heartbeat after which a member counts as gone
     Duration goneRetention = std::chrono::minutes(10); ///< how long gone members are kept; longer than any heartbeat is delayed
     Duration unverifiedTimeout = std::chrono::seconds(30); ///< how long an unverified member is contacted
+    /** How long a member that stopped sending heartbeats may still be running, out of contact with this instance only. */
+    Duration outOfContactTime = std::chrono::seconds(30);
 
     friend bool operator==(const MembershipTiming &, const MembershipTiming &) = default;
 };
@@ -127,6 +129,12 @@
     /** Returns the members that accept requests and that the platform does not list as leaving. */
     std::vector<Heartbeat> serving() const;
 
+    /**
+     * Returns the members that share limits common to all instances: those that may be sending requests to backend servers. A
+     * member that stopped sending heartbeats while it was not draining keeps its share for outOfContactTime.
+     */
+    std::vector<InstanceId> sharingInstances(TimePoint now) const;
+
     /** Returns the addresses to contact: those of listed instances and unverified members that are not live members. */
     std::vector<Endpoint> contactAddresses() const;
 
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -137,7 +137,10 @@
      */
     void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
 
-    /** Sets the instances that share the backend servers' rate limits: this one and its live peers. */
+    /**
+     * Sets the instances that share the limits common to all, which are the backend servers' rate limits and the allowance for
+     * resends: this one and the peers that may be sending requests.
+     */
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now);
 
     /** Replaces what is known of the requests waiting at peers. Lower tiers leave their servers to those requests. */
--- a/include/flamingosaddle/traffic/ratelimits.h
+++ b/include/flamingosaddle/traffic/ratelimits.h
@@ -41,6 +41,8 @@
     static constexpr double shareBurstSeconds = 0.25; ///< burst of one instance, if that is more than one request
     /** Rate at which all instances together use a server with a lower limit, since only its responses can lift the limit. */
     static constexpr double minRequestsPerSecond = 0.1;
+    /** Number of instances that share a limit, assumed until setInstances() is called. */
+    static constexpr std::uint32_t assumedInstances = 8;
     /** How long the limit of a server that is not configured is kept; entries of servers may vanish for seconds. */
     static constexpr Duration absentRetention = std::chrono::minutes(1);
     /** How long a lifted limit is kept, so that delayed reports of the limit are recognised as outdated. */
@@ -88,7 +90,7 @@
 
     std::map<BackendServerId, Entry> entries;
     InstanceId self;
-    std::vector<InstanceId> peers;
+    std::optional<std::vector<InstanceId>> peers; // empty until setInstances() is called
 };
 
 } // namespace flamingosaddle
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -276,7 +276,7 @@
                 this->observeRateLimit(limit, "peer");
             }
         };
-        hooks.onLiveInstances = [this](const std::vector<InstanceId> &peers) {
+        hooks.onSharingInstances = [this](const std::vector<InstanceId> &peers) {
             this->peerTraffic.setInstances(this->controller.options().self.instance, peers);
         };
         hooks.onServingCount = [this](std::size_t count) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -478,7 +478,7 @@
     peerHooks.onQuarantines = this->hooks.onPeerQuarantines;
     peerHooks.deathCounts = this->hooks.deathCounts;
     peerHooks.onRateLimits = this->hooks.onPeerRateLimits;
-    peerHooks.onLiveInstances = this->hooks.onLiveInstances;
+    peerHooks.onSharingInstances = this->hooks.onSharingInstances;
     peerHooks.onServingCount = [this](std::size_t count) {
         this->duties->meter.setInstanceCount(count);
         this->hooks.onServingCount(count);
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -52,6 +52,7 @@
     , options(std::move(options))
     , hooks(std::move(hooks))
     , members(initialHeartbeat(this->options), this->options.membership)
+    , startedAt(RuntimeClock::now())
 {
 }
 
@@ -86,7 +87,7 @@
         this->reportWaitingTiers();
         this->gossipInstances();
         this->updateServingCount();
-        this->updateLiveInstances();
+        this->updateSharingInstances();
         co_await delay(this->options.timing.heartbeatInterval);
     }
 }
@@ -227,7 +228,7 @@
     this->hooks.onServedTokens(message.servedTokens);
     this->hooks.onPrefills(message.prefills);
     this->hooks.onDemands(message.demands);
-    this->updateLiveInstances();
+    this->updateSharingInstances();
     if (!message.rateLimits.empty()) {
         this->hooks.onRateLimits(message.rateLimits);
     }
@@ -519,17 +520,15 @@
     logEvent(LogLevel::Info, "control", "serving instances changed", {{"count", std::to_string(count)}});
 }
 
-void PeerExchange::updateLiveInstances()
+void PeerExchange::updateSharingInstances()
 {
-    std::vector<InstanceId> live;
-    for (const auto &[instance, member] : this->members.members()) {
-        if (member.state != MemberState::Gone) {
-            live.push_back(instance);
-        }
-    }
-    if (live != this->liveInstances) {
-        this->liveInstances = std::move(live);
-        this->hooks.onLiveInstances(this->liveInstances);
+    const TimePoint now = RuntimeClock::now();
+    std::vector<InstanceId> sharing = this->members.sharingInstances(now);
+    // Without any other instance, this one shares nothing; but at its start it may only not have heard them yet.
+    const bool isUnknown = sharing.empty() && now < this->startedAt + this->options.membership.heartbeatTimeout;
+    if (!isUnknown && sharing != this->sharingInstances) {
+        this->sharingInstances = std::move(sharing);
+        this->hooks.onSharingInstances(*this->sharingInstances);
     }
 }
 
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -157,6 +157,19 @@
     return serving;
 }
 
+std::vector<InstanceId> Membership::sharingInstances(TimePoint now) const
+{
+    std::vector<InstanceId> instances;
+    for (const auto &[instance, member] : this->memberTable) {
+        const bool hasEnded = member.isTerminated || member.lastHeartbeat.state == MemberState::Draining;
+        const bool isOutOfContact = !hasEnded && now < member.updatedAt + this->timing.outOfContactTime;
+        if (member.state != MemberState::Gone || isOutOfContact) {
+            instances.push_back(instance);
+        }
+    }
+    return instances;
+}
+
 std::vector<Endpoint> Membership::contactAddresses() const
 {
     std::vector<Endpoint> contacts;
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -141,6 +141,7 @@
 void Dispatcher::setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now)
 {
     this->implementation->rateLimits.setInstances(self, peers);
+    this->implementation->sharingCount = static_cast<std::uint32_t>(peers.size()) + 1;
     this->implementation->updateRateShares(now);
 }
 
@@ -161,7 +162,6 @@
 
 void Dispatcher::setInstanceCount(std::uint32_t count)
 {
-    this->implementation->instanceCount = count;
     this->implementation->pool.setInstanceCount(count);
 }
 
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -143,7 +143,7 @@
         // No server has seen the request, so sending it again adds no load.
         return std::nullopt;
     }
-    if (!this->resendLimit(record.serviceTarget).tryTake(this->instanceCount, now)) {
+    if (!this->resendLimit(record.serviceTarget).tryTake(this->sharingCount, now)) {
         return RefusalReason::RetriesExhausted;
     }
     const bool allowed
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -52,7 +52,7 @@
     RateLimits rateLimits;
     std::map<ServiceName, double> demands; // server time in milliseconds since the last report to peers
     std::vector<PromptPrefill> prefills; // newest prefills since the last report to peers
-    std::uint32_t instanceCount = 0; // instances that share the servers; 0 while unknown
+    std::uint32_t sharingCount = 0; // instances that share limits common to all, including this one; 0 while unknown
 
     // Queries.
 
--- a/src/traffic/ratelimits.cpp
+++ b/src/traffic/ratelimits.cpp
@@ -96,13 +96,18 @@
         return std::nullopt;
     }
     const double limit = std::max(*known->second.limit.requestsPerSecond, minRequestsPerSecond);
-    const std::uint64_t key = hash64(server.text());
-    const std::uint64_t ownWeight = rendezvousWeight(this->self.text(), key);
-    const auto rank = std::count_if(this->peers.begin(), this->peers.end(), [key, ownWeight](const InstanceId &peer) {
-        return rendezvousWeight(peer.text(), key) > ownWeight;
-    });
-    const double instances = static_cast<double>(this->peers.size() + 1);
-    const double sharers = std::min(instances, std::floor(limit * burstSeconds) + minBurst);
+    std::size_t rank = 0;
+    std::size_t instances = assumedInstances;
+    if (this->peers.has_value()) {
+        const std::uint64_t key = hash64(server.text());
+        const std::uint64_t ownWeight = rendezvousWeight(this->self.text(), key);
+        rank = static_cast<std::size_t>(
+            std::count_if(this->peers->begin(), this->peers->end(), [key, ownWeight](const InstanceId &peer) {
+                return rendezvousWeight(peer.text(), key) > ownWeight;
+            }));
+        instances = this->peers->size() + 1;
+    }
+    const double sharers = std::min(static_cast<double>(instances), std::floor(limit * burstSeconds) + minBurst);
     if (static_cast<double>(rank) >= sharers) {
         return RateShare{0.0, 1.0, 0.0};
     }
--- a/tests/control/controller_test.cpp
+++ b/tests/control/controller_test.cpp
@@ -80,7 +80,7 @@
             return QuarantinesMessage();
         };
         hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
-        hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
+        hooks.onSharingInstances = [](const std::vector<InstanceId> &) {};
         hooks.onServingCount = [](std::size_t) {};
         return hooks;
     }
@@ -212,7 +212,7 @@
         return QuarantinesMessage();
     };
     hooks.onPeerRateLimits = [](const std::vector<RateLimitReport> &) {};
-    hooks.onLiveInstances = [](const std::vector<InstanceId> &) {};
+    hooks.onSharingInstances = [](const std::vector<InstanceId> &) {};
     hooks.onServingCount = [](std::size_t) {};
     ControllerOptions options;
     options.self = {InstanceId("i1"), 1};
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -82,8 +82,8 @@
         hooks.onRateLimits = [this](const std::vector<RateLimitReport> &reports) {
             this->reportedLimits = reports;
         };
-        hooks.onLiveInstances = [this](const std::vector<InstanceId> &instances) {
-            this->liveInstances = instances;
+        hooks.onSharingInstances = [this](const std::vector<InstanceId> &instances) {
+            this->sharingInstances = instances;
         };
         hooks.progress = [] {
             return StoreProgress();
@@ -103,7 +103,7 @@
     std::vector<WaitingTier> reported;
     std::vector<RateLimitReport> limits;
     std::vector<RateLimitReport> reportedLimits;
-    std::vector<InstanceId> liveInstances;
+    std::vector<InstanceId> sharingInstances;
     QuarantinesMessage deaths;
     QuarantinesMessage reportedDeaths;
     PeerExchange exchange;
@@ -172,18 +172,18 @@
         {BackendServerId("s"), 2500, std::chrono::milliseconds(40)}, {BackendServerId("t"), std::nullopt, {}}};
     two.limits = limits;
     EXPECT_TRUE(runUntil(context, [&] {
-        return one.reportedLimits == limits && one.liveInstances == std::vector{InstanceId("two")};
+        return one.reportedLimits == limits && one.sharingInstances == std::vector{InstanceId("two")};
     }));
     // A draining instance still sends requests, so it keeps its share.
     two.exchange.setState(MemberState::Draining);
     EXPECT_TRUE(runUntil(context, [&] {
         return one.exchange.membership().serving().empty();
     }));
-    EXPECT_EQ(one.liveInstances, std::vector{InstanceId("two")});
+    EXPECT_EQ(one.sharingInstances, std::vector{InstanceId("two")});
     two.exchange.stop();
     EXPECT_TRUE(runUntil(context, [&] {
-        return one.liveInstances.empty();
-    }));
+        return one.sharingInstances.empty();
+    })) << "it has drained";
     one.exchange.stop();
     // Lets the suspended coroutines end before the objects they use are destroyed.
     context.restart();
--- a/tests/state/membership_test.cpp
+++ b/tests/state/membership_test.cpp
@@ -32,7 +32,7 @@
         return this->membership.find(InstanceId(instance))->state;
     }
 
-    Membership membership{heartbeat("self", 1, 0), {3s, 10min, 30s}};
+    Membership membership{heartbeat("self", 1, 0), {3s, 10min, 30s, 30s}};
     TimePoint now{1h};
 };
 
@@ -188,3 +188,26 @@
         }
     }));
 }
+
+// A member out of contact may only be cut off from this instance and still use its share of what all instances share.
+TEST_F(MembershipTest, AMemberOutOfContactKeepsItsShareForATime)
+{
+    const std::vector<InstanceId> one{InstanceId("i1")};
+    this->apply(heartbeat("i1", 1, 1));
+    EXPECT_EQ(this->membership.sharingInstances(this->now), one);
+    this->now += 3s;
+    this->membership.expire(this->now);
+    EXPECT_EQ(this->resetIfReplaced("i1"), MemberState::Gone);
+    EXPECT_EQ(this->membership.sharingInstances(this->now + 29s), one);
+    EXPECT_TRUE(this->membership.sharingInstances(this->now + 30s).empty());
+}
+
+TEST_F(MembershipTest, AMemberKeepsItsShareUntilItHasDrained)
+{
+    this->apply(heartbeat("i1", 1, 1, MemberState::Draining));
+    this->apply(heartbeat("i2", 1, 1, MemberState::Gone));
+    EXPECT_EQ(this->membership.sharingInstances(this->now), std::vector<InstanceId>{InstanceId("i1")});
+    this->now += 3s;
+    this->membership.expire(this->now);
+    EXPECT_TRUE(this->membership.sharingInstances(this->now).empty());
+}
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -1,4 +1,5 @@
 #include <flamingosaddle/traffic/dispatcher.h>
+#include <flamingosaddle/traffic/policies.h>
 
 #include <gtest/gtest.h>
 
@@ -156,6 +157,7 @@
 {
     Dispatcher dispatcher{DispatcherOptions()};
     dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    dispatcher.setInstances(InstanceId("self"), {}, TimePoint());
     EXPECT_TRUE(dispatcher.applyPeerRateLimit({BackendServerId("s"), 0.5, TimePoint()}, TimePoint()));
     EXPECT_EQ(dispatcher.rateLimitedCount(), 1U);
     const RequestProfile profile = patientProfile();
@@ -180,6 +182,7 @@
 {
     Dispatcher dispatcher{DispatcherOptions()};
     dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    dispatcher.setInstances(InstanceId("self"), {}, TimePoint());
     dispatcher.applyPeerRateLimit({BackendServerId("s"), 0.2, TimePoint()}, TimePoint());
     RequestProfile low = profileOf("a", 1);
     low.requestClass.firstTokenTarget = 8s;
@@ -238,3 +241,29 @@
     dispatcher.dispatch(TimePoint(2s), decisions);
     EXPECT_TRUE(decisions.assignments.empty());
 }
+
+// An instance that is cut off from its peers cannot tell whether they still send. It must not take their part of the allowance
+// for resends, since they may be taking it, too.
+TEST(Dispatcher, SharesTheResendAllowanceWithPeersThatAreOutOfContact)
+{
+    DispatcherOptions options;
+    options.resendLimit = {10s, 0.0, 40};
+    DispatcherPolicies policies;
+    policies.retry = [](std::uint32_t) {
+        return true;
+    };
+    Dispatcher dispatcher(options, policies);
+    dispatcher.setServers({serverOf("s", 100)}, TimePoint());
+    dispatcher.setInstances(InstanceId("self"), {InstanceId("a"), InstanceId("b"), InstanceId("c")}, TimePoint());
+    dispatcher.setInstanceCount(1);
+    std::size_t resends = 0;
+    Decisions decisions;
+    for (int i = 0; i < 40; ++i) {
+        const Ticket ticket = submitAccepted(dispatcher, patientProfile());
+        dispatcher.dispatch(TimePoint(), decisions);
+        resends += dispatcher.retry(ticket, AttemptOutcome::ServerError, true, TimePoint()) == std::nullopt ? 1 : 0;
+        dispatcher.cancel(ticket, TimePoint());
+    }
+    EXPECT_LE(resends, 10U);
+    EXPECT_GT(resends, 0U);
+}
