Rate limits: a rejection does not lift one, an expired one is cleared, shares are updated once a heartbeat

A server may reject requests before the part that knows its limit, so only a regular response without a limit lifts one (CallerHandler.OnlyARegularResponseLiftsTheRateLimitOfAServer). The limit of a server that is absent for long expires, but its token bucket stayed while a request still ran there (Dispatcher.ForgetsTheRateLimitOfAServerThatIsAbsentForLong failed before, the request waited for a token). The instances that share limits were collected anew at each heartbeat received, quadratic work in a large deployment; once per own heartbeat is enough.

The soak keeps its callers' connections open until they are closed, also while a daemon drains; replaces daemons in series without waiting for drained ones; sends signals in series, also to draining daemons; states rate limits while it harms, and checks at the end that a limit is kept.

--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -43,9 +43,7 @@
     std::function<void(const std::vector<PromptPrefill> &)> onPrefills;
     std::function<void(const std::vector<ServiceDemand> &)> onDemands; ///< demands of each instance, including this one
     std::function<void(const std::vector<RateLimitReport> &)> onRateLimits; ///< not called without reports
-    /**
-     * The other instances that share limits common to all, at each change. Not called before the instances can be known.
-     */
+    /** The other instances that share limits common to all, at each change. Not called before they can be known. */
     std::function<void(const std::vector<InstanceId> &)> onSharingInstances;
     std::function<void()> onLeaderHeartbeat; ///< a heartbeat of a peer that is the leader has arrived
     std::function<void(const QuarantinesMessage &)> onQuarantines;
--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -104,8 +104,11 @@
         Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the response head
         /** Matches a response head with the request; when empty, every response is valid. */
         std::function<ResponseCheck(const HttpRequest &sent, const HttpResponseHead &head)> checkResponse;
-        /** Called with the head of the called server's response to this request, also if it rejects the request. May be empty. */
-        std::function<void(const HttpResponseHead &head)> onResponseHead;
+        /**
+         * Called with the head of the called server's response to this request. @p isRejection is true if it proves that the
+         * request did not run. May be empty.
+         */
+        std::function<void(const HttpResponseHead &head, bool isRejection)> onResponseHead;
     };
 
     /** Sends a request and reads its response head. */
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -200,6 +200,11 @@
         return this->targets[target].otherInstancesCount > 0;
     }
 
+    const std::vector<ServerIndex> &rateLimitedServers() const
+    {
+        return this->rateLimited;
+    }
+
     RateLimitedCapacity rateLimitedCapacity(TargetIndex target) const;
 
     /** Returns when a rate limit next lets a server take a request that has none free now; nothing if there is no such server. */
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -228,7 +228,6 @@
     this->hooks.onServedTokens(message.servedTokens);
     this->hooks.onPrefills(message.prefills);
     this->hooks.onDemands(message.demands);
-    this->updateSharingInstances();
     if (!message.rateLimits.empty()) {
         this->hooks.onRateLimits(message.rateLimits);
     }
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -189,7 +189,7 @@
         const ResponseCheck check = order.checkResponse ? order.checkResponse(order.request, head.value()) : ResponseCheck::Valid;
         const bool isFromCalledServer = check == ResponseCheck::Valid || check == ResponseCheck::NotExecuted;
         if (isFromCalledServer && order.onResponseHead) {
-            order.onResponseHead(head.value());
+            order.onResponseHead(head.value(), check == ResponseCheck::NotExecuted);
         }
         if (check == ResponseCheck::Valid) {
             co_return head;
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -241,8 +241,12 @@
     this->outcome.server = grant.server();
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
-    parameters.onResponseHead = [this, &grant](const HttpResponseHead &head) {
-        grant.recordRateLimit(this->environment.adapter.rateLimit(head.headers));
+    parameters.onResponseHead = [this, &grant](const HttpResponseHead &head, bool isRejection) {
+        const std::optional<double> limit = this->environment.adapter.rateLimit(head.headers);
+        // A rejection without a limit does not lift one: a server may reject requests before the part that knows the limit.
+        if (limit.has_value() || !isRejection) {
+            grant.recordRateLimit(limit);
+        }
     };
     const auto step = [this](RequestStep requestStep) {
         this->environment.reportStep(requestStep);
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -469,7 +469,12 @@
 
 void Dispatcher::Implementation::updateRateShares(TimePoint now)
 {
-    for (const BackendServerId &server : this->rateLimits.servers()) {
+    std::vector<BackendServerId> servers = this->rateLimits.servers();
+    // Includes servers whose limit has expired meanwhile.
+    for (const ServerIndex index : this->pool.rateLimitedServers()) {
+        servers.push_back(this->pool.server(index).id);
+    }
+    for (const BackendServerId &server : servers) {
         this->updateRateShare(server, now);
     }
 }
--- a/tests/process/loadrun.cpp
+++ b/tests/process/loadrun.cpp
@@ -125,14 +125,15 @@
     }
 }
 
-LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
-    const std::string &name, Duration timeout)
+namespace
+{
+
+LoadOutcome outcomeOf(const std::string &instanceId, LoadKind kind, const std::string &name, const HttpRequest &request,
+    const Result<HttpResponse> &response)
 {
     LoadOutcome outcome;
     outcome.instanceId = instanceId;
     outcome.kind = kind;
-    const HttpRequest request = withKey(requestOf(kind, name), key);
-    const Result<HttpResponse> response = call(caller, request, timeout);
     if (response.has_error()) {
         outcome.failure = response.error().kind();
         outcome.detail = name + ": " + response.error().text();
@@ -149,6 +150,22 @@
     return outcome;
 }
 
+} // namespace
+
+LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
+    const std::string &name, Duration timeout)
+{
+    const HttpRequest request = withKey(requestOf(kind, name), key);
+    return outcomeOf(instanceId, kind, name, request, call(caller, request, timeout));
+}
+
+LoadOutcome sendLoadOn(TestConnection &connection, const std::string &instanceId, const std::string &key, LoadKind kind,
+    const std::string &name, Duration timeout)
+{
+    const HttpRequest request = withKey(requestOf(kind, name), key);
+    return outcomeOf(instanceId, kind, name, request, connection.exchange(request, timeout));
+}
+
 void LoadRun::record(LoadOutcome outcome)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/process/loadrun.h
+++ b/tests/process/loadrun.h
@@ -76,6 +76,10 @@
 LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
     const std::string &name, Duration timeout = std::chrono::seconds(30));
 
+/** The same on a connection that is kept open. */
+LoadOutcome sendLoadOn(TestConnection &connection, const std::string &instanceId, const std::string &key, LoadKind kind,
+    const std::string &name, Duration timeout);
+
 /** The outcomes that are neither a whole right answer nor a refusal which says that nothing ran. */
 Violations unservedRequests(const std::vector<LoadOutcome> &outcomes);
 
--- a/tests/process/testclient.cpp
+++ b/tests/process/testclient.cpp
@@ -120,11 +120,11 @@
     }
 }
 
-Result<HttpResponse> TestConnection::exchange(const HttpRequest &request)
+Result<HttpResponse> TestConnection::exchange(const HttpRequest &request, Duration timeout)
 {
     BOOST_OUTCOME_TRY(this->send(request));
-    BOOST_OUTCOME_TRY(head, this->readHead());
-    BOOST_OUTCOME_TRY(body, this->readRest());
+    BOOST_OUTCOME_TRY(head, this->readHead(timeout));
+    BOOST_OUTCOME_TRY(body, this->readRest(timeout));
     return HttpResponse{head.status, head.headers, body};
 }
 
@@ -133,6 +133,11 @@
     return this->connection != nullptr;
 }
 
+bool TestConnection::isReusable() const
+{
+    return this->connection != nullptr && this->connection->isReusable() && !this->connection->isStale();
+}
+
 bool TestConnection::isStale() const
 {
     return this->connection == nullptr || this->connection->isStale();
--- a/tests/process/testclient.h
+++ b/tests/process/testclient.h
@@ -39,11 +39,13 @@
     Result<std::string> readPiece(Duration timeout = std::chrono::seconds(10));
     /** All that is left of the body. */
     Result<std::string> readRest(Duration timeout = std::chrono::seconds(10));
-    /** Sends a request and reads its whole answer. */
-    Result<HttpResponse> exchange(const HttpRequest &request);
+    /** Sends a request and reads its whole answer. @param timeout for each wait */
+    Result<HttpResponse> exchange(const HttpRequest &request, Duration timeout = std::chrono::seconds(10));
 
     // Queries.
     bool isConnected() const;
+    /** Whether the last answer was read whole and the server keeps the connection open. */
+    bool isReusable() const;
     /** Whether the server closed the connection while it was idle. */
     bool isStale() const;
 
--- a/tests/relay/callerhandler_test.cpp
+++ b/tests/relay/callerhandler_test.cpp
@@ -308,3 +308,34 @@
     EXPECT_EQ(
         std::count(response.begin() + static_cast<std::ptrdiff_t>(response.find("\r\n\r\n")), response.end(), 'x'), 100'000);
 }
+
+TEST(CallerHandler, OnlyARegularResponseLiftsTheRateLimitOfAServer)
+{
+    std::atomic<int> status = 200;
+    std::atomic<bool> statesLimit = true;
+    FakeBackend service([&](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpResponse response = jsonResponse(status, "{}");
+        if (statesLimit) {
+            response.headers.add("X-Flamingosaddle-Rate-Limit", "1000");
+        }
+        const Result<void> ignored = co_await exchange.respond(std::move(response));
+    });
+    ProtocolAdapter adapter = openAiAdapter(secret, RequestClass());
+    adapter.checkResponse = [](const HttpRequest &, const HttpResponseHead &head) {
+        return head.status == 503 ? ResponseCheck::NotExecuted : ResponseCheck::Valid;
+    };
+    CallerFixture fixture({}, {&service}, {}, {}, adapter);
+    const std::string request = requestText("GET /open/x", "");
+    EXPECT_EQ(fixture.asyncDispatcher().rateLimitedCount(), 0U);
+    const std::string limited = fixture.exchange(request);
+    EXPECT_EQ(statusOf(limited), 200);
+    EXPECT_EQ(limited.find("Rate-Limit"), std::string::npos) << "it concerns the router only";
+    EXPECT_EQ(fixture.asyncDispatcher().rateLimitedCount(), 1U);
+    statesLimit = false;
+    status = 503;
+    fixture.exchange(request);
+    EXPECT_EQ(fixture.asyncDispatcher().rateLimitedCount(), 1U) << "a rejection need not know the limit";
+    status = 200;
+    EXPECT_EQ(statusOf(fixture.exchange(request)), 200);
+    EXPECT_EQ(fixture.asyncDispatcher().rateLimitedCount(), 0U);
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -13,12 +13,17 @@
 namespace
 {
 
-constexpr std::size_t daemonCount = 4;
-constexpr unsigned callerCount = 6;
 constexpr std::chrono::milliseconds pauseBetweenHarms(150); ///< half of the longest, on the average
 constexpr Duration callerPatience = std::chrono::seconds(3); ///< after which a caller leaves
+constexpr std::chrono::milliseconds reconnectPause(20);
+constexpr std::chrono::seconds drainPatience(15); ///< after which a draining daemon is killed
 constexpr std::size_t shownLogBytes = 3000;
-constexpr std::array<const char *, daemonCount> places{"dc-a", "dc-a", "dc-b", "dc-c"};
+constexpr unsigned maxSeries = 3; ///< harms, or daemons of one harm, without a pause between them
+constexpr const char *limitedService = "bookings-b";
+constexpr double limitedRate = 2.0; ///< requests per second
+constexpr std::chrono::milliseconds limitLearningTime(3000);
+constexpr std::chrono::milliseconds limitCheckTime(4500);
+constexpr std::array<const char *, 4> places{"dc-a", "dc-a", "dc-b", "dc-c"};
 constexpr std::array<const char *, 4> backendIds{"engine-a", "engine-b", "bookings-b", "bookings-c"};
 constexpr std::array linkFaults{
     LinkFault::None, LinkFault::None, LinkFault::Delayed, LinkFault::Silent, LinkFault::OneWay, LinkFault::Reset};
@@ -35,12 +40,12 @@
 
 } // namespace
 
-Soak::Soak(std::uint64_t seed)
-    : seed(seed)
-    , random(seed)
+Soak::Soak(SoakOptions options)
+    : options(options)
+    , random(options.seed)
     , began(RuntimeClock::now())
-    , daemons(daemonCount)
-    , targets(daemonCount)
+    , daemons(options.daemons)
+    , targets(options.daemons)
 {
     this->start();
 }
@@ -61,17 +66,17 @@
         const LoopbackProxy &link = this->backendLinks.emplace_back(backend.standin.address);
         backend.configuration["endpoint"] = link.address().text();
     }
-    for (std::size_t place = 0; place < daemonCount; ++place) {
+    for (std::size_t place = 0; place < this->options.daemons; ++place) {
         this->startDaemon(place);
     }
     this->cluster.publishStandardConfiguration();
     this->key = this->cluster.giveKey("bakery");
     this->withdrawn = this->cluster.giveKey("bakery");
     this->cluster.waitUntilServing(this->key);
-    for (std::size_t place = 0; place < daemonCount; ++place) {
+    for (std::size_t place = 0; place < this->options.daemons; ++place) {
         this->offer(place, true);
     }
-    for (unsigned caller = 0; caller < callerCount; ++caller) {
+    for (unsigned caller = 0; caller < this->options.callers; ++caller) {
         this->callers.emplace_back([this, caller] {
             this->callOn(caller);
         });
@@ -91,26 +96,39 @@
         flags.insert(flags.end(), {"--seed-peers", seeds});
     }
     const std::string id = "i" + std::to_string(++this->starts);
-    this->daemons[place] = &this->cluster.addDaemonAt(this->platformLink->address(), places[place], id, flags);
+    this->daemons[place] = &this->cluster.addDaemonAt(this->platformLink->address(), places[place % places.size()], id, flags);
 }
 
 void Soak::callOn(unsigned caller)
 {
+    std::unique_ptr<TestConnection> connection;
+    std::string instanceId;
+    unsigned connections = 0;
     for (unsigned index = caller; !this->stopping; ++index) {
         const LoadKind kind = loadKinds[index % loadKinds.size()];
         const std::string name = std::to_string(caller) + "-" + std::to_string(index);
-        // A caller that got no whole answer to a deposit sends it again elsewhere.
+        // A caller that got no whole answer to a deposit sends it again, on another connection.
         for (unsigned sending = 0; sending < 2 && !this->stopping; ++sending) {
-            const std::optional<Target> target = this->anyTarget(index + sending);
-            if (!target.has_value()) {
+            if (!connection || !connection->isReusable()) {
+                const std::optional<Target> target = this->anyTarget(caller + connections++);
+                connection = target.has_value() ? std::make_unique<TestConnection>(target->caller) : nullptr;
+                instanceId = target.has_value() ? target->instanceId : std::string();
+            }
+            if (!connection || !connection->isConnected()) {
+                connection.reset();
+                std::this_thread::sleep_for(reconnectPause);
                 continue;
             }
-            LoadOutcome outcome = sendLoad(target->instanceId, target->caller, this->key.key, kind, name, callerPatience);
+            LoadOutcome outcome = sendLoadOn(*connection, instanceId, this->key.key, kind, name, callerPatience);
             const bool isDone = outcome.status == 200 || kind != LoadKind::Deposit;
+            const bool isAnswered = outcome.status != 0;
             {
                 const std::lock_guard lock(this->mutex);
                 this->outcomes.push_back(std::move(outcome));
             }
+            if (!isAnswered || !isDone) {
+                connection.reset();
+            }
             if (isDone) {
                 break;
             }
@@ -144,13 +162,18 @@
 {
     const TimePoint end = RuntimeClock::now() + duration;
     while (RuntimeClock::now() < end) {
-        this->harm();
+        const std::uint64_t series = this->below(4) == 0 ? maxSeries : 1;
+        for (std::uint64_t i = 0; i < series; ++i) {
+            this->harm();
+        }
         std::this_thread::sleep_for(pauseBetweenHarms * (1 + this->below(3)) / 2);
     }
     this->heal();
+    this->endDraining();
     Violations wrong = this->checkServing();
+    const Violations exceeded = this->checkLimitKept();
     this->stopCallers();
-    for (const Violations &more : {this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
+    for (const Violations &more : {exceeded, this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
         wrong.insert(wrong.end(), more.begin(), more.end());
     }
     return wrong;
@@ -195,7 +218,7 @@
 
 void Soak::harmDaemon()
 {
-    const std::size_t place = this->below(daemonCount);
+    const std::size_t place = this->below(this->options.daemons);
     DaemonProcess &daemon = *this->daemons[place];
     const auto frozenAt = std::find(this->frozen.begin(), this->frozen.end(), place);
     if (frozenAt != this->frozen.end()) {
@@ -204,6 +227,7 @@
         this->frozen.erase(frozenAt);
         return;
     }
+    const std::uint64_t series = 1 + this->below(maxSeries);
     switch (this->below(5)) {
     case 0:
         this->note(daemon.instanceId + " freezes");
@@ -211,28 +235,56 @@
         this->frozen.push_back(place);
         return;
     case 1:
-        this->note(daemon.instanceId + " is told to reload");
-        daemon.process.signal(SIGHUP);
+        for (std::uint64_t signals = 0; signals < series; ++signals) {
+            this->note(daemon.instanceId + " is told to reload");
+            daemon.process.signal(SIGHUP);
+        }
+        for (DaemonProcess *draining : this->draining) {
+            if (!draining->process.hasEnded()) {
+                this->note(draining->instanceId + ", which drains, is told to reload");
+                draining->process.signal(SIGHUP);
+            }
+        }
         return;
-    case 2:
+    default:
+        // A few daemons in turn, from this place on.
+        for (std::uint64_t next = 0; next < series; ++next) {
+            this->replaceDaemon((place + next) % this->options.daemons);
+        }
+    }
+}
+
+void Soak::replaceDaemon(std::size_t place)
+{
+    DaemonProcess &daemon = *this->daemons[place];
+    if (std::find(this->frozen.begin(), this->frozen.end(), place) != this->frozen.end()) {
+        return;
+    }
+    this->offer(place, false);
+    if (this->below(2) == 0) {
         this->note(daemon.instanceId + " drains");
-        // Callers go on with it until it is gone.
+        // Callers keep their connections to it until it is gone.
         daemon.process.signal(SIGTERM);
-        if (!daemon.process.waitForEnd(std::chrono::seconds(10)).has_value()) {
-            this->note(daemon.instanceId + " does not end");
-            daemon.process.kill();
-        }
-        break;
-    default:
+        this->draining.push_back(&daemon);
+    } else {
         this->note(daemon.instanceId + " is killed");
         daemon.process.kill();
-        break;
     }
-    this->offer(place, false);
     this->startDaemon(place);
     this->offer(place, true);
 }
 
+void Soak::endDraining()
+{
+    for (DaemonProcess *daemon : this->draining) {
+        if (!daemon->process.waitForEnd(drainPatience).has_value()) {
+            this->note(daemon->instanceId + " does not end");
+            daemon->process.kill();
+        }
+    }
+    this->draining.clear();
+}
+
 void Soak::harmPlatform()
 {
     switch (this->below(4)) {
@@ -259,7 +311,8 @@
 {
     const char *id = backendIds[this->below(backendIds.size())];
     const std::vector<Json> faults{{{"loseAnswer", 1}}, {{"closeBeforeAnswer", 1}}, {{"delayMs", 200}}, {{"status", 503}},
-        {{"truncateAfter", 5}}, {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}}};
+        {{"truncateAfter", 5}}, {{"rateLimit", 1}}, {{"rateLimit", 5}}, {{"rateLimit", nullptr}},
+        {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}}};
     const Json &fault = faults[this->below(faults.size())];
     this->note(std::string(id) + " " + fault.dump());
     this->cluster.backend(id).standin.setFaults(fault);
@@ -293,11 +346,25 @@
     this->cluster.platform().setFaults(
         {{"log", {{"down", false}, {"delayMs", 0}, {"loseAnswers", 0}}}, {"usage", {{"down", false}, {"loseAnswers", 0}}}});
     for (const char *id : backendIds) {
-        this->cluster.backend(id).standin.setFaults(
-            {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}, {"loseAnswer", 0}, {"closeBeforeAnswer", 0}});
+        this->cluster.backend(id).standin.setFaults({{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}, {"loseAnswer", 0},
+            {"closeBeforeAnswer", 0}, {"rateLimit", nullptr}});
     }
 }
 
+Violations Soak::checkLimitKept()
+{
+    const auto now = [] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+    };
+    this->note(std::string(limitedService) + " states a rate limit");
+    this->cluster.backend(limitedService).standin.setFaults({{"rateLimit", limitedRate}});
+    const std::chrono::milliseconds binding = now() + limitLearningTime;
+    waitUntil([&] {
+        return now() > binding + limitCheckTime;
+    });
+    return checkRateLimit(this->cluster.backend(limitedService).audit(), limitedRate, binding);
+}
+
 Violations Soak::checkServing()
 {
     Violations wrong;
@@ -352,7 +419,7 @@
 std::string Soak::report() const
 {
     std::ostringstream text;
-    text << "seed " << this->seed << '\n';
+    text << "seed " << this->options.seed << ", " << this->options.daemons << " daemons" << '\n';
     for (const std::string &line : this->log) {
         text << line << '\n';
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,15 +16,22 @@
 namespace flamingosaddle::process
 {
 
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    std::size_t daemons = 4; ///< over three data centres
+    unsigned callers = 6; ///< each with one connection at a time
+};
+
 /**
- * Four daemons before engines and plain services, as separate processes with a proxy before the platform and each backend
- * server, under load, while a seed harms them from outside: links, signals, restarts, faults of the platform and of backend
- * servers, keys and configurations that change. What callers, backend servers and the platform saw is checked in the end.
+ * Daemons before engines and plain services, as separate processes with a proxy before the platform and each backend
+ * server, under load, while a seed harms them from outside: links, signals, restarts, faults and rate limits of backend servers,
+ * faults of the platform, keys and configurations that change, several at a time and in series. Callers keep their connections
+ * until they are closed, also to daemons that drain. What callers, backend servers and the platform saw is checked in the end.
  */
 class Soak
 {
 public:
-    explicit Soak(std::uint64_t seed);
+    explicit Soak(SoakOptions options);
     ~Soak();
     Soak(const Soak &) = delete;
     Soak &operator=(const Soak &) = delete;
@@ -52,17 +59,21 @@
     void harm();
     void harmLink();
     void harmDaemon();
+    void replaceDaemon(std::size_t place);
+    void endDraining();
     void harmPlatform();
     void harmBackend();
     void changeConfiguration();
     void heal();
     Violations checkServing();
+    /** States a rate limit once all faults have ended and checks that the daemons keep it. */
+    Violations checkLimitKept();
     Violations checkWithdrawal();
     Violations checkOutcomes();
     void note(const std::string &what);
     std::uint64_t below(std::uint64_t end);
 
-    std::uint64_t seed;
+    SoakOptions options;
     std::mt19937_64 random;
     TimePoint began;
     std::vector<std::string> log;
@@ -71,6 +82,7 @@
     std::deque<LoopbackProxy> backendLinks;
     std::vector<DaemonProcess *> daemons; // by place; the present ones
     std::vector<std::size_t> frozen; // places
+    std::vector<DaemonProcess *> draining; // replaced, but callers may still be connected
     std::size_t starts = 0;
     GivenKey key;
     GivenKey withdrawn;
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -267,3 +267,25 @@
     EXPECT_LE(resends, 10U);
     EXPECT_GT(resends, 0U);
 }
+
+TEST(Dispatcher, ForgetsTheRateLimitOfAServerThatIsAbsentForLong)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    const BackendServer server = serverOf("s", 8);
+    dispatcher.setServers({server}, TimePoint());
+    Decisions decisions;
+    const Ticket running = submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(), decisions);
+    dispatcher.applyPeerRateLimit({server.id, 1.0, TimePoint()}, TimePoint());
+    dispatcher.setServers({}, TimePoint());
+    std::vector<ServerRateLimit> reports;
+    dispatcher.rateLimitReports(reports, TimePoint(1h));
+    dispatcher.setServers({server}, TimePoint(1h));
+    EXPECT_EQ(dispatcher.rateLimitedCount(), 0U);
+    RequestProfile next = patientProfile();
+    next.arrival = TimePoint(1h);
+    submitAccepted(dispatcher, next);
+    dispatcher.dispatch(TimePoint(1h), decisions);
+    EXPECT_EQ(decisions.assignments.size(), 1U);
+    dispatcher.finish(running, AttemptOutcome::Completed, TimePoint(1h));
+}
