A request that was sent before may have run, whatever becomes of its second sending

Callers could be told that a request has not run, and will not, although it had: an idempotent request whose reused connection broke after it was sent goes out once more on a new connection. If that connection could not be opened, or the server proved that the second sending did not run, the failure counted as not sent or rejected, and the refusal said not-run. Non-idempotent requests are not sent again and were not affected.

Test: BackendPoolTest ARequestThatWasSentBeforeMayHaveRunWhateverBecomesOfItsSecondSending, before: anyByteSent false, outcome Rejected.

--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -62,6 +62,17 @@
     return failure;
 }
 
+/** Corrects the failure of a request that had been sent on another connection before. */
+BackendFailure afterEarlierSend(BackendFailure failure)
+{
+    failure.anyByteSent = true;
+    // What the failure proves holds for the last sending only; the first one may have run.
+    if (failure.end == AttemptOutcome::NotSent || failure.end == AttemptOutcome::Rejected) {
+        failure.end = AttemptOutcome::ServerError;
+    }
+    return failure;
+}
+
 Error callerGone()
 {
     return {ErrorKind::Cancelled, "the caller disconnected", "nothing to do"};
@@ -119,6 +130,7 @@
     }
     step(RequestStep::Connect);
     const TimePoint start = RuntimeClock::now();
+    bool wasSent = false;
     std::unique_ptr<HttpConnection> reused = this->takeIdleConnection(order.endpoint);
     if (reused) {
         CallResult result = co_await this->callOn(std::move(reused), order, caller, step);
@@ -131,8 +143,14 @@
         if (isRejected || (failure->anyByteSent && (!order.idempotent || !isRecent))) {
             co_return withoutServerFailure(*failure);
         }
+        wasSent = failure->anyByteSent;
+    }
+    CallResult result = co_await this->callOnNewConnection(order, caller, step);
+    const BackendFailure *failure = std::get_if<BackendFailure>(&result);
+    if (failure != nullptr && wasSent) {
+        co_return afterEarlierSend(*failure);
     }
-    co_return co_await this->callOnNewConnection(order, caller, step);
+    co_return result;
 }
 
 asio::awaitable<BackendPool::CallResult> BackendPool::callOnNewConnection(
--- a/tests/relay/backendpool_test.cpp
+++ b/tests/relay/backendpool_test.cpp
@@ -24,6 +24,7 @@
 /** A pool and a server that counts its requests and responds, waits or closes the connection as the test sets. */
 struct BackendPoolTest : testing::Test {
     std::atomic<int> requests = 0;
+    std::atomic<int> rejectedRequest = 0; ///< number of the request that gets a proof that it did not run
     std::atomic<bool> withholdsResponses = false; ///< whether requests get no response
     std::function<bool(int number)> closesConnection = [](int) {
         return false;
@@ -43,7 +44,11 @@
             co_await disconnected.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
             co_return;
         }
-        const Result<void> written = co_await exchange.respond(jsonResponse(200, std::to_string(number)));
+        HttpResponse response = jsonResponse(200, std::to_string(number));
+        if (number == this->rejectedRequest) {
+            response.headers.add("Not-Executed", "1");
+        }
+        const Result<void> written = co_await exchange.respond(std::move(response));
         EXPECT_TRUE(written.has_value());
     }};
     ContextThread thread;
@@ -117,6 +122,25 @@
     EXPECT_EQ(this->requests, 3);
 }
 
+// The first sending may have run although the second one provably did not.
+TEST_F(BackendPoolTest, ARequestThatWasSentBeforeMayHaveRunWhateverBecomesOfItsSecondSending)
+{
+    EXPECT_EQ(this->call(true), std::nullopt);
+    this->closesConnection = [](int number) {
+        return number == 2;
+    };
+    this->rejectedRequest = 3;
+    BackendPool::CallParameters order = this->order(true);
+    order.checkResponse = [](const HttpRequest &, const HttpResponseHead &head) {
+        return head.headers.has("Not-Executed") ? ResponseCheck::NotExecuted : ResponseCheck::Valid;
+    };
+    const std::optional<BackendFailure> failure = this->thread.await(this->callAndRead(order, true));
+    EXPECT_EQ(this->requests, 3);
+    ASSERT_TRUE(failure.has_value());
+    EXPECT_TRUE(failure->anyByteSent);
+    EXPECT_EQ(failure->end, AttemptOutcome::ServerError);
+}
+
 TEST_F(BackendPoolTest, ANonIdempotentRequestIsSentOnce)
 {
     EXPECT_EQ(this->call(false), std::nullopt);
@@ -193,7 +217,7 @@
 
 /** Returns the body or the failure of a call to a server that responds with fixed bytes. */
 std::variant<std::string, BackendFailure> callRawServer(
-    const std::string &response, const std::function<void(const HttpResponseHead &)> &onResponseHead = {})
+    const std::string &response, const std::function<void(const HttpResponseHead &, bool)> &onResponseHead = {})
 {
     RawServer server(response);
     ContextThread thread;
@@ -245,14 +269,14 @@
 // for one to another request.
 TEST(BackendPool, ReportsOnlyTheHeadOfTheCalledServersResponseToTheRequest)
 {
-    std::vector<std::string> reported;
-    const auto report = [&reported](const HttpResponseHead &head) {
-        reported.emplace_back(head.headers.find("Limit"));
+    std::vector<std::pair<std::string, bool>> reported;
+    const auto report = [&reported](const HttpResponseHead &head, bool isRejection) {
+        reported.emplace_back(head.headers.find("Limit"), isRejection);
     };
     callRawServer(responseText("earlier", "late", "Limit: 1\r\n") + responseText("mine", "own", "Limit: 2\r\n"), report);
     callRawServer(responseText("mine", "full", "Not-Executed: 1\r\nLimit: 3\r\n"), report);
     const auto misdirected = callRawServer(responseText("mine", "", "Other-Server: 1\r\nLimit: 4\r\n"), report);
-    EXPECT_EQ(reported, (std::vector<std::string>{"2", "3"}));
+    EXPECT_EQ(reported, (std::vector<std::pair<std::string, bool>>{{"2", false}, {"3", true}}));
     EXPECT_EQ(std::get<BackendFailure>(misdirected).end, AttemptOutcome::Rejected);
     EXPECT_FALSE(std::get<BackendFailure>(misdirected).anyByteSent);
 }
