--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <regex>
 #include <sstream>
 
 namespace flamingosaddle::process
@@ -38,6 +39,24 @@
         "--progress-timeout", "1500", "--freshness-limit", "3000"};
 }
 
+/** Returns the lines of a log that contain a request id of one of the violations. */
+std::string linesAbout(const std::string &log, const Violations &violations)
+{
+    static const std::regex requestId("[0-9a-f]{32}");
+    std::string found;
+    for (const std::string &violation : violations) {
+        for (std::sregex_iterator id(violation.begin(), violation.end(), requestId); id != std::sregex_iterator(); ++id) {
+            std::istringstream lines(log);
+            for (std::string line; std::getline(lines, line);) {
+                if (line.find(id->str()) != std::string::npos) {
+                    found += line + '\n';
+                }
+            }
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 Soak::Soak(SoakOptions options)
@@ -416,17 +435,17 @@
     return wrong;
 }
 
-std::string Soak::report() const
+std::string Soak::report(const Violations &violations)
 {
     std::ostringstream text;
     text << "seed " << this->options.seed << ", " << this->options.daemons << " daemons" << '\n';
     for (const std::string &line : this->log) {
         text << line << '\n';
     }
-    for (const DaemonProcess *daemon : this->daemons) {
-        const std::string output = daemon->process.output();
+    for (const DaemonProcess &daemon : this->cluster.daemons()) {
+        const std::string output = daemon.process.output();
         const std::size_t begin = output.size() > shownLogBytes ? output.size() - shownLogBytes : 0;
-        text << "--- " << daemon->instanceId << '\n' << output.substr(begin) << '\n';
+        text << "--- " << daemon.instanceId << '\n' << linesAbout(output, violations) << output.substr(begin) << '\n';
     }
     return text.str();
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,8 +38,8 @@
 
     /** Harms for @p duration, then heals; answers what was wrong. */
     Violations run(Duration duration);
-    /** What was done and when, and the ends of the daemons' logs. */
-    std::string report() const;
+    /** What was done and when, and of the daemons' logs the ends and the lines about the violations' requests. */
+    std::string report(const Violations &violations);
 
 private:
     struct Target {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -25,7 +25,7 @@
 {
     Soak soak(options);
     const Violations wrong = soak.run(duration);
-    EXPECT_EQ(wrong, Violations{}) << soak.report();
+    EXPECT_EQ(wrong, Violations{}) << soak.report(wrong);
 }
 
 } // namespace
