--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -147,8 +147,9 @@
 
 TEST(Checkers, FindAServerThatGotMoreThanItsRateLimitAllows)
 {
-    const auto arrivals = [](std::vector<int> times) {
+    const auto arrivals = [](const std::vector<int> &times) {
         std::vector<Json> runs;
+        runs.reserve(times.size());
         for (const int time : times) {
             runs.push_back({{"arrivalMs", time}});
         }
