--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <regex>
 #include <sstream>
 
 namespace flamingosaddle::process
@@ -42,15 +41,14 @@
 /** Returns the lines of a log that contain a request id of one of the violations. */
 std::string linesAbout(const std::string &log, const Violations &violations)
 {
-    static const std::regex requestId("[0-9a-f]{32}");
+    constexpr std::size_t requestIdLength = 32;
     std::string found;
     for (const std::string &violation : violations) {
-        for (std::sregex_iterator id(violation.begin(), violation.end(), requestId); id != std::sregex_iterator(); ++id) {
-            std::istringstream lines(log);
+        std::istringstream words(violation);
+        for (std::string word; words >> word;) {
+            std::istringstream lines(word.size() == requestIdLength ? log : std::string());
             for (std::string line; std::getline(lines, line);) {
-                if (line.find(id->str()) != std::string::npos) {
-                    found += line + '\n';
-                }
+                found += line.find(word) == std::string::npos ? std::string() : line + '\n';
             }
         }
     }
