--- a/tests/process/ratelimit_test.cpp
+++ b/tests/process/ratelimit_test.cpp
@@ -36,8 +36,8 @@
 
 } // namespace
 
-// A limit holds for all instances together. It was ignored, and an instance that applies it to its own requests alone would send
-// the server a multiple of it.
+// Guards against instances that ignore a server's limit, and against those that each apply it to their own requests only, which
+// sends the server a multiple of it.
 TEST_F(RateLimit, AllInstancesTogetherKeepTheLimitOfABackendServer)
 {
     this->setLimit(limitedService, serviceLimit);
