--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace flamingosaddle
@@ -148,6 +149,7 @@
 
     boost::asio::awaitable<bool> readConfigOnce();
     boost::asio::awaitable<bool> readServersOnce();
+    void recordServerStoreReachable(bool reachable);
     bool isConfigReadDue(TimePoint now) const;
     bool isServerReadDue(TimePoint now) const;
     TimePoint nextServerReadDue() const;
@@ -161,7 +163,10 @@
     void adoptRelayedConfirmation();
     void retainBatch(std::uint64_t from, const ServerReadResult &reading);
     void applyConfig(PublishedConfig config);
-    void applyServers(const ServerReadResult &reading);
+    /** @param source where the entries come from, for the log */
+    void applyServers(const ServerReadResult &reading, std::string_view source);
+    /** Removes the servers whose grace period has ended. */
+    void expireServers();
     void publishState();
 
     DirectoryHooks hooks;
@@ -187,6 +192,7 @@
     std::shared_ptr<Timer> configWakeTimer; // set while no read is due
     std::shared_ptr<Timer> serversWakeTimer;
     bool isConfigStoreReachable = true;
+    bool isServerStoreReachable = true;
     bool reliesOnRelays = false;
     bool stopped = false;
 };
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/log.h>
+#include <flamingosaddle/control/serverlistlog.h>
 #include <flamingosaddle/platform/storeoffset.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -62,15 +63,14 @@
 boost::asio::awaitable<void> Directory::runServers()
 {
     while (!this->stopped) {
-        if (this->serverTable.expire(RuntimeClock::now())) {
-            this->publishState();
-        }
+        this->expireServers();
         if (!this->isServerReadDue(RuntimeClock::now())) {
             const TimePoint expiry = this->serverTable.nextExpiry().value_or(TimePoint::max());
             co_await this->waitForReadDue(this->serversWakeTimer, std::min(expiry, this->nextServerReadDue()));
             continue;
         }
         const bool succeeded = co_await this->readServersOnce();
+        this->recordServerStoreReachable(succeeded);
         if (succeeded) {
             this->serverBackoff.reset();
             co_await delay(this->options.serverPollPause);
@@ -80,6 +80,16 @@
     }
 }
 
+void Directory::recordServerStoreReachable(bool reachable)
+{
+    if (reachable != this->isServerStoreReachable && !this->stopped) {
+        this->isServerStoreReachable = reachable;
+        logEvent(reachable ? LogLevel::Info : LogLevel::Warning, "control",
+            reachable ? "the store of the servers' entries answers" : "the store of the servers' entries does not answer",
+            {{"next_offset", std::to_string(this->nextServersOffset.value_or(0))}});
+    }
+}
+
 void Directory::stop()
 {
     this->stopped = true;
@@ -201,7 +211,7 @@
     }
     this->batches.clear();
     this->advanceServersOffset(relayed.nextOffset);
-    this->applyServers({relayed.nextOffset, relayed.isComplete, relayed.changes});
+    this->applyServers({relayed.nextOffset, relayed.isComplete, relayed.changes}, "relay");
 }
 
 StoreProgress Directory::progress() const
@@ -323,7 +333,7 @@
     this->advanceServersOffset(reading.value().nextOffset);
     this->ownServersConfirmedAt = sentAt;
     this->retainBatch(from.value_or(0), reading.value());
-    this->applyServers(reading.value());
+    this->applyServers(reading.value(), "store");
     co_return true;
 }
 
@@ -339,9 +349,13 @@
     this->publishState();
 }
 
-void Directory::applyServers(const ServerReadResult &reading)
+void Directory::applyServers(const ServerReadResult &reading, std::string_view source)
 {
+    if (reading.changes.empty() && !reading.isComplete) {
+        return;
+    }
     const TimePoint now = RuntimeClock::now();
+    const ServerListLog log(this->serverTable, reading.changes, reading.isComplete);
     bool changed = false;
     if (reading.isComplete) {
         changed = this->serverTable.replace(reading.changes, now);
@@ -350,11 +364,25 @@
             changed = this->serverTable.apply(change, now) || changed;
         }
     }
+    log.logChanges(this->serverTable, source, reading.nextOffset);
     if (changed) {
         this->publishState();
     }
 }
 
+void Directory::expireServers()
+{
+    const TimePoint now = RuntimeClock::now();
+    if (this->serverTable.nextExpiry().value_or(TimePoint::max()) > now) {
+        return;
+    }
+    const ServerListLog log(this->serverTable, {}, true);
+    if (this->serverTable.expire(now)) {
+        log.logChanges(this->serverTable, "grace period", this->nextServersOffset.value_or(0));
+        this->publishState();
+    }
+}
+
 void Directory::publishState()
 {
     if (!this->newestConfig.has_value()) {
