Failing test: a server whose entry was removed is used longer than it serves

An instance cannot reach the store for a while, which serves all others. A server's entry is removed 0.7 s or 1.2 s after the outage: the instance uses the server past 2 s after the removal, though it has reached the store for 3 s. Removals during the outage, or 0.2 s after it, are kept within the bound.

--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -1,4 +1,5 @@
 #include "fakeduties.h"
+#include "fakeinstance.h"
 #include "rununtil.h"
 
 #include <flamingosaddle/base/delay.h>
@@ -21,131 +22,14 @@
 
 constexpr Duration heartbeatInterval = 200ms;
 
-/** The configurations and servers' entries in the store. */
-struct FakeStore {
-    std::vector<PublishedConfig> configs;
-    std::vector<ServerChange> entries;
-
-    void publish(std::uint64_t version)
-    {
-        PublishedConfig config;
-        config.version = version;
-        config.offset = this->configs.size();
-        this->configs.push_back(config);
-    }
-
-    void put(const std::string &id)
-    {
-        RegisteredServer registered;
-        registered.server.id = BackendServerId(id);
-        this->entries.push_back({registered.server.id, registered});
-    }
-
-    void remove(const std::string &id)
-    {
-        this->entries.push_back({BackendServerId(id), std::nullopt});
-    }
-};
-
-/** The directory of one instance, with its calls to the store and its requests to the relay. */
-struct Instance {
-    Instance(boost::asio::io_context &context, FakeStore &store, bool isRelay)
-        : store(store)
-        , isRelay(isRelay)
-        , directory(this->hooks(), this->relayHooks(), DirectoryOptions(), [] {})
-    {
-        boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
-        boost::asio::co_spawn(context, this->directory.runServers(), boost::asio::detached);
-    }
-
-    DirectoryHooks hooks()
-    {
-        DirectoryHooks hooks;
-        hooks.readConfig = [this](std::optional<std::uint64_t> from, std::chrono::milliseconds wait) {
-            return this->readConfig(from, wait);
-        };
-        hooks.readServers = [this](std::optional<std::uint64_t> from, std::chrono::milliseconds wait) {
-            return this->readServers(from, wait);
-        };
-        return hooks;
-    }
-
-    DirectoryRelayHooks relayHooks()
-    {
-        DirectoryRelayHooks hooks;
-        hooks.isRelay = [this] {
-            return this->isRelay;
-        };
-        hooks.requestServers = [this](const Endpoint &, std::uint64_t from) {
-            this->requestedFrom = from;
-        };
-        return hooks;
-    }
-
-    template <typename Condition>
-    boost::asio::awaitable<Result<void>> waitForChange(std::chrono::milliseconds wait, Condition hasChanged)
-    {
-        const TimePoint deadline = RuntimeClock::now() + wait;
-        ++this->calls;
-        while (!this->isStoreUnreachable && !hasChanged() && RuntimeClock::now() < deadline) {
-            co_await delay(10ms);
-        }
-        if (this->isStoreUnreachable) {
-            co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
-        }
-        co_return success();
-    }
-
-    boost::asio::awaitable<Result<ConfigReadResult>> readConfig(std::optional<std::uint64_t> from, std::chrono::milliseconds wait)
-    {
-        const std::size_t begin = from.value_or(0);
-        BOOST_OUTCOME_CO_TRYV(co_await this->waitForChange(from.has_value() ? wait : 0ms, [this, begin] {
-            return this->store.configs.size() > begin;
-        }));
-        ConfigReadResult reading;
-        reading.nextOffset = this->store.configs.size();
-        reading.isAtEnd = true;
-        if (reading.nextOffset > begin) {
-            reading.newest = this->store.configs.back();
-        }
-        co_return reading;
-    }
-
-    boost::asio::awaitable<Result<ServerReadResult>> readServers(
-        std::optional<std::uint64_t> from, std::chrono::milliseconds wait)
-    {
-        const std::size_t begin = from.value_or(0);
-        BOOST_OUTCOME_CO_TRYV(co_await this->waitForChange(from.has_value() ? wait : 0ms, [this, begin] {
-            return this->store.entries.size() > begin;
-        }));
-        ServerReadResult reading;
-        reading.nextOffset = this->store.entries.size();
-        reading.isComplete = !from.has_value();
-        reading.changes.assign(this->store.entries.begin() + static_cast<std::ptrdiff_t>(begin), this->store.entries.end());
-        co_return reading;
-    }
-
-    bool hasServer(const std::string &id) const
-    {
-        return this->directory.servers().servers().contains(BackendServerId(id));
-    }
-
-    FakeStore &store;
-    bool isRelay;
-    bool isStoreUnreachable = false; ///< whether the store is unreachable for this instance
-    std::size_t calls = 0;
-    std::optional<std::uint64_t> requestedFrom; ///< offset from which entries were requested from the relay
-    Directory directory;
-};
-
 /** Two relays of a data centre and an instance that relies on them. */
 struct RelaysTest : testing::Test {
     PausedClock paused;
     boost::asio::io_context context{1};
     FakeStore store;
-    Instance first{context, store, true};
-    Instance second{context, store, true};
-    Instance follower{context, store, false};
+    FakeInstance first{context, store, true};
+    FakeInstance second{context, store, true};
+    FakeInstance follower{context, store, false};
     bool isFirstInOwnDataCentre = true;
     bool isSecondInOwnDataCentre = true;
 
@@ -158,14 +42,14 @@
 
     ~RelaysTest() override
     {
-        for (Instance *instance : {&this->first, &this->second, &this->follower}) {
+        for (FakeInstance *instance : {&this->first, &this->second, &this->follower}) {
             instance->directory.stop();
         }
         advanceTime(this->context, 5s);
     }
 
     /** Delivers a relay's progress to the follower, and the relay's response if the follower then requests entries. */
-    void deliverProgress(const Instance &relay, bool isSameDataCentre)
+    void deliverProgress(const FakeInstance &relay, bool isSameDataCentre)
     {
         const TimePoint now = RuntimeClock::now();
         this->follower.requestedFrom.reset();
@@ -273,7 +157,7 @@
 
 TEST_F(RelaysTest, KeepsEntriesThatVanishedInAnOutageForTheGracePeriod)
 {
-    for (Instance *instance : {&this->first, &this->second, &this->follower}) {
+    for (FakeInstance *instance : {&this->first, &this->second, &this->follower}) {
         instance->isStoreUnreachable = true;
     }
     this->runHeartbeats(4s);
--- /dev/null
+++ b/tests/control/removedserver_test.cpp
@@ -0,0 +1,87 @@
+#include "fakeinstance.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration outage = 4s;
+constexpr Duration serviceAfterRemoval = 2s; // a server keeps serving for so long after its entry was removed
+constexpr Duration contactTime = 3s; // bounds hold for an instance that has reached the store for so long
+
+/** One instance that cannot reach the store for a while, although the store serves all others. */
+struct RemovedServerTest : testing::Test {
+    PausedClock paused;
+    boost::asio::io_context context{1};
+    FakeStore store;
+    FakeInstance instance{context, store, true};
+
+    void SetUp() override
+    {
+        this->instance.failureDelay = 300ms;
+        this->store.publish(1);
+        this->store.put("removed");
+        this->store.put("other");
+        this->advance(500ms);
+    }
+
+    ~RemovedServerTest() override
+    {
+        this->instance.directory.stop();
+        this->advance(2s);
+    }
+
+    void advance(Duration duration)
+    {
+        constexpr std::chrono::milliseconds step(20); // shorter than the pauses between two reads
+        for (Duration passed{}; passed < duration; passed += step) {
+            RuntimeClock::advance(step);
+            this->context.restart();
+            this->context.run_for(std::chrono::milliseconds(3));
+        }
+    }
+};
+
+/** Time from the end of the outage to the removal of the entry; negative if it is removed during the outage. */
+struct RemovalAfterOutageTest : RemovedServerTest, testing::WithParamInterface<std::chrono::milliseconds> {
+};
+
+} // namespace
+
+TEST_P(RemovalAfterOutageTest, TheServerIsNotUsedLongerThanItServes)
+{
+    for (const Duration phase : {0ms, 150ms, 300ms, 450ms}) {
+        SCOPED_TRACE(std::chrono::duration_cast<std::chrono::milliseconds>(phase).count());
+        this->store.put("removed");
+        this->advance(1s);
+        ASSERT_TRUE(this->instance.hasServer("removed"));
+        const Duration removal = this->GetParam();
+        this->instance.isStoreUnreachable = true;
+        this->advance(outage + phase + std::min<Duration>(removal, 0ms));
+        if (removal < 0ms) {
+            this->store.remove("removed");
+            this->advance(-removal);
+        }
+        this->instance.isStoreUnreachable = false;
+        if (removal >= 0ms) {
+            this->advance(removal);
+            this->store.remove("removed");
+        }
+        this->advance(std::max<Duration>(removal + serviceAfterRemoval, contactTime) - std::max<Duration>(removal, 0ms));
+        EXPECT_FALSE(this->instance.hasServer("removed"));
+        EXPECT_TRUE(this->instance.hasServer("other"));
+        this->advance(2s);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Removals, RemovalAfterOutageTest, testing::Values(-1000ms, 200ms, 700ms, 1200ms),
+    [](const testing::TestParamInfo<std::chrono::milliseconds> &info) {
+        return info.param < 0ms ? "DuringTheOutage" : "After" + std::to_string(info.param.count()) + "Milliseconds";
+    });
