A server whose entry disappeared is kept no longer than the grace period

Callers saw nothing: the leaving server still answered. An instance that cannot reach the store takes this for an outage of the store, and keeps servers whose entries disappear until two seconds after the outage, since they may only have expired. The two seconds began late and ended late: the first read after the outage waited up to a second for a record before the store counted as back, and the end was noticed only between two reads, up to half a second later.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -108,6 +108,8 @@
     /** Each coroutine runs until stop(). The object must outlive them. */
     boost::asio::awaitable<void> runConfig();
     boost::asio::awaitable<void> runServers();
+    /** Removes servers when their grace period ends, whatever the reads of the store wait for. */
+    boost::asio::awaitable<void> runServerExpiry();
     void stop();
 
     /**
@@ -157,7 +159,9 @@
     void updateReliance(bool relies);
     /** Waits until @p deadline or wakeReaders(), but at most for the lag limit. */
     boost::asio::awaitable<void> waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline);
+    boost::asio::awaitable<void> waitUntil(std::shared_ptr<Timer> &timer, TimePoint deadline);
     void wakeReaders();
+    void wakeServerExpiry();
     void requestMissingServers(const Endpoint &peer, bool isSameDataCentre, const TopicProgress &progress, TimePoint now);
     /** Adopts a relay's newer confirmation of the configuration that this instance has read. */
     void adoptRelayedConfirmation();
@@ -165,8 +169,8 @@
     void applyConfig(PublishedConfig config);
     /** @param source where the entries come from, for the log */
     void applyServers(const ServerReadResult &reading, std::string_view source);
-    /** Removes the servers whose grace period has ended. */
     void expireServers();
+    std::chrono::milliseconds serverReadWait() const;
     void publishState();
 
     DirectoryHooks hooks;
@@ -191,6 +195,7 @@
     std::deque<Batch> batches; // the newest changes of servers' entries, contiguous
     std::shared_ptr<Timer> configWakeTimer; // set while no read is due
     std::shared_ptr<Timer> serversWakeTimer;
+    std::shared_ptr<Timer> expiryWakeTimer;
     bool isConfigStoreReachable = true;
     bool isServerStoreReachable = true;
     bool reliesOnRelays = false;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -209,6 +209,7 @@
 {
     this->spawn(this->directory->runConfig());
     this->spawn(this->directory->runServers());
+    this->spawn(this->directory->runServerExpiry());
 }
 
 void Controller::startDutyTasks()
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -63,10 +63,8 @@
 boost::asio::awaitable<void> Directory::runServers()
 {
     while (!this->stopped) {
-        this->expireServers();
         if (!this->isServerReadDue(RuntimeClock::now())) {
-            const TimePoint expiry = this->serverTable.nextExpiry().value_or(TimePoint::max());
-            co_await this->waitForReadDue(this->serversWakeTimer, std::min(expiry, this->nextServerReadDue()));
+            co_await this->waitForReadDue(this->serversWakeTimer, this->nextServerReadDue());
             continue;
         }
         const bool succeeded = co_await this->readServersOnce();
@@ -80,6 +78,14 @@
     }
 }
 
+boost::asio::awaitable<void> Directory::runServerExpiry()
+{
+    while (!this->stopped) {
+        this->expireServers();
+        co_await this->waitUntil(this->expiryWakeTimer, this->serverTable.nextExpiry().value_or(TimePoint::max()));
+    }
+}
+
 void Directory::recordServerStoreReachable(bool reachable)
 {
     if (reachable != this->isServerStoreReachable && !this->stopped) {
@@ -94,6 +100,7 @@
 {
     this->stopped = true;
     this->wakeReaders();
+    this->wakeServerExpiry();
 }
 
 bool Directory::isConfigReadDue(TimePoint now) const
@@ -134,8 +141,12 @@
 boost::asio::awaitable<void> Directory::waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline)
 {
     // A change of this instance's role as a relay is not signalled, so it is checked at this interval.
-    const TimePoint latest = RuntimeClock::now() + this->options.lagLimit;
-    const auto wake = std::make_shared<Timer>(co_await boost::asio::this_coro::executor, std::min(deadline, latest));
+    co_await this->waitUntil(timer, std::min(deadline, RuntimeClock::now() + this->options.lagLimit));
+}
+
+boost::asio::awaitable<void> Directory::waitUntil(std::shared_ptr<Timer> &timer, TimePoint deadline)
+{
+    const auto wake = std::make_shared<Timer>(co_await boost::asio::this_coro::executor, deadline);
     timer = wake;
     boost::system::error_code ignored;
     co_await wake->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -151,6 +162,13 @@
     }
 }
 
+void Directory::wakeServerExpiry()
+{
+    if (this->expiryWakeTimer) {
+        this->expiryWakeTimer->cancel();
+    }
+}
+
 void Directory::applyPeerProgress(
     const Endpoint &peer, bool isSameDataCentre, const StoreProgress &progress, TimePoint sentAt, TimePoint now)
 {
@@ -162,6 +180,7 @@
         this->relayedServers.recordProgress(*progress.servers, sentAt, now);
         if (this->relayedServers.isFresh(now)) {
             this->serverTable.onStoreRecovered(now);
+            this->wakeServerExpiry();
         }
         this->requestMissingServers(peer, isSameDataCentre, *progress.servers, now);
     }
@@ -300,14 +319,17 @@
     co_return true;
 }
 
+std::chrono::milliseconds Directory::serverReadWait() const
+{
+    // The grace period begins with the response, so the first one after a failure must not wait for a record.
+    return this->isServerStoreReachable ? this->options.serverPollTimeout : std::chrono::milliseconds(0);
+}
+
 boost::asio::awaitable<bool> Directory::readServersOnce()
 {
     const TimePoint sentAt = RuntimeClock::now();
     const std::optional<std::uint64_t> from = this->nextServersOffset;
-    const std::optional<TimePoint> expiry = this->serverTable.nextExpiry();
-    const bool isShortWait = !this->nextServersOffset.has_value() || (expiry.has_value() && *expiry != TimePoint::max());
-    const std::chrono::milliseconds wait = isShortWait ? std::chrono::milliseconds(100) : this->options.serverPollTimeout;
-    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
+    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, this->serverReadWait());
     if (this->stopped) {
         co_return false;
     }
@@ -326,6 +348,7 @@
         this->serverTable.onStoreLost();
     }
     this->serverTable.onStoreRecovered(RuntimeClock::now());
+    this->wakeServerExpiry();
     if (this->nextServersOffset != from) {
         // A relay's entries were applied meanwhile; the next read continues after them.
         co_return true;
@@ -365,6 +388,7 @@
         }
     }
     log.logChanges(this->serverTable, source, reading.nextOffset);
+    this->wakeServerExpiry();
     if (changed) {
         this->publishState();
     }
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -52,6 +52,7 @@
     {
         boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
         boost::asio::co_spawn(context, this->directory.runServers(), boost::asio::detached);
+        boost::asio::co_spawn(context, this->directory.runServerExpiry(), boost::asio::detached);
     }
 
     DirectoryHooks hooks()
