A server without an entry is the last choice for a request

A server that is kept after an outage although its entry has disappeared may be gone or leaving; it was chosen as readily as the others, and more readily once it ran nothing. It is marked as missing and used only if no other server has a free slot, so that callers keep all servers after an outage of the whole store, and the instance that was cut off alone sends nothing to servers that left meanwhile. Both tests of the selection failed before it.

--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -113,6 +113,7 @@
     std::uint32_t slots = 8; ///< number of requests that it runs concurrently
     bool cheap = false; ///< may be reclaimed at a few seconds' notice, together with all others of its data centre
     bool leaving = false; ///< receives no new requests
+    bool missing = false; ///< its registration has disappeared, so it may be gone; the last choice for a request
     bool checksFencing = false; ///< whether it refuses orders with an outdated fencing number
 
     friend bool operator==(const BackendServer &, const BackendServer &) = default;
--- a/include/flamingosaddle/traffic/selection.h
+++ b/include/flamingosaddle/traffic/selection.h
@@ -43,9 +43,9 @@
  *
  * Otherwise the server with the highest rendezvous weight for the prompt's prefix is preferred, then the second, because its
  * cache may hold the prefix. It is used unless it is a straggler or its load exceeds affinityBound times the mean. Failing that,
- * up to maxSamples servers are sampled at random. Servers that failed recently, stragglers, and the server and data centre of the
- * failed attempt rank last. The rest are ranked by this instance's requests per slot. If several are equal, the better of the
- * first two by expected waiting tokens is chosen.
+ * up to maxSamples servers are sampled at random. Missing servers, servers that failed recently, stragglers, and the server and
+ * data centre of the failed attempt rank last. The rest are ranked by this instance's requests per slot. If several are equal,
+ * the better of the first two by expected waiting tokens is chosen.
  *
  * An instance knows its own requests at once, while reports from peers and engines lag. Each instance therefore spreads its own
  * work evenly, and reports only decide between two random servers, so that instances with the same stale reports do not all
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -42,6 +42,7 @@
     bool cheap = false;
     bool present = false; ///< whether the server is in the configuration
     bool leaving = false;
+    bool missing = false; ///< whether the server may be gone
     std::uint32_t inFlight = 0; ///< requests that this instance runs on the server
     std::uint32_t peersInFlight = 0;
     std::uint64_t reportedTokens = 0; ///< waiting tokens as reported by the engine, with a lag
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace flamingosaddle
 {
@@ -65,7 +66,7 @@
     const bool isLeaving = found->second.server.leaving;
     if (!isLeaving && (this->storeUnavailable || (this->graceUntil.has_value() && now < *this->graceUntil))) {
         this->graceDeadlines.emplace(id, this->storeUnavailable ? TimePoint::max() : *this->graceUntil);
-        return false;
+        return !std::exchange(found->second.server.missing, true);
     }
     if (isLeaving) {
         this->departed.emplace_back(id, found->second.startedAt);
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -79,7 +79,7 @@
 {
     const ServerState &state = pool.server(candidate.server);
     const bool isFree = candidate.freePosition != std::numeric_limits<std::uint32_t>::max();
-    if (!isFree || state.backoffUntil > now || pool.isStraggler(candidate.server, now)) {
+    if (!isFree || state.missing || state.backoffUntil > now || pool.isStraggler(candidate.server, now)) {
         return false;
     }
     const double mean = static_cast<double>(pool.load(target) + 1) / std::max(pool.slots(target), 1U);
@@ -201,6 +201,9 @@
 {
     const ServerState &state = pool.server(server);
     int level = 0;
+    if (state.missing) {
+        level += 16;
+    }
     if (state.backoffUntil > now) {
         level += 8;
     }
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -48,6 +48,7 @@
     state.slots = server.slots;
     state.cheap = server.cheap;
     state.leaving = server.leaving;
+    state.missing = server.missing;
     state.present = true;
     std::vector<TargetMembership> previous;
     previous.swap(state.memberships);
--- a/tests/traffic/prompt_test.cpp
+++ b/tests/traffic/prompt_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -396,6 +397,27 @@
     EXPECT_EQ(refusal->runState, RunState::NotRun);
 }
 
+TEST_F(PromptTest, AMissingServerIsNotUsedForPromptsWhileAnotherIsFree)
+{
+    this->learnClasses();
+    std::vector<BackendServer> servers = twelveServers();
+    for (std::size_t i = 0; i < servers.size(); i += 3) {
+        servers[i].missing = true;
+    }
+    this->dispatcher.setServers(servers, this->now);
+    for (std::uint64_t prefix = 1; prefix <= 6; ++prefix) {
+        this->submit(plan(prefix));
+        this->submit(chat());
+    }
+    EXPECT_EQ(this->started.size(), 12U);
+    for (const auto &[ticket, started] : this->started) {
+        const auto used = std::find_if(servers.begin(), servers.end(), [&started = started](const BackendServer &server) {
+            return server.id == started;
+        });
+        EXPECT_FALSE(used->missing) << started.text();
+    }
+}
+
 TEST_F(PromptTest, FailedServersAreNotUsedForPrompts)
 {
     this->learnClasses();
--- a/tests/traffic/servers_test.cpp
+++ b/tests/traffic/servers_test.cpp
@@ -65,6 +65,30 @@
     }));
 }
 
+// After an outage of the store, a server without an entry may be gone.
+TEST(Selector, UsesAMissingServerOnlyIfNoOtherHasAFreeSlot)
+{
+    for (const std::uint64_t prefixHash : {0, 1, 2, 3, 4, 5, 6, 7, 8, 9}) {
+        std::vector<BackendServer> servers = manyServers(4);
+        servers[0].missing = true;
+        servers[2].missing = true;
+        ServerPool pool;
+        pool.setServers(servers);
+        Selector selector(prefixHash + 1);
+        SelectionRequest request = anyRequest();
+        request.prefixHash = prefixHash;
+        for (int i = 0; i < 16; ++i) {
+            const ServerIndex server = selector.select(pool, request, TimePoint());
+            ASSERT_NE(server, noServer);
+            EXPECT_FALSE(pool.server(server).missing) << "request " << i << " with prefix " << prefixHash;
+            pool.acquire(server, 0, 1.0);
+        }
+        const ServerIndex server = selector.select(pool, request, TimePoint());
+        ASSERT_NE(server, noServer);
+        EXPECT_TRUE(pool.server(server).missing);
+    }
+}
+
 TEST(ServerPool, CountsPeersButGuaranteesEachInstanceAnEvenShare)
 {
     ServerPool pool;
