A server that says in its responses that it leaves gets no further requests

So far only the store told that a server leaves. platform/ reads the header; the table of servers keeps it beside the entry, for this start of the server: entries that still say ready do not lift it, a later start does, and a late response to a request from before that start does not count (ids are used again).

--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -101,6 +101,8 @@
     /** Announces to the peers that this instance accepts no more requests. */
     void beginDrain();
 
+    /** Records that a backend server said itself that it leaves, in response to a request sent at @p sentAt. */
+    void recordServerLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Sends to the peers which requests backend servers died on. */
     void sendQuarantines(const QuarantinesMessage &message);
 
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -120,6 +120,8 @@
      */
     void applyPeerProgress(
         const Endpoint &peer, bool isSameDataCentre, const StoreProgress &progress, TimePoint sentAt, TimePoint now);
+    /** Records that a server said itself that it leaves, see ServerTable::recordLeaving(). */
+    void recordServerLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Applies servers' entries that a relay has read. */
     void applyRelayedServers(const ServersMessage &relayed);
 
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -71,6 +71,8 @@
         onUsage; ///< called once for each request of a client account that an engine worked on
     /** Called once for each request of a client account that a backend server started to run, @p ago before now. */
     std::function<void(const ClientAccountId &account, Duration ago)> onStarted;
+    /** Called for each response, to a request that was sent at @p sentAt, that says that its backend server leaves. */
+    std::function<void(const BackendServerId &server, TimePoint sentAt)> onServerLeaving;
     std::function<void(const RequestOutcome &)> onOutcome; ///< called once for each request
     ClaimHook claim; ///< when empty, every request with an idempotency key runs
 };
--- a/include/flamingosaddle/relay/protocoladapter.h
+++ b/include/flamingosaddle/relay/protocoladapter.h
@@ -50,6 +50,8 @@
      * states no valid limit.
      */
     std::function<std::optional<double>(const HttpHeaders &fromBackend)> rateLimit;
+    /** Returns whether the response says that its backend server leaves, so that it must get no further requests. */
+    std::function<bool(const HttpHeaders &fromBackend)> isServerLeaving;
     /** Returns the header fields that the router adds to every response. */
     std::function<HttpHeaders(std::string_view requestId, const TraceContext &trace)> routerHeaders;
     /** Whether a response with @p status is retried at another backend server. */
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -59,6 +59,11 @@
     bool apply(const ServerChange &change, TimePoint now);
     /** Replaces the entries with the complete list @p entries. */
     bool replace(const std::vector<ServerChange> &entries, TimePoint now);
+    /**
+     * Records that a server said itself that it leaves, in response to a request sent at @p sentAt. It is ignored if a newer start
+     * of the server registered since.
+     */
+    bool recordLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Removes the entries whose grace period has ended. */
     bool expire(TimePoint now);
     /** Starts an outage of the store: entries that disappear are kept. */
@@ -83,6 +88,7 @@
 
     ServerTableOptions options;
     std::map<BackendServerId, RegisteredServer> entries;
+    std::map<BackendServerId, TimePoint> registeredAt; // when the current start of each server was first seen
     std::deque<std::pair<BackendServerId, std::uint64_t>> departed; // id and start of servers that left, the newest last
     std::map<BackendServerId, TimePoint> graceDeadlines; // end of the grace period of each missing entry
     bool storeUnavailable = false;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -360,6 +360,11 @@
                 this->controller.recordRequestStart(account, RuntimeClock::now() - at);
             });
         };
+        hooks.onServerLeaving = [this](const BackendServerId &server, TimePoint sentAt) {
+            boost::asio::post(this->controlContext, [this, server, sentAt] {
+                this->controller.recordServerLeaving(server, sentAt);
+            });
+        };
         hooks.onOutcome = [this](const RequestOutcome &outcome) {
             this->trafficMetrics.observe(outcome);
             this->requestLog.observe(outcome);
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -272,6 +272,13 @@
     this->peers.setState(MemberState::Draining);
 }
 
+void Controller::recordServerLeaving(const BackendServerId &id, TimePoint sentAt)
+{
+    if (this->directory) {
+        this->directory->recordServerLeaving(id, sentAt);
+    }
+}
+
 void Controller::sendQuarantines(const QuarantinesMessage &message)
 {
     this->peers.sendQuarantines(message);
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -233,6 +233,15 @@
     this->applyServers({relayed.nextOffset, relayed.isComplete, relayed.changes}, "relay");
 }
 
+void Directory::recordServerLeaving(const BackendServerId &id, TimePoint sentAt)
+{
+    const ServerListLog log(this->serverTable, {ServerChange{id, std::nullopt}}, false);
+    if (this->serverTable.recordLeaving(id, sentAt)) {
+        log.logChanges(this->serverTable, "response", this->nextServersOffset.value_or(0));
+        this->publishState();
+    }
+}
+
 StoreProgress Directory::progress() const
 {
     const TimePoint now = RuntimeClock::now();
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -244,6 +244,9 @@
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
     parameters.onResponseHead = [this, &grant](const HttpResponseHead &head, bool isRejection) {
+        if (this->environment.adapter.isServerLeaving(head.headers) && this->environment.hooks.onServerLeaving) {
+            this->environment.hooks.onServerLeaving(grant.server(), this->outcome.sentAt);
+        }
         const std::optional<double> limit = this->environment.adapter.rateLimit(head.headers);
         // A rejection without a limit does not lift one: a server may reject requests before the part that knows the limit.
         if (limit.has_value() || !isRejection) {
--- a/src/relay/openaiadapter.cpp
+++ b/src/relay/openaiadapter.cpp
@@ -49,6 +49,9 @@
     };
     adapter.responseHeaders = headersForCaller;
     adapter.rateLimit = rateLimitOf;
+    adapter.isServerLeaving = [](const HttpHeaders &) {
+        return false; // the configuration says which servers leave
+    };
     adapter.routerHeaders = [](std::string_view requestId, const TraceContext &trace) {
         return HttpHeaders{{requestIdHeader, std::string(requestId)}, {traceHeader, trace.format()}};
     };
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -24,10 +24,22 @@
     if (found != this->entries.end() && found->second == server) {
         return false;
     }
+    if (found == this->entries.end() || found->second.startedAt != server.startedAt) {
+        this->registeredAt[change.id] = now;
+    }
     this->entries[change.id] = std::move(server);
     return true;
 }
 
+bool ServerTable::recordLeaving(const BackendServerId &id, TimePoint sentAt)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end() || sentAt < this->registeredAt.at(id)) {
+        return false;
+    }
+    return !std::exchange(found->second.server.leaving, true);
+}
+
 bool ServerTable::isKnownToLeave(const BackendServerId &id, const RegisteredServer &server) const
 {
     const auto found = this->entries.find(id);
@@ -75,6 +87,7 @@
         }
     }
     this->entries.erase(found);
+    this->registeredAt.erase(id);
     this->graceDeadlines.erase(id);
     return true;
 }
@@ -88,6 +101,7 @@
             continue;
         }
         changed = this->entries.erase(entry->first) > 0 || changed;
+        this->registeredAt.erase(entry->first);
         entry = this->graceDeadlines.erase(entry);
     }
     return changed;
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -173,6 +173,13 @@
     EXPECT_EQ(this->verdictFor(421, {}), ResponseCheck::Misdirected);
 }
 
+TEST_F(CallerWireTest, ReadsThatAServerLeaves)
+{
+    EXPECT_TRUE(this->adapter.isServerLeaving({{"Server-Leaving", "1"}}));
+    EXPECT_FALSE(this->adapter.isServerLeaving({{"Server-Leaving", "0"}}));
+    EXPECT_FALSE(this->adapter.isServerLeaving({}));
+}
+
 TEST_F(CallerWireTest, ReadsTheRateLimitOfAServer)
 {
     const auto limit = [this](const std::string &value) {
--- a/tests/control/removedserver_test.cpp
+++ b/tests/control/removedserver_test.cpp
@@ -81,6 +81,22 @@
     }
 }
 
+TEST_F(RemovedServerTest, AServerThatSaysItLeavesIsNotUsedThoughTheStoreCannotBeRead)
+{
+    this->instance.isStoreUnreachable = true;
+    this->advance(1s);
+    this->instance.directory.recordServerLeaving(BackendServerId("removed"), RuntimeClock::now());
+    const auto isLeaving = [this](const std::string &id) {
+        return this->instance.directory.state()->findBackendServer(BackendServerId(id))->value.leaving;
+    };
+    EXPECT_TRUE(isLeaving("removed"));
+    EXPECT_FALSE(isLeaving("other"));
+    this->store.put("removed"); // an entry from before the server began to leave
+    this->instance.isStoreUnreachable = false;
+    this->advance(2s);
+    EXPECT_TRUE(isLeaving("removed"));
+}
+
 INSTANTIATE_TEST_SUITE_P(Removals, RemovalAfterOutageTest, testing::Values(-1000ms, 200ms, 700ms, 1200ms),
     [](const testing::TestParamInfo<std::chrono::milliseconds> &info) {
         return info.param < 0ms ? "DuringTheOutage" : "After" + std::to_string(info.param.count()) + "Milliseconds";
--- a/tests/relay/numberedstream_test.cpp
+++ b/tests/relay/numberedstream_test.cpp
@@ -97,6 +97,32 @@
 
 } // namespace
 
+TEST(Response, OfAServerThatLeavesIsReported)
+{
+    constexpr const char *leavingHeader = "X-Leaving";
+    const FakeBackend backend([](HttpExchange &exchange) -> asio::awaitable<void> {
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        headers.add(leavingHeader, "yes");
+        Result<void> written = co_await exchange.beginStream(200, std::move(headers));
+        written = co_await exchange.endStream();
+    });
+    ProtocolAdapter adapter = numberedStreamAdapter();
+    adapter.isServerLeaving = [](const HttpHeaders &fromBackend) {
+        return fromBackend.has(leavingHeader);
+    };
+    std::atomic<int> reports = 0;
+    CallerHooks hooks;
+    hooks.onServerLeaving = [&reports](const BackendServerId &server, TimePoint sentAt) {
+        EXPECT_FALSE(server.isEmpty());
+        EXPECT_LE(sentAt, RuntimeClock::now());
+        ++reports;
+    };
+    const CallerFixture setup({&backend}, {}, hooks, {}, adapter);
+    setup.exchange(chatRequest());
+    EXPECT_EQ(reports, 1);
+}
+
 TEST(NumberedStream, ResumesAtAnotherServerAfterTheLastCompleteEvent)
 {
     const std::string response = routedResponse(interruptedOnce(0));
--- a/tests/state/servertable_test.cpp
+++ b/tests/state/servertable_test.cpp
@@ -57,6 +57,42 @@
     EXPECT_FALSE(isLeaving());
 }
 
+TEST(ServerTable, AServerThatSaidItLeavesIsLeavingWhateverItsEntrySays)
+{
+    ServerTable table;
+    const auto isLeaving = [&table] {
+        return table.servers().at(BackendServerId("a")).server.leaving;
+    };
+    EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint())) << "an unknown server";
+    table.apply(entry("a"), TimePoint(1s));
+    EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(2s)));
+    EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint(2s)));
+    EXPECT_TRUE(isLeaving());
+    EXPECT_FALSE(table.apply(entry("a"), TimePoint(3s)));
+    EXPECT_FALSE(table.replace({entry("a")}, TimePoint(3s)));
+    EXPECT_TRUE(isLeaving());
+}
+
+// The id of a server may be used again: what one start of it said does not hold for the next.
+TEST(ServerTable, AServerThatRestartedIsNotLeavingBecauseTheOldOneSaidSo)
+{
+    ServerTable table;
+    const auto isLeaving = [&table] {
+        return table.servers().at(BackendServerId("a")).server.leaving;
+    };
+    table.apply(entry("a"), TimePoint(1s));
+    table.recordLeaving(BackendServerId("a"), TimePoint(2s));
+    ServerChange restarted = entry("a");
+    restarted.server->startedAt = 1;
+    EXPECT_TRUE(table.apply(restarted, TimePoint(5s)));
+    EXPECT_FALSE(isLeaving());
+    EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint(4s))) << "the old one answered late";
+    EXPECT_TRUE(table.apply(removal("a"), TimePoint(6s)));
+    table.apply(entry("a"), TimePoint(7s));
+    EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint(6s)));
+    EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(8s)));
+}
+
 TEST(ServerTable, KeepsEntriesThatExpiredDuringAnOutageForTheGracePeriod)
 {
     ServerTable table;
