--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -60,8 +60,8 @@
     /** Replaces the entries with the complete list @p entries. */
     bool replace(const std::vector<ServerChange> &entries, TimePoint now);
     /**
-     * Records that a server said itself that it leaves, in response to a request sent at @p sentAt. It is ignored if a newer start
-     * of the server registered since.
+     * Records that a server said itself that it leaves, in response to a request sent at @p sentAt. It is ignored if a newer
+     * start of the server registered since.
      */
     bool recordLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Removes the entries whose grace period has ended. */
