A server that turns a request away with 503 and Retry-After gets nothing until then

Retry-After of servers was not read: after a rejection a server was only ranked behind the others for a second, and used again if the others were full.

The server is paused: no free slots until the end, whatever its list entry says. If all servers of a target are paused, the forecast knows when the first one returns, so that requests wait if they can start in time and are otherwise refused at once, as not run, with the rest of the pause as Retry-After; those that wait already or come back from a rejected attempt likewise. Two tests failed with the pause taken out: a server reached twice in four requests, and six of six requests on the paused server.

--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -34,6 +34,8 @@
     std::function<void(const ServerRateLimit &limit)> onRateLimitChange;
     /** A part of prompts was quarantined or cleared, here or at a peer. */
     std::function<void(const PromptPartChange &change)> onPromptPartChange;
+    /** A backend server has asked for no requests for @p pause. */
+    std::function<void(const BackendServerId &server, Duration pause)> onServerPaused;
 };
 
 /**
@@ -56,6 +58,8 @@
     // Commands.
     /** Records the rate limit that the server stated in the head of its response, or that it stated none. */
     void recordRateLimit(std::optional<double> requestsPerSecond);
+    /** Sends no requests to the server for @p pause, as it asked in the head of its response. */
+    void pauseServer(Duration pause);
     void recordFirstToken();
     void recordTokens(std::uint32_t count);
     void finish(AttemptOutcome end);
--- a/include/flamingosaddle/relay/protocoladapter.h
+++ b/include/flamingosaddle/relay/protocoladapter.h
@@ -68,6 +68,12 @@
 /** Parses a rate limit: a decimal number of requests per second, not negative. Returns nothing for any other text. */
 std::optional<double> parseRateLimit(std::string_view text);
 
+/**
+ * Returns the time for which a backend server that is unavailable (503) asks for no further requests by Retry-After in seconds,
+ * which may have a fraction. Returns nothing for any other response.
+ */
+std::optional<Duration> requestedPause(const HttpResponseHead &head);
+
 /**
  * Returns the adapter for the OpenAI protocol.
  * @param keySecret secret of the keyed hash of callers' keys
--- a/include/flamingosaddle/traffic/admission.h
+++ b/include/flamingosaddle/traffic/admission.h
@@ -17,6 +17,7 @@
     double slots = 0.0; ///< slots available to this instance, in use or free, on servers without a rate limit
     double rateLimitedStartsPerSecond = 0.0; ///< starts that the rate limits of the other servers allow
     double freeSlots = 0.0; ///< free slots that the class may use
+    double pausedSeconds = 0.0; ///< time until the first server takes requests again if all servers are paused
     std::optional<double> holdSeconds; ///< mean time that a request occupies a slot; empty while unknown
     double higherArrivalsPerSecond = 0.0;
     double higherWaiting = 0.0; ///< waiting requests of higher tiers
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -76,6 +76,12 @@
      */
     std::optional<ServerRateLimit> onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now);
 
+    /**
+     * Handles a rejection by which the backend server asks for no further requests for @p pause. Returns whether the pause
+     * begins.
+     */
+    bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
+
     /** Handles the first byte of the response. */
     void onFirstToken(Ticket ticket, TimePoint now);
 
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -56,6 +56,7 @@
     double slowdown = 1.0; ///< ratio to the median of the servers of its targets, at least 1
     std::uint32_t consecutiveFailures = 0; ///< failures since the last success
     TimePoint backoffUntil;
+    std::optional<TimePoint> pausedUntil; ///< the server asked for no requests until then
     std::optional<TokenBucket> rateLimit; ///< this instance's share of the server's rate limit, if it has one
     std::vector<TargetMembership> memberships;
 };
@@ -86,10 +87,10 @@
  *
  * A server is usable if it is configured, not leaving, not left to other instances by its rate limit and, if it is cheap, its
  * data centre is not excluded. It has a free slot if fewer requests than its slots run on it, including those of peers. A server
- * with a rate limit has no more free slots than tokens. Since reports from peers lag, an instance that shares its servers may
- * always use an even share of the slots. It takes more only while one slot for each of the other instances stays free, up to half
- * of the slots, because the others may be about to take more as well. If there are more instances than slots, fewer stay free.
- * The slots of a straggler are divided by its slowdown.
+ * with a rate limit has no more free slots than tokens, and a paused one has none. Since reports from peers lag, an instance that
+ * shares its servers may always use an even share of the slots. It takes more only while one slot for each of the other instances
+ * stays free, up to half of the slots, because the others may be about to take more as well. If there are more instances than
+ * slots, fewer stay free. The slots of a straggler are divided by its slowdown.
  *
  * The requests on the cheap servers of one data centre never exceed the target's slots elsewhere, so that they can continue
  * elsewhere if that capacity is reclaimed. This rule applies only if there are slots elsewhere.
@@ -121,8 +122,12 @@
     /** Limits the starts on a server to this instance's share of the server's rate limit; without a share, removes the limit. */
     void setRateShare(ServerIndex server, const std::optional<RateShare> &share, TimePoint now);
 
-    /** Lets the servers with a rate limit take the requests that have become due until @p now. */
-    void refillRateLimits(TimePoint now);
+    /** Sends no requests to the server until @p until, or until the later end of a pause that it is in. */
+    void pause(ServerIndex server, TimePoint until);
+
+    /** Lets the servers with a rate limit take the requests that have become due until @p now, and ends the pauses that are over.
+     */
+    void advanceTo(TimePoint now);
 
     /** Enables or disables straggler detection, which is enabled initially. */
     void setStragglerDetection(bool enabled);
@@ -208,8 +213,14 @@
 
     RateLimitedCapacity rateLimitedCapacity(TargetIndex target) const;
 
-    /** Returns when a rate limit next lets a server take a request that has none free now; nothing if there is no such server. */
-    std::optional<TimePoint> nextRateLimitedStart() const;
+    /**
+     * Returns when a rate limit or the end of a pause next lets a server take a request that has no free slot now; nothing if
+     * there is no such server.
+     */
+    std::optional<TimePoint> nextDelayedStart() const;
+
+    /** Returns when the first pause of the target's servers ends if all of them are paused; nothing otherwise. */
+    std::optional<TimePoint> pausedUntil(TargetIndex target) const;
 
     /** Returns the requests known to run on the target's usable servers. slots() returns the slots of these servers. */
     std::uint32_t load(TargetIndex target) const
@@ -281,6 +292,7 @@
     std::uint32_t freeSlotsOf(const ServerState &state, const Target &target) const;
     bool isDataCentreFull(const ServerState &state, const Target &target) const;
     void refresh(ServerIndex server);
+    void endPauses(TimePoint now);
     void refreshCandidate(ServerIndex server, TargetIndex target, std::uint32_t position);
     void refreshDataCentre(TargetIndex target, DataCentreIndex dataCentre);
     void adjustLoad(ServerIndex server, std::int64_t delta);
@@ -297,6 +309,7 @@
     std::uint64_t candidateGeneration = 0;
     std::pair<ModelName, ServiceName> lookupKey; // a member to reuse its memory in look-ups
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
+    std::vector<ServerIndex> paused;
     std::vector<double> medianSamples; // a member to reuse its memory
     std::uint32_t instanceCount = 0;
     bool detectsStragglers = true;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -6,6 +6,7 @@
 #include <flamingosaddle/app/ratelimitlog.h>
 #include <flamingosaddle/app/requestlog.h>
 #include <flamingosaddle/app/serverdeathlog.h>
+#include <flamingosaddle/app/serverpauselog.h>
 #include <flamingosaddle/app/trafficmetrics.h>
 #include <flamingosaddle/app/workerthreads.h>
 #include <flamingosaddle/base/delay.h>
@@ -305,6 +306,9 @@
         hooks.onRateLimitChange = [this](const ServerRateLimit &limit) {
             this->observeRateLimit(limit, "response");
         };
+        hooks.onServerPaused = [this](const BackendServerId &server, Duration pause) {
+            this->serverPauseLog.observe(server, pause);
+        };
         hooks.onPromptPartChange = [this](const PromptPartChange &change) {
             this->onPromptPartChange(change);
         };
@@ -493,6 +497,7 @@
     RequestLog requestLog;
     RateLimitLog rateLimitLog;
     ServerDeathLog serverDeathLog;
+    ServerPauseLog serverPauseLog;
     PromptPartLog promptPartLog;
     boost::asio::io_context controlContext{1};
     WorkerThreads workers;
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -90,6 +90,13 @@
     }
 }
 
+void ServerGrant::pauseServer(Duration pause)
+{
+    if (this->core) {
+        this->core->pauseServer(this->ticket, this->server(), pause);
+    }
+}
+
 void ServerGrant::recordFirstToken()
 {
     if (this->core) {
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -61,6 +61,16 @@
     }
 }
 
+void AsyncDispatcherCore::pauseServer(Ticket ticket, const BackendServerId &server, Duration pause)
+{
+    std::unique_lock lock(this->mutex);
+    const bool isPaused = this->dispatcher.onPauseRequested(ticket, pause, RuntimeClock::now());
+    this->dispatchAndUnlock(lock, nullptr); // schedules the end of the pause
+    if (isPaused && this->hooks.onServerPaused) {
+        this->hooks.onServerPaused(server, pause);
+    }
+}
+
 void AsyncDispatcherCore::recordFirstToken(Ticket ticket)
 {
     // The completed prefill may free capacity for another prompt.
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -247,6 +247,9 @@
         if (this->environment.adapter.isServerLeaving(head.headers) && this->environment.hooks.onServerLeaving) {
             this->environment.hooks.onServerLeaving(grant.server(), this->outcome.sentAt);
         }
+        if (const std::optional<Duration> pause = requestedPause(head)) {
+            grant.pauseServer(*pause);
+        }
         const std::optional<double> limit = this->environment.adapter.rateLimit(head.headers);
         // A rejection without a limit does not lift one: a server may reject requests before the part that knows the limit.
         if (limit.has_value() || !isRejection) {
--- a/src/traffic/admission.cpp
+++ b/src/traffic/admission.cpp
@@ -22,6 +22,9 @@
 
 WaitForecast forecastWait(const QueueSnapshot &snapshot)
 {
+    if (snapshot.pausedSeconds > 0.0) {
+        return WaitForecast{snapshot.pausedSeconds, snapshot.pausedSeconds + snapshot.firstTokenSeconds};
+    }
     const double ahead = snapshot.higherWaiting + snapshot.tierWaiting;
     const bool startsAtOnce = snapshot.freeSlots > ahead;
     const bool isRateUnknown = snapshot.slots > 0.0 && !snapshot.holdSeconds.has_value();
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -52,6 +52,11 @@
     return this->implementation->onResponseHead(ticket, rateLimit, now);
 }
 
+bool Dispatcher::onPauseRequested(Ticket ticket, Duration pause, TimePoint now)
+{
+    return this->implementation->onPauseRequested(ticket, pause, now);
+}
+
 void Dispatcher::onFirstToken(Ticket ticket, TimePoint now)
 {
     this->implementation->onFirstToken(ticket, now);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -12,6 +12,8 @@
 
 // Attempts per request that may fail to reach a server without counting as attempts.
 constexpr std::uint32_t maxUnsentAttempts = 4;
+// Bounds the time for which a faulty server can exclude itself.
+constexpr Duration maxRequestedPause = std::chrono::hours(1);
 
 } // namespace
 
@@ -31,6 +33,17 @@
     return stated;
 }
 
+bool Dispatcher::Implementation::onPauseRequested(Ticket ticket, Duration pause, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (!index.has_value() || !this->requests.record(*index).isRunning() || pause <= Duration::zero()) {
+        return false;
+    }
+    this->pool.pause(this->requests.record(*index).server, now + std::min(pause, maxRequestedPause));
+    this->pausesChanged = true;
+    return true;
+}
+
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
@@ -140,6 +153,9 @@
     if (!this->pool.hasUsableServer(record.entry.target, record.entry.cheapAllowed)) {
         return RefusalReason::NoServer;
     }
+    if (this->isPausedPastDeadline(record)) {
+        return RefusalReason::NoServer;
+    }
     if (outcome == AttemptOutcome::NotSent && this->options.exemptUnsentAttempts) {
         // No server has seen the request, so sending it again adds no load.
         return std::nullopt;
--- a/src/traffic/dispatcherforecast.cpp
+++ b/src/traffic/dispatcherforecast.cpp
@@ -16,6 +16,9 @@
     const RateLimitedCapacity limited = this->pool.rateLimitedCapacity(target);
     snapshot.slots = this->pool.localInFlight(target) + snapshot.freeSlots - limited.localInFlight - limited.freeSlots;
     snapshot.rateLimitedStartsPerSecond = limited.startsPerSecond;
+    if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(target)) {
+        snapshot.pausedSeconds = std::chrono::duration<double>(*pausedUntil - now).count();
+    }
     snapshot.holdSeconds = this->statistics.holdSeconds(target);
     snapshot.higherWaiting = this->queue.waitingAbove(target, tier);
     for (const Tier &known : this->tiers) {
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -331,10 +331,14 @@
         return Refusal{
             reason, record.wasSent ? RunState::Unknown : RunState::NotRun, this->retryAfterQuarantine(record.promptParts, now)};
     }
+    const RunState runState = record.wasSent ? RunState::Unknown : RunState::NotRun;
+    if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target)) {
+        return Refusal{reason, runState, std::chrono::ceil<std::chrono::seconds>(std::max(*pausedUntil - now, Duration::zero()))};
+    }
     const std::optional<double> holdSeconds = this->statistics.holdSeconds(record.entry.target);
     const auto seconds = std::chrono::seconds(
         std::clamp(static_cast<std::int64_t>(holdSeconds.value_or(1.0)), std::int64_t{1}, std::int64_t{60}));
-    return Refusal{reason, record.wasSent ? RunState::Unknown : RunState::NotRun, seconds};
+    return Refusal{reason, runState, seconds};
 }
 
 void Dispatcher::Implementation::dispatch(TimePoint now, Decisions &decisions)
@@ -343,13 +347,16 @@
     decisions.rejections.clear();
     this->lastDispatch = now;
     this->reserveRecheckAt.reset();
-    this->pool.refillRateLimits(now);
+    this->pool.advanceTo(now);
     this->rejectExpired(now);
     this->releaseParked(now);
     if (this->serversChanged) {
         this->rejectUnservable(now);
         this->serversChanged = false;
     }
+    if (std::exchange(this->pausesChanged, false)) {
+        this->rejectPaused(now);
+    }
     for (const PromptPartChange &change : this->promptQuarantine.evaluateDeaths(now)) {
         this->recordPromptPart(change, true);
     }
@@ -386,6 +393,21 @@
     }
 }
 
+bool Dispatcher::Implementation::isPausedPastDeadline(const RequestRecord &record) const
+{
+    const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target);
+    return pausedUntil.has_value() && *pausedUntil >= record.deadline;
+}
+
+void Dispatcher::Implementation::rejectPaused(TimePoint now)
+{
+    for (const RequestIndex index : this->requests.waiting()) {
+        if (this->isPausedPastDeadline(this->requests.record(index))) {
+            this->reject(index, RefusalReason::NoServer, now);
+        }
+    }
+}
+
 void Dispatcher::Implementation::rejectQuarantined(TimePoint now)
 {
     for (const RequestIndex index : this->requests.waiting()) {
@@ -613,7 +635,7 @@
         // The message that ends the wait may be lost, so parked requests are also checked periodically.
         return std::min(deadline, this->lastDispatch + parkedRecheckInterval);
     }
-    const TimePoint next = std::min(deadline, this->pool.nextRateLimitedStart().value_or(deadline));
+    const TimePoint next = std::min(deadline, this->pool.nextDelayedStart().value_or(deadline));
     return std::min(next, this->reserveRecheckAt.value_or(next));
 }
 
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -31,6 +31,7 @@
     std::variant<Ticket, Refusal> submit(const RequestProfile &profile, TimePoint now);
     void dispatch(TimePoint now, Decisions &decisions);
     std::optional<ServerRateLimit> onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now);
+    bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
     void onFirstToken(Ticket ticket, TimePoint now);
     void onTokens(Ticket ticket, std::uint32_t count, TimePoint now);
     void finish(Ticket ticket, AttemptOutcome outcome, TimePoint now);
@@ -122,6 +123,9 @@
     std::chrono::seconds retryAfterQuarantine(const std::vector<std::uint64_t> &promptParts, TimePoint now) const;
     void rejectExpired(TimePoint now);
     void rejectUnservable(TimePoint now);
+    /** Rejects the waiting requests whose servers are all paused until after their deadlines. */
+    void rejectPaused(TimePoint now);
+    bool isPausedPastDeadline(const RequestRecord &record) const;
     void rejectQuarantined(TimePoint now);
     Availability availability(TargetIndex target, TimePoint now);
     int lowestStartableTier(TargetIndex target, TimePoint now);
@@ -151,6 +155,7 @@
     std::vector<RequestIndex> parked; // suspects that wait until another run of them ends
     std::vector<Rejection> pendingRejections; // returned by the next dispatch()
     bool serversChanged = false;
+    bool pausesChanged = false;
     bool quarantinesChanged = false;
     std::optional<TimePoint>
         reserveRecheckAt; // when to check again whether lower tiers may use the slots left free for higher ones
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -64,7 +64,9 @@
 
 void ServerPool::removeServer(ServerState &state)
 {
-    std::erase(this->rateLimited, static_cast<ServerIndex>(&state - this->servers.data()));
+    const auto index = static_cast<ServerIndex>(&state - this->servers.data());
+    std::erase(this->rateLimited, index);
+    std::erase(this->paused, index);
     this->serverNames.release(state.id);
     state = ServerState();
 }
@@ -151,8 +153,32 @@
     }
 }
 
-void ServerPool::refillRateLimits(TimePoint now)
+void ServerPool::pause(ServerIndex index, TimePoint until)
 {
+    ServerState &state = this->servers[index];
+    if (!state.pausedUntil.has_value()) {
+        this->paused.push_back(index);
+    }
+    state.pausedUntil = std::max(state.pausedUntil.value_or(until), until);
+    this->refresh(index);
+}
+
+void ServerPool::endPauses(TimePoint now)
+{
+    std::erase_if(this->paused, [this, now](ServerIndex index) {
+        ServerState &state = this->servers[index];
+        if (*state.pausedUntil > now) {
+            return false;
+        }
+        state.pausedUntil.reset();
+        this->refresh(index);
+        return true;
+    });
+}
+
+void ServerPool::advanceTo(TimePoint now)
+{
+    this->endPauses(now);
     for (const ServerIndex index : this->rateLimited) {
         TokenBucket &bucket = *this->servers[index].rateLimit;
         const std::uint32_t before = bucket.wholeTokens();
@@ -182,14 +208,35 @@
     return capacity;
 }
 
-std::optional<TimePoint> ServerPool::nextRateLimitedStart() const
+std::optional<TimePoint> ServerPool::nextDelayedStart() const
 {
     std::optional<TimePoint> earliest;
-    for (const ServerIndex index : this->rateLimited) {
-        const std::optional<TimePoint> next = this->servers[index].rateLimit->nextTokenAt();
+    const auto add = [this, &earliest](ServerIndex index, std::optional<TimePoint> next) {
         if (next.has_value() && this->isUsable(this->servers[index])) {
             earliest = std::min(earliest.value_or(*next), *next);
         }
+    };
+    for (const ServerIndex index : this->rateLimited) {
+        add(index, this->servers[index].rateLimit->nextTokenAt());
+    }
+    for (const ServerIndex index : this->paused) {
+        add(index, this->servers[index].pausedUntil);
+    }
+    return earliest;
+}
+
+std::optional<TimePoint> ServerPool::pausedUntil(TargetIndex target) const
+{
+    if (this->paused.empty()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> earliest;
+    for (const Candidate &candidate : this->targets[target].candidates) {
+        const std::optional<TimePoint> &until = this->servers[candidate.server].pausedUntil;
+        if (!until.has_value()) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(*until), *until);
     }
     return earliest;
 }
@@ -350,7 +397,7 @@
 
 std::uint32_t ServerPool::freeSlotsOf(const ServerState &state, const Target &target) const
 {
-    if (this->isDataCentreFull(state, target)) {
+    if (state.pausedUntil.has_value() || this->isDataCentreFull(state, target)) {
         return 0;
     }
     const std::uint32_t usable = this->usableSlots(state);
--- a/tests/relay/asyncdispatcher_test.cpp
+++ b/tests/relay/asyncdispatcher_test.cpp
@@ -54,7 +54,7 @@
              EXPECT_EQ(death.fingerprint, 7U);
              ++this->serverFailures;
          },
-            {}, {}, {}}};
+            {}, {}, {}, {}}};
 
     ServerGrant acquireOnFirst()
     {
--- a/tests/relay/callerhandler_test.cpp
+++ b/tests/relay/callerhandler_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace flamingosaddle;
 using namespace flamingosaddle::test;
+using namespace std::chrono_literals;
 using boost::asio::awaitable;
 
 namespace
@@ -309,6 +310,44 @@
         std::count(response.begin() + static_cast<std::ptrdiff_t>(response.find("\r\n\r\n")), response.end(), 'x'), 100'000);
 }
 
+TEST(CallerHandler, AnUnavailableServerGetsNoRequestUntilTheTimeThatItNamed)
+{
+    const auto rejecting = [](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpResponse response = jsonResponse(503, "{}");
+        response.headers.add("Retry-After", "600");
+        const Result<void> ignored = co_await exchange.respond(std::move(response));
+    };
+    FakeBackend first(rejecting);
+    FakeBackend second(rejecting);
+    ProtocolAdapter adapter = openAiAdapter(secret, RequestClass());
+    adapter.checkResponse = [](const HttpRequest &, const HttpResponseHead &head) {
+        return head.status == 503 ? ResponseCheck::NotExecuted : ResponseCheck::Valid;
+    };
+    CallerFixture fixture({}, {&first, &second}, {}, {}, adapter);
+    EXPECT_EQ(statusOf(fixture.exchange(requestText("GET /open/x", ""))), 503);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(statusOf(fixture.exchange(requestText("GET /open/x", ""))), 429) << "refused by the forecast";
+    }
+    EXPECT_LE(first.requests().size(), 1U);
+    EXPECT_LE(second.requests().size(), 1U);
+    EXPECT_EQ(first.requests().size() + second.requests().size(), 2U);
+}
+
+TEST(ProtocolAdapter, ReadsThePauseThatAServerAsksFor)
+{
+    const auto pause = [](int status, const std::string &value) {
+        return requestedPause({status, {{"Retry-After", value}}});
+    };
+    EXPECT_EQ(pause(503, "2"), Duration(2s));
+    EXPECT_EQ(pause(503, "0.5"), Duration(500ms));
+    EXPECT_EQ(pause(200, "2"), std::nullopt);
+    EXPECT_EQ(requestedPause({503, {}}), std::nullopt);
+    EXPECT_GT(pause(503, "99999999999999999999"), Duration(1h));
+    for (const char *invalid : {"", "-1", "inf", "1 s", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        EXPECT_EQ(pause(503, invalid), std::nullopt) << invalid;
+    }
+}
+
 TEST(CallerHandler, OnlyARegularResponseLiftsTheRateLimitOfAServer)
 {
     std::atomic<int> status = 200;
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -60,6 +60,70 @@
     EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{low, BackendServerId("s"), false}}));
 }
 
+TEST(Dispatcher, SendsNothingToAServerThatAskedForAPause)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("paused", 8)}, TimePoint());
+    Decisions decisions;
+    const Ticket rejected = submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_TRUE(dispatcher.onPauseRequested(rejected, 5s, TimePoint()));
+    EXPECT_TRUE(dispatcher.onPauseRequested(rejected, 2s, TimePoint())) << "does not shorten the pause";
+    dispatcher.setServers({serverOf("paused", 8), serverOf("other", 2)}, TimePoint());
+    EXPECT_EQ(dispatcher.retry(rejected, AttemptOutcome::Rejected, true, TimePoint()), std::nullopt);
+    for (int i = 0; i < 5; ++i) {
+        submitAccepted(dispatcher, patientProfile());
+    }
+    std::vector<BackendServerId> servers;
+    for (const Duration elapsed : {0ms, 1000ms, 4999ms, 5000ms}) {
+        dispatcher.dispatch(TimePoint(elapsed), decisions);
+        for (const Assignment &assignment : decisions.assignments) {
+            servers.push_back(assignment.server);
+        }
+        if (elapsed < 5s) {
+            EXPECT_EQ(servers, std::vector<BackendServerId>(2, BackendServerId("other")));
+            EXPECT_LE(dispatcher.nextWakeup(), TimePoint(5s));
+        }
+    }
+    EXPECT_EQ(servers.size(), 6U);
+    EXPECT_EQ(servers.back(), BackendServerId("paused"));
+}
+
+TEST(Dispatcher, RefusesAtOnceWhatCannotStartBeforeItsDeadline)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 1)}, TimePoint());
+    Decisions decisions;
+    const Ticket rejected = submitAccepted(dispatcher, patientProfile());
+    const Ticket waiting = submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(), decisions);
+    dispatcher.onPauseRequested(rejected, 90s, TimePoint());
+    const Refusal expected{RefusalReason::NoServer, RunState::NotRun, 90s};
+    EXPECT_EQ(dispatcher.retry(rejected, AttemptOutcome::Rejected, false, TimePoint()), expected);
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(decisions.rejections, (std::vector<Rejection>{{waiting, expected}}));
+}
+
+TEST(Dispatcher, RefusesUntilTheEndOfThePauseOfAllServers)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    Decisions decisions;
+    const Ticket rejected = submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(), decisions);
+    dispatcher.onPauseRequested(rejected, 20s, TimePoint());
+    RequestProfile urgent = profileOf("a", 0, TimePoint(5s));
+    urgent.requestClass.firstTokenTarget = 2s;
+    const std::variant<Ticket, Refusal> result = dispatcher.submit(urgent, TimePoint(5s));
+    ASSERT_TRUE(std::holds_alternative<Refusal>(result));
+    EXPECT_EQ(std::get<Refusal>(result).runState, RunState::NotRun);
+    EXPECT_GE(std::get<Refusal>(result).retryAfter, 13s);
+    EXPECT_LE(std::get<Refusal>(result).retryAfter, 15s);
+    EXPECT_TRUE(std::holds_alternative<Ticket>(dispatcher.submit(patientProfile(), TimePoint(5s))));
+    dispatcher.dispatch(TimePoint(20s), decisions);
+    EXPECT_EQ(decisions.assignments.size(), 1U);
+}
+
 TEST(Dispatcher, EvictsALowerTierBeforeItRefusesAHigherOne)
 {
     DispatcherOptions options;
