--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -39,6 +39,9 @@
     int tier = 0;
     RouteId route; ///< empty for model requests and when no route matched
     BackendServerId server; ///< of the last attempt; empty without an attempt
+    std::string softwareVersion; ///< of that server
+    std::string resumedRequest; ///< see RoutedRequest
+    std::uint64_t resumeAfter = 0; ///< see RoutedRequest
     std::uint32_t promptTokens = 0; ///< as used for placement; 0 without a prompt
     std::uint32_t sharedTokens = 0; ///< tokens of the prefix that other requests share
     std::uint64_t prefixHash = 0; ///< hash of that prefix; 0 without a prefix
--- a/include/flamingosaddle/relay/routedrequest.h
+++ b/include/flamingosaddle/relay/routedrequest.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstdint>
+#include <string>
 
 namespace flamingosaddle
 {
@@ -25,6 +26,7 @@
     bool stream = false;
     bool resumable = false; ///< whether an interrupted stream may resume at another backend server
     std::uint64_t resumeAfter = 0; ///< id of the last event that the caller has; 0 to start from the beginning
+    std::string resumedRequest; ///< id of the caller's request that brought the stream's first event; empty if not stated
 
     friend bool operator==(const RoutedRequest &, const RoutedRequest &) = default;
 };
--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -114,6 +114,7 @@
     bool cheap = false; ///< may be reclaimed at a few seconds' notice, together with all others of its data centre
     bool leaving = false; ///< receives no new requests
     bool missing = false; ///< its registration has disappeared, so it may be gone; the last choice for a request
+    std::string softwareVersion; ///< a stream continues only on servers of the version that began it; empty if not stated
     bool checksFencing = false; ///< whether it refuses orders with an outdated fencing number
 
     friend bool operator==(const BackendServer &, const BackendServer &) = default;
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -117,7 +117,7 @@
 auto fieldsOf(MaybeConst<BackendServer> auto &value)
 {
     return std::tie(value.id, value.endpoint, value.dataCentre, value.kind, value.models, value.service, value.slots, value.cheap,
-        value.leaving, value.checksFencing);
+        value.leaving, value.softwareVersion, value.checksFencing);
 }
 
 auto fieldsOf(MaybeConst<RegisteredServer> auto &value)
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -91,6 +91,8 @@
     BOOST_OUTCOME_TRY(result, this->environment.adapter.route(*snapshot, this->exchange.request(), this->outcome.arrival));
     this->routed = std::move(result);
     this->outcome.route = this->routed.route;
+    this->outcome.resumedRequest = this->routed.resumedRequest;
+    this->outcome.resumeAfter = this->routed.resumeAfter;
     this->relay.setCallerHeaders(this->environment.adapter.routerHeaders(this->outcome.requestId, this->span.context()));
     this->outcome.clientAccount = this->routed.profile.clientAccount;
     this->outcome.className = this->routed.profile.requestClass.name;
@@ -241,6 +243,7 @@
     ActiveSpan attemptSpan(this->environment.tracer, this->span.context(), "backend-server");
     attemptSpan.addAttribute("server", grant.server().text());
     this->outcome.server = grant.server();
+    this->outcome.softwareVersion = server->value.softwareVersion;
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
     parameters.onResponseHead = [this, &grant](const HttpResponseHead &head, bool isRejection) {
--- a/src/state/configfields.h
+++ b/src/state/configfields.h
@@ -83,6 +83,7 @@
     archive.optional("slots", value.slots);
     archive.optional("cheap", value.cheap);
     archive.optional("leaving", value.leaving);
+    archive.optional("softwareVersion", value.softwareVersion);
     archive.optional("checksFencing", value.checksFencing);
 }
 
