Failing test: an interrupted stream continues at another software version

With engines of two versions, streams that break off after their third event get the rest from either version.

--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -197,11 +197,13 @@
     this->thread.stop();
 }
 
-void CallerFixture::addEngine(const Endpoint &endpoint)
+void CallerFixture::addEngine(const Endpoint &endpoint, const std::string &softwareVersion)
 {
     this->config = std::make_shared<ConfigState>(*this->config);
     const std::string id = "e" + std::to_string(this->config->nextOffset());
-    apply(*this->config, PutBackendServer{makeServer(id, endpoint, BackendKind::Engine)});
+    BackendServer engine = makeServer(id, endpoint, BackendKind::Engine);
+    engine.softwareVersion = softwareVersion;
+    apply(*this->config, PutBackendServer{std::move(engine)});
     this->publish(TimePoint::max());
     this->dispatcher->setServers(backendServersOf(*this->config));
 }
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -59,7 +59,7 @@
         CallerHooks hooks = {}, CallerOptions options = {}, ProtocolAdapter interface = openAiAdapter(secret, RequestClass()));
     ~CallerFixture();
 
-    void addEngine(const Endpoint &endpoint);
+    void addEngine(const Endpoint &endpoint, const std::string &softwareVersion = {});
     void withdrawKey();
     /** Publishes the configuration as fresh until @p freshUntil. */
     void publish(TimePoint freshUntil);
