An interrupted stream continues only at servers of the software version that began it

Callers got a complete stream whose text was joined from two versions, with nothing to show it: after a server failed, the dispatcher chose the next one among all servers of the service. Servers now belong to a target of their version as well, and a retry after the first event waits in that target's queue; without a server of the version it ends at once, and the stream is left incomplete. Such requests start before new ones, since their caller waits in the middle of a stream. Servers that state no version are alike, as before.

--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -60,6 +60,8 @@
     void recordRateLimit(std::optional<double> requestsPerSecond);
     /** Sends no requests to the server for @p pause, as it asked in the head of its response. */
     void pauseServer(Duration pause);
+    /** Lets retry() wait only for servers with the software version of this one, because the caller has a part of its stream. */
+    void requireSameVersion();
     void recordFirstToken();
     void recordTokens(std::uint32_t count);
     void finish(AttemptOutcome end);
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -82,6 +82,10 @@
      */
     bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
 
+    /** Lets the request be retried only on servers with the software version of the current one, because it continues its stream.
+     */
+    void requireSameVersion(Ticket ticket);
+
     /** Handles the first byte of the response. */
     void onFirstToken(Ticket ticket, TimePoint now);
 
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -27,6 +27,7 @@
     std::uint32_t maxAttempts = 0;
     std::uint32_t attempts = 0; ///< attempts that a server may have seen
     std::uint32_t unsentAttempts = 0; ///< attempts that no server saw
+    std::string softwareVersion; ///< version that a retry requires; empty if any
     TargetIndex serviceTarget = 0; ///< target of the service; that of the entry may be the one for long prompts
     bool parked = false; ///< true for a suspect held outside the queue until another run of it ends
     bool wasSent = false; ///< whether a backend server may have seen the request
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -41,6 +41,7 @@
     std::uint32_t slots = 0;
     bool cheap = false;
     bool present = false; ///< whether the server is in the configuration
+    std::string softwareVersion;
     bool leaving = false;
     bool missing = false; ///< whether the server may be gone
     std::uint32_t inFlight = 0; ///< requests that this instance runs on the server
@@ -157,6 +158,9 @@
      */
     static const ModelName &longPromptModel();
 
+    /** Returns the index of the target whose servers are those of @p target with the software version. */
+    TargetIndex internVersionTarget(TargetIndex target, const std::string &softwareVersion);
+
     /** Returns the index of the model or plain service, assigning one if it is new. */
     TargetIndex internTarget(const ModelName &model, const ServiceName &service);
 
@@ -243,6 +247,12 @@
     /** Returns whether the server is slow enough to be avoided and not due for another probe. */
     bool isStraggler(ServerIndex server, TimePoint now) const;
 
+    /** Returns whether the requests of the target continue streams that the caller has a part of. */
+    bool continuesStreams(TargetIndex target) const
+    {
+        return this->targets[target].isOfVersion;
+    }
+
     std::size_t targetCount() const
     {
         return this->targets.size();
@@ -275,6 +285,7 @@
         std::uint32_t localInFlight = 0; // requests of this target only
         std::uint32_t freeOrdinarySlots = 0;
         std::uint32_t freeCheapSlots = 0;
+        bool isOfVersion = false; // whether its requests continue streams, see internVersionTarget()
         std::uint32_t otherInstancesCount = 0; // servers that rate limits leave to other instances
 
         std::uint32_t measurements = 0; // since the last update of slowdowns
@@ -282,6 +293,9 @@
 
     void addServer(const BackendServer &server);
     void removeServer(ServerState &state);
+    static ModelName versionModel(const ModelName &model, const std::string &softwareVersion);
+    void addMemberships(
+        ServerState &state, const std::vector<TargetMembership> &previous, const ModelName &model, const ServiceName &service);
     void addMembership(ServerState &state, const std::vector<TargetMembership> &previous, TargetIndex target);
     void adjustInFlight(ServerIndex server, TargetIndex target, std::int64_t delta);
     bool isUsable(const ServerState &state) const;
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -27,6 +27,7 @@
     std::uint32_t promptTokens = 0; ///< estimate
     std::uint32_t sharedTokens = 0; ///< length of the prefix hashed in prefixHash; 0 if unknown
     std::uint32_t outputTokens = 0; ///< upper bound; 0 if unknown
+    std::string softwareVersion; ///< if set, only servers of this version may run it, because it continues a stream of theirs
     bool idempotent = true; ///< determined by class, route and method together
     std::uint32_t maxAttempts = 0; ///< maximum number of backend servers to send it to; 0 for the dispatcher's limit
     TimePoint arrival;
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -97,6 +97,13 @@
     }
 }
 
+void ServerGrant::requireSameVersion()
+{
+    if (this->core) {
+        this->core->requireSameVersion(this->ticket);
+    }
+}
+
 void ServerGrant::recordFirstToken()
 {
     if (this->core) {
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -71,6 +71,12 @@
     }
 }
 
+void AsyncDispatcherCore::requireSameVersion(Ticket ticket)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->dispatcher.requireSameVersion(ticket);
+}
+
 void AsyncDispatcherCore::recordFirstToken(Ticket ticket)
 {
     // The completed prefill may free capacity for another prompt.
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -217,6 +217,9 @@
             co_await this->failRequest(std::move(result), refusal);
             co_return;
         }
+        if (this->relay.hasSentEvents()) {
+            grant.requireSameVersion();
+        }
         const std::optional<Refusal> refusal = co_await grant.retry(result.end, result.anyByteSent, this->disconnectSignal);
         if (refusal.has_value()) {
             co_await this->failRequest(std::move(result), *refusal);
--- a/src/relay/responserelay.cpp
+++ b/src/relay/responserelay.cpp
@@ -323,6 +323,11 @@
     return this->streamStarted;
 }
 
+bool ResponseRelay::hasSentEvents() const
+{
+    return this->streamStarted && this->resumePosition() > 0;
+}
+
 bool ResponseRelay::isResumable() const
 {
     return this->eventStream && this->routed.resumable;
--- a/src/relay/responserelay.h
+++ b/src/relay/responserelay.h
@@ -49,6 +49,8 @@
     void captureResponse();
 
     // Queries.
+    /** Returns whether the caller has received a part of the stream, from this response or before. */
+    bool hasSentEvents() const;
     bool hasStarted() const; ///< whether any of the response was sent to the caller
     bool isResumable() const; ///< whether another server can continue at resumePosition()
     std::uint64_t resumePosition() const; ///< tokens sent to the caller, or the id of the last event
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -57,6 +57,11 @@
     return this->implementation->onPauseRequested(ticket, pause, now);
 }
 
+void Dispatcher::requireSameVersion(Ticket ticket)
+{
+    this->implementation->requireSameVersion(ticket);
+}
+
 void Dispatcher::onFirstToken(Ticket ticket, TimePoint now)
 {
     this->implementation->onFirstToken(ticket, now);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -44,6 +44,15 @@
     return true;
 }
 
+void Dispatcher::Implementation::requireSameVersion(Ticket ticket)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (index.has_value() && this->requests.record(*index).isRunning()) {
+        RequestRecord &record = this->requests.record(*index);
+        record.softwareVersion = this->pool.server(record.server).softwareVersion;
+    }
+}
+
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
@@ -119,6 +128,10 @@
         ++record.unsentAttempts;
     }
     this->endAttempt(record, outcome, now);
+    if (!record.softwareVersion.empty()) {
+        record.entry.target = this->pool.internVersionTarget(record.serviceTarget, record.softwareVersion);
+        record.prompt.target = record.entry.target;
+    }
     const std::optional<RefusalReason> reason = this->reasonNotToRetry(record, outcome, now);
     if (reason.has_value()) {
         const Refusal refusal = this->refusalFor(record, *reason, now);
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -64,6 +64,12 @@
     if (!target.has_value() || !this->pool.hasUsableServer(*target, profile.requestClass.cheapAllowed)) {
         return this->refuseWithoutServer(target);
     }
+    if (!profile.softwareVersion.empty()) {
+        const TargetIndex versionTarget = this->pool.internVersionTarget(*target, profile.softwareVersion);
+        if (!this->pool.hasUsableServer(versionTarget, profile.requestClass.cheapAllowed)) {
+            return this->refuseWithoutServer(versionTarget);
+        }
+    }
     this->resendLimit(*target).recordRequest(now);
     QueueEntry entry = this->makeEntry(profile, *target);
     if (profile.outputTokens > 0) {
@@ -73,6 +79,9 @@
             entry.target = this->pool.internTarget(ServerPool::longPromptModel(), profile.service);
         }
     }
+    if (!profile.softwareVersion.empty()) {
+        entry.target = this->pool.internVersionTarget(*target, profile.softwareVersion);
+    }
     this->recordTier(profile.requestClass);
     if (profile.outputTokens > 0) {
         const std::optional<Refusal> tooLong = this->refuseByBacklog(entry, profile, now);
@@ -363,9 +372,12 @@
     if (std::exchange(this->quarantinesChanged, false)) {
         this->rejectQuarantined(now);
     }
-    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
-        if (this->queue.waiting(target) > 0) {
-            this->startWaiting(target, now, decisions);
+    // Callers that have a part of a stream wait for the next event, and share the servers with new requests.
+    for (const bool continuesStreams : {true, false}) {
+        for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
+            if (this->queue.waiting(target) > 0 && this->pool.continuesStreams(target) == continuesStreams) {
+                this->startWaiting(target, now, decisions);
+            }
         }
     }
     decisions.rejections.swap(this->pendingRejections);
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -47,21 +47,44 @@
     state.dataCentre = this->dataCentreNames.intern(server.dataCentre);
     state.slots = server.slots;
     state.cheap = server.cheap;
+    state.softwareVersion = server.softwareVersion;
     state.leaving = server.leaving;
     state.missing = server.missing;
     state.present = true;
     std::vector<TargetMembership> previous;
     previous.swap(state.memberships);
     if (server.kind == BackendKind::Service) {
-        this->addMembership(state, previous, this->internTarget(ModelName(), server.service));
+        this->addMemberships(state, previous, ModelName(), server.service);
         this->addMembership(state, previous, this->internTarget(longPromptModel(), server.service));
         return;
     }
     for (const ModelName &model : server.models) {
-        this->addMembership(state, previous, this->internTarget(model, ServiceName()));
+        this->addMemberships(state, previous, model, ServiceName());
     }
 }
 
+void ServerPool::addMemberships(
+    ServerState &state, const std::vector<TargetMembership> &previous, const ModelName &model, const ServiceName &service)
+{
+    this->addMembership(state, previous, this->internTarget(model, service));
+    if (!state.softwareVersion.empty()) {
+        this->addMembership(state, previous, this->internTarget(versionModel(model, state.softwareVersion), service));
+    }
+}
+
+ModelName ServerPool::versionModel(const ModelName &model, const std::string &softwareVersion)
+{
+    return ModelName("(version " + softwareVersion + ") " + model.text());
+}
+
+TargetIndex ServerPool::internVersionTarget(TargetIndex target, const std::string &softwareVersion)
+{
+    const auto [model, service] = this->targetName(target);
+    const TargetIndex versionTarget = this->internTarget(versionModel(model, softwareVersion), service);
+    this->targets[versionTarget].isOfVersion = true;
+    return versionTarget;
+}
+
 void ServerPool::removeServer(ServerState &state)
 {
     const auto index = static_cast<ServerIndex>(&state - this->servers.data());
--- a/tests/relay/streamversion_test.cpp
+++ b/tests/relay/streamversion_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace flamingosaddle;
@@ -24,47 +27,71 @@
     return response.ends_with("0\r\n\r\n");
 }
 
-/** Engines of given software versions, and a caller. */
-struct StreamVersionTest : testing::Test {
-    CallerFixture setup{{}, {}, {}, {}, numberedStreamAdapter()};
-    std::vector<std::unique_ptr<FakeBackend>> engines;
+/** Engines of given software versions, and a caller of one stream. */
+class Engines
+{
+public:
+    explicit Engines(std::vector<std::string> versions)
+        : versions(std::move(versions))
+    {
+        for (const std::string &version : this->versions) {
+            this->engines.push_back(std::make_unique<FakeBackend>(breakOffAfterThirdEvent));
+            this->setup.addEngine(this->engines.back()->endpoint(), version);
+        }
+    }
 
-    void add(const std::string &version)
+    std::string stream() const
     {
-        this->engines.push_back(std::make_unique<FakeBackend>(breakOffAfterThirdEvent));
-        this->setup.addEngine(this->engines.back()->endpoint(), version);
+        return this->setup.exchange(chatRequest());
     }
 
-    std::size_t requestsAt(std::size_t engine) const
+    /** Returns the versions of the engines that got a part of the stream, and how many parts. */
+    std::map<std::string, std::size_t> parts() const
     {
-        return this->engines[engine]->requests().size();
+        std::map<std::string, std::size_t> parts;
+        for (std::size_t i = 0; i < this->engines.size(); ++i) {
+            const std::size_t requests = this->engines[i]->requests().size();
+            if (requests > 0) {
+                parts[this->versions[i]] += requests;
+            }
+        }
+        return parts;
     }
+
+private:
+    std::vector<std::string> versions;
+    CallerFixture setup{{}, {}, {}, {}, numberedStreamAdapter()};
+    std::vector<std::unique_ptr<FakeBackend>> engines;
 };
 
 } // namespace
 
-TEST_F(StreamVersionTest, AnInterruptedStreamContinuesAtItsSoftwareVersion)
+TEST(StreamVersion, AnInterruptedStreamContinuesAtItsSoftwareVersion)
 {
-    constexpr int streams = 8;
-    this->add("v1");
-    this->add("v1");
-    this->add("v2");
-    this->add("v2");
-    for (int i = 0; i < streams; ++i) {
-        const std::size_t before = this->requestsAt(0) + this->requestsAt(1);
-        EXPECT_TRUE(isComplete(this->setup.exchange(chatRequest())));
-        EXPECT_NE(this->requestsAt(0) + this->requestsAt(1) - before, 1U) << "one part of the stream at each version";
+    std::vector<std::string> versions = {"v1", "v1", "v2", "v2", "v3", "v3"};
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        std::rotate(versions.begin(), versions.begin() + 1, versions.end());
+        const Engines engines(versions);
+        const std::string response = engines.stream();
+        EXPECT_TRUE(isComplete(response)) << response;
+        ASSERT_EQ(engines.parts().size(), 1U) << "versions in one stream";
+        EXPECT_EQ(engines.parts().begin()->second, 2U);
     }
 }
 
-TEST_F(StreamVersionTest, TheOnlyServerOfAVersionIsNotReplacedByAnotherVersion)
+TEST(StreamVersion, TheOnlyServerOfAVersionIsNotReplacedByAnotherVersion)
 {
-    constexpr int streams = 8;
-    this->add("v1");
-    this->add("v2");
-    for (int i = 0; i < streams; ++i) {
-        const std::size_t before = this->requestsAt(0);
-        this->setup.exchange(chatRequest());
-        EXPECT_NE(this->requestsAt(0) - before, 1U) << "one part of the stream at each version";
+    std::vector<std::string> versions = {"v1", "v2", "v3"};
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        std::rotate(versions.begin(), versions.begin() + 1, versions.end());
+        const Engines engines(versions);
+        engines.stream();
+        EXPECT_EQ(engines.parts().size(), 1U) << "versions in one stream";
     }
 }
+
+TEST(StreamVersion, ServersWithoutAVersionContinueEachOthersStreams)
+{
+    const Engines engines({"", ""});
+    EXPECT_TRUE(isComplete(engines.stream()));
+}
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -60,6 +60,55 @@
     EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{low, BackendServerId("s"), false}}));
 }
 
+TEST(Dispatcher, ARequestThatContinuesAStreamStartsAtServersOfItsVersionBeforeNewOnes)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    BackendServer first = serverOf("first", 1);
+    first.softwareVersion = "v1";
+    BackendServer second = serverOf("second", 8);
+    second.softwareVersion = "v2";
+    dispatcher.setServers({first, second}, TimePoint());
+    RequestProfile continuing = patientProfile();
+    continuing.softwareVersion = "v1";
+    Decisions decisions;
+    const Ticket running = submitAccepted(dispatcher, continuing);
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{running, first.id, false}}));
+    dispatcher.setServers({first}, TimePoint());
+    submitAccepted(dispatcher, patientProfile());
+    const Ticket waiting = submitAccepted(dispatcher, continuing);
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_TRUE(decisions.assignments.empty());
+    dispatcher.finish(running, AttemptOutcome::Completed, TimePoint());
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_EQ(decisions.assignments, (std::vector<Assignment>{{waiting, first.id, false}}));
+}
+
+TEST(Dispatcher, ARequestThatContinuesAStreamIsRefusedWithoutAServerOfItsVersion)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    BackendServer server = serverOf("s", 1);
+    server.softwareVersion = "v1";
+    dispatcher.setServers({server}, TimePoint());
+    RequestProfile continuing = patientProfile();
+    continuing.softwareVersion = "v2";
+    const std::variant<Ticket, Refusal> result = dispatcher.submit(continuing, TimePoint());
+    ASSERT_TRUE(std::holds_alternative<Refusal>(result));
+    EXPECT_EQ(std::get<Refusal>(result).reason, RefusalReason::NoServer);
+    EXPECT_EQ(std::get<Refusal>(result).runState, RunState::NotRun);
+    continuing.softwareVersion = "v1";
+    submitAccepted(dispatcher, continuing);
+    const Ticket waiting = submitAccepted(dispatcher, continuing);
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    server.softwareVersion = "v3";
+    dispatcher.setServers({server}, TimePoint());
+    dispatcher.dispatch(TimePoint(), decisions);
+    ASSERT_EQ(decisions.rejections.size(), 1U);
+    EXPECT_EQ(decisions.rejections.front().ticket, waiting);
+    EXPECT_EQ(decisions.rejections.front().refusal.reason, RefusalReason::NoServer);
+}
+
 TEST(Dispatcher, SendsNothingToAServerThatAskedForAPause)
 {
     Dispatcher dispatcher{DispatcherOptions()};
