Callers' streams are resumed only at the software version that began them

A caller whose stream broke off takes it up at any instance, which may have started since, and named only its first request; the instance sent it to any server of the service.

StreamRegistry knows the version of a stream: from the memory of the instance that began it, from a log in the store, or because all servers have one version and none of another served during a stream's lifetime (twice the longest limit of the resumable routes). In that steady state nothing is stored and a resumption costs two reads of the store. While versions are mixed, and as long afterwards, streams that begin and those that run are saved, one append a quarter of a second at most. The list of servers is read again before an unknown stream is resumed, since the one that an instance holds may lack a version. A stream that is not known, or whose version is gone, is refused as not run with the reason. A resumption stays at its service where a route divides requests.

Tests without the decision fail: ACallersStreamIsResumedAtItsSoftwareVersion, AStreamWhoseVersionIsGoneOrNotKnownIsNotResumed.

--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -10,6 +10,7 @@
 #include <flamingosaddle/control/peerexchange.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/control/snapshotwriter.h>
+#include <flamingosaddle/control/streamregistry.h>
 #include <flamingosaddle/control/usagemeter.h>
 #include <flamingosaddle/control/usagereporter.h>
 #include <flamingosaddle/platform/platform.h>
@@ -103,6 +104,10 @@
 
     /** Records that a backend server said itself that it leaves, in response to a request sent at @p sentAt. */
     void recordServerLeaving(const BackendServerId &id, TimePoint sentAt);
+    /** Records that the caller's request began a resumable stream at a server of the software version. */
+    void recordStreamStart(const std::string &request, const ServiceName &service, const std::string &softwareVersion);
+    /** Records that the caller received the whole stream that the request began. */
+    void recordStreamCompletion(const std::string &request);
     /** Sends to the peers which requests backend servers died on. */
     void sendQuarantines(const QuarantinesMessage &message);
 
@@ -114,6 +119,8 @@
 
     /** Returns the hook by which traffic threads ask whether a request with an idempotency key runs. */
     ClaimHook claimHook();
+    /** Returns an empty hook if streams are not registered, because the platform has no log for it. */
+    StreamVersionHook streamVersionHook();
 
     // Queries.
     /** Returns whether the configuration was read to its end at least once, from the log or from peers. */
@@ -157,6 +164,7 @@
     TimePoint publishedFreshUntil;
     struct Duties;
     std::unique_ptr<Directory> directory;
+    std::unique_ptr<StreamRegistry> streamRegistry; // set only with a directory whose platform has a log for it
     std::unique_ptr<Duties> duties;
     ConfigReplica replica;
     ClaimCoordinator claims;
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -47,6 +47,26 @@
     friend bool operator==(const ServerReadResult &, const ServerReadResult &) = default;
 };
 
+/**
+ * Records that were read from the log of the origins of streams.
+ */
+struct StreamLogBatch {
+    std::uint64_t nextOffset = 0; ///< offset at which the next read continues
+    bool isAtEnd = false; ///< whether the read reached the end of the log
+    std::vector<std::string> records;
+
+    friend bool operator==(const StreamLogBatch &, const StreamLogBatch &) = default;
+};
+
+/**
+ * Hooks for a log of the platform that all instances share. Both may be empty if the platform has none.
+ */
+struct StreamLogHooks {
+    std::function<boost::asio::awaitable<Result<void>>(std::string record)> append;
+    /** Reads from @p from, or from the oldest retained record. Fails with Trimmed when the platform no longer holds @p from. */
+    std::function<boost::asio::awaitable<Result<StreamLogBatch>>(std::optional<std::uint64_t> from)> read;
+};
+
 /**
  * Hooks by which the directory reads a platform. Each call waits up to @p wait for a new record, and fails with Trimmed when
  * the platform no longer holds @p from. Without @p from it returns the current state.
@@ -58,6 +78,7 @@
     std::function<boost::asio::awaitable<Result<ServerReadResult>>(
         std::optional<std::uint64_t> from, std::chrono::milliseconds wait)>
         readServers;
+    StreamLogHooks streams; ///< used by StreamRegistry
 };
 
 /**
@@ -120,6 +141,8 @@
      */
     void applyPeerProgress(
         const Endpoint &peer, bool isSameDataCentre, const StoreProgress &progress, TimePoint sentAt, TimePoint now);
+    /** Reads the servers' entries once, whether a read is due or not. Returns whether that succeeded. */
+    boost::asio::awaitable<bool> readServersNow();
     /** Records that a server said itself that it leaves, see ServerTable::recordLeaving(). */
     void recordServerLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Applies servers' entries that a relay has read. */
@@ -152,7 +175,7 @@
     };
 
     boost::asio::awaitable<bool> readConfigOnce();
-    boost::asio::awaitable<bool> readServersOnce();
+    boost::asio::awaitable<bool> readServersOnce(std::chrono::milliseconds wait);
     void recordServerStoreReachable(bool reachable);
     bool isConfigReadDue(TimePoint now) const;
     bool isServerReadDue(TimePoint now) const;
--- /dev/null
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <flamingosaddle/base/backoff.h>
+#include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/state/streamorigins.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace flamingosaddle
+{
+
+/**
+ * Determines the software version at which a caller's stream may be resumed, from the id of the request that began it (empty if
+ * the caller did not state one) and the service. Returns nothing if the version is not known. May be called on any executor.
+ */
+using StreamVersionHook
+    = std::function<boost::asio::awaitable<std::optional<std::string>>(std::string request, ServiceName service)>;
+
+/**
+ * Keeps where streams began, so that any instance can resume them at the same software version, also after a restart of all
+ * instances. See StreamOrigins for what is stored. Must be used on the control thread.
+ */
+class StreamRegistry
+{
+public:
+    struct Options {
+        /** Interval of the appends, which bounds what a crashed instance loses. */
+        Duration flushInterval = std::chrono::milliseconds(250);
+        /** Added to the interval for each instance, because the store limits the appends of all instances together. */
+        Duration flushIntervalPerInstance = std::chrono::milliseconds(10);
+        std::function<std::chrono::milliseconds()> unixTime; ///< returns the time since the Unix epoch
+        std::uint64_t seed = 1;
+    };
+
+    StreamRegistry(boost::asio::any_io_executor controlExecutor, StreamLogHooks hooks, Directory &directory, Options options);
+
+    // Commands.
+
+    /** Runs until stop(). The object must outlive the coroutine. */
+    boost::asio::awaitable<void> run();
+    void stop();
+    /** Saves what is unsaved, before a shutdown. */
+    boost::asio::awaitable<void> flush();
+    /** Follows the directory's configuration and servers. */
+    void onDirectoryUpdate();
+    void setInstanceCount(std::size_t count);
+    /** Records that the request began a resumable stream at a server of the software version. */
+    void recordStart(const std::string &request, const ServiceName &service, const std::string &softwareVersion);
+    /** Records that the caller received the whole stream. */
+    void recordCompletion(const std::string &request);
+    /** Returns a hook that may be called on any executor. */
+    StreamVersionHook hook();
+
+private:
+    boost::asio::awaitable<std::optional<std::string>> versionOf(std::string request, ServiceName service);
+    /** Reads the servers' entries and the log, as of a time after the call. Returns whether both could be read. */
+    boost::asio::awaitable<bool> refresh();
+    boost::asio::awaitable<bool> readLog();
+
+    boost::asio::any_io_executor controlExecutor;
+    StreamLogHooks hooks;
+    Directory &directory;
+    Options options;
+    StreamOrigins origins;
+    Backoff backoff;
+    std::size_t instanceCount = 1;
+    std::optional<std::uint64_t> nextOffset; // of the log; empty before the first read
+    std::optional<TimePoint> refreshedAt; // when the last complete refresh began
+    bool isRefreshing = false;
+    bool stopped = false;
+};
+
+} // namespace flamingosaddle
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/control/claim.h>
+#include <flamingosaddle/control/streamregistry.h>
 #include <flamingosaddle/relay/requeststep.h>
 #include <flamingosaddle/traffic/types.h>
 
@@ -74,6 +75,12 @@
         onUsage; ///< called once for each request of a client account that an engine worked on
     /** Called once for each request of a client account that a backend server started to run, @p ago before now. */
     std::function<void(const ClientAccountId &account, Duration ago)> onStarted;
+    /** Called when the first event of a resumable stream reaches this instance. */
+    std::function<void(const std::string &request, const ServiceName &service, const std::string &softwareVersion)>
+        onStreamStarted;
+    std::function<void(const std::string &request)>
+        onStreamCompleted; ///< called when the caller received such a stream as a whole
+    StreamVersionHook streamVersion; ///< when empty, streams are resumed at any server of their service
     /** Called for each response, to a request that was sent at @p sentAt, that says that its backend server leaves. */
     std::function<void(const BackendServerId &server, TimePoint sentAt)> onServerLeaving;
     std::function<void(const RequestOutcome &)> onOutcome; ///< called once for each request
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -364,6 +364,18 @@
                 this->controller.recordRequestStart(account, RuntimeClock::now() - at);
             });
         };
+        hooks.streamVersion = this->controller.streamVersionHook();
+        hooks.onStreamStarted
+            = [this](const std::string &request, const ServiceName &service, const std::string &softwareVersion) {
+                  boost::asio::post(this->controlContext, [this, request, service, softwareVersion] {
+                      this->controller.recordStreamStart(request, service, softwareVersion);
+                  });
+              };
+        hooks.onStreamCompleted = [this](const std::string &request) {
+            boost::asio::post(this->controlContext, [this, request] {
+                this->controller.recordStreamCompletion(request);
+            });
+        };
         hooks.onServerLeaving = [this](const BackendServerId &server, TimePoint sentAt) {
             boost::asio::post(this->controlContext, [this, server, sentAt] {
                 this->controller.recordServerLeaving(server, sentAt);
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -61,6 +61,18 @@
     return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate));
 }
 
+std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
+    Directory *directory, const ControllerOptions &options)
+{
+    if (directory == nullptr || !hooks->streams.append || !hooks->streams.read) {
+        return nullptr;
+    }
+    StreamRegistry::Options registry;
+    registry.unixTime = options.systemTime;
+    registry.seed = options.seed;
+    return std::make_unique<StreamRegistry>(context.get_executor(), hooks->streams, *directory, std::move(registry));
+}
+
 } // namespace
 
 /**
@@ -167,6 +179,7 @@
           [this] {
               this->onConfigUpdate();
           }))
+    , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions))
     , duties(std::make_unique<Duties>(duties, this->directory.get(), this->peers, this->controllerOptions))
     , replica(
           this->platform,
@@ -210,6 +223,9 @@
     this->spawn(this->directory->runConfig());
     this->spawn(this->directory->runServers());
     this->spawn(this->directory->runServerExpiry());
+    if (this->streamRegistry) {
+        this->spawn(this->streamRegistry->run());
+    }
 }
 
 void Controller::startDutyTasks()
@@ -236,6 +252,9 @@
         return;
     }
     this->stopped = true;
+    if (this->streamRegistry) {
+        this->streamRegistry->stop();
+    }
     if (this->directory) {
         this->directory->stop();
     }
@@ -253,6 +272,9 @@
         co_await delay(flushPollInterval);
     }
     this->snapshotWriter.stop();
+    if (this->streamRegistry) {
+        co_await this->streamRegistry->flush();
+    }
     co_await this->duties->flushAndRelease(std::min(limit, maxDutyFlushTime));
 }
 
@@ -294,6 +316,25 @@
     this->duties->meter.recordTokens(clientAccount, tokens);
 }
 
+void Controller::recordStreamStart(const std::string &request, const ServiceName &service, const std::string &softwareVersion)
+{
+    if (this->streamRegistry) {
+        this->streamRegistry->recordStart(request, service, softwareVersion);
+    }
+}
+
+void Controller::recordStreamCompletion(const std::string &request)
+{
+    if (this->streamRegistry) {
+        this->streamRegistry->recordCompletion(request);
+    }
+}
+
+StreamVersionHook Controller::streamVersionHook()
+{
+    return this->streamRegistry ? this->streamRegistry->hook() : StreamVersionHook();
+}
+
 ClaimHook Controller::claimHook()
 {
     return this->claims.hook();
@@ -489,6 +530,9 @@
     peerHooks.onSharingInstances = this->hooks.onSharingInstances;
     peerHooks.onServingCount = [this](std::size_t count) {
         this->duties->meter.setInstanceCount(count);
+        if (this->streamRegistry) {
+            this->streamRegistry->setInstanceCount(count);
+        }
         this->hooks.onServingCount(count);
     };
     this->addRelayHooks(peerHooks);
@@ -514,6 +558,9 @@
     }
     const std::shared_ptr<const ConfigState> after = this->config();
     const bool changed = before != after;
+    if (changed && this->streamRegistry) {
+        this->streamRegistry->onDirectoryUpdate();
+    }
     // Indexing a snapshot takes a pass over the configuration, so progress of the freshness alone is published in steps.
     const bool hasFreshnessAdvanced
         = this->freshUntil() - this->publishedFreshUntil > this->controllerOptions.freshnessLimit / freshnessSteps;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -67,7 +67,7 @@
             co_await this->waitForReadDue(this->serversWakeTimer, this->nextServerReadDue());
             continue;
         }
-        const bool succeeded = co_await this->readServersOnce();
+        const bool succeeded = co_await this->readServersOnce(this->serverReadWait());
         this->recordServerStoreReachable(succeeded);
         if (succeeded) {
             this->serverBackoff.reset();
@@ -334,11 +334,16 @@
     return this->isServerStoreReachable ? this->options.serverPollTimeout : std::chrono::milliseconds(0);
 }
 
-boost::asio::awaitable<bool> Directory::readServersOnce()
+boost::asio::awaitable<bool> Directory::readServersNow()
+{
+    return this->readServersOnce(std::chrono::milliseconds(0));
+}
+
+boost::asio::awaitable<bool> Directory::readServersOnce(std::chrono::milliseconds wait)
 {
     const TimePoint sentAt = RuntimeClock::now();
     const std::optional<std::uint64_t> from = this->nextServersOffset;
-    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, this->serverReadWait());
+    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
     if (this->stopped) {
         co_return false;
     }
--- /dev/null
+++ b/src/control/streamregistry.cpp
@@ -0,0 +1,187 @@
+#include <flamingosaddle/control/streamregistry.h>
+
+#include <flamingosaddle/base/delay.h>
+#include <flamingosaddle/base/hash.h>
+#include <flamingosaddle/base/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds initialRetryDelay(100);
+constexpr std::chrono::seconds maxRetryDelay(2);
+constexpr std::chrono::milliseconds refreshPollInterval(2); // while another resumption refreshes
+// A stream that is resumed may have been resumed before: its first request and the resumption each last up to the time limit.
+constexpr int requestsPerStream = 2;
+
+/** Returns the longest time from the begin of a resumable stream to its last resumption. */
+Duration streamLifetime(const ConfigObjects &objects)
+{
+    Duration longest = Duration::zero();
+    for (const Route &route : objects.routes) {
+        if (route.resumable && route.requestClass.has_value()) {
+            longest = std::max<Duration>(longest, route.requestClass->deadline);
+        }
+    }
+    return requestsPerStream * longest;
+}
+
+} // namespace
+
+StreamRegistry::StreamRegistry(
+    boost::asio::any_io_executor controlExecutor, StreamLogHooks hooks, Directory &directory, Options options)
+    : controlExecutor(std::move(controlExecutor))
+    , hooks(std::move(hooks))
+    , directory(directory)
+    , options(std::move(options))
+    , backoff(initialRetryDelay, maxRetryDelay, this->options.seed)
+{
+}
+
+boost::asio::awaitable<void> StreamRegistry::run()
+{
+    while (!this->stopped) {
+        co_await delay(this->options.flushInterval + this->instanceCount * this->options.flushIntervalPerInstance);
+        this->origins.expire(RuntimeClock::now());
+        co_await this->flush();
+    }
+}
+
+void StreamRegistry::stop()
+{
+    this->stopped = true;
+}
+
+boost::asio::awaitable<void> StreamRegistry::flush()
+{
+    const std::vector<StreamOriginRecord> unsaved = this->origins.takeUnsaved(this->options.unixTime(), RuntimeClock::now());
+    if (unsaved.empty()) {
+        co_return;
+    }
+    const Result<void> appended = co_await this->hooks.append(encodeStreamOrigins(unsaved));
+    if (appended.has_value()) {
+        this->backoff.reset();
+        co_return;
+    }
+    this->origins.restoreUnsaved(unsaved);
+    logEvent(LogLevel::Warning, "control", "the origins of streams were not saved", {{"reason", appended.error().text()}});
+    if (!this->stopped) {
+        co_await delay(this->backoff.next());
+    }
+}
+
+void StreamRegistry::onDirectoryUpdate()
+{
+    if (this->directory.config().has_value()) {
+        this->origins.setLifetime(streamLifetime(this->directory.config()->objects));
+    }
+    this->origins.observeServers(this->directory.servers().servers(), RuntimeClock::now());
+}
+
+void StreamRegistry::setInstanceCount(std::size_t count)
+{
+    this->instanceCount = count;
+}
+
+void StreamRegistry::recordStart(const std::string &request, const ServiceName &service, const std::string &softwareVersion)
+{
+    this->origins.recordStart(hash64(request), {service, softwareVersion}, RuntimeClock::now());
+}
+
+void StreamRegistry::recordCompletion(const std::string &request)
+{
+    this->origins.recordCompletion(hash64(request));
+}
+
+StreamVersionHook StreamRegistry::hook()
+{
+    return [this](std::string request, ServiceName service) -> boost::asio::awaitable<std::optional<std::string>> {
+        std::optional<std::string> version = co_await boost::asio::co_spawn(
+            this->controlExecutor, this->versionOf(std::move(request), std::move(service)), boost::asio::use_awaitable);
+        co_return version;
+    };
+}
+
+boost::asio::awaitable<std::optional<std::string>> StreamRegistry::versionOf(std::string request, ServiceName service)
+{
+    const auto known = [this, &request, &service]() -> std::optional<std::string> {
+        const StreamOrigin *origin = request.empty() ? nullptr : this->origins.find(hash64(request));
+        return origin != nullptr && origin->service == service ? std::optional(origin->softwareVersion) : std::nullopt;
+    };
+    std::optional<std::string> version = known();
+    std::string_view source = "own memory";
+    if (!version.has_value()) {
+        // The list may lack a version that served before the stream broke off.
+        const bool isRefreshed = co_await this->refresh();
+        version = known();
+        source = "log";
+        if (!version.has_value() && isRefreshed) {
+            version = this->origins.soleVersion(service, RuntimeClock::now());
+            source = "only version";
+        }
+    }
+    logEvent(version.has_value() ? LogLevel::Info : LogLevel::Warning, "control",
+        version.has_value() ? "a stream is resumed at its software version" : "the software version of a stream is not known",
+        {{"began_as", request}, {"service", service.text()}, {"version", version.value_or("")}, {"source", std::string(source)}});
+    co_return version;
+}
+
+boost::asio::awaitable<bool> StreamRegistry::refresh()
+{
+    const TimePoint requestedAt = RuntimeClock::now();
+    while (this->isRefreshing) {
+        co_await delay(refreshPollInterval);
+    }
+    if (this->refreshedAt.has_value() && *this->refreshedAt >= requestedAt) {
+        co_return true;
+    }
+    this->isRefreshing = true;
+    const TimePoint startedAt = RuntimeClock::now();
+    bool succeeded = co_await this->directory.readServersNow();
+    if (succeeded) {
+        succeeded = co_await this->readLog();
+    }
+    if (succeeded) {
+        this->refreshedAt = startedAt;
+    }
+    this->isRefreshing = false;
+    co_return succeeded;
+}
+
+boost::asio::awaitable<bool> StreamRegistry::readLog()
+{
+    while (!this->stopped) {
+        const Result<StreamLogBatch> batch = co_await this->hooks.read(this->nextOffset);
+        if (batch.has_error()) {
+            const bool wasTrimmed = batch.error().kind() == ErrorKind::Trimmed && this->nextOffset.has_value();
+            if (!wasTrimmed) {
+                co_return false;
+            }
+            this->nextOffset.reset();
+            continue;
+        }
+        for (const std::string &text : batch.value().records) {
+            const Result<std::vector<StreamOriginRecord>> records = decodeStreamOrigins(text);
+            if (records.has_value()) {
+                this->origins.applyRecords(records.value(), this->options.unixTime(), RuntimeClock::now());
+            } else {
+                logEvent(LogLevel::Warning, "control", "skipped a record of streams", {{"reason", records.error().text()}});
+            }
+        }
+        this->nextOffset = batch.value().nextOffset;
+        if (batch.value().isAtEnd) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+} // namespace flamingosaddle
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr const char *traceHeader = "traceparent";
+// Another instance may still be about to save where the stream began.
+constexpr std::chrono::seconds unknownVersionRetryAfter(1);
 
 auto missingConfiguration()
 {
@@ -126,11 +128,39 @@
         co_return;
     }
     const bool mayRun = co_await this->claim();
-    if (mayRun) {
+    if (!mayRun) {
+        co_return;
+    }
+    const bool mayResume = co_await this->determineStreamVersion();
+    if (mayResume) {
         co_await this->acquireAndRun();
     }
 }
 
+asio::awaitable<bool> CallerExchange::determineStreamVersion()
+{
+    if (!this->isResumption() || !this->environment.hooks.streamVersion) {
+        co_return true;
+    }
+    std::optional<std::string> version
+        = co_await this->environment.hooks.streamVersion(this->routed.resumedRequest, this->routed.profile.service);
+    if (version.has_value()) {
+        this->routed.profile.softwareVersion = std::move(*version);
+        co_return true;
+    }
+    RefusalResponse refusal
+        = refusalFor(Error(ErrorKind::Unavailable, "it is not known at which software version of the servers the stream began",
+            "begin the stream anew, or try again later"));
+    refusal.retryAfter = unknownVersionRetryAfter;
+    co_await this->sendRefusal(std::move(refusal));
+    co_return false;
+}
+
+bool CallerExchange::isResumption() const
+{
+    return this->routed.resumable && this->routed.resumeAfter > 0;
+}
+
 asio::awaitable<void> CallerExchange::sendModelList()
 {
     const std::shared_ptr<const RoutingSnapshot> snapshot = this->environment.snapshots->current();
@@ -191,7 +221,13 @@
     queueSpan.end();
     if (const Refusal *refusal = std::get_if<Refusal>(&acquired)) {
         this->settleClaim(ClaimOutcome::State::NotRun);
-        co_await this->sendRefusal(refusalFor(*refusal));
+        RefusalResponse response = refusalFor(*refusal);
+        if (refusal->reason == RefusalReason::NoServer && !this->routed.profile.softwareVersion.empty()) {
+            response.error = Error(ErrorKind::Unavailable,
+                "no server of the stream's software version " + this->routed.profile.softwareVersion + " is left",
+                "begin the stream anew");
+        }
+        co_await this->sendRefusal(std::move(response));
         co_return;
     }
     co_await this->runAttempts(std::get<ServerGrant>(std::move(acquired)));
@@ -349,6 +385,10 @@
 void CallerExchange::finishCompleted()
 {
     this->outcome.complete = true;
+    if (this->routed.resumable && this->environment.hooks.onStreamCompleted) {
+        this->environment.hooks.onStreamCompleted(
+            this->routed.resumedRequest.empty() ? this->outcome.requestId : this->routed.resumedRequest);
+    }
     this->settleClaim(this->relay.capturedResponse().has_value() ? ClaimOutcome::State::Completed : ClaimOutcome::State::Unknown);
 }
 
--- a/src/relay/callerexchange.h
+++ b/src/relay/callerexchange.h
@@ -35,6 +35,9 @@
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<void> sendModelList();
     boost::asio::awaitable<bool> claim();
+    /** Determines at which software version a resumed stream continues. Returns false if the request was refused. */
+    boost::asio::awaitable<bool> determineStreamVersion();
+    bool isResumption() const;
     boost::asio::awaitable<bool> handleClaimResult(ClaimDecision decision);
     boost::asio::awaitable<void> acquireAndRun();
     boost::asio::awaitable<void> runAttempts(ServerGrant grant);
--- a/src/relay/responserelay.cpp
+++ b/src/relay/responserelay.cpp
@@ -268,6 +268,10 @@
     if (!this->outcome.firstTokenAt.has_value()) {
         this->outcome.firstTokenAt = RuntimeClock::now();
         this->notifyStarted();
+        if (this->isResumable() && this->routed.resumeAfter == 0 && this->environment.hooks.onStreamStarted) {
+            this->environment.hooks.onStreamStarted(
+                this->outcome.requestId, this->routed.profile.service, this->outcome.softwareVersion);
+        }
         this->environment.reportStep(RequestStep::FirstToken);
     }
 }
--- /dev/null
+++ b/src/state/streamorigins.cpp
@@ -0,0 +1,180 @@
+#include <flamingosaddle/state/streamorigins.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace flamingosaddle
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Streams are saved for so much longer than others rely on it, because the clocks of instances differ.
+constexpr Duration clockMargin = std::chrono::seconds(5);
+
+constexpr std::int64_t maxUnixMilliseconds = 100'000'000'000'000; // bounds arithmetic on a time that another process wrote
+
+auto invalidRecord()
+{
+    return fail(ErrorKind::Protocol, "a record of the origins of streams is invalid", "check the versions of the instances");
+}
+
+} // namespace
+
+std::string encodeStreamOrigins(const std::vector<StreamOriginRecord> &records)
+{
+    json list = json::array();
+    for (const StreamOriginRecord &record : records) {
+        list.push_back({{"service", record.origin.service.text()}, {"version", record.origin.softwareVersion},
+            {"mixedAt", record.mixedAt.count()}, {"streams", record.streams}});
+    }
+    return list.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<std::vector<StreamOriginRecord>> decodeStreamOrigins(std::string_view text)
+{
+    const json list = json::parse(text, nullptr, false);
+    if (!list.is_array()) {
+        return invalidRecord();
+    }
+    std::vector<StreamOriginRecord> records;
+    for (const json &entry : list) {
+        const bool isValid = entry.is_object() && entry.contains("service") && entry["service"].is_string()
+            && entry.contains("version") && entry["version"].is_string() && entry.contains("mixedAt")
+            && entry["mixedAt"].is_number_integer() && entry.contains("streams") && entry["streams"].is_array()
+            && std::all_of(entry["streams"].begin(), entry["streams"].end(), [](const json &stream) {
+                   return stream.is_number_unsigned();
+               });
+        const std::int64_t mixedAt = isValid ? entry["mixedAt"].get<std::int64_t>() : -1;
+        if (mixedAt < 0 || mixedAt > maxUnixMilliseconds) {
+            return invalidRecord();
+        }
+        records.push_back({{ServiceName(entry["service"].get<std::string>()), entry["version"].get<std::string>()},
+            std::chrono::milliseconds(mixedAt), entry["streams"].get<std::vector<std::uint64_t>>()});
+    }
+    return records;
+}
+
+bool StreamOrigins::Service::isMixed(Duration lifetime, TimePoint now) const
+{
+    return this->versions.size() > 1 || (this->mixedAt.has_value() && now < *this->mixedAt + lifetime);
+}
+
+void StreamOrigins::setLifetime(Duration streamLifetime)
+{
+    this->lifetime = streamLifetime;
+}
+
+void StreamOrigins::observeServers(const std::map<BackendServerId, RegisteredServer> &servers, TimePoint now)
+{
+    std::map<ServiceName, std::set<std::string>> current;
+    for (const auto &[id, registered] : servers) {
+        current[registered.server.service].insert(registered.server.softwareVersion);
+    }
+    for (auto &[name, versions] : current) {
+        Service &service = this->services[name];
+        const bool hasChanged = !service.versions.empty() && service.versions != versions;
+        if (hasChanged || versions.size() > 1) {
+            service.mixedAt = now;
+        }
+        service.versions = std::move(versions);
+    }
+}
+
+void StreamOrigins::recordStart(std::uint64_t stream, StreamOrigin origin, TimePoint now)
+{
+    this->add(stream, std::move(origin), now);
+    this->unsaved.push_back(stream);
+}
+
+void StreamOrigins::add(std::uint64_t stream, StreamOrigin origin, TimePoint now)
+{
+    this->streams.insert_or_assign(stream, Stream{std::move(origin), now});
+    this->byAge.emplace_back(now, stream);
+    if (this->byAge.size() > maxStreams) {
+        this->streams.erase(this->byAge.front().second);
+        this->byAge.pop_front();
+    }
+}
+
+void StreamOrigins::recordCompletion(std::uint64_t stream)
+{
+    this->streams.erase(stream);
+}
+
+void StreamOrigins::applyRecords(const std::vector<StreamOriginRecord> &records, std::chrono::milliseconds unixNow, TimePoint now)
+{
+    for (const StreamOriginRecord &record : records) {
+        // A time in the future comes from a clock that is ahead.
+        const Duration age = std::max(unixNow - record.mixedAt, std::chrono::milliseconds(0));
+        Service &service = this->services.try_emplace(record.origin.service).first->second;
+        service.mixedAt = std::max(service.mixedAt.value_or(TimePoint::min()), now - std::min(age, this->lifetime + clockMargin));
+        for (const std::uint64_t stream : record.streams) {
+            if (!this->streams.contains(stream)) {
+                this->add(stream, record.origin, now);
+            }
+        }
+    }
+}
+
+std::vector<StreamOriginRecord> StreamOrigins::takeUnsaved(std::chrono::milliseconds unixNow, TimePoint now)
+{
+    std::map<std::pair<ServiceName, std::string>, StreamOriginRecord> records;
+    std::erase_if(this->unsaved, [&](std::uint64_t id) {
+        const auto stream = this->streams.find(id);
+        if (stream == this->streams.end()) {
+            return true;
+        }
+        const StreamOrigin &origin = stream->second.origin;
+        const auto service = this->services.find(origin.service);
+        if (service == this->services.end() || !service->second.isMixed(this->lifetime + clockMargin, now)) {
+            return false;
+        }
+        StreamOriginRecord &record = records[{origin.service, origin.softwareVersion}];
+        record.origin = origin;
+        const Duration sinceMixed = service->second.versions.size() > 1 ? Duration::zero() : now - *service->second.mixedAt;
+        record.mixedAt = unixNow - std::chrono::duration_cast<std::chrono::milliseconds>(sinceMixed);
+        record.streams.push_back(id);
+        return true;
+    });
+    std::vector<StreamOriginRecord> taken;
+    for (auto &[key, record] : records) {
+        taken.push_back(std::move(record));
+    }
+    return taken;
+}
+
+void StreamOrigins::restoreUnsaved(const std::vector<StreamOriginRecord> &records)
+{
+    for (const StreamOriginRecord &record : records) {
+        this->unsaved.insert(this->unsaved.end(), record.streams.begin(), record.streams.end());
+    }
+}
+
+void StreamOrigins::expire(TimePoint now)
+{
+    while (!this->byAge.empty() && this->byAge.front().first + this->lifetime <= now) {
+        this->streams.erase(this->byAge.front().second);
+        this->byAge.pop_front();
+    }
+}
+
+const StreamOrigin *StreamOrigins::find(std::uint64_t stream) const
+{
+    const auto found = this->streams.find(stream);
+    return found == this->streams.end() ? nullptr : &found->second.origin;
+}
+
+std::optional<std::string> StreamOrigins::soleVersion(const ServiceName &service, TimePoint now) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.versions.empty() || found->second.isMixed(this->lifetime, now)) {
+        return std::nullopt;
+    }
+    return *found->second.versions.begin();
+}
+
+} // namespace flamingosaddle
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -173,6 +173,17 @@
     EXPECT_EQ(this->verdictFor(421, {}), ResponseCheck::Misdirected);
 }
 
+TEST_F(CallerWireTest, AResumptionNamesTheRequestThatBeganItsStream)
+{
+    HttpRequest request = requestFor("/chat/x");
+    EXPECT_TRUE(this->route(request).value().resumedRequest.empty());
+    request.headers.set("Last-Event-Id", "12");
+    request.headers.set("Resumes", "first");
+    const RoutedRequest routed = this->route(request).value();
+    EXPECT_EQ(routed.resumedRequest, "first");
+    EXPECT_EQ(routed.resumeAfter, 12U);
+}
+
 TEST_F(CallerWireTest, ReadsThatAServerLeaves)
 {
     EXPECT_TRUE(this->adapter.isServerLeaving({{"Server-Leaving", "1"}}));
--- /dev/null
+++ b/tests/adapter/streamlog_test.cpp
@@ -0,0 +1,61 @@
+#include "fakestore.h"
+
+#include <platform/streamlog.h>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::platform;
+using namespace flamingosaddle::test;
+
+namespace
+{
+
+struct StreamLogTest : testing::Test {
+    FakeStore store;
+    ContextThread thread;
+    StreamLogHooks log = streamLogHooks(store.client());
+
+    void append(const std::string &record)
+    {
+        EXPECT_TRUE(this->thread.await(this->log.append(record)).has_value());
+    }
+
+    Result<StreamLogBatch> read(std::optional<std::uint64_t> from)
+    {
+        return this->thread.await(this->log.read(from));
+    }
+};
+
+} // namespace
+
+TEST_F(StreamLogTest, IsReadFromTheOldestRetainedRecordOrWhereTheLastReadEnded)
+{
+    const StreamLogBatch empty = this->read(std::nullopt).value();
+    EXPECT_TRUE(empty.isAtEnd);
+    EXPECT_TRUE(empty.records.empty());
+    this->append("one");
+    this->append("two");
+    const StreamLogBatch all = this->read(empty.nextOffset).value();
+    EXPECT_EQ(all.records, (std::vector<std::string>{"one", "two"}));
+    this->append("three");
+    EXPECT_EQ(this->read(all.nextOffset).value().records, std::vector<std::string>{"three"});
+    this->store.trim("streams", 2);
+    EXPECT_EQ(this->read(std::nullopt).value().records, std::vector<std::string>{"three"});
+}
+
+TEST_F(StreamLogTest, IsReadAnewAfterTheStoreForgotOrWasRestored)
+{
+    this->append("one");
+    this->store.takeCopy();
+    this->append("two");
+    const std::uint64_t next = this->read(std::nullopt).value().nextOffset;
+    this->store.restore();
+    EXPECT_EQ(this->read(next).error().kind(), ErrorKind::Trimmed);
+    EXPECT_EQ(this->read(std::nullopt).value().records, std::vector<std::string>{"one"});
+    this->store.failNextCall(503);
+    EXPECT_TRUE(this->read(std::nullopt).has_error());
+}
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,10 +31,12 @@
         this->configs.push_back(config);
     }
 
-    void put(const std::string &id)
+    void put(const std::string &id, const ServiceName &service = {}, const std::string &softwareVersion = {})
     {
         RegisteredServer registered;
         registered.server.id = BackendServerId(id);
+        registered.server.service = service;
+        registered.server.softwareVersion = softwareVersion;
         this->entries.push_back({registered.server.id, registered});
     }
 
@@ -48,7 +51,11 @@
     FakeInstance(boost::asio::io_context &context, FakeStore &store, bool isRelay)
         : store(store)
         , isRelay(isRelay)
-        , directory(this->hooks(), this->relayHooks(), DirectoryOptions(), [] {})
+        , directory(this->hooks(), this->relayHooks(), DirectoryOptions(), [this] {
+            if (this->onUpdate) {
+                this->onUpdate();
+            }
+        })
     {
         boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
         boost::asio::co_spawn(context, this->directory.runServers(), boost::asio::detached);
@@ -133,6 +140,7 @@
     bool isStoreUnreachable = false; ///< whether the store is unreachable for this instance
     Duration failureDelay{0}; ///< time until a call to an unreachable store fails
     std::size_t calls = 0;
+    std::function<void()> onUpdate; ///< called when the directory has changed
     std::optional<std::uint64_t> requestedFrom; ///< offset from which entries were requested from the relay
     Directory directory;
 };
--- /dev/null
+++ b/tests/control/streamregistry_test.cpp
@@ -0,0 +1,212 @@
+#include "fakeinstance.h"
+#include "rununtil.h"
+
+#include <flamingosaddle/control/streamregistry.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace flamingosaddle;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServiceName service("engines");
+constexpr std::chrono::milliseconds unixAtZero(1'700'000'000'000);
+
+/** What all instances share: the store with its log of streams. */
+struct SharedStore : FakeStore {
+    std::vector<std::string> streamRecords;
+
+    void publishRoute()
+    {
+        Route route;
+        route.id = RouteId("r");
+        route.service = service;
+        route.resumable = true;
+        route.requestClass = RequestClass();
+        route.requestClass->deadline = 10s;
+        this->publish(1);
+        this->configs.back().objects.routes.push_back(route);
+    }
+};
+
+/** One run of an instance: its directory and its registry of streams. */
+struct RunningInstance {
+    RunningInstance(boost::asio::io_context &context, SharedStore &store)
+        : context(context)
+        , store(store)
+        , instance(context, store, true)
+        , registry(context.get_executor(), this->logHooks(), this->instance.directory, options())
+    {
+        this->instance.onUpdate = [this] {
+            this->registry.onDirectoryUpdate();
+        };
+        boost::asio::co_spawn(context, this->registry.run(), boost::asio::detached);
+    }
+
+    static StreamRegistry::Options options()
+    {
+        StreamRegistry::Options options;
+        options.unixTime = [] {
+            return unixAtZero + std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+        };
+        return options;
+    }
+
+    StreamLogHooks logHooks()
+    {
+        StreamLogHooks hooks;
+        hooks.append = [this](std::string record) -> boost::asio::awaitable<Result<void>> {
+            if (this->instance.isStoreUnreachable) {
+                co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+            }
+            this->store.streamRecords.push_back(std::move(record));
+            co_return success();
+        };
+        hooks.read = [this](std::optional<std::uint64_t> from) -> boost::asio::awaitable<Result<StreamLogBatch>> {
+            if (this->instance.isStoreUnreachable) {
+                co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+            }
+            StreamLogBatch batch;
+            // One record a read, so that reads continue.
+            const std::size_t begin = from.value_or(0);
+            const std::size_t end = std::min(begin + 1, this->store.streamRecords.size());
+            batch.records.assign(this->store.streamRecords.begin() + static_cast<std::ptrdiff_t>(begin),
+                this->store.streamRecords.begin() + static_cast<std::ptrdiff_t>(end));
+            batch.nextOffset = end;
+            batch.isAtEnd = end == this->store.streamRecords.size();
+            co_return batch;
+        };
+        return hooks;
+    }
+
+    std::optional<std::string> versionOf(const std::string &request)
+    {
+        std::optional<std::optional<std::string>> version;
+        boost::asio::co_spawn(this->context, this->registry.hook()(request, service),
+            [&version](const std::exception_ptr &, std::optional<std::string> found) {
+                version = std::move(found);
+            });
+        EXPECT_TRUE(runUntil(this->context, [&version] {
+            RuntimeClock::advance(1ms);
+            return version.has_value();
+        }));
+        return version.value_or(std::nullopt);
+    }
+
+    boost::asio::io_context &context;
+    SharedStore &store;
+    FakeInstance instance;
+    StreamRegistry registry;
+};
+
+struct StreamRegistryTest : testing::Test {
+    PausedClock paused;
+    boost::asio::io_context context{1};
+    SharedStore store;
+    std::vector<std::unique_ptr<RunningInstance>> runs; // kept, since their coroutines end late
+
+    void SetUp() override
+    {
+        this->store.publishRoute();
+        this->store.put("old", service, "v1");
+    }
+
+    ~StreamRegistryTest() override
+    {
+        for (const auto &run : this->runs) {
+            run->registry.stop();
+            run->instance.directory.stop();
+        }
+        advanceTime(this->context, 5s);
+    }
+
+    RunningInstance &start()
+    {
+        this->runs.push_back(std::make_unique<RunningInstance>(this->context, this->store));
+        advanceTime(this->context, 500ms);
+        return *this->runs.back();
+    }
+
+    /** Kills the instance: it saves nothing any more. */
+    void kill(RunningInstance &run)
+    {
+        run.instance.isStoreUnreachable = true;
+        run.registry.stop();
+        run.instance.directory.stop();
+    }
+};
+
+} // namespace
+
+TEST_F(StreamRegistryTest, AStreamIsResumedAtItsVersionAfterAllInstancesRestarted)
+{
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.registry.recordStart("at v1", service, "v1");
+    first.registry.recordStart("at v2", service, "v2");
+    EXPECT_EQ(first.versionOf("at v1"), "v1");
+    advanceTime(this->context, 500ms);
+    this->kill(first);
+    this->store.remove("old");
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("at v1"), "v1") << "although no server of it is left";
+    EXPECT_EQ(second.versionOf("at v2"), "v2");
+    EXPECT_EQ(second.versionOf("not saved"), std::nullopt);
+    EXPECT_EQ(second.versionOf(""), std::nullopt);
+}
+
+TEST_F(StreamRegistryTest, AStreamThatRanBeforeTheReleaseIsResumedAtTheOldVersion)
+{
+    RunningInstance &first = this->start();
+    first.registry.recordStart("stream", service, "v1");
+    advanceTime(this->context, 1s);
+    EXPECT_TRUE(this->store.streamRecords.empty()) << "one version only";
+    this->store.put("new", service, "v2");
+    advanceTime(this->context, 2s);
+    this->kill(first);
+    EXPECT_EQ(this->start().versionOf("stream"), "v1");
+}
+
+TEST_F(StreamRegistryTest, AnUnknownStreamIsResumedOnlyIfNoOtherVersionServed)
+{
+    RunningInstance &first = this->start();
+    EXPECT_EQ(first.versionOf("unknown"), "v1");
+    this->store.put("new", service, "v2");
+    EXPECT_EQ(first.versionOf("unknown"), std::nullopt) << "the list that it holds is older";
+    this->store.remove("old");
+    advanceTime(this->context, 2s);
+    EXPECT_EQ(first.versionOf("unknown"), std::nullopt);
+    advanceTime(this->context, 21s);
+    EXPECT_EQ(first.versionOf("unknown"), "v2");
+}
+
+TEST_F(StreamRegistryTest, WithoutTheStoreOnlyOwnStreamsAreResumed)
+{
+    RunningInstance &first = this->start();
+    first.registry.recordStart("own", service, "v1");
+    first.instance.isStoreUnreachable = true;
+    EXPECT_EQ(first.versionOf("own"), "v1");
+    EXPECT_EQ(first.versionOf("unknown"), std::nullopt);
+    EXPECT_EQ(first.versionOf("own"), "v1");
+    first.registry.recordCompletion("own");
+    EXPECT_EQ(first.versionOf("own"), std::nullopt);
+}
+
+TEST_F(StreamRegistryTest, AStreamIsNotResumedAtAnotherService)
+{
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.registry.recordStart("stream", ServiceName("other"), "v1");
+    EXPECT_EQ(first.versionOf("stream"), std::nullopt);
+}
--- a/tests/relay/streamversion_test.cpp
+++ b/tests/relay/streamversion_test.cpp
@@ -5,12 +5,14 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 using namespace flamingosaddle;
 using namespace flamingosaddle::test;
+namespace asio = boost::asio;
 
 namespace
 {
@@ -31,8 +33,9 @@
 class Engines
 {
 public:
-    explicit Engines(std::vector<std::string> versions)
+    explicit Engines(std::vector<std::string> versions, ProtocolAdapter adapter = numberedStreamAdapter(), CallerHooks hooks = {})
         : versions(std::move(versions))
+        , setup({}, {}, std::move(hooks), {}, std::move(adapter))
     {
         for (const std::string &version : this->versions) {
             this->engines.push_back(std::make_unique<FakeBackend>(breakOffAfterThirdEvent));
@@ -60,7 +63,7 @@
 
 private:
     std::vector<std::string> versions;
-    CallerFixture setup{{}, {}, {}, {}, numberedStreamAdapter()};
+    CallerFixture setup;
     std::vector<std::unique_ptr<FakeBackend>> engines;
 };
 
@@ -90,6 +93,77 @@
     }
 }
 
+namespace
+{
+
+/** Engines of two versions, a caller who resumes a stream after its third event, and a registry that answers @p version. */
+std::pair<std::string, std::map<std::string, std::size_t>> resumeAt(const std::optional<std::string> &version)
+{
+    ProtocolAdapter adapter = numberedStreamAdapter();
+    adapter.route = [route = adapter.route](const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) {
+        Result<RoutedRequest> routed = route(snapshot, request, now);
+        if (routed.has_value()) {
+            routed.value().resumable = true;
+            routed.value().resumeAfter = 3;
+            routed.value().resumedRequest = "first";
+        }
+        return routed;
+    };
+    adapter.buildBackendRequest = [build = adapter.buildBackendRequest](const BackendRequestContext &context) {
+        HttpRequest request = build(context);
+        request.headers.set(resumeHeader, "3");
+        return request;
+    };
+    CallerHooks hooks;
+    hooks.streamVersion
+        = [version](const std::string &request, const ServiceName &) -> asio::awaitable<std::optional<std::string>> {
+        EXPECT_EQ(request, "first");
+        co_return version;
+    };
+    const Engines engines({"v1", "v2", "v1", "v2"}, adapter, hooks);
+    const std::string response = engines.stream();
+    return {response, engines.parts()};
+}
+
+} // namespace
+
+TEST(StreamVersion, ACallersStreamIsResumedAtItsSoftwareVersion)
+{
+    for (const std::string version : {"v1", "v2"}) {
+        const auto [response, parts] = resumeAt(version);
+        EXPECT_TRUE(isComplete(response)) << response;
+        EXPECT_EQ(parts, (std::map<std::string, std::size_t>{{version, 1}}));
+    }
+}
+
+TEST(StreamVersion, AStreamWhoseVersionIsGoneOrNotKnownIsNotResumed)
+{
+    for (const std::optional<std::string> &version : {std::optional<std::string>(), std::optional<std::string>("v0")}) {
+        const auto [response, parts] = resumeAt(version);
+        EXPECT_EQ(statusOf(response), 503);
+        EXPECT_NE(response.find("begin the stream anew"), std::string::npos) << response;
+        EXPECT_NE(response.find("Retry-After"), std::string::npos) << response;
+        EXPECT_TRUE(parts.empty());
+    }
+}
+
+TEST(StreamVersion, BeginAndEndOfAResumableStreamAreReported)
+{
+    std::vector<std::string> begun;
+    std::vector<std::string> completed;
+    CallerHooks hooks;
+    hooks.onStreamStarted = [&begun](const std::string &, const ServiceName &, const std::string &version) {
+        begun.push_back(version);
+    };
+    hooks.onStreamCompleted = [&completed](const std::string &request) {
+        completed.push_back(request);
+    };
+    const Engines engines({"v1"}, numberedStreamAdapter(), hooks);
+    engines.stream();
+    EXPECT_EQ(begun, std::vector<std::string>{"v1"}) << "once, though the stream broke off";
+    EXPECT_EQ(completed.size(), 1U);
+}
+
 TEST(StreamVersion, ServersWithoutAVersionContinueEachOthersStreams)
 {
     const Engines engines({"", ""});
