Entries of servers with values out of range name no server

Deeply nested entries were handled (100,000 levels, by test), and so were ports above 65535. Not handled: slots that do not fit (2^32 became 0, and 2^32 - 1 overflowed the sum of the service's slots), port 0, times whose conversion is undefined, and ids that cannot stand in a header: the id of another writer's entry was sent to servers as it was, with line breaks.

--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -141,6 +141,7 @@
         return true;
     });
     std::vector<StreamOriginRecord> taken;
+    taken.reserve(records.size());
     for (auto &[key, record] : records) {
         taken.push_back(std::move(record));
     }
--- a/tests/adapter/records_test.cpp
+++ b/tests/adapter/records_test.cpp
@@ -115,6 +115,32 @@
     }
 }
 
+// Another writer may have left the entry; the id goes into a header of requests.
+TEST(ServerEntry, IsRejectedWhenItIsDeeplyNestedOrANumberOrTheIdIsOutOfRange)
+{
+    constexpr std::size_t depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_TRUE(decodeServer("i-1", nested).has_error());
+    EXPECT_TRUE(decodeServer("i-1", replaced(entry, R"("version": "v1")", R"("version": )" + nested)).has_error());
+    EXPECT_FALSE(decodeServer("i-1", replaced(entry, R"("slots": 64)", R"("slots": 64, "other": )" + nested)).has_error());
+    for (const char *slots : {"4294967296", "4294967295", "18446744073709551616", "1e400", "1e300", "-1", "64.5"}) {
+        EXPECT_TRUE(decodeServer("i-1", replaced(entry, R"("slots": 64)", std::string(R"("slots": )") + slots)).has_error())
+            << slots;
+    }
+    for (const char *port : {"65536", "99999999999999999999", "-1", "0", ""}) {
+        EXPECT_TRUE(decodeServer("i-1", replaced(entry, "127.0.0.1:8080", std::string("127.0.0.1:") + port)).has_error()) << port;
+    }
+    for (const char *leaves : {"1e300", "-1e300", "18446744073709551615"}) {
+        const std::string text = replaced(entry, R"("ready")", std::string(R"("draining", "leaves_ms": )") + leaves);
+        const Result<RegisteredServer> decoded = decodeServer("i-1", text);
+        ASSERT_TRUE(decoded.has_value()) << "the rest of the entry holds";
+        EXPECT_EQ(decoded.value().leavesIn, std::nullopt) << leaves;
+    }
+    for (const std::string &id : {std::string(), std::string("a b"), std::string("a\r\nX: y"), std::string("\xff")}) {
+        EXPECT_TRUE(decodeServer(id, entry).has_error()) << id;
+    }
+}
+
 RC_GTEST_PROP(PlatformRecords, DecodesAnyBytesWithoutThrowing, (const std::string &bytes))
 {
     (void)decodeConfig(bytes, 0, secret);
