A rejection that was written once more is not taken for the answer to another request

Report of other operators: a faulty server repeats an earlier refusal on a kept connection. Copies with the id of the earlier request were skipped already. Two ways were open, both telling callers 'not run' of a request that may have run: a rejection without an id counted for whatever request was under way, and a request that was rejected and comes to the same server again could get the copy of its own rejection, which has its id. A rejection without an id now proves nothing on a connection that carried other requests, and a request that was sent before gets a new connection.

--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -103,6 +103,9 @@
         Endpoint endpoint;
         HttpRequest request;
         bool idempotent = false;
+        /** Whether the request was sent before. It gets a new connection, since a kept one may hold a copy of the earlier
+         * response. */
+        bool isRepetition = false;
         Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the response head
         /** Matches a response head with the request; when empty, every response is valid. */
         std::function<ResponseCheck(const HttpRequest &sent, const HttpResponseHead &head)> checkResponse;
@@ -132,14 +135,16 @@
 
     std::unique_ptr<HttpConnection> takeIdleConnection(const Endpoint &endpoint);
     void addIdleConnection(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection, const HttpHeaders &response);
-    boost::asio::awaitable<Result<HttpResponseHead>> readMatchingHead(HttpConnection &connection, const CallParameters &order);
+    boost::asio::awaitable<Result<HttpResponseHead>> readMatchingHead(
+        HttpConnection &connection, const CallParameters &order, bool isReused);
     boost::asio::awaitable<Result<void>> discardBody(HttpConnection &connection);
     void addIfReusable(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
     boost::asio::awaitable<AttemptOutcome> classifyFailure(Error error, bool anyByteSent, Endpoint endpoint);
     boost::asio::awaitable<CallResult> callOnNewConnection(
         const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
-    boost::asio::awaitable<CallResult> callOn(
-        std::unique_ptr<HttpConnection> connection, const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
+    /** @param isReused whether the connection has carried other requests */
+    boost::asio::awaitable<CallResult> callOn(std::unique_ptr<HttpConnection> connection, bool isReused,
+        const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
 
     BackendPoolOptions options;
     std::map<Endpoint, std::deque<IdleConnection>> idleConnections; // most recently used last
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -136,9 +136,9 @@
     step(RequestStep::Connect);
     const TimePoint start = RuntimeClock::now();
     bool wasSent = false;
-    std::unique_ptr<HttpConnection> reused = this->takeIdleConnection(order.endpoint);
+    std::unique_ptr<HttpConnection> reused = order.isRepetition ? nullptr : this->takeIdleConnection(order.endpoint);
     if (reused) {
-        CallResult result = co_await this->callOn(std::move(reused), order, caller, step);
+        CallResult result = co_await this->callOn(std::move(reused), true, order, caller, step);
         const BackendFailure *failure = std::get_if<BackendFailure>(&result);
         if (failure == nullptr || failure->end == AttemptOutcome::CallerDisconnected) {
             co_return result;
@@ -173,11 +173,11 @@
     if (caller.isDisconnected()) {
         co_return failureOf(callerGone(), false);
     }
-    co_return co_await this->callOn(std::move(connected.value()), order, caller, step);
+    co_return co_await this->callOn(std::move(connected.value()), false, order, caller, step);
 }
 
-asio::awaitable<BackendPool::CallResult> BackendPool::callOn(
-    std::unique_ptr<HttpConnection> connection, const CallParameters &order, DisconnectSignal &caller, const StepHook &step)
+asio::awaitable<BackendPool::CallResult> BackendPool::callOn(std::unique_ptr<HttpConnection> connection, bool isReused,
+    const CallParameters &order, DisconnectSignal &caller, const StepHook &step)
 {
     auto listener = std::make_unique<DisconnectSignal::Listener>(caller, [&connection]() {
         connection->close();
@@ -191,7 +191,7 @@
     if (this->options.allowBodyUntilClose) {
         connection->acceptBodyUntilClose();
     }
-    Result<HttpResponseHead> head = co_await this->readMatchingHead(*connection, order);
+    Result<HttpResponseHead> head = co_await this->readMatchingHead(*connection, order, isReused);
     if (!head.has_value()) {
         const bool notExecuted = head.error().kind() == ErrorKind::Refused;
         listener.reset();
@@ -206,14 +206,18 @@
     co_return BackendCall(*this, order.endpoint, std::move(connection), std::move(head.value()), caller);
 }
 
-asio::awaitable<Result<HttpResponseHead>> BackendPool::readMatchingHead(HttpConnection &connection, const CallParameters &order)
+asio::awaitable<Result<HttpResponseHead>> BackendPool::readMatchingHead(
+    HttpConnection &connection, const CallParameters &order, bool isReused)
 {
     for (int skipped = 0; skipped <= maxForeignResponses; ++skipped) {
         Result<HttpResponseHead> head = co_await connection.readHead(order.headTimeout);
         if (!head.has_value()) {
             co_return head;
         }
-        const ResponseCheck check = order.checkResponse ? order.checkResponse(order.request, head.value()) : ResponseCheck::Valid;
+        ResponseCheck check = order.checkResponse ? order.checkResponse(order.request, head.value()) : ResponseCheck::Valid;
+        if (check == ResponseCheck::UnidentifiedRejection) {
+            check = isReused || skipped > 0 ? ResponseCheck::Invalid : ResponseCheck::Misdirected;
+        }
         const bool isFromCalledServer = check == ResponseCheck::Valid || check == ResponseCheck::NotExecuted;
         if (isFromCalledServer && order.onResponseHead) {
             order.onResponseHead(head.value(), check == ResponseCheck::NotExecuted);
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -327,6 +327,7 @@
     BackendPool::CallParameters parameters;
     parameters.endpoint = server.endpoint;
     parameters.idempotent = profile.idempotent;
+    parameters.isRepetition = this->outcome.attempts > 1;
     parameters.request = adapter.buildBackendRequest(context);
     parameters.checkResponse = adapter.checkResponse;
     // A buffered completion sends its response head only when it is complete, so the wait is limited by its deadline alone.
--- a/tests/relay/backendpool_test.cpp
+++ b/tests/relay/backendpool_test.cpp
@@ -143,6 +143,37 @@
     EXPECT_EQ(failure->end, AttemptOutcome::ServerError);
 }
 
+// A faulty server may write an earlier rejection once more on a kept connection.
+TEST_F(BackendPoolTest, ARejectionWithoutAnIdProvesNothingOnAKeptConnection)
+{
+    BackendPool::CallParameters order = this->order(false);
+    order.checkResponse = [](const HttpRequest &, const HttpResponseHead &head) {
+        return head.headers.has("Not-Executed") ? ResponseCheck::UnidentifiedRejection : ResponseCheck::Valid;
+    };
+    this->rejectedRequest = 1;
+    const std::optional<BackendFailure> first = this->thread.await(this->callAndRead(order, true));
+    ASSERT_TRUE(first.has_value());
+    EXPECT_EQ(first->end, AttemptOutcome::Rejected) << "nothing else was sent on the connection";
+    this->call(false);
+    this->rejectedRequest = 3;
+    const std::optional<BackendFailure> second = this->thread.await(this->callAndRead(order, true));
+    ASSERT_TRUE(second.has_value());
+    EXPECT_TRUE(second->anyByteSent);
+    EXPECT_EQ(second->end, AttemptOutcome::ServerError);
+}
+
+TEST_F(BackendPoolTest, ARequestThatWasSentBeforeGetsANewConnection)
+{
+    this->call(false);
+    EXPECT_EQ(this->pool.idleConnectionCount(), 1U);
+    BackendPool::CallParameters order = this->order(false);
+    this->thread.await(this->callAndRead(order, true));
+    EXPECT_EQ(this->pool.idleConnectionCount(), 1U);
+    order.isRepetition = true;
+    this->thread.await(this->callAndRead(order, true));
+    EXPECT_EQ(this->pool.idleConnectionCount(), 2U);
+}
+
 TEST_F(BackendPoolTest, ANonIdempotentRequestIsSentOnce)
 {
     EXPECT_EQ(this->call(false), std::nullopt);
