--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -61,6 +61,14 @@
     StreamVersionHook hook();
 
 private:
+    struct StreamVersion {
+        bool isKnown = false;
+        std::string text;
+        std::string source; // for the log
+    };
+
+    StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
+    StreamVersion soleVersion(const ServiceName &service) const;
     boost::asio::awaitable<std::optional<std::string>> versionOf(std::string request, ServiceName service);
     /** Reads the servers' entries and the log, as of a time after the call. Returns whether both could be read. */
     boost::asio::awaitable<bool> refresh();
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -112,26 +112,40 @@
 
 boost::asio::awaitable<std::optional<std::string>> StreamRegistry::versionOf(std::string request, ServiceName service)
 {
-    const auto known = [this, &request, &service]() -> std::optional<std::string> {
-        const StreamOrigin *origin = request.empty() ? nullptr : this->origins.find(hash64(request));
-        return origin != nullptr && origin->service == service ? std::optional(origin->softwareVersion) : std::nullopt;
-    };
-    std::optional<std::string> version = known();
-    std::string_view source = "own memory";
-    if (!version.has_value()) {
-        // The list may lack a version that served before the stream broke off.
+    StreamVersion version = this->knownVersion(request, service);
+    if (!version.isKnown) {
+        // The list of servers may lack a version that served before the stream broke off.
         const bool isRefreshed = co_await this->refresh();
-        version = known();
-        source = "log";
-        if (!version.has_value() && isRefreshed) {
-            version = this->origins.soleVersion(service, RuntimeClock::now());
-            source = "only version";
+        version = this->knownVersion(request, service);
+        if (!version.isKnown && isRefreshed) {
+            version = this->soleVersion(service);
         }
     }
-    logEvent(version.has_value() ? LogLevel::Info : LogLevel::Warning, "control",
-        version.has_value() ? "a stream is resumed at its software version" : "the software version of a stream is not known",
-        {{"began_as", request}, {"service", service.text()}, {"version", version.value_or("")}, {"source", std::string(source)}});
-    co_return version;
+    logEvent(version.isKnown ? LogLevel::Info : LogLevel::Warning, "control",
+        version.isKnown ? "a stream is resumed at its software version" : "the software version of a stream is not known",
+        {{"began_as", request}, {"service", service.text()}, {"version", version.text}, {"source", version.source}});
+    if (!version.isKnown) {
+        co_return std::nullopt;
+    }
+    co_return version.text;
+}
+
+StreamRegistry::StreamVersion StreamRegistry::knownVersion(const std::string &request, const ServiceName &service) const
+{
+    const StreamOrigin *origin = request.empty() ? nullptr : this->origins.find(hash64(request));
+    if (origin == nullptr || origin->service != service) {
+        return {};
+    }
+    return {true, origin->softwareVersion, "record"};
+}
+
+StreamRegistry::StreamVersion StreamRegistry::soleVersion(const ServiceName &service) const
+{
+    const std::optional<std::string> version = this->origins.soleVersion(service, RuntimeClock::now());
+    if (!version.has_value()) {
+        return {};
+    }
+    return {true, *version, "only version"};
 }
 
 boost::asio::awaitable<bool> StreamRegistry::refresh()
