A request that met a restarting server is not blamed for its death

A server that restarts accepts connections and closes them; each counted as another death of the server, caused by the request on the connection.

A failure of a request that started after a known death of its server, and less than a second after it, is an error of the server, as long as the server has completed no other request since.

--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -82,6 +82,12 @@
      */
     bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
 
+    /**
+     * Returns @p outcome, but ServerError for a ServerFailed of a request that started after the server's last death, while the
+     * server may still restart: the death is not the request's.
+     */
+    AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
+
     /** Lets the request be retried only on servers with the software version of the current one, because it continues its stream.
      */
     void requireSameVersion(Ticket ticket);
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -57,6 +57,7 @@
     double slowdown = 1.0; ///< ratio to the median of the servers of its targets, at least 1
     std::uint32_t consecutiveFailures = 0; ///< failures since the last success
     TimePoint backoffUntil;
+    std::optional<TimePoint> diedAt; ///< time of its last death, until it completes a request
     std::optional<TimePoint> pausedUntil; ///< the server asked for no requests until then
     std::optional<TokenBucket> rateLimit; ///< this instance's share of the server's rate limit, if it has one
     std::vector<TargetMembership> memberships;
@@ -108,6 +109,8 @@
     /** Delay after a failure; doubles with each consecutive one. */
     static constexpr Duration minBackoff = std::chrono::seconds(1);
     static constexpr Duration maxBackoff = std::chrono::seconds(30);
+    /** Time after a death in which a server that restarts may accept and close connections. */
+    static constexpr Duration restartTime = std::chrono::seconds(1);
 
     // Commands.
 
@@ -151,6 +154,8 @@
     void recordPrefill(ServerIndex server, double slowdown, TimePoint now);
     void recordFailure(ServerIndex server, TimePoint now);
     void recordSuccess(ServerIndex server);
+    /** Records that the server died while it ran a request of this or of another instance. */
+    void recordDeath(ServerIndex server, TimePoint now);
 
     /**
      * Returns the model name that stands for a second target of each service. Requests with long prompts wait in this separate
@@ -244,6 +249,9 @@
 
     bool isExcluded(ServerIndex server) const;
 
+    /** Returns whether the server died before @p startedAt and may still be restarting. */
+    bool isRestarting(ServerIndex server, TimePoint startedAt, TimePoint now) const;
+
     /** Returns whether the server is slow enough to be avoided and not due for another probe. */
     bool isStraggler(ServerIndex server, TimePoint now) const;
 
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -124,6 +124,7 @@
     if (!core) {
         return;
     }
+    end = core->withoutRestart(this->ticket, end);
     core->finish(this->ticket, end);
     if (end == AttemptOutcome::ServerFailed) {
         core->notifyDeath(this->death());
@@ -141,6 +142,7 @@
     }
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     const auto waiter = std::make_shared<WaitingRequest>(executor, this->fingerprint, this->deadline);
+    end = core->withoutRestart(this->ticket, end);
     if (end == AttemptOutcome::ServerFailed) {
         core->notifyDeath(this->death());
     }
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -71,6 +71,12 @@
     }
 }
 
+AttemptOutcome AsyncDispatcherCore::withoutRestart(Ticket ticket, AttemptOutcome end)
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->dispatcher.withoutRestart(ticket, end, RuntimeClock::now());
+}
+
 void AsyncDispatcherCore::requireSameVersion(Ticket ticket)
 {
     const std::scoped_lock lock(this->mutex);
--- a/src/relay/asyncdispatchercore.h
+++ b/src/relay/asyncdispatchercore.h
@@ -54,6 +54,7 @@
         Ticket ticket, AttemptOutcome end, bool anyByteSent, const std::shared_ptr<WaitingRequest> &waiter);
     void recordRateLimit(Ticket ticket, std::optional<double> requestsPerSecond);
     void pauseServer(Ticket ticket, const BackendServerId &server, Duration pause);
+    AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome end);
     void requireSameVersion(Ticket ticket);
     void recordFirstToken(Ticket ticket);
     void recordTokens(Ticket ticket, std::uint32_t count);
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -57,6 +57,11 @@
     return this->implementation->onPauseRequested(ticket, pause, now);
 }
 
+AttemptOutcome Dispatcher::withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now)
+{
+    return this->implementation->withoutRestart(ticket, outcome, now);
+}
+
 void Dispatcher::requireSameVersion(Ticket ticket)
 {
     this->implementation->requireSameVersion(ticket);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -44,6 +44,16 @@
     return true;
 }
 
+AttemptOutcome Dispatcher::Implementation::withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    if (outcome != AttemptOutcome::ServerFailed || !index.has_value() || !this->requests.record(*index).isRunning()) {
+        return outcome;
+    }
+    const RequestRecord &record = this->requests.record(*index);
+    return this->pool.isRestarting(record.server, record.startedAt, now) ? AttemptOutcome::ServerError : outcome;
+}
+
 void Dispatcher::Implementation::requireSameVersion(Ticket ticket)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
@@ -213,6 +223,7 @@
         this->pool.recordFailure(record.server, now);
         // A server in a data centre that is being reclaimed is stopped regardless of the request.
         if (!this->pool.isExcluded(record.server)) {
+            this->pool.recordDeath(record.server, now);
             const ServerState &server = this->pool.server(record.server);
             this->quarantine.recordDeath(record.fingerprint, server.nameHash, now);
             const ServerDeath death{server.id, record.fingerprint, record.promptParts, now - record.startedAt};
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -127,6 +127,9 @@
 
 void Dispatcher::Implementation::applyPeerDeath(const ServerDeath &death, TimePoint now)
 {
+    if (const std::optional<ServerIndex> server = this->pool.find(death.server)) {
+        this->pool.recordDeath(*server, now);
+    }
     this->quarantine.recordDeath(death.fingerprint, hash64(death.server.text()), now);
     this->recordPromptPart(this->promptQuarantine.recordDeath(death, now), false);
 }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -32,6 +32,7 @@
     void dispatch(TimePoint now, Decisions &decisions);
     std::optional<ServerRateLimit> onResponseHead(Ticket ticket, std::optional<double> rateLimit, TimePoint now);
     bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
+    AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
     void requireSameVersion(Ticket ticket);
     void onFirstToken(Ticket ticket, TimePoint now);
     void onTokens(Ticket ticket, std::uint32_t count, TimePoint now);
--- a/src/traffic/serverpoolstragglers.cpp
+++ b/src/traffic/serverpoolstragglers.cpp
@@ -39,6 +39,18 @@
 void ServerPool::recordSuccess(ServerIndex index)
 {
     this->servers[index].consecutiveFailures = 0;
+    this->servers[index].diedAt.reset();
+}
+
+void ServerPool::recordDeath(ServerIndex index, TimePoint now)
+{
+    this->servers[index].diedAt = now;
+}
+
+bool ServerPool::isRestarting(ServerIndex index, TimePoint startedAt, TimePoint now) const
+{
+    const std::optional<TimePoint> &diedAt = this->servers[index].diedAt;
+    return diedAt.has_value() && startedAt >= *diedAt && now < *diedAt + restartTime;
 }
 
 bool ServerPool::isStraggler(ServerIndex index, TimePoint now) const
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -109,6 +109,32 @@
     EXPECT_EQ(decisions.rejections.front().refusal.reason, RefusalReason::NoServer);
 }
 
+// A server that restarts after a crash closes connections that it has just accepted.
+TEST(Dispatcher, ARequestThatMetARestartingServerIsNotBlamedForItsDeath)
+{
+    Dispatcher dispatcher{DispatcherOptions()};
+    dispatcher.setServers({serverOf("s", 8)}, TimePoint());
+    Decisions decisions;
+    const auto start = [&dispatcher, &decisions](TimePoint now) {
+        const Ticket ticket = submitAccepted(dispatcher, patientProfile());
+        dispatcher.dispatch(now, decisions);
+        return ticket;
+    };
+    const Ticket running = start(TimePoint(1s));
+    const Ticket other = start(TimePoint(1s));
+    dispatcher.applyPeerDeath({BackendServerId("s"), 7, {}, 1s}, TimePoint(2s));
+    EXPECT_EQ(dispatcher.withoutRestart(running, AttemptOutcome::ServerFailed, TimePoint(2s)), AttemptOutcome::ServerFailed)
+        << "it ran when the server died";
+    const Ticket late = start(TimePoint(2500ms));
+    EXPECT_EQ(dispatcher.withoutRestart(late, AttemptOutcome::ServerFailed, TimePoint(2600ms)), AttemptOutcome::ServerError);
+    EXPECT_EQ(dispatcher.withoutRestart(late, AttemptOutcome::Completed, TimePoint(2600ms)), AttemptOutcome::Completed);
+    EXPECT_EQ(dispatcher.withoutRestart(late, AttemptOutcome::ServerFailed, TimePoint(3s)), AttemptOutcome::ServerFailed)
+        << "the server had time to restart";
+    dispatcher.finish(other, AttemptOutcome::Completed, TimePoint(2700ms));
+    EXPECT_EQ(dispatcher.withoutRestart(late, AttemptOutcome::ServerFailed, TimePoint(2800ms)), AttemptOutcome::ServerFailed)
+        << "the server serves again";
+}
+
 TEST(Dispatcher, SendsNothingToAServerThatAskedForAPause)
 {
     Dispatcher dispatcher{DispatcherOptions()};
