--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -18,12 +18,22 @@
 namespace flamingosaddle
 {
 
+/**
+ * The software version at which a stream may be resumed.
+ */
+struct StreamVersion {
+    bool isKnown = false;
+    std::string text; ///< empty if the servers state no version
+    std::string source; ///< how it became known, for logs
+
+    friend bool operator==(const StreamVersion &, const StreamVersion &) = default;
+};
+
 /**
  * Determines the software version at which a caller's stream may be resumed, from the id of the request that began it (empty if
- * the caller did not state one) and the service. Returns nothing if the version is not known. May be called on any executor.
+ * the caller did not state one) and the service. May be called on any executor.
  */
-using StreamVersionHook
-    = std::function<boost::asio::awaitable<std::optional<std::string>>(std::string request, ServiceName service)>;
+using StreamVersionHook = std::function<boost::asio::awaitable<StreamVersion>(std::string request, ServiceName service)>;
 
 /**
  * Keeps where streams began, so that any instance can resume them at the same software version, also after a restart of all
@@ -61,15 +71,9 @@
     StreamVersionHook hook();
 
 private:
-    struct StreamVersion {
-        bool isKnown = false;
-        std::string text;
-        std::string source; // for the log
-    };
-
     StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
     StreamVersion soleVersion(const ServiceName &service) const;
-    boost::asio::awaitable<std::optional<std::string>> versionOf(std::string request, ServiceName service);
+    boost::asio::awaitable<StreamVersion> versionOf(std::string request, ServiceName service);
     /** Reads the servers' entries and the log, as of a time after the call. Returns whether both could be read. */
     boost::asio::awaitable<bool> refresh();
     boost::asio::awaitable<bool> readLog();
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -103,14 +103,14 @@
 
 StreamVersionHook StreamRegistry::hook()
 {
-    return [this](std::string request, ServiceName service) -> boost::asio::awaitable<std::optional<std::string>> {
-        std::optional<std::string> version = co_await boost::asio::co_spawn(
+    return [this](std::string request, ServiceName service) -> boost::asio::awaitable<StreamVersion> {
+        StreamVersion version = co_await boost::asio::co_spawn(
             this->controlExecutor, this->versionOf(std::move(request), std::move(service)), boost::asio::use_awaitable);
         co_return version;
     };
 }
 
-boost::asio::awaitable<std::optional<std::string>> StreamRegistry::versionOf(std::string request, ServiceName service)
+boost::asio::awaitable<StreamVersion> StreamRegistry::versionOf(std::string request, ServiceName service)
 {
     StreamVersion version = this->knownVersion(request, service);
     if (!version.isKnown) {
@@ -124,13 +124,10 @@
     logEvent(version.isKnown ? LogLevel::Info : LogLevel::Warning, "control",
         version.isKnown ? "a stream is resumed at its software version" : "the software version of a stream is not known",
         {{"began_as", request}, {"service", service.text()}, {"version", version.text}, {"source", version.source}});
-    if (!version.isKnown) {
-        co_return std::nullopt;
-    }
-    co_return version.text;
+    co_return version;
 }
 
-StreamRegistry::StreamVersion StreamRegistry::knownVersion(const std::string &request, const ServiceName &service) const
+StreamVersion StreamRegistry::knownVersion(const std::string &request, const ServiceName &service) const
 {
     const StreamOrigin *origin = request.empty() ? nullptr : this->origins.find(hash64(request));
     if (origin == nullptr || origin->service != service) {
@@ -139,7 +136,7 @@
     return {true, origin->softwareVersion, "record"};
 }
 
-StreamRegistry::StreamVersion StreamRegistry::soleVersion(const ServiceName &service) const
+StreamVersion StreamRegistry::soleVersion(const ServiceName &service) const
 {
     const std::optional<std::string> version = this->origins.soleVersion(service, RuntimeClock::now());
     if (!version.has_value()) {
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -142,10 +142,10 @@
     if (!this->isResumption() || !this->environment.hooks.streamVersion) {
         co_return true;
     }
-    std::optional<std::string> version
+    StreamVersion version
         = co_await this->environment.hooks.streamVersion(this->routed.resumedRequest, this->routed.profile.service);
-    if (version.has_value()) {
-        this->routed.profile.softwareVersion = std::move(*version);
+    if (version.isKnown) {
+        this->routed.profile.softwareVersion = std::move(version.text);
         co_return true;
     }
     RefusalResponse refusal
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -92,16 +92,16 @@
 
     std::optional<std::string> versionOf(const std::string &request)
     {
-        std::optional<std::optional<std::string>> version;
-        boost::asio::co_spawn(this->context, this->registry.hook()(request, service),
-            [&version](const std::exception_ptr &, std::optional<std::string> found) {
+        std::optional<StreamVersion> version;
+        boost::asio::co_spawn(
+            this->context, this->registry.hook()(request, service), [&version](const std::exception_ptr &, StreamVersion found) {
                 version = std::move(found);
             });
         EXPECT_TRUE(runUntil(this->context, [&version] {
             RuntimeClock::advance(1ms);
             return version.has_value();
         }));
-        return version.value_or(std::nullopt);
+        return version.has_value() && version->isKnown ? std::optional(version->text) : std::nullopt;
     }
 
     boost::asio::io_context &context;
--- a/tests/relay/streamversion_test.cpp
+++ b/tests/relay/streamversion_test.cpp
@@ -115,10 +115,9 @@
         return request;
     };
     CallerHooks hooks;
-    hooks.streamVersion
-        = [version](const std::string &request, const ServiceName &) -> asio::awaitable<std::optional<std::string>> {
+    hooks.streamVersion = [version](const std::string &request, const ServiceName &) -> asio::awaitable<StreamVersion> {
         EXPECT_EQ(request, "first");
-        co_return version;
+        co_return StreamVersion{version.has_value(), version.value_or(""), ""};
     };
     const Engines engines({"v1", "v2", "v1", "v2"}, adapter, hooks);
     const std::string response = engines.stream();
