Soak: servers that leave, ask for a pause, and have different software versions

Checked in the end: a server that left got no request 5 s after that was acknowledged (3 s for the freshness of an instance that cannot read the log), a server that asked for a pause got at most one request from each daemon, no stream went on at the other version. The checkers have tests of their own.

--- a/tests/process/checkers.cpp
+++ b/tests/process/checkers.cpp
@@ -148,6 +148,51 @@
     return violations;
 }
 
+Violations checkArrivals(const Json &backendAudit, std::chrono::milliseconds from, std::size_t allowed)
+{
+    const Json &runs = backendAudit.at("runs");
+    const auto late = std::count_if(runs.begin(), runs.end(), [from](const Json &run) {
+        return run.at("arrivalMs").get<std::int64_t>() >= from.count();
+    });
+    if (static_cast<std::size_t>(late) <= allowed) {
+        return {};
+    }
+    return {"a server got " + std::to_string(late) + " requests when it wanted at most " + std::to_string(allowed)};
+}
+
+Violations checkStreamVersions(const Json &firstAudit, const Json &secondAudit)
+{
+    constexpr const char *resumeField = "\"flamingosaddle_resume_tokens\":";
+    struct Part {
+        std::int64_t arrival;
+        int engine;
+        bool resumes;
+    };
+    std::map<std::string, std::vector<Part>> requests;
+    int engine = 0;
+    for (const Json *audit : {&firstAudit, &secondAudit}) {
+        ++engine;
+        for (const Json &run : audit->at("runs")) {
+            if (run.at("tokens") > 0) {
+                const bool resumes = run.at("body").get<std::string>().find(resumeField) != std::string::npos;
+                requests[run.at("requestId")].push_back({run.at("arrivalMs"), engine, resumes});
+            }
+        }
+    }
+    Violations violations;
+    for (auto &[request, parts] : requests) {
+        std::sort(parts.begin(), parts.end(), [](const Part &left, const Part &right) {
+            return left.arrival < right.arrival;
+        });
+        for (std::size_t i = 1; i < parts.size(); ++i) {
+            if (parts[i].resumes && parts[i].engine != parts[i - 1].engine) {
+                violations.push_back("request " + request + " went on at another software version");
+            }
+        }
+    }
+    return violations;
+}
+
 StreamedAnswer parseStream(const std::string &body)
 {
     StreamedAnswer answer;
--- a/tests/process/checkers.h
+++ b/tests/process/checkers.h
@@ -35,6 +35,12 @@
  */
 Violations checkRateLimit(const Json &backendAudit, double requestsPerSecond, std::chrono::milliseconds from);
 
+/** The backend server received at most @p allowed requests after @p from, on the steady clock. */
+Violations checkArrivals(const Json &backendAudit, std::chrono::milliseconds from, std::size_t allowed);
+
+/** No stream went on at the other one of two engines of different software versions. */
+Violations checkStreamVersions(const Json &firstAudit, const Json &secondAudit);
+
 /** What the events of a streamed answer carry, joined. */
 struct StreamedAnswer {
     std::string text;
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -145,6 +145,27 @@
     EXPECT_EQ(checkUsageReports({report(60, 9, 2, "i2"), report(120, 9, 1, "i1")}).size(), 1U);
 }
 
+TEST(Checkers, FindAServerThatGotRequestsItDidNotWant)
+{
+    const Json twoRuns = audit({{{"arrivalMs", 100}}, {{"arrivalMs", 200}}});
+    EXPECT_EQ(checkArrivals(twoRuns, std::chrono::milliseconds(201), 0), Violations{});
+    EXPECT_EQ(checkArrivals(twoRuns, std::chrono::milliseconds(150), 1), Violations{});
+    EXPECT_EQ(checkArrivals(twoRuns, std::chrono::milliseconds(150), 0).size(), 1U);
+}
+
+TEST(Checkers, FindAStreamThatWentOnAtAnotherSoftwareVersion)
+{
+    const auto part = [](const std::string &request, int arrival, int tokens, bool resumes) {
+        return Json{{"requestId", request}, {"arrivalMs", arrival}, {"tokens", tokens},
+            {"body", resumes ? R"({"flamingosaddle_resume_tokens":3})" : "{}"}};
+    };
+    const Json begun = audit({part("r", 1, 3, false)});
+    EXPECT_EQ(checkStreamVersions(begun, audit({part("r", 2, 3, true)})).size(), 1U);
+    EXPECT_EQ(checkStreamVersions(begun, audit({part("r", 2, 3, false)})), Violations{}) << "it began anew";
+    EXPECT_EQ(checkStreamVersions(begun, audit({part("other", 2, 3, true)})), Violations{});
+    EXPECT_EQ(checkStreamVersions(audit({part("r", 1, 3, false), part("r", 2, 3, true)}), audit({})), Violations{});
+}
+
 TEST(Checkers, FindAServerThatGotMoreThanItsRateLimitAllows)
 {
     const auto arrivals = [](const std::vector<int> &times) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -29,7 +29,14 @@
 constexpr Duration crashingPatience = std::chrono::milliseconds(500);
 constexpr std::chrono::seconds crashingLearningTime(20); ///< until all daemons refuse the part
 constexpr std::array<const char *, 4> places{"dc-a", "dc-a", "dc-b", "dc-c"};
-constexpr std::array<const char *, 4> backendIds{"engine-a", "engine-b", "bookings-b", "bookings-c"};
+constexpr const char *pausedService = "bookings-c";
+constexpr unsigned pauseSeconds = 30;
+constexpr std::chrono::milliseconds pauseLearningTime(2000);
+constexpr std::chrono::milliseconds pauseCheckTime(3000);
+constexpr const char *leavingService = "bookings-d";
+// An instance that cannot read the log serves for the freshness limit, and requests take a moment to arrive.
+constexpr std::chrono::milliseconds leavingTime(5000);
+constexpr std::array<const char *, 5> backendIds{"engine-a", "engine-b", "bookings-b", "bookings-c", "bookings-d"};
 constexpr std::array linkFaults{
     LinkFault::None, LinkFault::None, LinkFault::Delayed, LinkFault::Silent, LinkFault::OneWay, LinkFault::Reset};
 constexpr std::array<const char *, linkFaults.size()> faultNames{
@@ -43,6 +50,11 @@
         "--progress-timeout", "1500", "--freshness-limit", "3000"};
 }
 
+std::chrono::milliseconds sinceClockStart()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+}
+
 /** Returns the lines of a log that contain a request id of one of the violations. */
 std::string linesAbout(const std::string &log, const Violations &violations)
 {
@@ -87,6 +99,9 @@
         BackendProcess &backend = isEngine ? this->cluster.addEngine(id, "dc-a", pace) : this->cluster.addService(id, "dc-b");
         const LoopbackProxy &link = this->backendLinks.emplace_back(backend.standin.address);
         backend.configuration["endpoint"] = link.address().text();
+        if (isEngine && this->hasEngineVersions()) {
+            backend.configuration["softwareVersion"] = id;
+        }
     }
     for (std::size_t place = 0; place < this->options.daemons; ++place) {
         this->startDaemon(place);
@@ -194,9 +209,11 @@
     this->endDraining();
     Violations wrong = this->checkServing();
     const Violations exceeded = this->checkLimitKept();
+    const Violations paused = this->checkPauseKept();
     const Violations crashing = this->options.checksCrashingPart ? this->checkCrashingPart() : Violations();
     this->stopCallers();
-    for (const Violations &more : {exceeded, crashing, this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
+    for (const Violations &more : {exceeded, paused, crashing, this->checkLeft(), this->checkVersions(), this->checkWithdrawal(),
+             this->checkOutcomes(), this->cluster.check()}) {
         wrong.insert(wrong.end(), more.begin(), more.end());
     }
     return wrong;
@@ -337,8 +354,8 @@
 {
     const char *id = backendIds[this->below(backendIds.size())];
     const std::vector<Json> faults{{{"loseAnswer", 1}}, {{"closeBeforeAnswer", 1}}, {{"delayMs", 200}}, {{"status", 503}},
-        {{"truncateAfter", 5}}, {{"rateLimit", 1}}, {{"rateLimit", 5}}, {{"rateLimit", nullptr}},
-        {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}}};
+        {{"status", 503}, {"retryAfter", 1}}, {{"truncateAfter", 5}}, {{"rateLimit", 1}}, {{"rateLimit", 5}},
+        {{"rateLimit", nullptr}}, {{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}, {"retryAfter", 0}}};
     const Json &fault = faults[this->below(faults.size())];
     this->note(std::string(id) + " " + fault.dump());
     this->cluster.backend(id).standin.setFaults(fault);
@@ -351,6 +368,13 @@
         this->isWithdrawn = this->cluster.cli({"--timeout", "2000", "key", "withdraw", this->withdrawn.id}).exitCode == 0;
         return;
     }
+    if (!this->leftAt.has_value() && this->below(3) == 0) {
+        this->note(std::string(leavingService) + " leaves");
+        if (this->cluster.cli({"--timeout", "2000", "backend", "drain", leavingService}).exitCode == 0) {
+            this->leftAt = sinceClockStart();
+        }
+        return;
+    }
     const std::string id = "village-" + std::to_string(++this->accounts);
     this->note("client account " + id);
     const Json account = {{"id", id}, {"templateName", "standard"}, {"templateVersion", 1}, {"models", {"baraka-8b"}}};
@@ -387,24 +411,52 @@
         {{"log", {{"down", false}, {"delayMs", 0}, {"loseAnswers", 0}}}, {"usage", {{"down", false}, {"loseAnswers", 0}}}});
     for (const char *id : backendIds) {
         this->cluster.backend(id).standin.setFaults({{"truncateAfter", nullptr}, {"delayMs", 0}, {"status", 0}, {"loseAnswer", 0},
-            {"closeBeforeAnswer", 0}, {"rateLimit", nullptr}});
+            {"closeBeforeAnswer", 0}, {"rateLimit", nullptr}, {"retryAfter", 0}});
     }
 }
 
 Violations Soak::checkLimitKept()
 {
-    const auto now = [] {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
-    };
     this->note(std::string(limitedService) + " states a rate limit");
     this->cluster.backend(limitedService).standin.setFaults({{"rateLimit", limitedRate}});
-    const std::chrono::milliseconds binding = now() + limitLearningTime;
+    const std::chrono::milliseconds binding = sinceClockStart() + limitLearningTime;
     waitUntil([&] {
-        return now() > binding + limitCheckTime;
+        return sinceClockStart() > binding + limitCheckTime;
     });
     return checkRateLimit(this->cluster.backend(limitedService).audit(), limitedRate, binding);
 }
 
+Violations Soak::checkPauseKept()
+{
+    this->note(std::string(pausedService) + " asks for a pause");
+    this->cluster.backend(pausedService).standin.setFaults({{"status", 503}, {"retryAfter", pauseSeconds}});
+    const std::chrono::milliseconds binding = sinceClockStart() + pauseLearningTime;
+    waitUntil([&] {
+        return sinceClockStart() > binding + pauseCheckTime;
+    });
+    // Each daemon learns of the pause by a request of its own.
+    return checkArrivals(this->cluster.backend(pausedService).audit(), binding, this->options.daemons);
+}
+
+bool Soak::hasEngineVersions() const
+{
+    return this->options.seed % 2 == 1;
+}
+
+Violations Soak::checkVersions()
+{
+    const auto audit = [this](const char *engine) {
+        return this->cluster.backend(engine).audit();
+    };
+    return this->hasEngineVersions() ? checkStreamVersions(audit("engine-a"), audit("engine-b")) : Violations();
+}
+
+Violations Soak::checkLeft()
+{
+    const BackendProcess &backend = this->cluster.backend(leavingService);
+    return this->leftAt.has_value() ? checkArrivals(backend.audit(), *this->leftAt + leavingTime, 0) : Violations();
+}
+
 Violations Soak::checkCrashingPart()
 {
     this->note("requests with a crashing part come");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -71,6 +71,13 @@
     Violations checkServing();
     /** States a rate limit once all faults have ended and checks that the daemons keep it. */
     Violations checkLimitKept();
+    /** Lets a server turn requests away with Retry-After once all faults have ended and checks that it is left alone. */
+    Violations checkPauseKept();
+    /** Returns whether the engines have different software versions in this run. */
+    bool hasEngineVersions() const;
+    Violations checkVersions();
+    /** Checks that a server that left got no request afterwards. */
+    Violations checkLeft();
     /** Checks that all daemons soon refuse requests with a message that makes engines restart, and serve other requests. */
     Violations checkCrashingPart();
     Violations checkWithdrawal();
@@ -92,6 +99,7 @@
     GivenKey key;
     GivenKey withdrawn;
     bool isWithdrawn = false;
+    std::optional<std::chrono::milliseconds> leftAt; // when a server was acknowledged to leave
     unsigned accounts = 0;
     unsigned crashingRequests = 0;
 
--- a/tests/standins/backendfaults.cpp
+++ b/tests/standins/backendfaults.cpp
@@ -17,6 +17,7 @@
     this->closeBeforeAnswer = faults.value("closeBeforeAnswer", this->closeBeforeAnswer);
     this->loseAnswer = faults.value("loseAnswer", this->loseAnswer);
     this->status = faults.value("status", this->status);
+    this->retryAfter = faults.value("retryAfter", this->retryAfter);
     if (faults.contains("rateLimit")) {
         const Json &limit = faults.at("rateLimit");
         this->rateLimit = limit.is_null() ? std::nullopt : std::optional<double>(limit.get<double>());
--- a/tests/standins/backendfaults.h
+++ b/tests/standins/backendfaults.h
@@ -22,6 +22,7 @@
     unsigned closeBeforeAnswer = 0; ///< requests that are not run, their connection closed
     unsigned loseAnswer = 0; ///< requests that are run and their connection closed unanswered
     int status = 0; ///< answers every request with this status, without running it; 0 switches it off
+    unsigned retryAfter = 0; ///< seconds that a response with that status asks to wait; 0 for none
     std::optional<double> rateLimit; ///< requests per second that responses state; null switches it off
     double slowFactor = 1.0; ///< multiplies the time between tokens
 
--- a/tests/standins/backendfront.cpp
+++ b/tests/standins/backendfront.cpp
@@ -101,7 +101,10 @@
     }
     if (this->activeFaults.status != 0) {
         this->audit.end(run, RunEnd::NotRun);
-        const HttpResponse response = errorResponse(this->activeFaults.status, "fault", "switched on by the test");
+        HttpResponse response = errorResponse(this->activeFaults.status, "fault", "switched on by the test");
+        if (this->activeFaults.retryAfter > 0) {
+            response.headers.set("Retry-After", std::to_string(this->activeFaults.retryAfter));
+        }
         const Result<void> ignored = co_await exchange.respond(response);
         co_return;
     }
