--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -93,10 +93,10 @@
     std::optional<std::string> versionOf(const std::string &request)
     {
         std::optional<StreamVersion> version;
-        boost::asio::co_spawn(
-            this->context, this->registry.hook()(request, service), [&version](const std::exception_ptr &, StreamVersion found) {
-                version = std::move(found);
-            });
+        const StreamVersionHook hook = this->registry.hook(); // outlives its coroutine
+        boost::asio::co_spawn(this->context, hook(request, service), [&version](const std::exception_ptr &, StreamVersion found) {
+            version = std::move(found);
+        });
         EXPECT_TRUE(runUntil(this->context, [&version] {
             RuntimeClock::advance(1ms);
             return version.has_value();
