--- a/tests/relay/streamversion_test.cpp
+++ b/tests/relay/streamversion_test.cpp
@@ -157,8 +157,10 @@
     hooks.onStreamCompleted = [&completed](const std::string &request) {
         completed.push_back(request);
     };
-    const Engines engines({"v1"}, numberedStreamAdapter(), hooks);
-    engines.stream();
+    {
+        const Engines engines({"v1"}, numberedStreamAdapter(), hooks);
+        engines.stream();
+    } // joins the threads that call the hooks
     EXPECT_EQ(begun, std::vector<std::string>{"v1"}) << "once, though the stream broke off";
     EXPECT_EQ(completed.size(), 1U);
 }
