--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -84,11 +84,13 @@
 
     /**
      * Returns @p outcome, but ServerError for a ServerFailed of a request that started after the server's last death, while the
-     * server may still restart: the death is not the request's.
+     * server may still restart: the restart, and not the request, is the cause of the failure.
      */
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
 
-    /** Lets the request be retried only on servers with the software version of the current one, because it continues its stream.
+    /**
+     * Lets the request be retried only on servers with the software version of the current one, because it continues its
+     * stream.
      */
     void requireSameVersion(Ticket ticket);
 
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -129,7 +129,9 @@
     /** Sends no requests to the server until @p until, or until the later end of a pause that it is in. */
     void pause(ServerIndex server, TimePoint until);
 
-    /** Lets the servers with a rate limit take the requests that have become due until @p now, and ends the pauses that are over.
+    /**
+     * Lets the servers with a rate limit take the requests that have become due until @p now, and ends the pauses that are
+     * over.
      */
     void advanceTo(TimePoint now);
 
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds initialRetryDelay(100);
 constexpr std::chrono::seconds maxRetryDelay(2);
 constexpr std::chrono::milliseconds refreshPollInterval(2); // while another resumption refreshes
-// A stream that is resumed may have been resumed before: its first request and the resumption each last up to the time limit.
+// A stream lasts for its first request and its last resumption, each up to the time limit.
 constexpr int requestsPerStream = 2;
 
 /** Returns the longest time from the begin of a resumable stream to its last resumption. */
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -138,7 +138,7 @@
         return *this->runs.back();
     }
 
-    /** Kills the instance: it saves nothing any more. */
+    /** Ends the instance at once: what it has not saved is lost. */
     void kill(RunningInstance &run)
     {
         run.instance.isStoreUnreachable = true;
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -145,7 +145,7 @@
     EXPECT_EQ(checkUsageReports({report(60, 9, 2, "i2"), report(120, 9, 1, "i1")}).size(), 1U);
 }
 
-TEST(Checkers, FindAServerThatGotRequestsItDidNotWant)
+TEST(Checkers, FindAServerThatGotRequestsDuringAPause)
 {
     const Json twoRuns = audit({{{"arrivalMs", 100}}, {{"arrivalMs", 200}}});
     EXPECT_EQ(checkArrivals(twoRuns, std::chrono::milliseconds(201), 0), Violations{});
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -71,7 +71,7 @@
     Violations checkServing();
     /** States a rate limit once all faults have ended and checks that the daemons keep it. */
     Violations checkLimitKept();
-    /** Lets a server turn requests away with Retry-After once all faults have ended and checks that it is left alone. */
+    /** Lets a server turn requests away with Retry-After once all faults have ended and checks that it gets none until then. */
     Violations checkPauseKept();
     /** Returns whether the engines have different software versions in this run. */
     bool hasEngineVersions() const;
--- a/tests/state/streamorigins_test.cpp
+++ b/tests/state/streamorigins_test.cpp
@@ -29,7 +29,7 @@
     return servers;
 }
 
-/** The knowledge of two instances, each with its own clocks. */
+/** The stream origins that two instances know, each with its own clock. */
 struct StreamOriginsTest : testing::Test {
     StreamOrigins writer;
     StreamOrigins reader;
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -110,7 +110,7 @@
 }
 
 // A server that restarts after a crash closes connections that it has just accepted.
-TEST(Dispatcher, ARequestThatMetARestartingServerIsNotBlamedForItsDeath)
+TEST(Dispatcher, AFailureDuringARestartIsNotAttributedToTheRequest)
 {
     Dispatcher dispatcher{DispatcherOptions()};
     dispatcher.setServers({serverOf("s", 8)}, TimePoint());
