--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -79,11 +79,6 @@
     std::optional<std::string> soleVersion(const ServiceName &service, TimePoint now) const;
 
 private:
-    struct Stream {
-        StreamOrigin origin;
-        TimePoint knownAt;
-    };
-
     struct Service {
         std::set<std::string> versions; // of the servers when it last had any
         std::optional<TimePoint> mixedAt; // when there were last known to be several versions
@@ -95,7 +90,7 @@
 
     Duration lifetime = Duration::zero();
     std::map<ServiceName, Service> services;
-    std::unordered_map<std::uint64_t, Stream> streams;
+    std::unordered_map<std::uint64_t, StreamOrigin> streams;
     std::deque<std::pair<TimePoint, std::uint64_t>> byAge; // oldest first
     std::vector<std::uint64_t> unsaved; // of this instance
 };
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -92,7 +92,7 @@
 
 void StreamOrigins::add(std::uint64_t stream, StreamOrigin origin, TimePoint now)
 {
-    this->streams.insert_or_assign(stream, Stream{std::move(origin), now});
+    this->streams.insert_or_assign(stream, std::move(origin));
     this->byAge.emplace_back(now, stream);
     if (this->byAge.size() > maxStreams) {
         this->streams.erase(this->byAge.front().second);
@@ -128,7 +128,7 @@
         if (stream == this->streams.end()) {
             return true;
         }
-        const StreamOrigin &origin = stream->second.origin;
+        const StreamOrigin &origin = stream->second;
         const auto service = this->services.find(origin.service);
         if (service == this->services.end() || !service->second.isMixed(this->lifetime + clockMargin, now)) {
             return false;
@@ -166,7 +166,7 @@
 const StreamOrigin *StreamOrigins::find(std::uint64_t stream) const
 {
     const auto found = this->streams.find(stream);
-    return found == this->streams.end() ? nullptr : &found->second.origin;
+    return found == this->streams.end() ? nullptr : &found->second;
 }
 
 std::optional<std::string> StreamOrigins::soleVersion(const ServiceName &service, TimePoint now) const
