--- a/review/standins/client.cc
+++ b/review/standins/client.cc
@@ -1,6 +1,6 @@
 // Clients that keep their connections.
 //   client --record FILE --to IP:PORT,... --clients N --per-s N --for-s S --deadline-ms N --method M --path P --host H --key K
-//          --name PREFIX
+//          --name PREFIX [--body-kb N]
 // Each client sends its next request after the last one was answered, given up or lost. A client that has waited for its
 // deadline closes its connection. Written for each request: its id, the number of requests before it on the connection, the
 // milliseconds until the end, and the status, "none" at the deadline, or "closed".
@@ -26,6 +26,7 @@
     const std::string host = option(argc, argv, "--host");
     const std::string key = option(argc, argv, "--key");
     const std::string name = option(argc, argv, "--name", "c");
+    const std::size_t padding = std::stoull(option(argc, argv, "--body-kb", "0")) * 1000;
     std::vector<std::thread> threads;
     for (int client = 0; client < clients; ++client) {
         threads.emplace_back([&, client] {
@@ -45,7 +46,7 @@
                 }
                 std::string result = "refused";
                 if (fd >= 0) {
-                    const std::string body = method == "POST" ? "order " + id : "";
+                    const std::string body = method == "POST" ? "order " + id + std::string(padding, ' ') : "";
                     sendAll(fd,
                         method + " " + path + id + " HTTP/1.1\r\nHost: " + host + "\r\nFlamingosaddle-Request-Id: " + id
                             + "\r\nFlamingosaddle-Deadline-Ms: " + std::to_string(patience) + "\r\nAuthorization: Bearer " + key
