--- a/review/standins/server.cc
+++ b/review/standins/server.cc
@@ -82,7 +82,7 @@
                 std::string head = "HTTP/1.1 200 OK\r\n" + common + "Flamingosaddle-Response-Signature: s." + requestId + "\r\n";
                 if (fault.kind == "chunk-size") {
                     head += "Transfer-Encoding: chunked\r\n\r\n";
-                    filler.assign(16384, 'x');
+                    filler.assign(fault.bytesPerSecond > 1000000 ? 16384 : 64, 'x');
                 } else if (fault.kind == "rejected") {
                     head = "HTTP/1.1 503 Service Unavailable\r\n" + common + "Flamingosaddle-Not-Executed: 1\r\n\r\n";
                 } else if (fault.kind == "head") {
