--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for name in platform server client machine; do
-    c++ -std=c++20 -O2 -pthread -o "target/review/$name" "review/standins/$name.cc" &
+    c++ -std=c++20 -O2 -pthread -o "target/review/$name" "review/$name.cc" &
     builds+=($!)
 done
 for build in "${builds[@]}"; do
