Bytes that no parser takes are bounded: endless chunk framing no longer fills the memory

Cause: the parser takes a chunk's size line, its extensions and the trailer only as a whole. ClientConnection kept what was not taken, and read on; the limit of 64 KiB held for heads only. ServerConnection did the same with requests, and a stream to an HTTP/1.0 caller was held back without a limit.

Ruled out: buffered bodies, events of a stream, fetch() and frames of peers, which have limits of their own.

--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -24,6 +24,7 @@
 struct HttpServerLimits {
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
+    std::size_t maxHeldBackBytes = std::size_t{8} * 1024 * 1024; ///< of an answer that is kept until it is whole (HTTP/1.0)
     std::size_t maxConnections = 4096;
     Duration headerTimeout = std::chrono::seconds(10); ///< from the first byte of a request to the end of its header
     Duration bodyTimeout = std::chrono::seconds(30); ///< from the end of the header to the end of the body
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -27,6 +27,8 @@
 {
 
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+// Chunk headers, their extensions and trailer fields are parsed only as a whole, so that they are kept until their end.
+constexpr std::size_t maxUnparsedBytes = maxHeadBytes;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
@@ -196,6 +198,11 @@
     if (error && error != http::error::need_more) {
         return fail(ErrorKind::Protocol, this->host + " sent no valid HTTP/1.1: " + error.message(), "correct the server");
     }
+    if (this->input.size() > maxUnparsedBytes) {
+        return fail(ErrorKind::Protocol,
+            this->host + " sent over " + std::to_string(maxUnparsedBytes) + " bytes that are no part of an HTTP/1.1 response yet",
+            "correct the server");
+    }
     return success();
 }
 
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -101,6 +101,19 @@
     }
 }
 
+// Guards against a faulty server that fills the memory of its caller with bytes that the parser cannot use.
+TEST(HttpClient, ChunkFramingWithoutEndIsAProtocolError)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string endless(std::size_t{1024} * 1024, '1');
+    for (const char *beginning : {"", "3;", "3\r\nabc\r\n3;", "0\r\n", "0\r\nTrailer: "}) {
+        RawServer server(head + beginning + endless);
+        const Result<HttpResponse> response = fetchFrom(server.endpoint());
+        ASSERT_FALSE(response.has_value()) << beginning;
+        EXPECT_EQ(response.error().kind(), ErrorKind::Protocol) << beginning;
+    }
+}
+
 TEST(HttpClient, InterimAnswersArePassedOver)
 {
     RawServer server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -1,6 +1,7 @@
 #include "httpfixture.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <pthread.h>
@@ -37,6 +38,16 @@
     }
 }
 
+void ContextThread::settle()
+{
+    // Handlers that are ready run before or between these.
+    for (int round = 0; round < 3; ++round) {
+        this->await([]() -> asio::awaitable<void> {
+            co_return;
+        }());
+    }
+}
+
 std::chrono::nanoseconds ContextThread::cpuTime()
 {
     clockid_t clock{};
@@ -160,4 +171,31 @@
     return {"127.0.0.1", this->acceptor.local_endpoint().port()};
 }
 
+ManualServer::ManualServer()
+    : acceptor(this->context, tcp::endpoint(asio::ip::make_address(ownLoopbackAddress()), 0))
+    , socket(this->context)
+{
+}
+
+Endpoint ManualServer::endpoint() const
+{
+    const tcp::endpoint local = this->acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
+void ManualServer::acceptRequest()
+{
+    this->socket = this->acceptor.accept();
+    this->socket.set_option(tcp::no_delay(true));
+    std::string request;
+    asio::read_until(this->socket, asio::dynamic_buffer(request), "\r\n\r\n");
+}
+
+bool ManualServer::send(std::string_view bytes)
+{
+    boost::system::error_code error;
+    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()), error);
+    return !error;
+}
+
 } // namespace flamingosaddle::test
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -35,6 +35,9 @@
 
     boost::asio::io_context context{1};
 
+    /** Returns after the thread has handled what was ready. */
+    void settle();
+
     /**
      * Processor time that the thread has used.
      */
@@ -141,4 +144,24 @@
     std::thread thread;
 };
 
+/**
+ * A TCP server that the test plays itself, with one connection at a time.
+ */
+class ManualServer
+{
+public:
+    ManualServer();
+
+    Endpoint endpoint() const;
+    /** Waits for a connection, which replaces the one before, and for the head of its first request. */
+    void acceptRequest();
+    /** Returns whether the bytes were sent; they are not once the client has closed the connection. */
+    bool send(std::string_view bytes);
+
+private:
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::ip::tcp::socket socket;
+};
+
 } // namespace flamingosaddle::test
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -115,6 +115,37 @@
     EXPECT_TRUE(statusLine(chunked.readAll()).starts_with("HTTP/1.1 413"));
 }
 
+// Guards against a caller that fills the memory of the server with bytes that the parser cannot use.
+TEST(HttpServer, RefusesChunkFramingWithoutEnd)
+{
+    TestServer server(echo, smallLimits());
+    for (const char *beginning : {"", "3;", "3\r\nabc\r\n3;", "0\r\n", "0\r\nTrailer: "}) {
+        RawClient client(server.endpoint());
+        client.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(beginning) + std::string(4000, '1'));
+        EXPECT_EQ(statusLine(client.readAll()), "HTTP/1.1 400 Bad Request") << beginning;
+    }
+}
+
+// Guards against a body that fills the memory, since an answer to HTTP/1.0 is kept until it is whole.
+TEST(HttpServer, AStreamToAnOldClientIsNotKeptWithoutLimit)
+{
+    HttpServerLimits limits;
+    limits.maxHeldBackBytes = 1000;
+    TestServer server(
+        [](HttpExchange &exchange) -> awaitable<void> {
+            Result<void> written = co_await exchange.beginStream(200, {});
+            EXPECT_TRUE(written.has_value());
+            for (int pieces = 0; pieces < 10 && written.has_value(); ++pieces) {
+                written = co_await exchange.writePiece(std::string(200, 'x'));
+            }
+            EXPECT_TRUE(written.has_error());
+        },
+        limits);
+    RawClient client(server.endpoint());
+    client.send("GET / HTTP/1.0\r\n\r\n");
+    EXPECT_EQ(client.readAll(), "");
+}
+
 TEST(HttpServer, RefusesASlowSender)
 {
     TestServer server(echo, smallLimits());
