A planned stop refuses requests that can no longer complete, in place of cutting them

Cause: the dispatcher was not told of the drain. It queued and started requests up to the end, and what still waited was closed with the process.

Ruled out: the drain's order (readiness, listener, kept connections), which holds; requests that ran got their answers as long as the servers were in time.

Fix: the dispatcher knows when the instance stops. A request waits as long as it can still complete, by the mean holding time of its class and two deviations, and is then refused as not run; one that arrives is refused at once if the forecast of its wait is longer. The place is the one for deadlines of waiting requests, so that queued, parked and retried requests have it alike.

--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -66,6 +66,12 @@
     /** Replaces the set of backend servers. Requests running on a removed or leaving server continue until they finish. */
     void setServers(const std::vector<BackendServer> &servers, TimePoint now);
 
+    /**
+     * Announces that this instance stops at @p end. From now on a request is refused as Draining as soon as it is unlikely to
+     * complete by then, so that other instances can serve it.
+     */
+    void drain(TimePoint end);
+
     /** Applies a load report of a backend server. */
     void applyLoadReport(const ServerLoadReport &report);
 
--- a/include/flamingosaddle/traffic/requeststatistics.h
+++ b/include/flamingosaddle/traffic/requeststatistics.h
@@ -60,6 +60,9 @@
     /** Returns the mean time from the start on a server to the first token, or 0 while unknown. */
     double firstTokenSeconds(TargetIndex target) const;
 
+    /** Returns a time in which nearly all requests of the class complete on a server, or 0 until one has completed. */
+    Duration longHold(ClassIndex requestClass) const;
+
     double outputTokens(ClassIndex requestClass) const;
     double arrivalsPerSecond(LaneIndex lane, TimePoint now) const;
 
@@ -69,9 +72,16 @@
         MovingAverage firstToken{0.05};
     };
 
+    // Slot holding times in seconds and their squares.
+    struct HoldTimes {
+        MovingAverage mean{0.05};
+        MovingAverage meanSquare{0.05};
+    };
+
     Target &findOrAddTarget(TargetIndex target);
 
     std::vector<Target> targets;
+    std::vector<HoldTimes> holdTimesByClass; // by class
     std::vector<MovingAverage> outputTokensByClass; // by class
     std::vector<RateMeter> arrivals; // by lane
 };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -25,6 +25,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <random>
@@ -38,6 +39,7 @@
 
 constexpr std::chrono::milliseconds drainPollInterval(10);
 constexpr std::chrono::seconds handOverLimit(5);
+constexpr std::chrono::milliseconds drainAnswerTime(200); // at the end of a drain, for answers to reach their callers
 constexpr std::size_t forwardingHeaderBytes = 1024; // that an instance adds to a request which it forwards
 
 InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
@@ -514,6 +516,10 @@
         }
         this->draining = true;
         this->controller.beginDrain();
+        const Duration serving = std::max<Duration>(this->settings.drainTimeout - drainAnswerTime, Duration::zero());
+        this->gate.update([serving](Dispatcher &dispatcher, TimePoint now) {
+            dispatcher.drain(now + serving);
+        });
         logEvent(LogLevel::Info, "app", "draining");
         boost::asio::co_spawn(this->controlContext, this->drain(), boost::asio::detached);
     }
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -423,7 +423,9 @@
 bool CallerExchange::isLeftToOthers(const RefusalResponse &refusal) const
 {
     const bool isUnreachable = refusal.reason == RefusalReason::Unreachable;
-    return this->forwarded.has_value() && refusal.runState == RunState::NotRun && (isUnreachable || this->isConfigBehind);
+    const bool isDraining = refusal.reason == RefusalReason::Draining;
+    return this->forwarded.has_value() && refusal.runState == RunState::NotRun
+        && (isUnreachable || isDraining || this->isConfigBehind);
 }
 
 asio::awaitable<void> CallerExchange::failRequest(AttemptResult result, Refusal refusal)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -28,6 +28,11 @@
     this->implementation->setServers(servers, now);
 }
 
+void Dispatcher::drain(TimePoint end)
+{
+    this->implementation->drain(end);
+}
+
 void Dispatcher::applyLoadReport(const ServerLoadReport &report)
 {
     this->implementation->pool.applyLoadReport(report);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -190,6 +190,10 @@
     if (record.deadline <= now) {
         return RefusalReason::DeadlineMissed;
     }
+    if (this->waitLimit(record) <= now) {
+        // The failure of the last attempt says more than the drain about a request that may have run.
+        return record.wasSent ? RefusalReason::RetriesExhausted : RefusalReason::Draining;
+    }
     if ((record.wasSent && !record.idempotent) || record.attempts >= record.maxAttempts) {
         return this->mayForward(record) ? RefusalReason::Unreachable : RefusalReason::RetriesExhausted;
     }
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -160,7 +160,7 @@
 {
     this->requests.record(index).parked = true;
     this->parked.push_back(index);
-    this->deadlines.add(index, this->requests.record(index).deadline);
+    this->waitLimits.add(index, this->waitLimit(this->requests.record(index)));
 }
 
 void Dispatcher::Implementation::releaseParked(TimePoint now)
@@ -173,7 +173,7 @@
             continue;
         }
         record.parked = false;
-        this->deadlines.remove(index);
+        this->waitLimits.remove(index);
         this->addToQueue(index, now);
     }
 }
@@ -246,6 +246,10 @@
     QueueEntry &entry, std::chrono::milliseconds firstTokenTarget, TimePoint now)
 {
     const WaitForecast wait = forecastWait(this->queueSnapshot(entry, now));
+    const std::optional<TimePoint> latest = this->latestStart(entry.requestClass);
+    if (latest.has_value() && wait.waitSeconds >= std::chrono::duration<double>(*latest - now).count()) {
+        return refusalNotRun(RefusalReason::Draining, otherInstanceRetryAfter);
+    }
     if (!this->policies.admission(wait, firstTokenTarget)) {
         const std::optional<RequestIndex> victim
             = this->policies.allowsEviction ? this->queue.victimBelow(entry.tier, entry.target) : std::nullopt;
@@ -318,7 +322,7 @@
     if (record.isPromptKnown()) {
         this->backlog(record.entry.target).recordWaiting(record.entry.tier, record.prompt.promptTokens, now);
     }
-    this->deadlines.add(index, record.deadline);
+    this->waitLimits.add(index, this->waitLimit(record));
 }
 
 void Dispatcher::Implementation::removeFromQueue(RequestIndex index, bool started, TimePoint now)
@@ -326,14 +330,14 @@
     const RequestRecord &record = this->requests.record(index);
     if (record.parked) {
         std::erase(this->parked, index);
-        this->deadlines.remove(index);
+        this->waitLimits.remove(index);
         return;
     }
     if (record.isPromptKnown()) {
         this->backlog(record.entry.target).recordEnd(record.entry.tier, record.prompt.promptTokens, started, now);
     }
     this->queue.remove(index);
-    this->deadlines.remove(index);
+    this->waitLimits.remove(index);
 }
 
 void Dispatcher::Implementation::reject(RequestIndex index, RefusalReason reason, TimePoint now)
@@ -358,6 +362,9 @@
             reason, record.wasSent ? RunState::Unknown : RunState::NotRun, this->retryAfterQuarantine(record.promptParts, now)};
     }
     const RunState runState = record.wasSent ? RunState::Unknown : RunState::NotRun;
+    if (reason == RefusalReason::Draining) {
+        return Refusal{reason, runState, otherInstanceRetryAfter};
+    }
     if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target)) {
         return Refusal{reason, runState, std::chrono::ceil<std::chrono::seconds>(std::max(*pausedUntil - now, Duration::zero()))};
     }
@@ -406,8 +413,10 @@
 
 void Dispatcher::Implementation::rejectExpired(TimePoint now)
 {
-    while (!this->deadlines.isEmpty() && this->deadlines.earliestDeadline() <= now) {
-        this->reject(this->deadlines.earliestMember(), RefusalReason::DeadlineMissed, now);
+    while (!this->waitLimits.isEmpty() && this->waitLimits.earliestDeadline() <= now) {
+        const RequestIndex index = this->waitLimits.earliestMember();
+        const bool isDeadline = this->requests.record(index).deadline <= now;
+        this->reject(index, isDeadline ? RefusalReason::DeadlineMissed : RefusalReason::Draining, now);
     }
 }
 
@@ -772,10 +781,10 @@
 
 std::optional<TimePoint> Dispatcher::Implementation::nextWakeup() const
 {
-    if (this->deadlines.isEmpty()) {
+    if (this->waitLimits.isEmpty()) {
         return std::nullopt;
     }
-    const TimePoint deadline = this->deadlines.earliestDeadline();
+    const TimePoint deadline = this->waitLimits.earliestDeadline();
     if (!this->parked.empty()) {
         // The message that ends the wait may be lost, so parked requests are also checked periodically.
         return std::min(deadline, this->lastDispatch + parkedRecheckInterval);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -44,6 +44,7 @@
     std::optional<Refusal> retry(Ticket ticket, AttemptOutcome outcome, bool anyByteSent, TimePoint now);
     void cancel(Ticket ticket, TimePoint now);
     void setServers(const std::vector<BackendServer> &servers, TimePoint now);
+    void drain(TimePoint end);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
     void applyPeerServedTokens(const ServedTokensReport &report);
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
@@ -152,7 +153,12 @@
     void reject(RequestIndex index, RefusalReason reason, TimePoint now);
     Refusal refusalFor(const RequestRecord &record, RefusalReason reason, TimePoint now) const;
     std::chrono::seconds retryAfterQuarantine(const std::vector<std::uint64_t> &promptParts, TimePoint now) const;
+    /** Rejects the waiting requests whose deadlines have passed, or that this instance can no longer complete before it stops. */
     void rejectExpired(TimePoint now);
+    /** Returns the last time at which a request of the class may start, if this instance is draining. */
+    std::optional<TimePoint> latestStart(ClassIndex requestClass) const;
+    /** Returns until when the request may wait for a server. */
+    TimePoint waitLimit(const RequestRecord &record) const;
     void rejectUnservable(TimePoint now);
     /** Rejects the waiting requests whose servers are all paused until after their deadlines. */
     void rejectPaused(TimePoint now);
@@ -207,7 +213,8 @@
     std::vector<PromptBacklog> backlogs; // by target
     std::map<TargetIndex, int> peerWaitingTiers; // highest tier by target; no entry if nothing waits
     RequestTable requests;
-    DeadlineHeap deadlines; // of queued and parked requests
+    DeadlineHeap waitLimits; // of queued and parked requests
+    std::optional<TimePoint> drainEnd; // when this instance stops, if it is draining
     std::vector<Tier> tiers; // sorted, highest first
     Interner<ClientAccountId> accounts;
     Interner<ClassKey, ClassKeyHash> classes;
--- a/src/traffic/requeststatistics.cpp
+++ b/src/traffic/requeststatistics.cpp
@@ -1,5 +1,6 @@
 #include <flamingosaddle/traffic/requeststatistics.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace flamingosaddle
@@ -8,6 +9,9 @@
 namespace
 {
 
+// Of holding times above their mean; one request in forty takes longer if they are spread normally.
+constexpr double longHoldDeviations = 2.0;
+
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -47,6 +51,11 @@
 void RequestStatistics::recordCompletion(TargetIndex target, ClassIndex requestClass, Duration held, std::uint64_t tokens)
 {
     this->findOrAddTarget(target).hold.add(secondsOf(held));
+    if (requestClass >= this->holdTimesByClass.size()) {
+        this->holdTimesByClass.resize(requestClass + 1);
+    }
+    this->holdTimesByClass[requestClass].mean.add(secondsOf(held));
+    this->holdTimesByClass[requestClass].meanSquare.add(secondsOf(held) * secondsOf(held));
     if (requestClass >= this->outputTokensByClass.size()) {
         this->outputTokensByClass.resize(requestClass + 1, MovingAverage(0.05));
     }
@@ -61,6 +70,17 @@
     return this->targets[target].hold.value();
 }
 
+Duration RequestStatistics::longHold(ClassIndex requestClass) const
+{
+    if (requestClass >= this->holdTimesByClass.size()) {
+        return Duration::zero();
+    }
+    const double mean = this->holdTimesByClass[requestClass].mean.value();
+    const double variance = std::max(0.0, this->holdTimesByClass[requestClass].meanSquare.value() - mean * mean);
+    const std::chrono::duration<double> hold(mean + longHoldDeviations * std::sqrt(variance));
+    return std::chrono::duration_cast<Duration>(hold);
+}
+
 double RequestStatistics::firstTokenSeconds(TargetIndex target) const
 {
     return target < this->targets.size() ? this->targets[target].firstToken.value() : 0.0;
--- /dev/null
+++ b/tests/process/drain_test.cpp
@@ -0,0 +1,74 @@
+// A planned stop of a daemon under load. Guards against requests that end without an answer.
+
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <future>
+
+using namespace flamingosaddle;
+using namespace flamingosaddle::process;
+
+namespace
+{
+
+constexpr std::size_t slots = 8; // of the engine
+constexpr std::size_t requestCount = 12;
+
+/** One daemon before an engine that reads requests and does not answer. */
+class Drain : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->cluster.addEngine("engine-a", "dc-a");
+        this->cluster.addService("bookings-a", "dc-a");
+        this->cluster.addDaemon("dc-a", "i1", {"--drain-notice", "200", "--drain-timeout", "2000"});
+        this->cluster.publishStandardConfiguration();
+        this->key = this->cluster.giveKey("bakery");
+        this->cluster.waitUntilServing(this->key);
+        this->cluster.backend("engine-a").standin.setFaults({{"silent", true}});
+    }
+
+    DaemonProcess &daemon()
+    {
+        return this->cluster.daemons().front();
+    }
+
+    /** Sends requests and waits until they run or wait for a slot. */
+    void sendRequests()
+    {
+        const HttpRequest request = withKey(chatRequest("text", 4, true), this->key.key);
+        for (std::size_t i = 0; i < requestCount; ++i) {
+            this->answers.push_back(std::async(std::launch::async, [this, request]() {
+                return call(this->daemon().caller, request, std::chrono::seconds(20));
+            }));
+        }
+        ASSERT_TRUE(waitUntil([this]() {
+            const Json status = jsonOf(call(this->daemon().admin, getRequest("/v1/status")));
+            return status.at("waiting") == requestCount - slots;
+        })) << this->daemon().process.output();
+    }
+
+    Cluster cluster;
+    GivenKey key;
+    std::vector<std::future<Result<HttpResponse>>> answers;
+};
+
+} // namespace
+
+TEST_F(Drain, RequestsThatWaitAreRefusedBeforeTheEnd)
+{
+    this->sendRequests();
+    this->daemon().process.signal(SIGTERM);
+    std::size_t refused = 0;
+    for (std::future<Result<HttpResponse>> &pending : this->answers) {
+        const Result<HttpResponse> answer = pending.get();
+        const bool isRefusal = answer.has_value() && answer.value().status == 503
+            && answer.value().headers.find("X-Flamingosaddle-Run-State") == "not-run";
+        refused += isRefusal ? 1 : 0;
+    }
+    EXPECT_EQ(refused, requestCount - slots) << this->daemon().process.output();
+    EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
+}
