A rejection is reported although its body never ends

Cause: the pool reads the rest of a rejection before it reports it, to keep the connection. Its limit of 100 ms held for each piece, not for the whole.

Ruled out: the retry after the rejection; it was never reached, no second attempt is in the servers' records.

Fix: one function reads what nobody needs, with one limit for all of it, and serves the pool and forwarded requests.

--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -67,6 +67,8 @@
     // Commands.
     /** Reads as HttpConnection::readBody() does. Fails with Cancelled when the caller disconnects. */
     boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout);
+    /** Reads the rest of a response that nobody needs, for a short time, and returns the connection to the pool if it ends. */
+    boost::asio::awaitable<void> discard();
     /** Returns the connection to the pool, after readBody() has returned false. */
     void releaseConnection();
     /** Returns how a failure of readBody() counts against the backend server. */
@@ -137,7 +139,6 @@
     void addIdleConnection(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection, const HttpHeaders &response);
     boost::asio::awaitable<Result<HttpResponseHead>> readMatchingHead(
         HttpConnection &connection, const CallParameters &order, bool isReused);
-    boost::asio::awaitable<Result<void>> discardBody(HttpConnection &connection);
     void addIfReusable(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
     boost::asio::awaitable<AttemptOutcome> classifyFailure(Error error, bool anyByteSent, Endpoint endpoint);
     boost::asio::awaitable<CallResult> callOnNewConnection(
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -15,8 +15,8 @@
 
 // Responses to earlier requests that are skipped before a connection is abandoned.
 constexpr int maxForeignResponses = 2;
-// Time to read the rest of an unneeded response; when it is exceeded, the connection is closed instead of kept.
-constexpr Duration discardTimeout = std::chrono::milliseconds(100);
+// Time to read all that is left of an unneeded response; when it is exceeded, the connection is closed instead of kept.
+constexpr Duration discardLimit = std::chrono::milliseconds(100);
 // After this time the unchanged request is not sent again, because the deadline that it carries is out of date.
 constexpr Duration resendLimit = std::chrono::milliseconds(250);
 // Idle connections are dropped this long before the server closes them, so that no request is sent during the close.
@@ -73,6 +73,23 @@
     return failure;
 }
 
+/** Reads the rest of a body that nobody needs, so that the connection can be used again. */
+asio::awaitable<Result<void>> discardBody(HttpConnection &connection)
+{
+    const TimePoint end = RuntimeClock::now() + discardLimit;
+    std::string piece;
+    while (RuntimeClock::now() < end) {
+        const Result<bool> more = co_await connection.readBody(piece, end - RuntimeClock::now());
+        if (!more.has_value()) {
+            co_return fail(more.error());
+        }
+        if (!more.value()) {
+            co_return success();
+        }
+    }
+    co_return fail(ErrorKind::Timeout, "the rest of an unneeded response did not arrive in time", "look at the server's log");
+}
+
 Error callerGone()
 {
     return {ErrorKind::Cancelled, "the caller disconnected", "nothing to do"};
@@ -108,6 +125,14 @@
     return this->connection->readBody(piece, timeout);
 }
 
+asio::awaitable<void> BackendCall::discard()
+{
+    const Result<void> discarded = co_await discardBody(*this->connection);
+    if (discarded.has_value()) {
+        this->releaseConnection();
+    }
+}
+
 void BackendCall::releaseConnection()
 {
     this->listener.reset();
@@ -228,7 +253,7 @@
         if (check == ResponseCheck::Invalid) {
             break;
         }
-        const Result<void> discarded = co_await this->discardBody(connection);
+        const Result<void> discarded = co_await discardBody(connection);
         if (check == ResponseCheck::NotExecuted || check == ResponseCheck::Misdirected) {
             const std::string status = std::to_string(head.value().status);
             co_return fail(ErrorKind::Refused, "the backend server rejected the request without running it: status " + status,
@@ -241,20 +266,6 @@
     co_return fail(ErrorKind::Protocol, "the backend server's response does not belong to this request", "check its log");
 }
 
-asio::awaitable<Result<void>> BackendPool::discardBody(HttpConnection &connection)
-{
-    std::string piece;
-    while (true) {
-        const Result<bool> more = co_await connection.readBody(piece, discardTimeout);
-        if (!more.has_value()) {
-            co_return fail(more.error());
-        }
-        if (!more.value()) {
-            co_return success();
-        }
-    }
-}
-
 asio::awaitable<AttemptOutcome> BackendPool::classifyFailure(Error error, bool anyByteSent, Endpoint endpoint)
 {
     const AttemptOutcome end = flamingosaddle::classifyFailure(error, anyByteSent);
--- a/src/relay/forwardrelay.cpp
+++ b/src/relay/forwardrelay.cpp
@@ -102,25 +102,10 @@
     if (refusal == PeerRefusal::Unreachable) {
         this->environment.dispatcher->recordPeerUnreachable(peer.instance, profile);
     }
-    co_await this->discardBody(call);
+    co_await call.discard();
     co_return std::nullopt;
 }
 
-asio::awaitable<void> ForwardRelay::discardBody(BackendCall &call)
-{
-    std::string piece;
-    while (true) {
-        const Result<bool> more = co_await call.readBody(piece, this->remainingTime() + deadlineMargin);
-        if (!more.has_value()) {
-            co_return;
-        }
-        if (!more.value()) {
-            call.releaseConnection();
-            co_return;
-        }
-    }
-}
-
 asio::awaitable<ForwardResult> ForwardRelay::relayResponse(BackendCall &call)
 {
     HttpResponse response;
--- a/src/relay/forwardrelay.h
+++ b/src/relay/forwardrelay.h
@@ -55,7 +55,6 @@
     boost::asio::awaitable<ForwardResult> relayResponse(BackendCall &call);
     /** Records what the response says of the backend server, which this instance may reach directly before long. */
     void recordServer(const HttpHeaders &fromPeer);
-    boost::asio::awaitable<void> discardBody(BackendCall &call);
     ForwardResult failure(const Error &error) const;
     Duration remainingTime() const;
 
--- a/tests/relay/forward_test.cpp
+++ b/tests/relay/forward_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <vector>
 
 using namespace flamingosaddle;
@@ -280,6 +281,34 @@
     EXPECT_EQ(secondPeer.requests().size(), 0U);
 }
 
+// Guards against a request that waits for the rest of a peer's refusal until its deadline.
+TEST(ForwardFailure, ARefusalOfAPeerWhoseBodyNeverEndsIsOne)
+{
+    const PausedClock paused;
+    FakeBackend gone(respond);
+    gone.stop();
+    ManualServer stuckPeer;
+    CallerFixture cutOff({}, {&gone}, {}, optionsOf("a"));
+    cutOff.setPath(false);
+    setPeers(cutOff, {peerAt("stuck", stuckPeer.endpoint())});
+    std::future<std::string> response = std::async(std::launch::async, [&cutOff]() {
+        return cutOff.exchange(serviceRequest("GET /s/lookup"));
+    });
+    stuckPeer.acceptRequest();
+    HttpHeaders headers{{"Content-Length", "100"}};
+    markNotTaken(headers, true);
+    std::string head = "HTTP/1.1 503 Service Unavailable\r\n";
+    for (const HttpHeader &field : headers.fields()) {
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    stuckPeer.send(head + "\r\n");
+    for (int i = 0; i < 100 && response.wait_for(5ms) != std::future_status::ready; ++i) {
+        RuntimeClock::advance(10ms);
+    }
+    ASSERT_EQ(response.wait_for(0s), std::future_status::ready) << "it waits for the rest";
+    EXPECT_EQ(statusOf(response.get()), 503);
+}
+
 TEST(ForwardFailure, AStreamThatItsPeerBreaksOffDoesNotLookComplete)
 {
     FakeBackend gone(streamTokens(3));
