The deadline of a request ends each wait for a backend server, whatever arrives meanwhile

Cause: the timeout of a call on a connection began anew with each read. Its callers passed the time that the request had left, so any byte put off the deadline, and nothing else ended an attempt.

Ruled out: the dispatcher's deadlines; they end waiting requests, and a running one is its connection's.

Fix: a timeout holds for the whole call; an exchange has a deadline that is given with its request, and one function begins every wait. New connections are bounded by it as well, and interim responses by the limit of a head.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -21,8 +21,9 @@
 };
 
 /**
- * One connection to an HTTP/1.1 server with at most one request in flight. Every call takes the longest time without
- * progress that it allows. Used from one executor.
+ * One connection to an HTTP/1.1 server with at most one request in flight. An exchange, from send() to the last byte of the
+ * response, has a deadline, and each call a timeout of its own; both hold for the whole call, whatever the server sends meanwhile.
+ * A call that exceeds one closes the connection and fails with Timeout. Used from one executor.
  */
 class HttpConnection
 {
@@ -35,9 +36,11 @@
     static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> connect(Endpoint endpoint, Duration timeout);
 
     /**
-     * Sends one request. After a failure anyByteSent() tells whether the server may have seen any of it.
+     * Sends one request and begins an exchange that ends at @p deadline. After a failure anyByteSent() tells whether the server
+     * may have seen any of it.
      */
-    virtual boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout) = 0;
+    virtual boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout, TimePoint deadline) = 0;
+    /** Reads the head of the final response; interim ones are passed over. */
     virtual boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) = 0;
     /**
      * Appends the next bytes of the body to @p piece, after clearing it. Answers false at the end mark of the body. A
--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -56,8 +56,9 @@
 class BackendCall
 {
 public:
+    /** @param deadline see BackendPool::CallParameters */
     BackendCall(BackendPool &pool, Endpoint endpoint, std::unique_ptr<HttpConnection> connection, HttpResponseHead head,
-        DisconnectSignal &caller);
+        TimePoint deadline, DisconnectSignal &caller);
 
     // Queries.
     const HttpResponseHead &head() const;
@@ -79,6 +80,7 @@
     Endpoint endpoint;
     std::unique_ptr<HttpConnection> connection;
     HttpResponseHead responseHead;
+    TimePoint deadline;
     std::unique_ptr<DisconnectSignal::Listener> listener;
 };
 
@@ -109,6 +111,7 @@
          * response. */
         bool isRepetition = false;
         Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the response head
+        TimePoint deadline = TimePoint::max(); ///< for the whole call, with what follows on other connections
         /** Matches a response head with the request; when empty, every response is valid. */
         std::function<ResponseCheck(const HttpRequest &sent, const HttpResponseHead &head)> checkResponse;
         /**
@@ -140,7 +143,10 @@
     boost::asio::awaitable<Result<HttpResponseHead>> readMatchingHead(
         HttpConnection &connection, const CallParameters &order, bool isReused);
     void addIfReusable(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection);
-    boost::asio::awaitable<AttemptOutcome> classifyFailure(Error error, bool anyByteSent, Endpoint endpoint);
+    boost::asio::awaitable<AttemptOutcome> classifyFailure(
+        Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline);
+    /** Returns how long a connection to a server may take to open in a call with that deadline. */
+    Duration connectTimeout(TimePoint deadline) const;
     boost::asio::awaitable<CallResult> callOnNewConnection(
         const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
     /** @param isReused whether the connection has carried other requests */
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -34,31 +33,12 @@
     return {ErrorKind::Unreachable, error.message(), "send the request again"};
 }
 
-/**
- * The time that is left of a limit for the whole exchange.
- */
-class TimeLimit
-{
-public:
-    explicit TimeLimit(Duration timeout)
-        : deadline(RuntimeClock::now() + timeout)
-    {
-    }
-
-    Duration left() const
-    {
-        return std::max(Duration::zero(), this->deadline - RuntimeClock::now());
-    }
-
-private:
-    TimePoint deadline;
-};
-
 asio::awaitable<Result<void>> sendPermitted(
-    HttpConnection &connection, const HttpRequest &request, TimeLimit limit, const std::function<Duration()> &permission)
+    HttpConnection &connection, const HttpRequest &request, Duration timeout, const std::function<Duration()> &permission)
 {
+    const TimePoint deadline = RuntimeClock::now() + timeout;
     if (!permission) {
-        const Result<void> sent = co_await connection.send(request, limit.left());
+        const Result<void> sent = co_await connection.send(request, timeout, deadline);
         co_return sent;
     }
     // The guard comes before the check, so that a stop of the process between check and write is covered.
@@ -69,15 +49,15 @@
     if ((guard.has_value() && !guard->isArmed()) || permission() <= Duration::zero()) {
         co_return fail(ErrorKind::Cancelled, "the permission to send was over", "nothing was sent; ask for a new permission");
     }
-    const Result<void> sent = co_await connection.send(request, limit.left());
+    const Result<void> sent = co_await connection.send(request, timeout, deadline);
     co_return sent;
 }
 
-asio::awaitable<Result<void>> readWholeBody(HttpConnection &connection, TimeLimit limit, std::size_t maxBytes, std::string &body)
+asio::awaitable<Result<void>> readWholeBody(HttpConnection &connection, Duration timeout, std::size_t maxBytes, std::string &body)
 {
     std::string piece;
     while (true) {
-        const Result<bool> more = co_await connection.readBody(piece, limit.left());
+        const Result<bool> more = co_await connection.readBody(piece, timeout);
         if (!more.has_value()) {
             co_return fail(more.error());
         }
@@ -124,18 +104,17 @@
         co_return fail(connected.error());
     }
     HttpConnection &connection = *connected.value();
-    const TimeLimit limit(options.timeout);
     request.headers.set("Connection", "close");
-    const Result<void> sent = co_await sendPermitted(connection, request, limit, options.permission);
+    const Result<void> sent = co_await sendPermitted(connection, request, options.timeout, options.permission);
     if (!sent.has_value()) {
         co_return fail(connection.anyByteSent() ? sent.error() : nothingSent(sent.error()));
     }
-    Result<HttpResponseHead> head = co_await connection.readHead(limit.left());
+    Result<HttpResponseHead> head = co_await connection.readHead(options.timeout);
     if (!head.has_value()) {
         co_return fail(head.error());
     }
     HttpResponse response{head.value().status, std::move(head.value().headers), {}};
-    const Result<void> body = co_await readWholeBody(connection, limit, options.maxBodyBytes, response.body);
+    const Result<void> body = co_await readWholeBody(connection, options.timeout, options.maxBodyBytes, response.body);
     if (!body.has_value()) {
         co_return fail(body.error());
     }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <limits>
 #include <utility>
@@ -140,14 +141,21 @@
         return {ErrorKind::Cancelled, "the connection to " + this->host + " was closed", "nothing to do"};
     }
     if (this->watchdog.hasExpired()) {
-        return {ErrorKind::Timeout, this->host + " made no progress in time", "look at the load of the server"};
+        return {ErrorKind::Timeout, this->host + " did not respond in time", "look at the load of the server"};
     }
     return {
         ErrorKind::ConnectionLost, "the connection to " + this->host + " broke: " + error.message(), "look at the server's log"};
 }
 
-asio::awaitable<Result<void>> ClientConnection::send(const HttpRequest &request, Duration timeout)
+void ClientConnection::startWait(TimePoint until)
 {
+    this->watchdog.arm(std::min(until, this->deadline) - RuntimeClock::now());
+}
+
+asio::awaitable<Result<void>> ClientConnection::send(const HttpRequest &request, Duration timeout, TimePoint deadline)
+{
+    this->deadline = deadline;
+    this->headBytes = 0;
     this->sentAny = false;
     this->wholeAnswer = false;
     this->bodyEnded = false;
@@ -157,7 +165,7 @@
     const std::string head = this->headOf(request);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(request.body)};
     boost::system::error_code error;
-    this->watchdog.arm(timeout);
+    this->startWait(RuntimeClock::now() + timeout);
     const std::size_t sent = co_await asio::async_write(this->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
     this->sentAny = sent > 0;
     if (error) {
@@ -195,9 +203,14 @@
         }
     }
     this->input.erase(0, used);
+    this->headBytes += toHead ? used : 0;
     if (error && error != http::error::need_more) {
         return fail(ErrorKind::Protocol, this->host + " sent no valid HTTP/1.1: " + error.message(), "correct the server");
     }
+    if (this->headBytes > maxHeadBytes) {
+        return fail(ErrorKind::Protocol,
+            this->host + " sent over " + std::to_string(maxHeadBytes) + " bytes of interim responses", "correct the server");
+    }
     if (this->input.size() > maxUnparsedBytes) {
         return fail(ErrorKind::Protocol,
             this->host + " sent over " + std::to_string(maxUnparsedBytes) + " bytes that are no part of an HTTP/1.1 response yet",
@@ -220,10 +233,12 @@
 
 asio::awaitable<Result<HttpResponseHead>> ClientConnection::readHead(Duration timeout)
 {
+    const TimePoint until = RuntimeClock::now() + timeout;
     boost::system::error_code error;
     if (std::exchange(this->wholeAnswer, false)) {
         // Another answer than the last one is asked for.
         this->parser.reset();
+        this->headBytes = 0;
     }
     while (true) {
         if (!this->parser) {
@@ -243,7 +258,7 @@
             }
             continue;
         }
-        this->watchdog.arm(timeout);
+        this->startWait(until);
         const std::size_t count = co_await this->socket.async_read_some(
             asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
         const Result<void> read = this->takeRead(error, count);
@@ -257,6 +272,7 @@
 
 asio::awaitable<Result<bool>> ClientConnection::readBody(std::string &piece, Duration timeout)
 {
+    const TimePoint until = RuntimeClock::now() + timeout;
     boost::system::error_code error;
     piece.clear();
     if (!this->parser || !this->parser->is_header_done()) {
@@ -276,7 +292,7 @@
             this->wholeAnswer = true;
             co_return false;
         }
-        this->watchdog.arm(timeout);
+        this->startWait(until);
         const std::size_t count = co_await this->socket.async_read_some(
             asio::buffer(this->readBuffer), asio::redirect_error(asio::use_awaitable, error));
         if (this->endsWithConnection(error)) {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -22,7 +22,7 @@
     ClientConnection(boost::asio::ip::tcp::socket socket, std::string host);
     ~ClientConnection() override;
 
-    boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout) override;
+    boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout, TimePoint deadline) override;
     boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) override;
     boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) override;
     void acceptBodyUntilClose() override;
@@ -39,6 +39,8 @@
     static constexpr std::size_t readBytes = std::size_t{16} * 1024;
 
     std::string headOf(const HttpRequest &request) const;
+    /** Begins a wait that ends at @p until or at the exchange's deadline. Every wait for the server begins here. */
+    void startWait(TimePoint until);
     Result<void> takeRead(const boost::system::error_code &error, std::size_t count);
     Result<void> parseInput();
     Error failure(const boost::system::error_code &error) const;
@@ -52,6 +54,8 @@
     std::string input; // read but not yet parsed
     std::string body; // where the parser appends
     std::unique_ptr<Parser> parser;
+    TimePoint deadline = TimePoint::max(); // of the exchange
+    std::size_t headBytes = 0; // of the heads of the exchange so far, with those of interim responses
     bool headRequest = false;
     bool sentAny = false;
     bool wholeAnswer = false;
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -98,11 +98,12 @@
 } // namespace
 
 BackendCall::BackendCall(BackendPool &pool, Endpoint endpoint, std::unique_ptr<HttpConnection> connection, HttpResponseHead head,
-    DisconnectSignal &caller)
+    TimePoint deadline, DisconnectSignal &caller)
     : pool(pool)
     , endpoint(std::move(endpoint))
     , connection(std::move(connection))
     , responseHead(std::move(head))
+    , deadline(deadline)
     , listener(std::make_unique<DisconnectSignal::Listener>(caller, [connection = this->connection.get()]() {
         connection->close();
     }))
@@ -143,7 +144,7 @@
 
 asio::awaitable<AttemptOutcome> BackendCall::classifyFailure(Error error)
 {
-    return this->pool.classifyFailure(std::move(error), true, this->endpoint);
+    return this->pool.classifyFailure(std::move(error), true, this->endpoint, this->deadline);
 }
 
 BackendPool::BackendPool(BackendPoolOptions options)
@@ -191,7 +192,7 @@
     const CallParameters &order, DisconnectSignal &caller, const StepHook &step)
 {
     Result<std::unique_ptr<HttpConnection>> connected
-        = co_await HttpConnection::connect(order.endpoint, this->options.connectTimeout);
+        = co_await HttpConnection::connect(order.endpoint, this->connectTimeout(order.deadline));
     if (!connected.has_value()) {
         co_return failureOf(connected.error(), false);
     }
@@ -208,7 +209,7 @@
         connection->close();
     });
     step(RequestStep::FirstByteSent);
-    const Result<void> sent = co_await connection->send(order.request, order.headTimeout);
+    const Result<void> sent = co_await connection->send(order.request, order.headTimeout, order.deadline);
     if (!sent.has_value()) {
         co_return failureOf(sent.error(), connection->anyByteSent());
     }
@@ -224,11 +225,11 @@
             this->addIfReusable(order.endpoint, std::move(connection));
             co_return BackendFailure{head.error(), false, AttemptOutcome::Rejected};
         }
-        const AttemptOutcome end = co_await this->classifyFailure(head.error(), true, order.endpoint);
+        const AttemptOutcome end = co_await this->classifyFailure(head.error(), true, order.endpoint, order.deadline);
         co_return BackendFailure{head.error(), true, end};
     }
     listener.reset();
-    co_return BackendCall(*this, order.endpoint, std::move(connection), std::move(head.value()), caller);
+    co_return BackendCall(*this, order.endpoint, std::move(connection), std::move(head.value()), order.deadline, caller);
 }
 
 asio::awaitable<Result<HttpResponseHead>> BackendPool::readMatchingHead(
@@ -266,7 +267,13 @@
     co_return fail(ErrorKind::Protocol, "the backend server's response does not belong to this request", "check its log");
 }
 
-asio::awaitable<AttemptOutcome> BackendPool::classifyFailure(Error error, bool anyByteSent, Endpoint endpoint)
+Duration BackendPool::connectTimeout(TimePoint deadline) const
+{
+    return std::min(this->options.connectTimeout, deadline - RuntimeClock::now());
+}
+
+asio::awaitable<AttemptOutcome> BackendPool::classifyFailure(
+    Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline)
 {
     const AttemptOutcome end = flamingosaddle::classifyFailure(error, anyByteSent);
     if (end != AttemptOutcome::ServerFailed || !this->options.confirmDeathByReconnect) {
@@ -276,7 +283,7 @@
         co_return AttemptOutcome::ServerError;
     }
     const Result<std::unique_ptr<HttpConnection>> connected
-        = co_await HttpConnection::connect(std::move(endpoint), this->options.connectTimeout);
+        = co_await HttpConnection::connect(std::move(endpoint), this->connectTimeout(deadline));
     co_return connected.has_value() ? AttemptOutcome::ServerError : AttemptOutcome::ServerFailed;
 }
 
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -374,6 +374,7 @@
     parameters.checkResponse = adapter.checkResponse;
     // A buffered completion sends its response head only when it is complete, so the wait is limited by its deadline alone.
     const bool bufferedCompletion = !profile.model.isEmpty() && !this->routed.stream;
+    parameters.deadline = profile.arrival + profile.requestClass.deadline;
     parameters.headTimeout = bufferedCompletion ? left : std::min(left, this->environment.options.headTimeout);
     return parameters;
 }
--- a/src/relay/forwardrelay.cpp
+++ b/src/relay/forwardrelay.cpp
@@ -86,6 +86,7 @@
     this->outcome.sentAt = RuntimeClock::now();
     this->parameters.endpoint = peer.address;
     this->parameters.headTimeout = this->remainingTime() + deadlineMargin;
+    this->parameters.deadline = this->deadline + deadlineMargin;
     BackendPool::CallResult called = co_await this->pool.call(this->parameters, *this->caller, [](RequestStep) {});
     if (const BackendFailure *failed = std::get_if<BackendFailure>(&called)) {
         if (failed->end == AttemptOutcome::NotSent) {
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -61,7 +61,7 @@
             HttpRequest request;
             request.method = "POST";
             request.body = body;
-            const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5));
+            const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5), TimePoint::max());
             EXPECT_TRUE(sent.has_value());
             const Result<HttpResponseHead> head = co_await connection.readHead(std::chrono::seconds(5));
             EXPECT_EQ(head.value().status, 200);
@@ -182,7 +182,7 @@
             connection.acceptBodyUntilClose();
         }
         const HttpRequest request{"GET", "/", {}, {}};
-        const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5));
+        const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5), TimePoint::max());
         const Result<HttpResponseHead> head = co_await connection.readHead(std::chrono::seconds(5));
         if (!sent.has_value() || !head.has_value()) {
             co_return fail(ErrorKind::ConnectionLost, "no answer", "");
--- a/tests/process/testclient.cpp
+++ b/tests/process/testclient.cpp
@@ -86,7 +86,7 @@
 
 Result<void> TestConnection::send(const HttpRequest &request)
 {
-    return await(this->context, this->connection->send(request, std::chrono::seconds(5)));
+    return await(this->context, this->connection->send(request, std::chrono::seconds(5), TimePoint::max()));
 }
 
 Result<HttpResponseHead> TestConnection::readHead(Duration timeout)
--- a/tests/relay/brokenresponse_test.cpp
+++ b/tests/relay/brokenresponse_test.cpp
@@ -25,7 +25,7 @@
         = co_await HttpConnection::connect(std::move(endpoint), std::chrono::seconds(5));
     HttpConnection &connection = *connected.value();
     const HttpRequest request;
-    const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5));
+    const Result<void> sent = co_await connection.send(request, std::chrono::seconds(5), TimePoint::max());
     EXPECT_TRUE(sent.has_value());
     connection.acceptBodyUntilClose();
     Result<HttpResponseHead> head = co_await connection.readHead(std::chrono::seconds(5));
--- a/tests/relay/endlessresponse_test.cpp
+++ b/tests/relay/endlessresponse_test.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace flamingosaddle;
 using namespace flamingosaddle::test;
@@ -20,8 +21,16 @@
 {
 
 constexpr Duration timeLimit = 1s;
-// A wait ends at its time limit; the clock moves on in steps.
-constexpr Duration clockStep = 50ms;
+// The clock moves on in this many steps up to a time limit.
+constexpr int stepsPerLimit = 20;
+
+/** The time at which a wait with that limit has surely ended, as awaitDuringResponse() measures it. */
+Duration latestEnd(Duration limit)
+{
+    return limit + 2 * limit / stepsPerLimit;
+}
+
+const std::string soundHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /** How an endless response begins, and what follows again and again. */
 struct EndlessResponse {
@@ -29,6 +38,17 @@
     std::string filler;
 };
 
+const std::vector<EndlessResponse> endlessHeads = {
+    {"HTTP/1.1 200 OK\r\nX-Noise: ", "x"},
+    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+};
+
+const std::vector<EndlessResponse> endlessBodies = {
+    {soundHead, "1"},
+    {soundHead + "3;extension=", "x"},
+    {soundHead + "0\r\nTrailer: ", "x"},
+};
+
 ResponseCheck checkRejection(const HttpRequest &, const HttpResponseHead &head)
 {
     return head.headers.has("Not-Executed") ? ResponseCheck::NotExecuted : ResponseCheck::Valid;
@@ -36,14 +56,15 @@
 
 /**
  * Lets the server go on with its response while the clock moves on. Returns after which time the result was there, or nothing if
- * it was not after several times the time limit.
+ * it was not after several times @p limit.
  */
 template <typename T>
 std::optional<Duration> awaitDuringResponse(
-    ManualServer &server, ContextThread &client, std::future<T> &result, const std::string &filler)
+    ManualServer &server, ContextThread &client, std::future<T> &result, const std::string &filler, Duration limit)
 {
     constexpr int repetitions = 100; // long enough for timers to notice that the clock moved on
-    for (Duration passed = Duration::zero(); passed < 5 * timeLimit; passed += clockStep) {
+    const Duration clockStep = limit / stepsPerLimit;
+    for (Duration passed = Duration::zero(); passed < 5 * limit; passed += clockStep) {
         for (int i = 0; i < repetitions; ++i) {
             server.send(filler);
             client.settle();
@@ -67,7 +88,7 @@
         this->order.checkResponse = checkRejection;
     }
 
-    /** Returns the failure of a call whose response's body is read within the time limit. */
+    /** Returns the failure of a call, or of reading the first piece of its response's body. */
     awaitable<std::optional<BackendFailure>> callAndRead()
     {
         const auto step = [](RequestStep) {};
@@ -76,7 +97,7 @@
             co_return *failure;
         }
         std::string piece;
-        const Result<bool> more = co_await std::get<BackendCall>(result).readBody(piece, timeLimit);
+        const Result<bool> more = co_await std::get<BackendCall>(result).readBody(piece, this->bodyTimeout);
         if (more.has_value()) {
             co_return std::nullopt;
         }
@@ -90,7 +111,7 @@
         std::future<std::optional<BackendFailure>> call = this->thread.start(this->callAndRead());
         this->server.acceptRequest();
         this->server.send(response.beginning);
-        this->passed = awaitDuringResponse(this->server, this->thread, call, response.filler);
+        this->passed = awaitDuringResponse(this->server, this->thread, call, response.filler, timeLimit);
         if (this->passed.has_value()) {
             this->failure = call.get();
             return;
@@ -103,6 +124,7 @@
     DisconnectSignal caller;
     BackendPool pool{BackendPoolOptions()};
     BackendPool::CallParameters order;
+    Duration bodyTimeout = timeLimit;
     ContextThread thread;
     std::optional<Duration> passed; ///< clock time until the call ended; nothing if it did not
     std::optional<BackendFailure> failure;
@@ -110,6 +132,72 @@
 
 } // namespace
 
+TEST_F(EndlessResponseTest, AHeadThatNeverEndsTimesOut)
+{
+    for (const EndlessResponse &response : endlessHeads) {
+        this->play(response);
+        ASSERT_TRUE(this->passed.has_value()) << response.filler;
+        EXPECT_LE(*this->passed, latestEnd(timeLimit)) << response.filler;
+        ASSERT_TRUE(this->failure.has_value());
+        EXPECT_TRUE(this->failure->anyByteSent) << "the request may have run";
+    }
+}
+
+TEST_F(EndlessResponseTest, ABodyThatGoesOnWithoutAPieceTimesOut)
+{
+    for (const EndlessResponse &response : endlessBodies) {
+        this->play(response);
+        ASSERT_TRUE(this->passed.has_value()) << response.beginning;
+        EXPECT_LE(*this->passed, latestEnd(timeLimit)) << response.beginning;
+        ASSERT_TRUE(this->failure.has_value());
+        EXPECT_TRUE(this->failure->anyByteSent) << "the request may have run";
+    }
+}
+
+// A wait that has no timeout of its own has the deadline of the exchange.
+TEST_F(EndlessResponseTest, NoWaitOutlastsTheDeadline)
+{
+    this->order.headTimeout = 1h;
+    this->bodyTimeout = 1h;
+    for (const std::vector<EndlessResponse> &responses : {endlessHeads, endlessBodies}) {
+        for (const EndlessResponse &response : responses) {
+            this->order.deadline = RuntimeClock::now() + timeLimit;
+            this->play(response);
+            ASSERT_TRUE(this->passed.has_value()) << response.beginning << response.filler;
+            EXPECT_LE(*this->passed, latestEnd(timeLimit)) << response.beginning << response.filler;
+        }
+    }
+}
+
+// Guards against a caller without an answer.
+TEST(EndlessResponse, TheCallerIsAnsweredAtTheDeadlineOfItsRequest)
+{
+    const PausedClock paused;
+    const Duration deadline = RequestClass().deadline;
+    CallerOptions options;
+    options.headTimeout = 1h;
+    options.progressTimeout = 1h;
+    for (const std::vector<EndlessResponse> &responses : {endlessHeads, endlessBodies}) {
+        for (const EndlessResponse &response : responses) {
+            ManualServer server;
+            CallerFixture setup({}, {}, {}, options);
+            setup.addEngine(server.endpoint());
+            std::future<std::string> answer = std::async(std::launch::async, [&setup]() {
+                return setup.exchange(chatRequest());
+            });
+            server.acceptRequest();
+            server.send(response.beginning);
+            const std::optional<Duration> passed
+                = awaitDuringResponse(server, setup.thread, answer, response.filler, deadline);
+            ASSERT_TRUE(passed.has_value()) << response.beginning << response.filler;
+            EXPECT_LE(*passed, latestEnd(deadline)) << response.beginning << response.filler;
+            const std::string text = answer.get();
+            EXPECT_GE(statusOf(text), 502) << text;
+            EXPECT_NE(text.find("X-Flamingosaddle-Run-State: unknown"), std::string::npos) << text;
+        }
+    }
+}
+
 // The request has not run, and waits for nothing that its caller needs.
 TEST_F(EndlessResponseTest, ARejectionWhoseBodyNeverEndsIsOneBeforeTheTimeLimit)
 {
