Settings take numbers with a fraction

Cause: integral settings were parsed as digits only.

Ruled out, on: a start before the store and few descriptors, by the users' trials; a log pipe that is closed, by a run here.

--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -86,7 +86,7 @@
     std::size_t quarantineDeaths = 2;
     double resendRatio = 0.2;
     std::size_t resendExtra = 0;
-    std::chrono::seconds resendWindow{0};
+    std::chrono::milliseconds resendWindow{0};
 
     // Control.
     std::chrono::milliseconds freshnessLimit{5000};
--- a/include/flamingosaddle/traffic/resendlimit.h
+++ b/include/flamingosaddle/traffic/resendlimit.h
@@ -11,7 +11,7 @@
 {
 
 struct ResendLimitOptions {
-    std::chrono::seconds window{0}; ///< sliding window; 0 for no limit
+    std::chrono::milliseconds window{0}; ///< sliding window; 0 for no limit
     double ratio = 0.2; ///< resends as a fraction of the requests in the window
     std::uint32_t extra = 0; ///< allowance beyond the ratio, shared by all instances
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -3,9 +3,12 @@
 #include <boost/program_options.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <string_view>
+#include <type_traits>
 
 namespace flamingosaddle
 {
@@ -16,26 +19,54 @@
 using MaybeError = std::optional<Error>;
 
 constexpr std::size_t minSecretBytes = 16;
+constexpr double maxResendRatio = 100.0;
 
 Error settingError(std::string message, std::string remedy)
 {
     return {ErrorKind::InvalidSetting, std::move(message), std::move(remedy)};
 }
 
-template <typename Number>
-MaybeError readNumber(const std::string &text, Number smallest, Number largest, Number &target)
+/** Reads a number that may have a fraction and an exponent, whatever the type of the setting. */
+std::optional<double> parseNumber(std::string_view text)
 {
-    Number value{};
+    double value = 0.0;
     const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || read.ec != std::errc() || read.ptr != text.data() + text.size() || value < smallest || value > largest) {
+    const bool isNumber = read.ec == std::errc() && read.ptr == text.data() + text.size() && std::isfinite(value);
+    return isNumber ? std::optional(value) : std::nullopt;
+}
+
+/** Reads a number; a fraction is rounded down where the setting has none. All limits are exact as floating-point numbers. */
+template <typename Number>
+MaybeError readNumber(std::string_view text, Number smallest, Number largest, Number &target, double scale = 1.0)
+{
+    std::optional<double> value = parseNumber(text);
+    if (value.has_value()) {
+        *value *= scale;
+        *value = std::is_integral_v<Number> ? std::floor(*value) : *value;
+    }
+    if (!value.has_value() || *value < static_cast<double>(smallest) || *value > static_cast<double>(largest)) {
         std::ostringstream remedy;
         remedy << "give a number from " << smallest << " to " << largest;
-        return settingError("'" + text + "' is out of range or no number", remedy.str());
+        return settingError("'" + std::string(text) + "' is out of range or no number", remedy.str());
     }
-    target = value;
+    target = static_cast<Number>(*value);
     return std::nullopt;
 }
 
+/** Reads a time: a number of milliseconds, or of seconds if it ends with "s". */
+MaybeError readTime(const std::string &text, std::int64_t smallest, std::int64_t largest, std::chrono::milliseconds &target)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    const bool isInSeconds = text.ends_with('s');
+    const std::string_view number = std::string_view(text).substr(0, text.size() - (isInSeconds ? 1 : 0));
+    std::int64_t count = 0;
+    MaybeError error = readNumber(number, smallest, largest, count, isInSeconds ? millisecondsPerSecond : 1.0);
+    if (!error) {
+        target = std::chrono::milliseconds(count);
+    }
+    return error;
+}
+
 MaybeError readEndpoint(const std::string &text, Endpoint &target)
 {
     auto parsed = Endpoint::parse(text);
@@ -165,12 +196,7 @@
         return std::to_string((settings.*member).count());
     };
     description.assign = [member, smallest, largest](Settings &settings, const std::string &text) {
-        std::int64_t count = 0;
-        MaybeError error = readNumber(text, smallest, largest, count);
-        if (!error) {
-            settings.*member = std::chrono::milliseconds(count);
-        }
-        return error;
+        return readTime(text, smallest, largest, settings.*member);
     };
     return description;
 }
@@ -325,7 +351,7 @@
         return text.str();
     };
     description.assign = [](Settings &settings, const std::string &text) {
-        return readNumber(text, 0.0, 1.0, settings.resendRatio);
+        return readNumber(text, 0.0, maxResendRatio, settings.resendRatio);
     };
     return description;
 }
@@ -335,15 +361,13 @@
     SettingDescription description
         = describe("resend-window", "s", "Sliding window of the limit on requests sent once more; 0 for no limit.");
     description.show = [](const Settings &settings) {
-        return std::to_string(settings.resendWindow.count());
+        std::ostringstream text;
+        text << std::chrono::duration<double>(settings.resendWindow).count();
+        return text.str();
     };
     description.assign = [](Settings &settings, const std::string &text) {
-        std::int64_t count = 0;
-        MaybeError error = readNumber(text, std::int64_t{0}, std::int64_t{3600}, count);
-        if (!error) {
-            settings.resendWindow = std::chrono::seconds(count);
-        }
-        return error;
+        constexpr std::int64_t hour = 3600000;
+        return readTime(text + "s", 0, hour, settings.resendWindow);
     };
     return description;
 }
@@ -586,7 +610,8 @@
     std::ostringstream page;
     page << "# Settings of flamingosaddled\n\n";
     page << "Generated by `flamingosaddled --settings-reference`; a flag goes before its environment variable, and that before "
-            "the line of the same name in the settings file.\n\n";
+            "the line of the same name in the settings file. Numbers may have a fraction, which is rounded down where the unit is "
+            "indivisible; a time in ms may be given in seconds, as `2.5s`.\n\n";
     page << "| flag | environment | unit | default | meaning |\n|---|---|---|---|---|\n";
     const Settings defaults;
     for (const SettingDescription &description : settingDescriptions()) {
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -77,6 +77,64 @@
 
 } // namespace
 
+// Guards against a daemon that does not start because a deployment's figure is no whole number.
+TEST(Settings, NumbersMayHaveAFraction)
+{
+    const auto loaded = loadSettings({"--freshness-limit", "5000.5", "--resend-extra", "33.1578947368421", "--resend-window", "2.5",
+                                         "--usage-window", "5.0s", "--resend-ratio", "1.5", "--max-waiting", "2e3"},
+        environmentOf(minimalEnvironment));
+    ASSERT_TRUE(std::holds_alternative<Settings>(loaded));
+    const Settings &settings = std::get<Settings>(loaded);
+    EXPECT_EQ(settings.freshnessLimit, std::chrono::milliseconds(5000));
+    EXPECT_EQ(settings.resendExtra, 33u);
+    EXPECT_EQ(settings.resendWindow, std::chrono::milliseconds(2500));
+    EXPECT_EQ(settings.usageWindow, std::chrono::seconds(5));
+    EXPECT_EQ(settings.resendRatio, 1.5);
+    EXPECT_EQ(settings.maxWaiting, 2000u);
+}
+
+TEST(Settings, NumbersOutOfRangeAreRefused)
+{
+    for (const char *number : {"", "s", "1x", "1 s", "-1", "nan", "inf", "1e99", "0x10", "1,5"}) {
+        const auto loaded = loadSettings({"--usage-window", number}, environmentOf(minimalEnvironment));
+        EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(loaded)) << number;
+    }
+}
+
+// The daemon starts with every figure that its settings on the users' platform can hold.
+TEST(Settings, TheDeployedSettingsTakeFractions)
+{
+    std::ifstream file(DEPLOYED_SETTINGS);
+    ASSERT_TRUE(file.good()) << DEPLOYED_SETTINGS;
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    const std::map<std::string, std::string> texts = {
+        {"node_name", "edge-a-1"},
+        {"zone", "ke-central-a"},
+        {"ip", "127.0.0.1"},
+        {"listen.frontend", "127.0.0.1:8227"},
+        {"listen.ready", "127.0.0.1:8220"},
+        {"port_range.0", "7340"},
+        {"port_range.1", "7355"},
+        {"platform.address", "127.0.0.1:8223"},
+        {"cloud.address", "127.0.0.1:8223"},
+        {"bounds.retry_ratio", "0.2"},
+    };
+    std::size_t figures = 0;
+    for (std::size_t begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{")) {
+        const std::size_t end = text.find("}}", begin);
+        const auto known = texts.find(text.substr(begin + 2, end - begin - 2));
+        figures += known == texts.end() ? 1 : 0;
+        text.replace(begin, end + 2 - begin, known == texts.end() ? "500.1578947368421" : known->second);
+    }
+    EXPECT_GE(figures, 4u);
+    const auto loaded = loadSettings({"--settings-file", writtenFile(text)}, environmentOf({}));
+    if (const auto *errors = std::get_if<std::vector<Error>>(&loaded)) {
+        for (const Error &error : *errors) {
+            ADD_FAILURE() << error.text();
+        }
+    }
+}
+
 TEST(Settings, TheFileComesAfterFlagsAndEnvironment)
 {
     const std::string path = writtenFile("# comment\nmax-waiting = 7\nheader-timeout = 1000\nidle-timeout=50\n");
