A signal to reload does not end a process that starts

Operators saw: processes that ended by themselves (FAULT of the users' own runs, without logs; whether this was the cause is not known).

Cause: SIGHUP had its default action until the daemon was constructed.

Ruled out: the handling once the daemon runs; process_reload_test covers it.

Fix: the signal is ignored from the beginning of main() until it is handled; the settings are read later than that.

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -241,6 +241,12 @@
     }
 }
 
+ChildCommand Cluster::daemonCommand(
+    const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags) const
+{
+    return process::daemonCommand(this->platformStandin.address, dataCentre, instanceId, flags);
+}
+
 const Standin &Cluster::platform() const
 {
     return this->platformStandin;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -89,6 +89,9 @@
     void waitUntilServing(const GivenKey &key);
 
     // Queries.
+    /** The command that addDaemon() runs. */
+    ChildCommand daemonCommand(
+        const std::string &dataCentre, const std::string &instanceId, const std::vector<std::string> &flags) const;
     const Standin &platform() const;
     std::deque<DaemonProcess> &daemons();
     const BackendProcess &backend(const std::string &id) const;
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -4,6 +4,7 @@
 #include <flamingosaddle/app/settings.h>
 #include <flamingosaddle/base/log.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -70,6 +71,8 @@
         std::cout << settingsReference();
         return EXIT_SUCCESS;
     }
+    // The settings are read below; until the daemon handles the signal, it would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     const bool checkOnly = takeSwitch(arguments, "--check");
     const auto load = [&arguments] {
         return loadSettings(arguments, environmentVariable);
