A connection in use may outlive its pool

The set of connections in use is shared now.

EndlessResponse.AConnectionInUseOutlivesItsPool crashed before and passes.

--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -50,9 +50,11 @@
 
 class BackendPool;
 
-/** Closes a connection that is in use, and lets its pool forget it. */
+using ActiveConnections = std::set<HttpConnection *>;
+
+/** Closes a connection that is in use, and removes it from those of its pool, which may have been destroyed meanwhile. */
 struct ActiveConnectionDeleter {
-    BackendPool *pool = nullptr;
+    std::shared_ptr<ActiveConnections> connections;
 
     void operator()(HttpConnection *connection) const;
 };
@@ -146,7 +148,6 @@
 
 private:
     friend class BackendCall;
-    friend struct ActiveConnectionDeleter;
 
     struct IdleConnection {
         std::unique_ptr<HttpConnection> connection;
@@ -171,7 +172,7 @@
 
     BackendPoolOptions options;
     std::map<Endpoint, std::deque<IdleConnection>> idleConnections; // most recently used last
-    std::set<HttpConnection *> activeConnections;
+    std::shared_ptr<ActiveConnections> activeConnections = std::make_shared<ActiveConnections>();
     TimePoint latestDeadline = TimePoint::max(); // of any call
     TimePoint nextSweep;
 };
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -99,7 +99,7 @@
 
 void ActiveConnectionDeleter::operator()(HttpConnection *connection) const
 {
-    this->pool->activeConnections.erase(connection);
+    this->connections->erase(connection);
     delete connection;
 }
 
@@ -297,15 +297,15 @@
 void BackendPool::limitDeadlines(TimePoint deadline)
 {
     this->latestDeadline = std::min(this->latestDeadline, deadline);
-    for (HttpConnection *connection : this->activeConnections) {
+    for (HttpConnection *connection : *this->activeConnections) {
         connection->limitDeadline(deadline);
     }
 }
 
 ActiveConnection BackendPool::activate(std::unique_ptr<HttpConnection> connection)
 {
-    this->activeConnections.insert(connection.get());
-    return {connection.release(), ActiveConnectionDeleter{this}};
+    this->activeConnections->insert(connection.get());
+    return {connection.release(), ActiveConnectionDeleter{this->activeConnections}};
 }
 
 void BackendPool::addIfReusable(const Endpoint &endpoint, ActiveConnection connection)
@@ -345,7 +345,7 @@
     if (connections.size() >= this->options.maxIdlePerServer) {
         connections.pop_front();
     }
-    this->activeConnections.erase(connection.get());
+    this->activeConnections->erase(connection.get());
     connections.push_back({std::unique_ptr<HttpConnection>(connection.release()), RuntimeClock::now() + usable});
 }
 
--- a/tests/relay/endlessresponse_test.cpp
+++ b/tests/relay/endlessresponse_test.cpp
@@ -188,6 +188,24 @@
     EXPECT_EQ(ending->error.kind(), ErrorKind::Timeout);
 }
 
+// Guards against a crash at the end of a process that does not wait for its calls.
+TEST(EndlessResponse, AConnectionInUseOutlivesItsPool)
+{
+    ManualServer server;
+    DisconnectSignal caller;
+    auto pool = std::make_unique<BackendPool>(BackendPoolOptions());
+    ContextThread thread;
+    BackendPool::CallParameters order;
+    order.endpoint = server.endpoint();
+    const auto callOnce = [](BackendPool &pool, BackendPool::CallParameters order, DisconnectSignal &caller) -> awaitable<void> {
+        const BackendPool::CallResult ignored = co_await pool.call(order, caller, [](RequestStep) {});
+    };
+    const std::future<void> call = thread.start(callOnce(*pool, order, caller));
+    server.acceptRequest();
+    thread.stop();
+    pool.reset();
+}
+
 // Guards against a caller without an answer.
 TEST(EndlessResponse, TheCallerIsAnsweredAtTheDeadlineOfItsRequest)
 {
