A repeated SIGTERM does not end a drain

Cause: the second signal of either kind ended the process at once.

Fix: only SIGINT, which a person sends, ends a drain early.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -486,14 +486,19 @@
 
     void awaitSignal()
     {
-        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+        this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
             if (error) {
                 return;
             }
-            if (this->draining) {
+            // Supervisors repeat SIGTERM; only a person who interrupts the process twice wants it to end at once.
+            if (this->draining && signal == SIGINT) {
+                logEvent(LogLevel::Info, "app", "interrupted again, the drain is broken off");
                 this->controlContext.stop();
                 return;
             }
+            if (this->draining) {
+                logEvent(LogLevel::Info, "app", "draining already, the signal changes nothing");
+            }
             this->beginDrain();
             this->awaitSignal();
         });
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -79,6 +79,20 @@
     EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
 }
 
+// Guards against a drain that a repeated signal cuts short.
+TEST_F(Drain, ARepeatedSignalDoesNotEndTheDrain)
+{
+    this->sendRequests();
+    for (unsigned signals = 0; signals < 3; ++signals) {
+        this->daemon().process.signal(SIGTERM);
+        ASSERT_TRUE(waitUntil([this]() {
+            return this->daemon().process.output().find("draining") != std::string::npos;
+        }));
+    }
+    EXPECT_EQ(this->countAnswers(503, "not-run"), requestCount - slots) << this->daemon().process.output();
+    EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
+}
+
 // Guards against a caller that learns from a closed connection only that its request may have run.
 TEST_F(Drain, RequestsThatRunAreAnsweredAtTheEnd)
 {
