A drain ends after its listeners have closed

Cause: the daemon waited for the count of connections, which does not have those that the kernel has accepted; the listener takes them in on its own thread.

Ruled out: the backlog; close() takes it in, only later than the daemon looked.

Evidence: DrainTest.HasNotEndedBeforeTheLastConnectionIsTakenIn fails with the count alone and passes with the state of the listener.

Fix: isDrained() has both, in the order in which they change.

--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -89,6 +89,8 @@
     virtual Endpoint localEndpoint() const = 0;
     virtual std::size_t connectionCount() const = 0;
     virtual std::size_t activeExchangeCount() const = 0;
+    /** Returns whether a drain has ended: nothing listens any more, and every connection that was accepted is closed. */
+    virtual bool isDrained() const = 0;
 
     // Commands; any thread.
     /** Goes on accepting and serving, but closes each connection after its next answer. */
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -539,8 +539,7 @@
         co_await delay(this->settings.drainNotice);
         this->callerServer->drain();
         this->forwardServer->drain();
-        while (this->callerServer->connectionCount() + this->forwardServer->connectionCount() > 0
-            && RuntimeClock::now() < deadline) {
+        while (!(this->callerServer->isDrained() && this->forwardServer->isDrained()) && RuntimeClock::now() < deadline) {
             co_await delay(drainPollInterval);
         }
         co_await this->controller.flushAndRelease(handOverLimit);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <atomic>
 #include <utility>
 
 namespace flamingosaddle
@@ -90,9 +91,16 @@
                 }
             }
             self->acceptor.close(error);
+            self->closed = true;
         });
     }
 
+    /** Returns whether close() has taken in the last connection. */
+    bool isClosed() const
+    {
+        return this->closed;
+    }
+
     const Endpoint &localEndpoint() const
     {
         return this->local;
@@ -153,6 +161,7 @@
     tcp::acceptor acceptor;
     std::size_t next = 0;
     Endpoint local;
+    std::atomic<bool> closed{false};
 };
 
 class Server final : public HttpServer
@@ -184,6 +193,12 @@
         return this->core->activeExchanges;
     }
 
+    bool isDrained() const override
+    {
+        // In this order: a connection that is taken in counts before the listener is closed.
+        return this->listener->isClosed() && this->core->connectionCount == 0;
+    }
+
     void announceDrain() override
     {
         if (!this->core->draining.exchange(true)) {
--- a/tests/http/drain_test.cpp
+++ b/tests/http/drain_test.cpp
@@ -9,6 +9,9 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+#include <thread>
+
 using namespace flamingosaddle;
 using namespace flamingosaddle::test;
 using boost::asio::awaitable;
@@ -59,6 +62,34 @@
     EXPECT_EQ(this->endStreamAndAskAgain(), "");
 }
 
+// Guards against the end of a process that has accepted a connection and not yet counted it.
+TEST_F(DrainTest, HasNotEndedBeforeTheLastConnectionIsTakenIn)
+{
+    this->client.close();
+    while (this->server.server->connectionCount() > 0) {
+        std::this_thread::yield();
+    }
+    std::promise<void> isBusy;
+    boost::asio::post(this->server.thread.context, [busy = isBusy.get_future().share()]() {
+        busy.wait();
+    });
+    RawClient last(this->server.endpoint());
+    last.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->server.server->drain();
+    EXPECT_EQ(this->server.server->connectionCount(), 0U);
+    EXPECT_FALSE(this->server.server->isDrained());
+    isBusy.set_value();
+    EXPECT_NE(last.readUntil("first").find("200"), std::string::npos);
+    EXPECT_FALSE(this->server.server->isDrained());
+    boost::asio::post(this->server.thread.context, [this] {
+        this->release->cancel();
+    });
+    last.readAll();
+    while (!this->server.server->isDrained()) {
+        std::this_thread::yield();
+    }
+}
+
 TEST_F(DrainTest, TakesOneMoreRequestOfACallerThatWasNotToldOfTheDrain)
 {
     this->beginStream();
