A restart does not grant the allowance for resends anew

Reproduced with real processes on, servers that reject each second request, 100 requests a second: one instance killed every 0.5 s, 360 repeats of 782 requests in the worst 10 s, 150 over; SIGTERM every second, 31 over.

Cause: each process had its whole share of the common allowance at its start, and took over the share of an instance that left in the window in which that one had used it.

Ruled out: the ratio; it counts requests that the process itself has received.

Fix: the share counts from one window after the start on, divided by the largest number of instances in the window, so that no window has two users of one share.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -95,7 +95,8 @@
     options.exemptUnsentAttempts = settings.configuration == ConfigurationSource::Operator;
     options.confirmDeathsByPathCheck = true;
     options.serializeSuspects = settings.configuration == ConfigurationSource::Log;
-    options.resendLimit = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra)};
+    options.resendLimit
+        = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
     options.seed = seed;
     return options;
 }
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -188,7 +188,7 @@
 {
     this->implementation->rateLimits.setInstances(self, peers);
     this->implementation->rejectionLimits.setInstances(self, peers);
-    this->implementation->sharingCount = static_cast<std::uint32_t>(peers.size()) + 1;
+    this->implementation->sharingCount.set(static_cast<std::uint32_t>(peers.size()) + 1, now);
     this->implementation->updateRateShares(now);
     this->implementation->updateRejectionShares(now);
 }
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -210,7 +210,7 @@
         // No server has seen the request, so sending it again adds no load.
         return std::nullopt;
     }
-    if (!this->resendLimit(record.serviceTarget).tryTake(this->sharingCount, now)) {
+    if (!this->tryResend(record.serviceTarget, now)) {
         return RefusalReason::RetriesExhausted;
     }
     const bool allowed
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -42,6 +42,7 @@
     : peers(options.seed)
     , selector(options.seed, policies.selection)
     , quarantine(options.quarantineDeaths)
+    , sharingCount(options.resendLimit.window)
     , options(options)
     , policies(std::move(policies))
     , queue(this->policies.queueOrder)
@@ -78,7 +79,7 @@
     }
     if (profile.earlierAttempts == 0) {
         this->resendLimit(*target).recordRequest(now);
-    } else if (!this->resendLimit(*target).tryTake(this->sharingCount, now)) {
+    } else if (!this->tryResend(*target, now)) {
         return Refusal{RefusalReason::RetriesExhausted, RunState::Unknown, otherInstanceRetryAfter};
     }
     QueueEntry entry = this->makeEntry(profile, *target);
@@ -186,6 +187,11 @@
     return this->resendLimits[target];
 }
 
+bool Dispatcher::Implementation::tryResend(TargetIndex target, TimePoint now)
+{
+    return this->resendLimit(target).tryTake(this->sharingCount.largest(now), now);
+}
+
 PromptBacklog &Dispatcher::Implementation::backlog(TargetIndex target)
 {
     if (target >= this->backlogs.size()) {
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -76,7 +76,7 @@
     RejectionLimits rejectionLimits; // by target of the service
     std::map<ServiceName, double> demands; // server time in milliseconds since the last report to peers
     std::vector<PromptPrefill> prefills; // newest prefills since the last report to peers
-    std::uint32_t sharingCount = 0; // instances that share limits common to all, including this one; 0 while unknown
+    SharingCount sharingCount; // instances that share limits common to all, including this one
 
     // Queries.
 
@@ -138,6 +138,8 @@
     void park(RequestIndex index);
     void releaseParked(TimePoint now);
     ResendLimit &resendLimit(TargetIndex target);
+    /** Takes a resend to the servers of the target from the limit, if it has one left. */
+    bool tryResend(TargetIndex target, TimePoint now);
     PromptBacklog &backlog(TargetIndex target);
     std::optional<Refusal> refuseByBacklog(const QueueEntry &entry, const RequestProfile &profile, TimePoint now);
     void recordTier(const RequestClass &requestClass);
