A second sending on a new connection counts as a resend

Cause: the pool sends a request that failed on a kept connection once more on a new one, to the same server, and did not ask the limit on resends.

Ruled out: rejections, retries and attempts that were not sent; the dispatcher counts them.

Fix: the pool takes the sending from the same limit, or fails like an attempt.

--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -70,6 +70,8 @@
     void pauseServer(Duration pause);
     /** Lets retry() wait only for servers with the software version of this one, because the caller has a part of its stream. */
     void requireSameVersion();
+    /** Takes one more sending of the request to its server from the limit on resends. Returns false if none is left. */
+    bool tryResend();
     void recordFirstToken();
     void recordTokens(std::uint32_t count);
     void finish(AttemptOutcome end);
--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -101,7 +101,7 @@
  * Connection pool for backend servers, used from one executor. A connection carries one request at a time. Idle connections
  * are probed before reuse and closed after a short idle timeout, since a middlebox may have dropped their state. Failures
  * count against a backend server only on a new connection: a request that fails on a reused one is sent again on a new
- * connection to the same server if no byte was written or the request is idempotent.
+ * connection to the same server if no byte was written, or if the request is idempotent and the limit on resends allows it.
  *
  * Must outlive its calls and be destroyed before its executor's context.
  */
@@ -125,6 +125,8 @@
         bool isRepetition = false;
         Duration headTimeout = std::chrono::seconds(30); ///< from the last byte sent to the response head
         TimePoint deadline = TimePoint::max(); ///< for the whole call, with what follows on other connections
+        /** Takes a resend from a limit, if it has one left; when empty, resends have no limit. */
+        std::function<bool()> tryResend;
         /** Matches a response head with the request; when empty, every response is valid. */
         std::function<ResponseCheck(const HttpRequest &sent, const HttpResponseHead &head)> checkResponse;
         /**
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -120,6 +120,12 @@
      */
     void requireSameVersion(Ticket ticket);
 
+    /**
+     * Takes one more sending of a running request, to the server that it was assigned to, from the limit on resends. Returns
+     * false if none is left; the request must not be sent again then.
+     */
+    bool tryResend(Ticket ticket, TimePoint now);
+
     /** Handles the first byte of the response. */
     void onFirstToken(Ticket ticket, TimePoint now);
 
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -104,6 +104,11 @@
     }
 }
 
+bool ServerGrant::tryResend()
+{
+    return this->core && this->core->tryResend(this->ticket);
+}
+
 void ServerGrant::recordFirstToken()
 {
     if (this->core) {
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -98,6 +98,12 @@
     this->dispatcher.requireSameVersion(ticket);
 }
 
+bool AsyncDispatcherCore::tryResend(Ticket ticket)
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->dispatcher.tryResend(ticket, RuntimeClock::now());
+}
+
 void AsyncDispatcherCore::recordFirstToken(Ticket ticket)
 {
     // The completed prefill may free capacity for another prompt.
--- a/src/relay/asyncdispatchercore.h
+++ b/src/relay/asyncdispatchercore.h
@@ -57,6 +57,7 @@
     void pauseServer(Ticket ticket, const BackendServerId &server, Duration pause);
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome end);
     void requireSameVersion(Ticket ticket);
+    bool tryResend(Ticket ticket);
     void recordFirstToken(Ticket ticket);
     void recordTokens(Ticket ticket, std::uint32_t count);
     void finish(Ticket ticket, AttemptOutcome end);
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -184,6 +184,9 @@
         if (isRejected || (failure->anyByteSent && (!order.idempotent || !isRecent))) {
             co_return withoutServerFailure(*failure);
         }
+        if (failure->anyByteSent && order.tryResend && !order.tryResend()) {
+            co_return withoutServerFailure(*failure);
+        }
         wasSent = failure->anyByteSent;
     }
     CallResult result = co_await this->callOnNewConnection(order, caller, step);
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -323,6 +323,9 @@
     this->outcome.softwareVersion = server->value.softwareVersion;
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
+    parameters.tryResend = [&grant]() {
+        return grant.tryResend();
+    };
     parameters.onResponseHead = [this, &grant](const HttpResponseHead &head, bool isRejection) {
         if (this->environment.adapter.isServerLeaving(head.headers) && this->environment.hooks.onServerLeaving) {
             this->environment.hooks.onServerLeaving(grant.server(), this->outcome.sentAt);
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -88,6 +88,11 @@
     this->implementation->requireSameVersion(ticket);
 }
 
+bool Dispatcher::tryResend(Ticket ticket, TimePoint now)
+{
+    return this->implementation->tryResend(ticket, now);
+}
+
 void Dispatcher::onFirstToken(Ticket ticket, TimePoint now)
 {
     this->implementation->onFirstToken(ticket, now);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -80,6 +80,13 @@
     }
 }
 
+bool Dispatcher::Implementation::tryResend(Ticket ticket, TimePoint now)
+{
+    const std::optional<RequestIndex> index = this->requests.find(ticket);
+    return index.has_value() && this->requests.record(*index).isRunning()
+        && this->tryResend(this->requests.record(*index).serviceTarget, now);
+}
+
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -38,6 +38,7 @@
     bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
     void requireSameVersion(Ticket ticket);
+    bool tryResend(Ticket ticket, TimePoint now);
     void onFirstToken(Ticket ticket, TimePoint now);
     void onTokens(Ticket ticket, std::uint32_t count, TimePoint now);
     void finish(Ticket ticket, AttemptOutcome outcome, TimePoint now);
--- a/tests/relay/backendpool_test.cpp
+++ b/tests/relay/backendpool_test.cpp
@@ -124,6 +124,27 @@
     EXPECT_EQ(this->requests, 3);
 }
 
+// Guards against servers that close connections after they have read a request, and get each request twice.
+TEST_F(BackendPoolTest, ASecondSendingIsTakenFromTheLimitOnResends)
+{
+    EXPECT_EQ(this->call(true), std::nullopt);
+    this->closesConnection = [](int number) {
+        return number == 2;
+    };
+    unsigned asked = 0;
+    BackendPool::CallParameters order = this->order(true);
+    order.tryResend = [&asked]() {
+        ++asked;
+        return false;
+    };
+    const std::optional<BackendFailure> failure = this->thread.await(this->callAndRead(order, true));
+    ASSERT_TRUE(failure.has_value());
+    EXPECT_TRUE(failure->anyByteSent);
+    EXPECT_EQ(failure->end, AttemptOutcome::ServerError);
+    EXPECT_EQ(asked, 1U);
+    EXPECT_EQ(this->requests, 2) << "the first request, and the second one sent once";
+}
+
 // The first sending may have run although the second one provably did not.
 TEST_F(BackendPoolTest, ARequestThatWasSentBeforeMayHaveRunWhateverBecomesOfItsSecondSending)
 {
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -173,7 +173,7 @@
 }
 
 CallerFixture::CallerFixture(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
-    CallerHooks hooks, CallerOptions options, ProtocolAdapter interface)
+    CallerHooks hooks, CallerOptions options, ProtocolAdapter interface, DispatcherOptions dispatcherOptions)
     : config(exampleConfig())
 {
     for (const FakeBackend *engine : engines) {
@@ -194,7 +194,7 @@
         });
     };
     this->dispatcher = std::make_unique<AsyncDispatcher>(
-        Dispatcher(DispatcherOptions()), this->thread.context.get_executor(), std::move(dispatcherHooks));
+        Dispatcher(dispatcherOptions), this->thread.context.get_executor(), std::move(dispatcherHooks));
     this->dispatcher->setServers(backendServersOf(*this->config));
     this->handler = std::move(CallerHandler::Builder()
                                   .snapshots(&this->snapshots)
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -58,7 +58,8 @@
 {
 public:
     CallerFixture(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
-        CallerHooks hooks = {}, CallerOptions options = {}, ProtocolAdapter interface = openAiAdapter(secret, RequestClass()));
+        CallerHooks hooks = {}, CallerOptions options = {}, ProtocolAdapter interface = openAiAdapter(secret, RequestClass()),
+        DispatcherOptions dispatcherOptions = {});
     ~CallerFixture();
 
     void addEngine(const Endpoint &endpoint, const std::string &softwareVersion = {});
--- a/tests/relay/callerhandler_test.cpp
+++ b/tests/relay/callerhandler_test.cpp
@@ -405,3 +405,30 @@
     EXPECT_EQ(statusOf(fixture.exchange(request)), 200);
     EXPECT_EQ(fixture.asyncDispatcher().rateLimitedCount(), 0U);
 }
+
+// Guards against servers that get requests again beyond the limit, because resends of some kind are not counted.
+TEST(CallerHandler, AllResendsTogetherKeepTheirLimit)
+{
+    std::atomic<unsigned> arrivals = 0;
+    const FakeBackend::Handler closeEachSecond = [&arrivals](HttpExchange &exchange) -> awaitable<void> {
+        if (++arrivals % 2 == 0) {
+            exchange.abortHandle()();
+            co_return;
+        }
+        const Result<void> ignored = co_await exchange.respond(jsonResponse(200, "{}"));
+    };
+    const FakeBackend first(closeEachSecond);
+    const FakeBackend second(closeEachSecond);
+    DispatcherOptions dispatcherOptions;
+    dispatcherOptions.retryPercent = 100;
+    dispatcherOptions.maxAttempts = 4;
+    dispatcherOptions.resendLimit = {10s, 0.2, 0};
+    const PausedClock paused;
+    const CallerFixture setup({}, {&first, &second}, {}, {}, openAiAdapter(secret, RequestClass()), dispatcherOptions);
+    constexpr unsigned requests = 100;
+    for (unsigned i = 0; i < requests; ++i) {
+        setup.exchange(requestText("GET /open/lookup", ""));
+    }
+    EXPECT_GT(arrivals, requests) << "resends are limited, not forbidden";
+    EXPECT_LE(arrivals, requests + requests / 5);
+}
