Forwarded requests do not raise the limit on resends

Cause: a request that reached no server counted at the instance that received it and at the peer that took it, and one that servers had rejected at a peer counted as new at the next peer.

Ruled out: requests that servers may have run; their earlier attempts travel with them.

Evidence, before: Unreachable.AForwardedRequestAddsNothingToTheAllowanceForResends and ForwardFailure.ARequestThatServersRejectedAtOnePeerIsNotLeftToAnother (200 from a second peer) failed; after: both pass.

Fix: a forwarded request allows no resends, and a peer keeps what servers rejected.

--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -428,7 +428,8 @@
 {
     const bool isUnreachable = refusal.reason == RefusalReason::Unreachable;
     const bool isDraining = refusal.reason == RefusalReason::Draining;
-    return this->forwarded.has_value() && refusal.runState == RunState::NotRun
+    // Another instance would take a request that servers have rejected here for one that none has seen.
+    return this->forwarded.has_value() && refusal.runState == RunState::NotRun && this->sentAttempts == 0
         && (isUnreachable || isDraining || this->isConfigBehind);
 }
 
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -78,7 +78,10 @@
         }
     }
     if (profile.earlierAttempts == 0) {
-        this->resendLimit(*target).recordRequest(now);
+        // The instance that forwarded a request may have counted it already.
+        if (!profile.isForwarded) {
+            this->resendLimit(*target).recordRequest(now);
+        }
     } else if (!this->tryResend(*target, now)) {
         return Refusal{RefusalReason::RetriesExhausted, RunState::Unknown, otherInstanceRetryAfter};
     }
--- a/tests/relay/forward_test.cpp
+++ b/tests/relay/forward_test.cpp
@@ -281,6 +281,38 @@
     EXPECT_EQ(secondPeer.requests().size(), 0U);
 }
 
+// Guards against resends that no instance counts: the next peer would take the request for one that no server has seen.
+TEST(ForwardFailure, ARequestThatServersRejectedAtOnePeerIsNotLeftToAnother)
+{
+    FakeBackend gone(respond);
+    gone.stop();
+    std::atomic<AsyncDispatcher *> dispatcherOfPeer = nullptr;
+    const FakeBackend rejecting([&dispatcherOfPeer](HttpExchange &exchange) -> awaitable<void> {
+        dispatcherOfPeer.load()->update([](Dispatcher &dispatcher, TimePoint now) {
+            dispatcher.drain(now);
+        });
+        HttpResponse response = jsonResponse(503, "{}");
+        response.headers.add("Not-Executed", "1");
+        const Result<void> ignored = co_await exchange.respond(std::move(response));
+    });
+    ProtocolAdapter adapter = openAiAdapter(secret, RequestClass());
+    adapter.checkResponse = [](const HttpRequest &, const HttpResponseHead &head) {
+        return head.headers.has("Not-Executed") ? ResponseCheck::NotExecuted : ResponseCheck::Valid;
+    };
+    CallerFixture peer({}, {&rejecting}, {}, optionsOf("b"), adapter);
+    dispatcherOfPeer = &peer.asyncDispatcher();
+    CallerFixture cutOff({}, {&gone}, {}, optionsOf("a"), adapter);
+    const FakeBackend second(respond);
+    cutOff.setPath(false);
+    PeerPath other = peerAt("second", second.endpoint());
+    other.dataCentre = DataCentre("other");
+    setPeers(cutOff, {peerAt("b", peer.forwardEndpoint()), other});
+    const std::string response = cutOff.exchange(deposit());
+    EXPECT_EQ(statusOf(response), 503) << response;
+    EXPECT_EQ(rejecting.requests().size(), 1U);
+    EXPECT_EQ(second.requests().size(), 0U);
+}
+
 // Guards against a request that waits for the rest of a peer's refusal until its deadline.
 TEST(ForwardFailure, ARefusalOfAPeerWhoseBodyNeverEndsIsOne)
 {
--- a/tests/traffic/unreachable_test.cpp
+++ b/tests/traffic/unreachable_test.cpp
@@ -250,6 +250,30 @@
     EXPECT_LE(accepted, 8U);
 }
 
+// Guards against a request that two instances count, so that twice the resends are allowed.
+TEST_F(Unreachable, AForwardedRequestAddsNothingToTheAllowanceForResends)
+{
+    DispatcherOptions limited = options();
+    limited.resendLimit = {std::chrono::seconds(10), 1.0, 0};
+    for (const bool isForwarded : {false, true}) {
+        this->dispatcher = Dispatcher(limited);
+        BackendServer server;
+        server.id = BackendServerId("s");
+        server.models = {model};
+        server.slots = 64;
+        this->dispatcher.setServers({server}, start);
+        RequestProfile request = profile();
+        request.isForwarded = isForwarded;
+        unsigned resends = 0;
+        for (int i = 0; i < 20; ++i) {
+            const Ticket ticket = this->startRequest(request);
+            const std::optional<Refusal> refusal = this->dispatcher.retry(ticket, AttemptOutcome::Rejected, false, start);
+            resends += refusal.has_value() ? 0 : 1;
+        }
+        EXPECT_EQ(resends > 0, !isForwarded);
+    }
+}
+
 TEST_F(Unreachable, RequestsUseTheOwnPathAgainOnceItIsBack)
 {
     this->addPeer();
