A server's pause holds on while its entry is away

Servers would see: requests within the pause that they asked for, after their entry was away for a moment (found by reading in the review; not seen in a run of the system).

Cause: the pool forgot a server without requests as soon as its entry vanished.

Evidence: Dispatcher.KeepsAPauseWhileTheServerIsNotConfigured failed before and passes.

Fix: the pool keeps a server until its pause has ended.

--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -319,6 +319,7 @@
     };
 
     void addServer(const BackendServer &server);
+    void removeIfUnused(ServerState &state);
     void removeServer(ServerState &state);
     static ModelName versionModel(const ModelName &model, const std::string &softwareVersion);
     void addMemberships(
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -28,9 +28,7 @@
         this->addServer(server);
     }
     for (ServerState &state : this->servers) {
-        if (!state.present && state.inFlight == 0 && !state.id.isEmpty()) {
-            this->removeServer(state);
-        }
+        this->removeIfUnused(state);
     }
     this->rebuildTargets();
 }
@@ -85,6 +83,14 @@
     return versionTarget;
 }
 
+void ServerPool::removeIfUnused(ServerState &state)
+{
+    // A pause holds on if the server's entry is back before its end.
+    if (!state.present && state.inFlight == 0 && !state.pausedUntil.has_value() && !state.id.isEmpty()) {
+        this->removeServer(state);
+    }
+}
+
 void ServerPool::removeServer(ServerState &state)
 {
     const auto index = static_cast<ServerIndex>(&state - this->servers.data());
@@ -230,15 +236,20 @@
 
 void ServerPool::endPauses(TimePoint now)
 {
-    std::erase_if(this->paused, [this, now](ServerIndex index) {
+    std::vector<ServerIndex> ended;
+    std::erase_if(this->paused, [this, now, &ended](ServerIndex index) {
         ServerState &state = this->servers[index];
         if (*state.pausedUntil > now) {
             return false;
         }
         state.pausedUntil.reset();
         this->refresh(index);
+        ended.push_back(index);
         return true;
     });
+    for (const ServerIndex index : ended) {
+        this->removeIfUnused(this->servers[index]);
+    }
 }
 
 void ServerPool::advanceTo(TimePoint now)
@@ -331,9 +342,7 @@
     ServerState &state = this->servers[index];
     state.localTokens = std::max(0.0, state.localTokens - tokens);
     this->adjustInFlight(index, target, -1);
-    if (!state.present && state.inFlight == 0) {
-        this->removeServer(state);
-    }
+    this->removeIfUnused(state);
 }
 
 void ServerPool::adjustInFlight(ServerIndex index, TargetIndex targetIndex, std::int64_t delta)
--- a/tests/traffic/dispatcher_test.cpp
+++ b/tests/traffic/dispatcher_test.cpp
@@ -367,6 +367,34 @@
     EXPECT_EQ(served, 6U);
 }
 
+// The pause that a server has asked for holds although its entry vanishes for a moment, and ends at its time all the same.
+TEST(Dispatcher, KeepsAPauseWhileTheServerIsNotConfigured)
+{
+    DispatcherOptions options;
+    options.retryPercent = 100;
+    Dispatcher dispatcher(options);
+    const std::vector<BackendServer> servers = {serverOf("s", 8)};
+    dispatcher.setServers(servers, TimePoint());
+    const Ticket rejected = submitAccepted(dispatcher, patientProfile());
+    Decisions decisions;
+    dispatcher.dispatch(TimePoint(), decisions);
+    EXPECT_TRUE(dispatcher.onPauseRequested(rejected, 5s, TimePoint()));
+    dispatcher.finish(rejected, AttemptOutcome::Rejected, TimePoint());
+    dispatcher.setServers({}, TimePoint(1s));
+    dispatcher.dispatch(TimePoint(1s), decisions);
+    dispatcher.setServers(servers, TimePoint(2s));
+    const Ticket waiting = submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(2s), decisions);
+    EXPECT_TRUE(decisions.assignments.empty());
+    dispatcher.setServers({}, TimePoint(3s));
+    dispatcher.dispatch(TimePoint(6s), decisions);
+    dispatcher.setServers(servers, TimePoint(7s));
+    dispatcher.cancel(waiting, TimePoint(7s));
+    submitAccepted(dispatcher, patientProfile());
+    dispatcher.dispatch(TimePoint(7s), decisions);
+    EXPECT_EQ(decisions.assignments.size(), 1U);
+}
+
 // The limit of a server whose entry vanishes for a moment, for instance in an outage of the store, still holds when it is back.
 TEST(Dispatcher, KeepsARateLimitWhileTheServerIsNotConfigured)
 {
