Soak: endless answers, repeated signals to stop, ends and memory of the daemons

The proxies before backend servers and the store send answers that never end, in nine forms, slowly or as fast as they are read; a daemon that drains gets SIGTERM up to three times. A daemon that ends with an error, has ended by itself, or used over 390 MB is a finding.

--- a/tests/process/loopbackproxy.cpp
+++ b/tests/process/loopbackproxy.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <future>
+#include <string>
 #include <utility>
 
 namespace flamingosaddle::process
@@ -25,6 +26,25 @@
 {
 
 constexpr std::size_t pieceBytes = 16384;
+constexpr std::chrono::milliseconds endlessPause(1); // between two pieces of an endless answer
+
+/** How an endless answer begins, and what follows again and again. */
+struct EndlessAnswer {
+    const char *beginning;
+    const char *filler;
+};
+
+constexpr std::array endlessAnswers{
+    EndlessAnswer{"HTTP/1.1 200 OK\r\nX-Noise: ", "x"},
+    EndlessAnswer{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    EndlessAnswer{"", "x"},
+    EndlessAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "x"},
+    EndlessAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;extension=", "x"},
+    EndlessAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: ", "x"},
+    EndlessAnswer{"HTTP/1.1 500 Internal Server Error\r\n\r\n", "x"},
+    EndlessAnswer{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "x"},
+    EndlessAnswer{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 900000000000\r\n\r\n", "x"},
+};
 
 /** Closes with a reset in place of an orderly end. */
 void resetSocket(tcp::socket &socket)
@@ -163,6 +183,25 @@
     co_await this->pump(connection, false);
 }
 
+asio::awaitable<void> LoopbackProxy::sendEndlessAnswer(std::shared_ptr<Connection> connection)
+{
+    const EndlessAnswer &answer = endlessAnswers[this->endlessCount % endlessAnswers.size()];
+    const bool isFast = this->endlessCount++ / endlessAnswers.size() % 2 == 0;
+    std::string piece = answer.beginning;
+    boost::system::error_code error;
+    while (!error) {
+        do {
+            piece += answer.filler;
+        } while (isFast && piece.size() < pieceBytes);
+        co_await asio::async_write(connection->caller, asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+        piece.clear();
+        asio::steady_timer timer(this->context, endlessPause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    connection->reset();
+}
+
 asio::awaitable<void> LoopbackProxy::pump(std::shared_ptr<Connection> connection, bool isRequest)
 {
     Socket &from = isRequest ? connection->caller : connection->server;
@@ -181,6 +220,10 @@
         if (!forwards) {
             continue; // what comes is swallowed, an end of the connection too
         }
+        if (!isRequest && !error && this->fault == LinkFault::Endless) {
+            co_await this->sendEndlessAnswer(connection);
+            co_return;
+        }
         if (error == asio::error::eof) {
             boost::system::error_code ignored;
             to.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/process/loopbackproxy.h
+++ b/tests/process/loopbackproxy.h
@@ -25,6 +25,7 @@
     Silent, ///< connections carry nothing any more, for good, and are not closed; new ones are like that, too
     OneWay, ///< the same for what the server sends; the server hears its callers
     Reset, ///< connections are reset, new ones at once
+    Endless, ///< in place of an answer come bytes that never make one, without end, until the caller closes
 };
 
 /**
@@ -72,6 +73,8 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(Socket caller);
     boost::asio::awaitable<void> pump(std::shared_ptr<Connection> connection, bool isRequest);
+    /** Sends one of the endless answers, the next one each time, slowly or as fast as it is read. */
+    boost::asio::awaitable<void> sendEndlessAnswer(std::shared_ptr<Connection> connection);
 
     Endpoint target;
     boost::asio::io_context context{1};
@@ -79,6 +82,7 @@
     LinkFault fault = LinkFault::None;
     std::set<pid_t> processesCutOff;
     Duration resetDelay{0}; // of their new connections
+    std::size_t endlessCount = 0;
     std::list<std::weak_ptr<Connection>> connections;
     std::thread thread;
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <set>
 #include <sstream>
 
@@ -37,10 +38,11 @@
 // An instance that cannot read the log serves for the freshness limit, and requests take a moment to arrive.
 constexpr std::chrono::milliseconds leavingTime(5000);
 constexpr std::array<const char *, 5> backendIds{"engine-a", "engine-b", "bookings-b", "bookings-c", "bookings-d"};
-constexpr std::array linkFaults{
-    LinkFault::None, LinkFault::None, LinkFault::Delayed, LinkFault::Silent, LinkFault::OneWay, LinkFault::Reset};
+constexpr std::array linkFaults{LinkFault::None, LinkFault::None, LinkFault::Delayed, LinkFault::Silent, LinkFault::OneWay,
+    LinkFault::Reset, LinkFault::Endless};
 constexpr std::array<const char *, linkFaults.size()> faultNames{
-    "works", "works", "delays", "is silent", "carries one way", "resets"};
+    "works", "works", "delays", "is silent", "carries one way", "resets", "sends endless answers"};
+constexpr std::size_t memoryLimitKilobytes = 390'000; ///< of a daemon's machine
 constexpr std::array loadKinds{LoadKind::StreamedChat, LoadKind::Deposit, LoadKind::PlainChat, LoadKind::Lookup};
 
 std::vector<std::string> daemonFlags()
@@ -218,12 +220,13 @@
     }
     this->heal();
     this->endDraining();
-    Violations wrong = this->checkServing();
+    Violations wrong = this->checkProcesses();
+    const Violations unserved = this->checkServing();
     const Violations exceeded = this->checkLimitKept();
     const Violations paused = this->checkPauseKept();
     const Violations crashing = this->options.checksCrashingPart ? this->checkCrashingPart() : Violations();
     this->stopCallers();
-    for (const Violations &more : {exceeded, paused, crashing, this->checkLeft(), this->checkVersions(), this->checkWithdrawal(),
+    for (const Violations &more : {unserved, exceeded, paused, crashing, this->checkLeft(), this->checkVersions(), this->checkWithdrawal(),
              this->checkOutcomes(), this->cluster.check()}) {
         wrong.insert(wrong.end(), more.begin(), more.end());
     }
@@ -338,8 +341,10 @@
     this->offer(place, false);
     if (this->below(2) == 0) {
         this->note(daemon.instanceId + " drains");
-        // Callers keep their connections to it until it is gone.
-        daemon.process.signal(SIGTERM);
+        // Callers keep their connections to it until it is gone. The signal comes more than once at times.
+        for (std::uint64_t signals = 1 + this->below(maxSeries); signals > 0; --signals) {
+            daemon.process.signal(SIGTERM);
+        }
         this->draining.push_back(&daemon);
     } else {
         this->note(daemon.instanceId + " is killed");
@@ -352,14 +357,33 @@
 void Soak::endDraining()
 {
     for (DaemonProcess *daemon : this->draining) {
-        if (!daemon->process.waitForEnd(drainPatience).has_value()) {
+        const std::optional<int> status = daemon->process.waitForEnd(drainPatience);
+        if (!status.has_value()) {
             this->note(daemon->instanceId + " does not end");
             daemon->process.kill();
+        } else if (*status != 0) {
+            this->ends.push_back(daemon->instanceId + " ended with " + std::to_string(*status) + " after its drain");
         }
     }
     this->draining.clear();
 }
 
+Violations Soak::checkProcesses()
+{
+    Violations wrong = this->ends;
+    for (const DaemonProcess *daemon : this->daemons) {
+        std::ifstream status("/proc/" + std::to_string(daemon->process.id()) + "/status");
+        std::string line;
+        while (std::getline(status, line) && !line.starts_with("VmHWM:")) {
+        }
+        const std::size_t most = line.empty() ? 0 : std::stoul(line.substr(line.find_first_of("0123456789")));
+        if (!status || most > memoryLimitKilobytes) {
+            wrong.push_back(daemon->instanceId + " has ended, or used too much memory: " + std::to_string(most) + " kB");
+        }
+    }
+    return wrong;
+}
+
 void Soak::harmPlatform()
 {
     switch (this->below(4)) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -70,6 +70,8 @@
     /** Sends a few requests with a common message that makes engines restart. */
     void sendCrashingRequests();
     void heal();
+    /** Checks that no daemon ended by itself, and that none used more memory than its machine may have. */
+    Violations checkProcesses();
     Violations checkServing();
     /** States a rate limit once all faults have ended and checks that the daemons keep it. */
     Violations checkLimitKept();
@@ -97,6 +99,7 @@
     std::vector<DaemonProcess *> daemons; // by place; the present ones
     std::vector<std::size_t> frozen; // places
     std::vector<DaemonProcess *> draining; // replaced, but callers may still be connected
+    Violations ends; // of daemons that did not end as they should
     std::size_t starts = 0;
     GivenKey key;
     GivenKey withdrawn;
