A signal does not change the end of a process

Cause: the daemon's end ends the registration of its signals, which restores their default actions, shortly before the process ends.

Ruled out: the drain; it had logged its end.

Fix: main() registers the signals for as long as the process lives, which also covers the start, where they were ignored until now.

--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -93,6 +93,18 @@
     EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
 }
 
+// Guards against a signal that ends the process while it ends by itself.
+TEST_F(Drain, SignalsDoNotChangeTheEndOfTheProcess)
+{
+    this->daemon().process.signal(SIGTERM);
+    std::optional<int> status;
+    while (!status.has_value()) {
+        this->daemon().process.signal(SIGHUP);
+        status = this->daemon().process.waitForEnd(std::chrono::milliseconds(0));
+    }
+    EXPECT_EQ(status, 0) << this->daemon().process.output();
+}
+
 // Guards against a caller that learns from a closed connection only that its request may have run.
 TEST_F(Drain, RequestsThatRunAreAnsweredAtTheEnd)
 {
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -4,6 +4,9 @@
 #include <flamingosaddle/app/settings.h>
 #include <flamingosaddle/base/log.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -42,6 +45,18 @@
     }
 }
 
+/**
+ * Keeps signals from ending the process while no daemon handles them, at its start and at its end. The first daemon handles those
+ * that came before it.
+ */
+void holdSignals()
+{
+    // Never destroyed: the end of the last registration of a signal restores its default action.
+    static auto &context = *new boost::asio::io_context();
+    static const auto &signals = *new boost::asio::signal_set(context, SIGHUP, SIGTERM, SIGINT);
+    static_cast<void>(signals);
+}
+
 int runDaemon(const Settings &settings, SettingsWatch::Load reload)
 {
     initializeLogging(settings.logLevel, LogOutput::StandardOutput);
@@ -62,6 +77,7 @@
 
 int main(int argc, char **argv)
 {
+    holdSignals();
     std::vector<std::string> arguments(argv + 1, argv + argc);
     if (takeSwitch(arguments, "--help")) {
         printHelp();
@@ -71,8 +87,6 @@
         std::cout << settingsReference();
         return EXIT_SUCCESS;
     }
-    // The settings are read below; until the daemon handles the signal, it would end the process.
-    std::signal(SIGHUP, SIG_IGN);
     const bool checkOnly = takeSwitch(arguments, "--check");
     const auto load = [&arguments] {
         return loadSettings(arguments, environmentVariable);
