--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -22,8 +22,8 @@
 
 /**
  * One connection to an HTTP/1.1 server with at most one request in flight. An exchange, from send() to the last byte of the
- * response, has a deadline, and each call a timeout of its own; both hold for the whole call, whatever the server sends meanwhile.
- * A call that exceeds one closes the connection and fails with Timeout. Used from one executor.
+ * response, has a deadline, and each call a timeout of its own; both hold for the whole call, whatever the server sends
+ * meanwhile. A call that exceeds one closes the connection and fails with Timeout. Used from one executor.
  */
 class HttpConnection
 {
--- a/include/flamingosaddle/relay/backendpool.h
+++ b/include/flamingosaddle/relay/backendpool.h
@@ -162,15 +162,14 @@
     boost::asio::awaitable<Result<HttpResponseHead>> readMatchingHead(
         HttpConnection &connection, const CallParameters &order, bool isReused);
     void addIfReusable(const Endpoint &endpoint, ActiveConnection connection);
-    boost::asio::awaitable<AttemptOutcome> classifyFailure(
-        Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline);
+    boost::asio::awaitable<AttemptOutcome> classifyFailure(Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline);
     /** Returns how long a connection to a server may take to open in a call with that deadline. */
     Duration connectTimeout(TimePoint deadline) const;
     boost::asio::awaitable<CallResult> callOnNewConnection(
         const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
     /** @param isReused whether the connection has carried other requests */
-    boost::asio::awaitable<CallResult> callOn(ActiveConnection connection, bool isReused, const CallParameters &order,
-        DisconnectSignal &caller, const StepHook &step);
+    boost::asio::awaitable<CallResult> callOn(
+        ActiveConnection connection, bool isReused, const CallParameters &order, DisconnectSignal &caller, const StepHook &step);
 
     BackendPoolOptions options;
     std::map<Endpoint, std::deque<IdleConnection>> idleConnections; // most recently used last
--- a/include/flamingosaddle/traffic/resendlimit.h
+++ b/include/flamingosaddle/traffic/resendlimit.h
@@ -22,8 +22,8 @@
 };
 
 /**
- * The number of instances that divide a common allowance. An instance that leaves has used its share of the window before, so that
- * the others may take it over only a window later.
+ * The number of instances that divide a common allowance. An instance that leaves has used its share of the window before, so
+ * that the others may take it over only a window later.
  */
 class SharingCount
 {
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -237,7 +237,8 @@
         if (this->heldBack.body.size() + piece.size() > this->core->limits.maxHeldBackBytes) {
             this->closeNow();
             co_return fail(ErrorKind::TooLarge,
-                "the answer is over " + std::to_string(this->core->limits.maxHeldBackBytes) + " bytes, and HTTP/1.0 has no streams",
+                "the answer is over " + std::to_string(this->core->limits.maxHeldBackBytes)
+                    + " bytes, and HTTP/1.0 has no streams",
                 "use HTTP/1.1");
         }
         this->heldBack.body.append(piece);
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -63,7 +63,8 @@
             return fail(this->limitError(true));
         }
         if (error == http::error::need_more || (!error && used == 0)) {
-            // Chunk headers, their extensions and trailer fields are parsed only as a whole, so that they are kept until their end.
+            // Chunk headers, their extensions and trailer fields are parsed only as a whole, so that they are kept until their
+            // end.
             if (this->input.size() > this->core->limits.maxHeaderBytes) {
                 return malformed("a line of its chunks is over " + std::to_string(this->core->limits.maxHeaderBytes) + " bytes");
             }
--- a/src/relay/backendpool.cpp
+++ b/src/relay/backendpool.cpp
@@ -211,15 +211,15 @@
     co_return co_await this->callOn(this->activate(std::move(connected.value())), false, order, caller, step);
 }
 
-asio::awaitable<BackendPool::CallResult> BackendPool::callOn(ActiveConnection connection, bool isReused,
-    const CallParameters &order, DisconnectSignal &caller, const StepHook &step)
+asio::awaitable<BackendPool::CallResult> BackendPool::callOn(
+    ActiveConnection connection, bool isReused, const CallParameters &order, DisconnectSignal &caller, const StepHook &step)
 {
     auto listener = std::make_unique<DisconnectSignal::Listener>(caller, [&connection]() {
         connection->close();
     });
     step(RequestStep::FirstByteSent);
-    const Result<void> sent = co_await connection->send(
-        order.request, order.headTimeout, std::min(order.deadline, this->latestDeadline));
+    const Result<void> sent
+        = co_await connection->send(order.request, order.headTimeout, std::min(order.deadline, this->latestDeadline));
     if (!sent.has_value()) {
         co_return failureOf(sent.error(), connection->anyByteSent());
     }
@@ -282,8 +282,7 @@
     return std::min(this->options.connectTimeout, std::min(deadline, this->latestDeadline) - RuntimeClock::now());
 }
 
-asio::awaitable<AttemptOutcome> BackendPool::classifyFailure(
-    Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline)
+asio::awaitable<AttemptOutcome> BackendPool::classifyFailure(Error error, bool anyByteSent, Endpoint endpoint, TimePoint deadline)
 {
     const AttemptOutcome end = flamingosaddle::classifyFailure(error, anyByteSent);
     if (end != AttemptOutcome::ServerFailed || !this->options.confirmDeathByReconnect) {
--- a/tests/process/loopbackproxy.cpp
+++ b/tests/process/loopbackproxy.cpp
@@ -189,7 +189,7 @@
     const bool isFast = this->endlessCount++ / endlessAnswers.size() % 2 == 0;
     std::string piece = answer.beginning;
     boost::system::error_code error;
-    while (!error) {
+    while (!error && this->fault == LinkFault::Endless) {
         do {
             piece += answer.filler;
         } while (isFast && piece.size() < pieceBytes);
--- a/tests/process/loopbackproxy.h
+++ b/tests/process/loopbackproxy.h
@@ -25,7 +25,7 @@
     Silent, ///< connections carry nothing any more, for good, and are not closed; new ones are like that, too
     OneWay, ///< the same for what the server sends; the server hears its callers
     Reset, ///< connections are reset, new ones at once
-    Endless, ///< in place of an answer come bytes that never make one, without end, until the caller closes
+    Endless, ///< in place of an answer come bytes that never make one, without end, until the caller closes or the fault is over
 };
 
 /**
--- a/tests/process/testclient.cpp
+++ b/tests/process/testclient.cpp
@@ -84,9 +84,9 @@
     }
 }
 
-Result<void> TestConnection::send(const HttpRequest &request)
+Result<void> TestConnection::send(const HttpRequest &request, TimePoint deadline)
 {
-    return await(this->context, this->connection->send(request, std::chrono::seconds(5), TimePoint::max()));
+    return await(this->context, this->connection->send(request, std::chrono::seconds(5), deadline));
 }
 
 Result<HttpResponseHead> TestConnection::readHead(Duration timeout)
@@ -122,7 +122,7 @@
 
 Result<HttpResponse> TestConnection::exchange(const HttpRequest &request, Duration timeout)
 {
-    BOOST_OUTCOME_TRY(this->send(request));
+    BOOST_OUTCOME_TRY(this->send(request, RuntimeClock::now() + timeout));
     BOOST_OUTCOME_TRY(head, this->readHead(timeout));
     BOOST_OUTCOME_TRY(body, this->readRest(timeout));
     return HttpResponse{head.status, head.headers, body};
--- a/tests/process/testclient.h
+++ b/tests/process/testclient.h
@@ -33,13 +33,14 @@
     explicit TestConnection(const Endpoint &endpoint);
 
     // Commands.
-    Result<void> send(const HttpRequest &request);
+    /** @param deadline of the whole exchange */
+    Result<void> send(const HttpRequest &request, TimePoint deadline = TimePoint::max());
     Result<HttpResponseHead> readHead(Duration timeout = std::chrono::seconds(10));
     /** The next bytes of the body; empty at its end. */
     Result<std::string> readPiece(Duration timeout = std::chrono::seconds(10));
     /** All that is left of the body. */
     Result<std::string> readRest(Duration timeout = std::chrono::seconds(10));
-    /** Sends a request and reads its whole answer. @param timeout for each wait */
+    /** Sends a request and reads its whole answer. @param timeout for the whole exchange */
     Result<HttpResponse> exchange(const HttpRequest &request, Duration timeout = std::chrono::seconds(10));
 
     // Queries.
--- a/tests/relay/endlessresponse_test.cpp
+++ b/tests/relay/endlessresponse_test.cpp
@@ -224,8 +224,7 @@
             });
             server.acceptRequest();
             server.send(response.beginning);
-            const std::optional<Duration> passed
-                = awaitDuringResponse(server, setup.thread, answer, response.filler, deadline);
+            const std::optional<Duration> passed = awaitDuringResponse(server, setup.thread, answer, response.filler, deadline);
             ASSERT_TRUE(passed.has_value()) << response.beginning << response.filler;
             EXPECT_LE(*passed, latestEnd(deadline)) << response.beginning << response.filler;
             const std::string text = answer.get();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -226,8 +226,8 @@
     const Violations paused = this->checkPauseKept();
     const Violations crashing = this->options.checksCrashingPart ? this->checkCrashingPart() : Violations();
     this->stopCallers();
-    for (const Violations &more : {unserved, exceeded, paused, crashing, this->checkLeft(), this->checkVersions(), this->checkWithdrawal(),
-             this->checkOutcomes(), this->cluster.check()}) {
+    for (const Violations &more : {unserved, exceeded, paused, crashing, this->checkLeft(), this->checkVersions(),
+             this->checkWithdrawal(), this->checkOutcomes(), this->cluster.check()}) {
         wrong.insert(wrong.end(), more.begin(), more.end());
     }
     return wrong;
--- a/tests/traffic/resendlimit_test.cpp
+++ b/tests/traffic/resendlimit_test.cpp
@@ -1,5 +1,5 @@
-// Resends of a fleet whose instances are ended and start again while the servers reject requests. Guards against an allowance that
-// each start grants anew, or that those who stay take over from one that has used it.
+// Resends of a fleet whose instances are ended and start again while the servers reject requests. Guards against an allowance
+// that each start grants anew, or that those who stay take over from one that has used it.
 
 #include <flamingosaddle/traffic/dispatcher.h>
 #include <flamingosaddle/traffic/policies.h>
@@ -162,7 +162,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Churns, ResendFleet,
-    testing::Values(Churn{0s, true}, Churn{500ms, true}, Churn{1s, true}, Churn{2500ms, true}, Churn{5s, false}, Churn{12s, true}));
+    testing::Values(
+        Churn{0s, true}, Churn{500ms, true}, Churn{1s, true}, Churn{2500ms, true}, Churn{5s, false}, Churn{12s, true}));
 
 TEST(ResendLimit, HasNoShareOfTheAllowanceBeforeAWindowHasPassedSinceTheStart)
 {
