--- a/benchmark/http/benchclient.cpp
+++ b/benchmark/http/benchclient.cpp
@@ -62,7 +62,7 @@
 {
     const HttpRequest request = streamedRequest();
     const TimePoint start = RuntimeClock::now();
-    const Result<void> sent = co_await this->connection->send(request, timeout);
+    const Result<void> sent = co_await this->connection->send(request, timeout, TimePoint::max());
     if (!sent.has_value()) {
         co_return false;
     }
