--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -107,7 +107,9 @@
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string endless(std::size_t{1024} * 1024, '1');
     for (const char *beginning : {"", "3;", "3\r\nabc\r\n3;", "0\r\n", "0\r\nTrailer: "}) {
-        RawServer server(head + beginning + endless);
+        std::string answer = head;
+        answer.append(beginning).append(endless);
+        RawServer server(std::move(answer));
         const Result<HttpResponse> response = fetchFrom(server.endpoint());
         ASSERT_FALSE(response.has_value()) << beginning;
         EXPECT_EQ(response.error().kind(), ErrorKind::Protocol) << beginning;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -121,7 +121,9 @@
     TestServer server(echo, smallLimits());
     for (const char *beginning : {"", "3;", "3\r\nabc\r\n3;", "0\r\n", "0\r\nTrailer: "}) {
         RawClient client(server.endpoint());
-        client.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(beginning) + std::string(4000, '1'));
+        std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        request.append(beginning).append(4000, '1');
+        client.send(request);
         EXPECT_EQ(statusLine(client.readAll()), "HTTP/1.1 400 Bad Request") << beginning;
     }
 }
