--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -101,7 +101,7 @@
     }
 }
 
-// The daemon starts with every figure that its settings on the users' platform can hold.
+// Guards against a deployed setting whose figure may have no fraction.
 TEST(Settings, TheDeployedSettingsTakeFractions)
 {
     std::ifstream file(DEPLOYED_SETTINGS);
