DrainTest waits until its first connection is taken in

Cause: a fault of the test. The connection of the fixture may wait in the backlog when the test looks for no connection, so that it is taken in and counted only later.

The test waits for one connection before it waits for none, and until the server's thread is busy before it connects anew. What it expects is unchanged.

--- a/tests/http/drain_test.cpp
+++ b/tests/http/drain_test.cpp
@@ -33,6 +33,14 @@
     }};
     RawClient client{server.endpoint()};
 
+    /** Waits until the server has taken in or closed connections, so that it has @p count of them. */
+    void waitForConnections(std::size_t count)
+    {
+        while (this->server.server->connectionCount() != count) {
+            std::this_thread::yield();
+        }
+    }
+
     void beginStream()
     {
         this->client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -65,14 +73,16 @@
 // Guards against the end of a process that has accepted a connection and not yet counted it.
 TEST_F(DrainTest, HasNotEndedBeforeTheLastConnectionIsTakenIn)
 {
+    this->waitForConnections(1);
     this->client.close();
-    while (this->server.server->connectionCount() > 0) {
-        std::this_thread::yield();
-    }
+    this->waitForConnections(0);
     std::promise<void> isBusy;
-    boost::asio::post(this->server.thread.context, [busy = isBusy.get_future().share()]() {
+    std::promise<void> begun;
+    boost::asio::post(this->server.thread.context, [&begun, busy = isBusy.get_future().share()]() {
+        begun.set_value();
         busy.wait();
     });
+    begun.get_future().wait();
     RawClient last(this->server.endpoint());
     last.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     this->server.server->drain();
