Soak: a connection closed without an answer is a finding

The soak let callers keep connections to daemons that drain, but did not look at requests whose connection was closed without an answer (LOST). checkLost() counts those that a backend server ran, at daemons that were not killed, and every second daemon has a drain shorter than some answers.

--- a/tests/process/checkers.cpp
+++ b/tests/process/checkers.cpp
@@ -103,6 +103,24 @@
     return violations;
 }
 
+Violations checkLost(const std::vector<Json> &backendAudits, const std::vector<std::string> &names)
+{
+    Violations violations;
+    for (const std::string &name : names) {
+        const std::string quoted = '"' + name + '"';
+        for (const Json &audit : backendAudits) {
+            for (const Json &run : audit.at("runs")) {
+                const bool hasName = run.at("target").get<std::string>().ends_with('/' + name)
+                    || run.at("body").get<std::string>().find(quoted) != std::string::npos;
+                if (hasName && run.at("end") != "notRun") {
+                    violations.push_back("request " + name + " ran, and its connection was closed without an answer");
+                }
+            }
+        }
+    }
+    return violations;
+}
+
 Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys)
 {
     Violations violations;
--- a/tests/process/checkers.h
+++ b/tests/process/checkers.h
@@ -26,6 +26,12 @@
 /** No request that was refused as not run, by the request ids of the refusals, was run by a backend server. */
 Violations checkNotRun(const std::vector<Json> &backendAudits, const std::vector<std::string> &requestIds);
 
+/**
+ * No backend server ran a request with one of these names, which stand at the end of the target or quoted in the body. The
+ * callers of these requests saw their connection closed without an answer.
+ */
+Violations checkLost(const std::vector<Json> &backendAudits, const std::vector<std::string> &names);
+
 /** No backend server received one of the callers' keys, in a header, the target or the body. */
 Violations checkNoKeySeen(const std::vector<Json> &backendAudits, const std::vector<std::string> &keys);
 
--- a/tests/process/checkers_test.cpp
+++ b/tests/process/checkers_test.cpp
@@ -83,6 +83,17 @@
     EXPECT_EQ(checkNotRun(audits, {""}).size(), 1U);
 }
 
+TEST(CheckLost, FindsRunsOfRequestsWhoseConnectionWasClosed)
+{
+    const auto run = [](const std::string &target, const std::string &body, const std::string &end) {
+        return Json{{"target", target}, {"body", body}, {"end", end}};
+    };
+    const std::vector<Json> audits{audit({run("/deposits/0-1", "{}", "answered"), run("/deposits/0-2", "{}", "notRun")}),
+        audit({run("/chat", R"({"content":"0-12"})", "answered")})};
+    EXPECT_EQ(checkLost(audits, {"0-1", "0-12"}).size(), 2U);
+    EXPECT_EQ(checkLost(audits, {"0-2", "2"}), Violations{});
+}
+
 TEST(CheckNoKeySeen, FindsAKeyInHeaderTargetAndBody)
 {
     Json inHeader = run("GET", "r1", "", "whole");
--- a/tests/process/loadrun.cpp
+++ b/tests/process/loadrun.cpp
@@ -134,6 +134,8 @@
     LoadOutcome outcome;
     outcome.instanceId = instanceId;
     outcome.kind = kind;
+    outcome.name = name;
+    outcome.isBegun = response.has_value();
     if (response.has_error()) {
         outcome.failure = response.error().kind();
         outcome.detail = name + ": " + response.error().text();
@@ -150,6 +152,19 @@
     return outcome;
 }
 
+Result<HttpResponseHead> headOfAnswer(TestConnection &connection, const HttpRequest &request, Duration timeout)
+{
+    BOOST_OUTCOME_TRY(connection.send(request, RuntimeClock::now() + timeout));
+    return connection.readHead(timeout);
+}
+
+Result<HttpResponse> wholeAnswer(TestConnection &connection, const Result<HttpResponseHead> &head, Duration timeout)
+{
+    BOOST_OUTCOME_TRY(received, head);
+    BOOST_OUTCOME_TRY(body, connection.readRest(timeout));
+    return HttpResponse{received.status, received.headers, body};
+}
+
 } // namespace
 
 LoadOutcome sendLoad(const std::string &instanceId, const Endpoint &caller, const std::string &key, LoadKind kind,
@@ -163,7 +178,10 @@
     const std::string &name, Duration timeout)
 {
     const HttpRequest request = withKey(requestOf(kind, name), key);
-    return outcomeOf(instanceId, kind, name, request, connection.exchange(request, timeout));
+    const Result<HttpResponseHead> head = headOfAnswer(connection, request, timeout);
+    LoadOutcome outcome = outcomeOf(instanceId, kind, name, request, wholeAnswer(connection, head, timeout));
+    outcome.isBegun = head.has_value();
+    return outcome;
 }
 
 void LoadRun::record(LoadOutcome outcome)
@@ -188,6 +206,17 @@
     return fewest;
 }
 
+std::vector<std::string> closedWithoutAnswer(const std::vector<LoadOutcome> &outcomes, const std::set<std::string> &excused)
+{
+    std::vector<std::string> names;
+    for (const LoadOutcome &outcome : outcomes) {
+        if (outcome.failure == ErrorKind::ConnectionLost && !outcome.isBegun && !excused.contains(outcome.instanceId)) {
+            names.push_back(outcome.name);
+        }
+    }
+    return names;
+}
+
 Violations unservedRequests(const std::vector<LoadOutcome> &outcomes)
 {
     Violations violations;
--- a/tests/process/loadrun.h
+++ b/tests/process/loadrun.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,6 +26,8 @@
 struct LoadOutcome {
     std::string instanceId; ///< the daemon that it was sent to
     LoadKind kind = LoadKind::StreamedChat;
+    std::string name; ///< of the request, part of its target or body
+    bool isBegun = false; ///< whether the head of an answer came
     int status = 0; ///< 0 when there was no whole answer
     std::optional<ErrorKind> failure; ///< of the connection
     std::string requestId;
@@ -83,6 +86,9 @@
 /** The outcomes that are neither a whole right answer nor a refusal which says that nothing ran. */
 Violations unservedRequests(const std::vector<LoadOutcome> &outcomes);
 
+/** The names of the requests whose connection was closed before an answer began, but for those sent to @p excused daemons. */
+std::vector<std::string> closedWithoutAnswer(const std::vector<LoadOutcome> &outcomes, const std::set<std::string> &excused);
+
 /** The request ids of the refusals that said that nothing ran. */
 std::vector<std::string> notRunRequestIds(const std::vector<LoadOutcome> &outcomes);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,6 +19,8 @@
 constexpr Duration callerPatience = std::chrono::seconds(3); ///< after which a caller leaves
 constexpr std::chrono::milliseconds reconnectPause(20);
 constexpr std::chrono::seconds drainPatience(15); ///< after which a draining daemon is killed
+// Shorter than some answers take, so that drains end under requests that run.
+constexpr const char *shortDrain = "500";
 constexpr std::size_t shownLogBytes = 3000;
 constexpr unsigned maxSeries = 3; ///< harms, or daemons of one harm, without a pause between them
 constexpr const char *limitedService = "bookings-b";
@@ -146,6 +148,9 @@
         flags.insert(flags.end(), {"--seed-peers", seeds});
     }
     const std::string id = "i" + std::to_string(++this->starts);
+    if (this->starts % 2 == 0) {
+        flags.insert(flags.end(), {"--drain-timeout", shortDrain});
+    }
     this->daemons[place] = &this->cluster.addDaemonAt(this->platformLink->address(), places[place % places.size()], id, flags);
 }
 
@@ -348,6 +353,7 @@
         this->draining.push_back(&daemon);
     } else {
         this->note(daemon.instanceId + " is killed");
+        this->killed.insert(daemon.instanceId);
         daemon.process.kill();
     }
     this->startDaemon(place);
@@ -360,6 +366,7 @@
         const std::optional<int> status = daemon->process.waitForEnd(drainPatience);
         if (!status.has_value()) {
             this->note(daemon->instanceId + " does not end");
+            this->killed.insert(daemon->instanceId);
             daemon->process.kill();
         } else if (*status != 0) {
             this->ends.push_back(daemon->instanceId + " ended with " + std::to_string(*status) + " after its drain");
@@ -592,6 +599,8 @@
 {
     const std::lock_guard lock(this->mutex);
     Violations wrong = checkNotRun(this->cluster.backendAudits(), notRunRequestIds(this->outcomes));
+    const Violations lost = checkLost(this->cluster.backendAudits(), closedWithoutAnswer(this->outcomes, this->killed));
+    wrong.insert(wrong.end(), lost.begin(), lost.end());
     for (const LoadOutcome &outcome : this->outcomes) {
         wrong.insert(wrong.end(), outcome.violations.begin(), outcome.violations.end());
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -99,6 +100,7 @@
     std::vector<DaemonProcess *> daemons; // by place; the present ones
     std::vector<std::size_t> frozen; // places
     std::vector<DaemonProcess *> draining; // replaced, but callers may still be connected
+    std::set<std::string> killed; // instance ids
     Violations ends; // of daemons that did not end as they should
     std::size_t starts = 0;
     GivenKey key;
