The age of a forwarded request's configuration is measured at this instance

Cause: the arrival of a forwarded request lies before the start of the clock if it has waited elsewhere for longer than this machine has been up; the age of the configuration was counted from there, and overflows where the configuration never expires.

Evidence: ForwardedRequest.TheTimeThatHasPassedCountsAgainstTheDeadline, with a time of an hour, fails on each run at 54 minutes of uptime before, and passes after.

Fix: the age, a figure of the log only, counts from the current time, which is what it claims to tell.

--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -104,7 +104,7 @@
         return fail(ErrorKind::Unavailable, "this instance has an older configuration than the one that forwarded the request",
             "try again later");
     }
-    this->outcome.configAge = this->outcome.arrival - (snapshot->freshUntil() - this->environment.options.freshnessLimit);
+    this->outcome.configAge = RuntimeClock::now() - (snapshot->freshUntil() - this->environment.options.freshnessLimit);
     BOOST_OUTCOME_TRY(result, this->environment.adapter.route(*snapshot, this->request, RuntimeClock::now()));
     this->routed = std::move(result);
     this->routed.profile.arrival = this->outcome.arrival;
