CallerFixture answers path checks later, as a daemon does

Cause: a fault of the fixture. It answered each path check inside the hook that asks for it, and the answer looks for due checks again. While the test moves the clock on another thread, there is always one, so that the calls nest without end.

The fixture posts the answers to its thread. No test changed.

--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -187,10 +188,13 @@
     this->publish(TimePoint::max());
     AsyncDispatcherHooks dispatcherHooks;
     dispatcherHooks.onPathChecks = [this](const std::vector<PathCheck> &checks) {
-        this->dispatcher->update([this, &checks](Dispatcher &dispatcher, TimePoint now) {
-            for (const PathCheck &check : checks) {
-                dispatcher.onPathCheck(check, this->hasPath, now);
-            }
+        // Not at once: while a test moves the clock, the next check may be due by then, without end.
+        asio::post(this->thread.context, [this, checks] {
+            this->dispatcher->update([this, &checks](Dispatcher &dispatcher, TimePoint now) {
+                for (const PathCheck &check : checks) {
+                    dispatcher.onPathCheck(check, this->hasPath, now);
+                }
+            });
         });
     };
     this->dispatcher = std::make_unique<AsyncDispatcher>(
