--- a/tests/relay/forward_test.cpp
+++ b/tests/relay/forward_test.cpp
@@ -424,3 +424,22 @@
     EXPECT_EQ(statusOf(response), 504) << response;
     EXPECT_EQ(recorder.firstOutcome().refusal, RefusalReason::DeadlineMissed);
 }
+
+// Guards against an age that counts from a time before this instance had the configuration.
+TEST(ForwardedRequest, TheAgeOfTheConfigurationDoesNotCountTheTimeAtTheOtherInstance)
+{
+    const FakeBackend service(respond);
+    Recorder recorder;
+    CallerOptions options = optionsOf("b");
+    options.freshnessLimit = 5s;
+    CallerFixture peer({}, {&service}, recorder.hooks(), options);
+    peer.publish(RuntimeClock::now() + options.freshnessLimit);
+    RawClient client(peer.forwardEndpoint());
+    client.send(serviceRequest("GET /s/lookup",
+        "X-Flamingosaddle-Elapsed-Ms: 3600000\r\nX-Flamingosaddle-Earlier-Attempts: 0\r\n"
+        "X-Flamingosaddle-Config-Offset: 0\r\n"));
+    client.readAll();
+    const std::optional<Duration> age = recorder.firstOutcome().configAge;
+    ASSERT_TRUE(age.has_value());
+    EXPECT_GE(*age, Duration::zero());
+}
