Soak: a stricter limit on a daemon's memory, of no deployment

The limit was the memory of one deployment's machines. 100 MB is above the buffers of a run's connections.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,7 +19,7 @@
 constexpr Duration callerPatience = std::chrono::seconds(3); ///< after which a caller leaves
 constexpr std::chrono::milliseconds reconnectPause(20);
 constexpr std::chrono::seconds drainPatience(15); ///< after which a draining daemon is killed
-// Shorter than some answers take, so that drains end under requests that run.
+// In milliseconds; shorter than some answers take, so that drains end while requests run.
 constexpr const char *shortDrain = "500";
 constexpr std::size_t shownLogBytes = 3000;
 constexpr unsigned maxSeries = 3; ///< harms, or daemons of one harm, without a pause between them
@@ -44,7 +44,8 @@
     LinkFault::Reset, LinkFault::Endless};
 constexpr std::array<const char *, linkFaults.size()> faultNames{
     "works", "works", "delays", "is silent", "carries one way", "resets", "sends endless answers"};
-constexpr std::size_t memoryLimitKilobytes = 390'000; ///< of a daemon's machine
+// Far above the buffers of all connections of a run, and below what endless answers send in it.
+constexpr std::size_t memoryLimitKilobytes = 100'000;
 constexpr std::array loadKinds{LoadKind::StreamedChat, LoadKind::Deposit, LoadKind::PlainChat, LoadKind::Lookup};
 
 std::vector<std::string> daemonFlags()
