Log lines of requests name the deadline and the end of the last attempt

The line of a request told when it ended, but neither the deadline that was in force for it nor whether the attempt at the backend server or the answer after it took the time, so that a late answer could not be told from a deadline that was wrong.

Change: the fields deadline_ms and attempt_end_ms.

--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -55,7 +55,9 @@
     std::optional<RefusalReason> refusal; ///< when the dispatcher refused the request
     bool complete = false; ///< whether the caller received the complete response
     TimePoint arrival;
+    std::optional<TimePoint> deadline; ///< nothing if the request was not routed
     TimePoint sentAt; ///< time of the last attempt
+    std::optional<TimePoint> attemptEndedAt; ///< when the last attempt at a backend server ended
     std::optional<TimePoint> firstTokenAt;
     std::optional<TimePoint> end;
     std::uint64_t relayedTokens = 0; ///< relayed to the caller
--- a/src/app/requestlog.cpp
+++ b/src/app/requestlog.cpp
@@ -3,6 +3,7 @@
 #include <flamingosaddle/app/hashlist.h>
 #include <flamingosaddle/base/log.h>
 
+#include <optional>
 #include <string>
 
 namespace flamingosaddle
@@ -55,8 +56,11 @@
     if (!this->mayLog(served, now)) {
         return;
     }
-    const auto since = [&outcome](TimePoint time) {
-        return milliseconds(time - outcome.arrival);
+    const auto since = [&outcome](const std::optional<TimePoint> &time) {
+        return time.has_value() ? milliseconds(*time - outcome.arrival) : "none";
+    };
+    const auto attemptTime = [&outcome, &since](const std::optional<TimePoint> &time) {
+        return outcome.attempts > 0 ? since(time) : "none";
     };
     logEvent(served ? LogLevel::Info : LogLevel::Warning, "relay", "request",
         {{"request", outcome.requestId}, {"account", outcome.clientAccount.text()}, {"class", outcome.className.text()},
@@ -69,8 +73,9 @@
             {"last_attempt", outcome.lastAttempt.has_value() ? toString(*outcome.lastAttempt) : "none"},
             {"server", outcome.server.text()}, {"server_version", outcome.softwareVersion}, {"resumes", outcome.resumedRequest},
             {"resume_after", std::to_string(outcome.resumeAfter)},
-            {"sent_ms", outcome.attempts > 0 ? since(outcome.sentAt) : "none"},
-            {"first_token_ms", outcome.firstTokenAt ? since(outcome.firstTokenAt.value()) : "none"}, {"end_ms", since(now)},
+            {"deadline_ms", since(outcome.deadline)}, {"sent_ms", attemptTime(outcome.sentAt)},
+            {"first_token_ms", since(outcome.firstTokenAt)}, {"attempt_end_ms", attemptTime(outcome.attemptEndedAt)},
+            {"end_ms", since(now)},
             {"status", std::to_string(outcome.status)}, {"run", runStateText(outcome)},
             {"refusal", outcome.refusal.has_value() ? toString(*outcome.refusal) : "none"}, {"error", outcome.error},
             {"tokens", std::to_string(outcome.relayedTokens)}, {"forwarded_to", outcome.forwardedTo.text()},
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -108,6 +108,7 @@
     BOOST_OUTCOME_TRY(result, this->environment.adapter.route(*snapshot, this->request, RuntimeClock::now()));
     this->routed = std::move(result);
     this->routed.profile.arrival = this->outcome.arrival;
+    this->outcome.deadline = this->outcome.arrival + this->routed.profile.requestClass.deadline;
     if (this->forwarded.has_value()) {
         this->routed.profile.isForwarded = true;
         this->routed.profile.earlierAttempts = this->forwarded->attempts;
@@ -271,6 +272,7 @@
     while (true) {
         AttemptResult result = co_await this->runAttempt(grant);
         this->outcome.lastAttempt = result.end;
+        this->outcome.attemptEndedAt = RuntimeClock::now();
         this->sentAttempts += result.end == AttemptOutcome::NotSent ? 0 : 1;
         if (result.outcome != AttemptResult::Outcome::Failed) {
             grant.finish(result.end);
