A request waits for the platform until its deadline at most

Callers saw: nothing at the deadline of a request that needs a claim, or the software version of the stream that it resumes, while the platform's store does not answer.

Cause: both decisions were awaited without the request's deadline. Only the timeouts of the store's calls ended the wait.

Evidence, before: DecisionWait.AClaimThatIsNotDecidedIsRefusedAtTheDeadline and AStreamWhoseVersionIsNotFoundInTimeIsRefusedAtTheDeadline had no answer after five times the deadline. After: both pass.

Fix: the decision is awaited until the deadline; then the request is refused as not run, and a claim that is granted later is given back, so that its key can be used again.

--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -1,6 +1,7 @@
 #include "callerexchange.h"
 
 #include "connectionregistration.h"
+#include "deadlinewait.h"
 #include "forwardrelay.h"
 
 #include <nlohmann/json.hpp>
@@ -20,6 +21,14 @@
 // Another instance may still be about to save where the stream began.
 constexpr std::chrono::seconds unknownVersionRetryAfter(1);
 
+/** Gives back a claim that was granted after its request had been refused. */
+void releaseLateClaim(const ClaimDecision &decision)
+{
+    if (const ClaimGranted *granted = std::get_if<ClaimGranted>(&decision)) {
+        granted->reportOutcome({ClaimOutcome::State::NotRun, {}});
+    }
+}
+
 auto missingConfiguration()
 {
     return fail(ErrorKind::Unavailable, "this instance has no configuration yet", "try again later");
@@ -172,10 +181,12 @@
     if (!this->isResumption() || !this->environment.hooks.streamVersion) {
         co_return true;
     }
-    StreamVersion version
-        = co_await this->environment.hooks.streamVersion(this->routed.resumedRequest, this->routed.profile.service);
-    if (version.isKnown) {
-        this->routed.profile.softwareVersion = std::move(version.text);
+    const RequestProfile &profile = this->routed.profile;
+    std::optional<StreamVersion> version = co_await awaitUntil<StreamVersion>(
+        this->environment.hooks.streamVersion(this->routed.resumedRequest, profile.service),
+        profile.arrival + profile.requestClass.deadline, nullptr);
+    if (version.has_value() && version->isKnown) {
+        this->routed.profile.softwareVersion = std::move(version->text);
         co_return true;
     }
     RefusalResponse refusal
@@ -209,9 +220,12 @@
     request.idempotencyKey = std::string(idempotencyKey);
     request.fingerprint = this->routed.profile.fingerprint;
     request.requestId = this->outcome.requestId;
-    ClaimDecision decision = co_await this->environment.hooks.claim(std::move(request));
+    const RequestProfile &profile = this->routed.profile;
+    std::optional<ClaimDecision> decided = co_await awaitUntil<ClaimDecision>(
+        this->environment.hooks.claim(std::move(request)), profile.arrival + profile.requestClass.deadline, releaseLateClaim);
     claimSpan.end();
     this->environment.reportStep(RequestStep::Claim);
+    ClaimDecision decision = std::move(decided).value_or(ClaimUnavailable());
     co_return co_await this->handleClaimResult(std::move(decision));
 }
 
