Resumptions at one time share a read of the store that failed

Callers saw: the n-th of several resumptions at an instance answered n times as late as the first while the store does not answer.

Cause: only the success of a read was shared. After a failure each resumption that had waited began a read of its own, and the others waited for it.

Evidence, before: StreamRegistryTest.ResumptionsAtOneTimeShareAFailedRead, eight resumptions at a store whose calls fail after a second: not all were decided two seconds after the last one had come. After: it passes.

Fix: the result is shared whether the read succeeded or not.

--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -71,6 +71,12 @@
     StreamVersionHook hook();
 
 private:
+    /** A read of the servers' entries and the log. */
+    struct Refresh {
+        TimePoint startedAt;
+        bool hasSucceeded = false;
+    };
+
     StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
     StreamVersion soleVersion(const ServiceName &service) const;
     boost::asio::awaitable<StreamVersion> versionOf(std::string request, ServiceName service);
@@ -86,7 +92,7 @@
     Backoff backoff;
     std::size_t instanceCount = 1;
     std::optional<std::uint64_t> nextOffset; // of the log; empty before the first read
-    std::optional<TimePoint> refreshedAt; // when the last complete refresh began
+    std::optional<Refresh> lastRefresh; // that has ended
     bool isRefreshing = false;
     bool stopped = false;
 };
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -151,8 +151,8 @@
     while (this->isRefreshing) {
         co_await delay(refreshPollInterval);
     }
-    if (this->refreshedAt.has_value() && *this->refreshedAt >= requestedAt) {
-        co_return true;
+    if (this->lastRefresh.has_value() && this->lastRefresh->startedAt >= requestedAt) {
+        co_return this->lastRefresh->hasSucceeded;
     }
     this->isRefreshing = true;
     const TimePoint startedAt = RuntimeClock::now();
@@ -160,9 +160,7 @@
     if (succeeded) {
         succeeded = co_await this->readLog();
     }
-    if (succeeded) {
-        this->refreshedAt = startedAt;
-    }
+    this->lastRefresh = {startedAt, succeeded};
     this->isRefreshing = false;
     co_return succeeded;
 }
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -210,3 +210,27 @@
     first.registry.recordStart("stream", ServiceName("other"), "v1");
     EXPECT_EQ(first.versionOf("stream"), std::nullopt);
 }
+
+// Guards against resumptions that wait for each other's reads of a store that does not answer.
+TEST_F(StreamRegistryTest, ResumptionsAtOneTimeShareAFailedRead)
+{
+    constexpr int resumptions = 8;
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.instance.isStoreUnreachable = true;
+    first.instance.failureDelay = 1s;
+    int decided = 0;
+    const StreamVersionHook hook = first.registry.hook(); // outlives its coroutines
+    for (int i = 0; i < resumptions; ++i) {
+        boost::asio::co_spawn(this->context, hook("unknown " + std::to_string(i), service),
+            [&decided](const std::exception_ptr &, const StreamVersion &version) {
+                EXPECT_FALSE(version.isKnown);
+                ++decided;
+            });
+        advanceTime(this->context, 100ms);
+    }
+    // The read that runs when a resumption comes may be older than it; the next one is not.
+    advanceTime(this->context, 2 * first.instance.failureDelay);
+    EXPECT_EQ(decided, resumptions);
+    advanceTime(this->context, resumptions * first.instance.failureDelay); // ends what still waits
+}
