A state that is ahead of its log is discarded and read anew

Cause: the state can be that of another log.

The fake log now refuses an offset beyond its end, as the store does.

Claims, which are read by the same class, too.

--- a/include/flamingosaddle/control/claimcoordinator.h
+++ b/include/flamingosaddle/control/claimcoordinator.h
@@ -61,6 +61,7 @@
 
     boost::asio::awaitable<ClaimDecision> claim(ClaimRequest request);
     Result<void> restoreSnapshot(std::string_view text);
+    void discardState();
     void applyRecord(const LogRecord &record);
     void resolvePending(std::uint64_t offset, const ClaimRecord &record, ClaimResult result);
     ClaimDecision decisionFor(const ClaimKey &key, std::uint64_t fingerprint, ClaimResult result, std::uint64_t number);
--- a/include/flamingosaddle/control/configreplica.h
+++ b/include/flamingosaddle/control/configreplica.h
@@ -53,14 +53,16 @@
 
 private:
     Result<void> restoreSnapshot(std::string_view text);
+    void discardState();
     void applyRecord(std::uint64_t offset, std::string_view body);
     void onLogEnd(TimePoint sentAt);
     void publishState();
 
     std::function<void()> onUpdate;
     LogReplica replica;
-    ConfigState workingState; // ahead of `currentState` while a batch is being applied
+    ConfigState workingState; // ahead of `currentState` while a batch is being applied, or behind it after discardState()
     std::shared_ptr<const ConfigState> currentState;
+    bool isDiscarded = false; // whether `currentState` is not that of the log
     std::optional<TimePoint> lastEndReadAt;
     std::uint64_t undecodable = 0;
 };
--- a/include/flamingosaddle/control/logreplica.h
+++ b/include/flamingosaddle/control/logreplica.h
@@ -21,6 +21,8 @@
     std::function<std::uint64_t()> nextOffset;
     /** Restores a snapshot if it is ahead of the state. Fails when the text is no valid snapshot. */
     std::function<Result<void>(std::string_view text)> restoreSnapshot;
+    /** Returns to the state before the first record, because the present one is not that of this log. */
+    std::function<void()> discardState;
     /** Applies one record. Called in log order, once for each offset. */
     std::function<void(const LogRecord &record)> applyRecord;
     /** Called when a read that was sent at @p sentAt reached the end of the stream at offset @p logEnd. May be empty. */
@@ -30,7 +32,7 @@
 /**
  * Keeps a state machine up to date with a stream of the log. Starts from the newest snapshot and applies the records after it.
  * When the log has trimmed records that no snapshot covers, nothing is applied, since the state would differ from that of
- * other readers. Must be used on the control thread.
+ * other readers. A state that is ahead of the log comes from another log and is discarded. Must be used on the control thread.
  */
 class LogReplica
 {
@@ -50,6 +52,8 @@
 private:
     boost::asio::awaitable<Result<std::uint64_t>> nextReadOffset();
     boost::asio::awaitable<Result<void>> loadSnapshot();
+    /** Replaces a state that is ahead of the log, which ends at @p logEnd, by the newest snapshot of the log, if it has one. */
+    boost::asio::awaitable<Result<void>> discardState(std::uint64_t logEnd);
     void applyBatch(const LogBatch &batch, TimePoint sentAt);
     Error reportGap();
 
--- a/src/control/claimcoordinator.cpp
+++ b/src/control/claimcoordinator.cpp
@@ -39,6 +39,9 @@
               [this](std::string_view text) {
                   return this->restoreSnapshot(text);
               },
+              [this] {
+                  this->discardState();
+              },
               [this](const LogRecord &record) {
                   this->applyRecord(record);
               },
@@ -138,6 +141,11 @@
     return success();
 }
 
+void ClaimCoordinator::discardState()
+{
+    this->claimTable = ClaimTable(this->options.limits);
+}
+
 void ClaimCoordinator::applyRecord(const LogRecord &record)
 {
     const Result<ClaimRecord> decoded = decodeClaimRecord(record.body);
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -15,6 +15,9 @@
               [this](std::string_view text) {
                   return this->restoreSnapshot(text);
               },
+              [this] {
+                  this->discardState();
+              },
               [this](const LogRecord &record) {
                   this->applyRecord(record.offset, record.body);
               },
@@ -74,6 +77,13 @@
     return success();
 }
 
+void ConfigReplica::discardState()
+{
+    // The state in force stays until that of the log is known.
+    this->workingState = ConfigState();
+    this->isDiscarded = true;
+}
+
 void ConfigReplica::applyRecord(std::uint64_t offset, std::string_view body)
 {
     const Result<ConfigChange> change = decodeConfigChange(body);
@@ -93,7 +103,7 @@
 
 void ConfigReplica::publishState()
 {
-    if (this->workingState.nextOffset() != this->currentState->nextOffset()) {
+    if (std::exchange(this->isDiscarded, false) || this->workingState.nextOffset() != this->currentState->nextOffset()) {
         this->currentState = std::make_shared<const ConfigState>(this->workingState);
     }
     this->onUpdate();
--- a/src/control/logreplica.cpp
+++ b/src/control/logreplica.cpp
@@ -58,10 +58,18 @@
     if (loaded.has_error()) {
         co_return fail(loaded.error());
     }
+    // The state may advance while the bounds are read, so that only the state before tells whether it is ahead of the log.
+    const std::uint64_t nextBefore = this->hooks.nextOffset();
     const Result<LogBounds> bounds = co_await this->platform.bounds(this->stream);
     if (bounds.has_error()) {
         co_return fail(bounds.error());
     }
+    if (nextBefore > bounds.value().endOffset) {
+        const Result<void> discarded = co_await this->discardState(bounds.value().endOffset);
+        if (discarded.has_error()) {
+            co_return fail(discarded.error());
+        }
+    }
     const std::uint64_t first = bounds.value().firstOffset;
     const std::uint64_t next = this->hooks.nextOffset();
     // The records of a restored store are read again from the first one: which of them the state contains is unknown, and a
@@ -93,6 +101,22 @@
     co_return success();
 }
 
+boost::asio::awaitable<Result<void>> LogReplica::discardState(std::uint64_t logEnd)
+{
+    logEvent(LogLevel::Error, "control", "the state is ahead of the log and is read anew",
+        {{"stream", toString(this->stream)}, {"next", std::to_string(this->hooks.nextOffset())},
+            {"log_end", std::to_string(logEnd)}});
+    this->hooks.discardState();
+    const Result<void> loaded = co_await this->loadSnapshot();
+    if (loaded.has_error()) {
+        co_return fail(loaded.error());
+    }
+    if (this->hooks.nextOffset() > logEnd) {
+        this->hooks.discardState();
+    }
+    co_return success();
+}
+
 void LogReplica::applyBatch(const LogBatch &batch, TimePoint sentAt)
 {
     for (const LogRecord &record : batch.records) {
--- a/tests/control/configreplica_test.cpp
+++ b/tests/control/configreplica_test.cpp
@@ -23,6 +23,17 @@
     return encodeConfigChange({ChangeId(changeId), revision, "test", PutRoute{route}});
 }
 
+/** The state after five records of another log. */
+ConfigState foreignState()
+{
+    ConfigState foreign;
+    for (std::uint64_t offset = 0; offset < 5; ++offset) {
+        const std::string name = "foreign" + std::to_string(offset);
+        foreign.apply(offset, decodeConfigChange(encodePutRoute(name, name)).value());
+    }
+    return foreign;
+}
+
 /**
  * Runs a ConfigReplica on a fake platform with a paused clock.
  */
@@ -157,3 +168,37 @@
     EXPECT_FALSE(this->replica.adoptSnapshot(ahead));
     EXPECT_EQ(this->replica.state()->nextOffset(), 1u);
 }
+
+// Guards against an instance that got the state of another log and does not return to its own.
+TEST_F(ConfigTailTest, ReadsTheLogAnewIfItsStateIsAheadOfTheLog)
+{
+    this->platform.log.append("config", encodePutRoute("c1", "own"));
+    for (const bool isReading : {false, true}) {
+        SCOPED_TRACE(isReading);
+        ASSERT_TRUE(this->replica.adoptSnapshot(foreignState()));
+        if (!isReading) {
+            this->start();
+        }
+        ASSERT_TRUE(runUntil(this->context, [this] {
+            RuntimeClock::advance(std::chrono::milliseconds(100)); // waits of reads and delays after failed ones
+            return this->replica.state()->findRoute(RouteId("own")) != nullptr;
+        }));
+        EXPECT_EQ(this->replica.state()->findRoute(RouteId("foreign0")), nullptr);
+        EXPECT_EQ(this->replica.state()->nextOffset(), 1U);
+        EXPECT_TRUE(this->replica.lastReadAt().has_value());
+    }
+}
+
+// Guards against an instance that cannot use its log because a snapshot of another log was saved beside it.
+TEST_F(ConfigTailTest, IgnoresASnapshotThatIsAheadOfTheLog)
+{
+    this->platform.log.append("config", encodePutRoute("c1", "own"));
+    this->platform.snapshots[LogStream::Config] = encodeConfigSnapshot(foreignState());
+    this->start();
+    ASSERT_TRUE(runUntil(this->context, [this] {
+        RuntimeClock::advance(std::chrono::milliseconds(100)); // waits of reads and delays after failed ones
+        return this->replica.lastReadAt().has_value();
+    }));
+    EXPECT_NE(this->replica.state()->findRoute(RouteId("own")), nullptr);
+    EXPECT_EQ(this->replica.state()->findRoute(RouteId("foreign0")), nullptr);
+}
--- a/tests/control/fakeplatform.cpp
+++ b/tests/control/fakeplatform.cpp
@@ -90,6 +90,9 @@
     if (this->isLogDown) {
         co_return unreachable();
     }
+    if (from > this->boundsOf(stream).endOffset) {
+        co_return fail(ErrorKind::Trimmed, "the log does not have this offset", "start from a snapshot");
+    }
     const TimePoint deadline = RuntimeClock::now() + wait;
     while (this->boundsOf(stream).endOffset <= from && RuntimeClock::now() < deadline && !this->isLogDown) {
         co_await realTimeDelay(pollInterval);
