An instance that reads the log takes no configuration from peers

Callers saw: 401 for a sound key, from instances that had read their log.

Cause: peers send their configuration to an instance that appears to be behind, and it took over any that had read more records, also one of another deployment, whose instance had got the address of one that is gone. The number of records does not tell of which log they are.

Fix: only an instance whose last read of the log failed takes a configuration from peers. The messages stay as they are.

--- a/include/flamingosaddle/control/configreplica.h
+++ b/include/flamingosaddle/control/configreplica.h
@@ -45,6 +45,9 @@
     /** Returns when the newest read that reached the end of the stream was sent. */
     std::optional<TimePoint> lastReadAt() const;
 
+    /** Returns whether the last read of the log succeeded. */
+    bool isLogReachable() const;
+
     /** Returns whether the log has trimmed records that no snapshot covers. */
     bool hasGap() const;
 
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -60,6 +60,11 @@
     return this->lastEndReadAt;
 }
 
+bool ConfigReplica::isLogReachable() const
+{
+    return this->replica.isLogReachable();
+}
+
 bool ConfigReplica::hasGap() const
 {
     return this->replica.hasGap();
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -513,8 +513,12 @@
         return std::vector<KeyId>(this->pendingTombstones.begin(), this->pendingTombstones.end());
     };
     peerHooks.onConfigSnapshot = [this](const std::string &text) {
+        // The log has the last word: a peer may belong to another deployment, whose instance had its address before.
+        if (this->directory || this->replica.isLogReachable()) {
+            return;
+        }
         const Result<ConfigState> snapshot = decodeConfigSnapshot(text);
-        if (snapshot.has_value() && !this->directory) {
+        if (snapshot.has_value()) {
             this->replica.adoptSnapshot(snapshot.value());
         }
     };
