Daemons of process tests listen on an address of their test program

Cause: all of them listened on 127.0.0.1, where the port of a daemon that has ended is soon given to one of a test beside it, whose deployment then mixes with the first. The HTTP tests have such addresses already; their function moves to the stand-ins.

--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 
 #include <pthread.h>
-#include <unistd.h>
 
 #include <array>
 #include <ctime>
@@ -58,16 +57,6 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
-std::string ownLoopbackAddress()
-{
-    const auto process = static_cast<unsigned>(::getpid());
-    const auto part = [process](unsigned shift, unsigned mask) {
-        return std::to_string((process >> shift) & mask);
-    };
-    // Between 127.64.0.0 and 127.127.255.255, which the machine's own services do not use.
-    return "127." + std::to_string(64 + ((process >> 16) & 0x3f)) + "." + part(8, 0xff) + "." + part(0, 0xff);
-}
-
 TestServer::TestServer(HttpHandler handler, HttpServerLimits limits)
 {
     auto started = HttpServer::Builder()
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "loopbackaddress.h"
+
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/http/server.h>
 
@@ -80,12 +82,6 @@
     std::thread thread;
 };
 
-/**
- * A loopback address that no other process uses: a port that one test closed is not opened by another test that runs beside
- * it, so that no test receives requests meant for a server that has gone.
- */
-std::string ownLoopbackAddress();
-
 /**
  * A server with a handler of the test's, on a free port of ownLoopbackAddress().
  */
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include "loopbackaddress.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -43,8 +45,9 @@
 {
     ChildCommand command;
     command.program = FLAMINGOSADDLED;
-    command.arguments = {"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--platform",
-        platform.text(), "--data-centre", dataCentre, "--instance-id", instanceId};
+    const std::string listen = test::ownLoopbackAddress() + ":0";
+    command.arguments = {"--listen", listen, "--admin-listen", listen, "--peer-listen", listen, "--platform", platform.text(),
+        "--data-centre", dataCentre, "--instance-id", instanceId};
     command.arguments.insert(command.arguments.end(), flags.begin(), flags.end());
     command.environment["FLAMINGOSADDLE_KEY_SECRET"] = keySecret;
     return command;
