--- a/tests/relay/forward_test.cpp
+++ b/tests/relay/forward_test.cpp
@@ -341,6 +341,44 @@
     EXPECT_EQ(statusOf(response.get()), 503);
 }
 
+// Guards against a caller without an answer while the server of a peer sends bytes that are no part of an answer.
+TEST(ForwardFailure, ACallerIsAnsweredAtTheDeadlineWhileThePeersServerDoesNotEnd)
+{
+    constexpr int stepsPerDeadline = 20;
+    constexpr int repetitions = 100; // long enough for timers to notice that the clock moved on
+    const PausedClock paused;
+    FakeBackend gone(respond);
+    gone.stop();
+    ManualServer endless;
+    CallerOptions peerOptions = optionsOf("b");
+    peerOptions.headTimeout = 1h;
+    peerOptions.progressTimeout = 1h;
+    CallerFixture cutOff({&gone}, {}, {}, optionsOf("a"));
+    CallerFixture peer({}, {}, {}, peerOptions);
+    peer.addEngine(endless.endpoint());
+    cutOff.setPath(false);
+    setPeers(cutOff, {peerAt("b", peer.forwardEndpoint())});
+    std::future<std::string> response = std::async(std::launch::async, [&cutOff]() {
+        return cutOff.exchange(chatRequest());
+    });
+    endless.acceptRequest();
+    endless.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const Duration deadline = RequestClass().deadline;
+    int steps = 0;
+    for (int i = 0; response.wait_for(0s) != std::future_status::ready && steps < 2 * stepsPerDeadline; ++i) {
+        endless.send("1");
+        peer.thread.settle();
+        cutOff.thread.settle();
+        if (i % repetitions == repetitions - 1) {
+            RuntimeClock::advance(deadline / stepsPerDeadline);
+            ++steps;
+        }
+    }
+    ASSERT_EQ(response.wait_for(0s), std::future_status::ready) << "not at the deadline, nor as long again after it";
+    EXPECT_LE(steps, stepsPerDeadline + 2);
+    EXPECT_GE(statusOf(response.get()), 502);
+}
+
 TEST(ForwardFailure, AStreamThatItsPeerBreaksOffDoesNotLookComplete)
 {
     FakeBackend gone(streamTokens(3));
