--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -570,7 +570,9 @@
             return daemon->isReady() && answer.has_value() && answer.value().status == 200;
         });
         if (!isServing) {
-            wrong.push_back(daemon->instanceId + " does not serve after all faults ended: " + last);
+            const auto status = call(daemon->admin, getRequest("/v1/status"));
+            wrong.push_back(daemon->instanceId + " does not serve after all faults ended: " + last
+                + (status.has_value() ? "; status " + status.value().body : std::string()));
         }
     }
     return wrong;
