An instance with a stale configuration does not call a key or a path unknown

Callers saw: 401 for a sound key, 404 for a path that has a route, from an instance that cannot read the log, which callers take for final.

Cause: the key and the route were looked for first, the age of the configuration after it.

Evidence, before: RequestRouter.AStaleConfigurationDoesNotTellThatAKeyOrARouteIsUnknown got Unauthorized and NotFound.

--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -19,6 +19,12 @@
 constexpr std::string_view chatPath = "/v1/chat/completions";
 constexpr std::string_view completionPath = "/v1/completions";
 
+auto staleConfiguration()
+{
+    return fail(
+        ErrorKind::Unavailable, "this instance cannot tell at present whether its configuration is up to date", "try again later");
+}
+
 bool isSafe(std::string_view method)
 {
     return method == "GET" || method == "HEAD";
@@ -119,6 +125,9 @@
     const bool model = path == chatPath || path == completionPath;
     const Route *route = modelList || model ? nullptr : snapshot.findRoute(request.headers.find("Host"), path);
     if (!modelList && !model && route == nullptr) {
+        if (now > snapshot.freshUntil()) {
+            return staleConfiguration();
+        }
         return fail(ErrorKind::NotFound, "no route matches this path", "use /v1/chat/completions or a configured route");
     }
     if (route != nullptr && route->open) {
@@ -148,14 +157,13 @@
     if (!hasBearer(header)) {
         return fail(ErrorKind::Unauthorized, "the request has no key", "send it as Authorization: Bearer KEY");
     }
+    if (now > snapshot.freshUntil()) {
+        return staleConfiguration();
+    }
     const ClientKey *key = snapshot.findKey(KeyDigest::of(header.substr(bearerScheme.size()), this->keySecret));
     if (key == nullptr) {
         return fail(ErrorKind::Unauthorized, "the key is unknown or was withdrawn", "ask an operator for a new one");
     }
-    if (now > snapshot.freshUntil()) {
-        return fail(
-            ErrorKind::Unavailable, "this instance cannot tell at present whether the key is still valid", "try again later");
-    }
     return key;
 }
 
--- a/tests/relay/requestrouter_test.cpp
+++ b/tests/relay/requestrouter_test.cpp
@@ -69,6 +69,16 @@
     }
 }
 
+// A refusal that is final has to be true: the key or the route may be in the changes that the instance has not read.
+TEST(RequestRouter, AStaleConfigurationDoesNotTellThatAKeyOrARouteIsUnknown)
+{
+    RouterFixture fixture;
+    fixture.snapshot = RoutingSnapshot(exampleConfig(), {}, TimePoint() - std::chrono::seconds(1));
+    EXPECT_EQ(fixture.route("GET", "/s/1", "unknown").error().kind(), ErrorKind::Unavailable);
+    EXPECT_EQ(fixture.route("GET", "/unknown", validKey).error().kind(), ErrorKind::Unavailable);
+    EXPECT_TRUE(fixture.route("GET", "/open").has_value());
+}
+
 TEST(RequestRouter, RejectsARequestWithTwoKeys)
 {
     const RouterFixture fixture;
