Contexts are emptied before any of them is destroyed

Callers saw: nothing.

Cause: a request that waits for the control thread is owned by a handler in the control thread's context, and its socket belongs to the context of a traffic thread, which was destroyed first.

Fix: once no thread runs, the handlers left in all contexts are destroyed, those of the control thread first, while every context still exists.

--- a/include/flamingosaddle/app/workerthreads.h
+++ b/include/flamingosaddle/app/workerthreads.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <flamingosaddle/app/executioncontext.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -26,6 +28,8 @@
     void start();
     /** Ends the contexts and joins the threads. Idempotent. */
     void stop();
+    /** Destroys the handlers that are left in the contexts, after stop(). Idempotent. */
+    void destroyHandlers();
 
     // Queries.
     std::vector<boost::asio::io_context *> contexts() const;
@@ -33,7 +37,7 @@
 private:
     using WorkGuard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-    std::vector<std::unique_ptr<boost::asio::io_context>> contextList;
+    std::vector<std::unique_ptr<ExecutionContext>> contextList;
     std::vector<WorkGuard> guards;
     std::vector<std::thread> threads;
 };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/app/daemon.h>
 
 #include <flamingosaddle/app/adminhandler.h>
+#include <flamingosaddle/app/executioncontext.h>
 #include <flamingosaddle/app/pathlog.h>
 #include <flamingosaddle/app/peertraffic.h>
 #include <flamingosaddle/app/promptpartlog.h>
@@ -553,6 +554,9 @@
         this->settingsWatch.stop();
         this->controller.stop();
         this->workers.stop();
+        // A request that waits for the control thread is owned by a handler there, and its socket by the context of a traffic thread.
+        this->controlContext.destroyHandlers();
+        this->workers.destroyHandlers();
     }
 
     Settings settings;
@@ -567,7 +571,7 @@
     ServerPauseLog serverPauseLog;
     PromptPartLog promptPartLog;
     PathLog pathLog;
-    boost::asio::io_context controlContext{1};
+    ExecutionContext controlContext{1};
     WorkerThreads workers;
     ConnectionRegistry keys;
     AsyncDispatcher gate;
--- a/src/app/workerthreads.cpp
+++ b/src/app/workerthreads.cpp
@@ -6,7 +6,7 @@
 WorkerThreads::WorkerThreads(std::size_t count)
 {
     for (std::size_t i = 0; i < count; ++i) {
-        this->contextList.push_back(std::make_unique<boost::asio::io_context>(1));
+        this->contextList.push_back(std::make_unique<ExecutionContext>(1));
         this->guards.push_back(boost::asio::make_work_guard(*this->contextList.back()));
     }
 }
@@ -36,6 +36,13 @@
     this->threads.clear();
 }
 
+void WorkerThreads::destroyHandlers()
+{
+    for (const auto &context : this->contextList) {
+        context->destroyHandlers();
+    }
+}
+
 std::vector<boost::asio::io_context *> WorkerThreads::contexts() const
 {
     std::vector<boost::asio::io_context *> pointers;
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -113,3 +113,31 @@
     EXPECT_EQ(this->countAnswers(504, "unknown"), slots) << this->daemon().process.output();
     EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
 }
+
+// Guards against a process that crashes at its end because requests wait for the platform.
+TEST(DrainDuringClaims, TheProcessEndsInOrderWhileRequestsWaitForTheirClaims)
+{
+    Cluster cluster;
+    cluster.addEngine("engine-a", "dc-a");
+    cluster.addService("bookings-a", "dc-a");
+    DaemonProcess &daemon = cluster.addDaemon("dc-a", "i1", {"--drain-notice", "50", "--drain-timeout", "300"});
+    cluster.publishStandardConfiguration();
+    const GivenKey key = cluster.giveKey("bakery");
+    cluster.waitUntilServing(key);
+    cluster.platform().setFaults({{"log", {{"delayMs", 5000}}}});
+    std::vector<std::future<Result<HttpResponse>>> answers;
+    for (std::size_t i = 0; i < requestCount; ++i) {
+        HttpRequest deposit = withKey(getRequest("/deposits/" + std::to_string(i)), key.key);
+        deposit.method = "POST";
+        deposit.body = "{}";
+        deposit.headers.set("Idempotency-Key", std::to_string(i));
+        answers.push_back(std::async(std::launch::async, [&daemon, deposit]() {
+            return call(daemon.caller, deposit, std::chrono::seconds(20));
+        }));
+    }
+    ASSERT_TRUE(waitUntil([&daemon]() {
+        return jsonOf(call(daemon.admin, getRequest("/v1/status"))).at("activeExchanges") == requestCount;
+    })) << daemon.process.output();
+    daemon.process.signal(SIGTERM);
+    EXPECT_EQ(daemon.process.waitForEnd(std::chrono::seconds(20)), 0) << daemon.process.output();
+}
