A drain refuses requests that wait for a decision of the platform

Callers saw: a closed connection, for requests that had not run and waited for a claim while the log did not answer, at the end of a planned stop.

Cause: a drain limits the waits for a slot and the exchanges with backend servers; the waits for the platform's decisions had no limit that it could bring forward.

Fix: the waits of each traffic thread are kept, and a drain limits their deadlines together with those of the exchanges. They are refused with 503 as not run.

--- a/include/flamingosaddle/relay/callerhandler.h
+++ b/include/flamingosaddle/relay/callerhandler.h
@@ -58,8 +58,8 @@
     boost::asio::awaitable<void> handleForwarded(HttpExchange &exchange) const;
 
     /**
-     * Lets no exchange with a backend server or a peer go on beyond @p deadline, so that the callers get an answer then. Any
-     * thread.
+     * Lets no exchange with a backend server or a peer, and no wait for a decision of the platform, go on beyond @p deadline, so
+     * that the callers get an answer then. Any thread.
      */
     void limitDeadlines(TimePoint deadline);
 
--- a/src/relay/callerenvironment.h
+++ b/src/relay/callerenvironment.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decisionwaits.h"
+
 #include <flamingosaddle/relay/callerhandler.h>
 #include <flamingosaddle/relay/protocoladapter.h>
 
@@ -12,8 +14,8 @@
 {
 
 /**
- * Objects and options that all exchanges of one CallerHandler share. Immutable once built, except for the pools, each of
- * which is used by one context's thread only.
+ * Objects and options that all exchanges of one CallerHandler share. Immutable once built, except for the pools and the waits,
+ * each of which is used by one context's thread only.
  */
 struct CallerEnvironment {
     const SharedRoutingSnapshot *snapshots = nullptr;
@@ -24,6 +26,7 @@
     CallerHooks hooks;
     Tracer tracer;
     std::map<const boost::asio::execution_context *, std::unique_ptr<BackendPool>> pools;
+    std::map<const boost::asio::execution_context *, std::unique_ptr<DecisionWaits>> decisionWaits;
 
     void reportStep(RequestStep step) const
     {
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -1,7 +1,6 @@
 #include "callerexchange.h"
 
 #include "connectionregistration.h"
-#include "deadlinewait.h"
 #include "forwardrelay.h"
 
 #include <nlohmann/json.hpp>
@@ -49,11 +48,12 @@
 
 } // namespace
 
-CallerExchange::CallerExchange(
-    const CallerEnvironment &environment, HttpExchange &exchange, BackendPool &pool, std::optional<ForwardedRequest> forwarded)
+CallerExchange::CallerExchange(const CallerEnvironment &environment, HttpExchange &exchange, BackendPool &pool,
+    DecisionWaits &decisionWaits, std::optional<ForwardedRequest> forwarded)
     : environment(environment)
     , exchange(exchange)
     , pool(pool)
+    , decisionWaits(decisionWaits)
     , forwarded(std::move(forwarded))
     , forwardedRequest(this->forwarded.has_value() ? withoutForwardingFields(exchange.request()) : HttpRequest())
     , request(this->forwarded.has_value() ? this->forwardedRequest : exchange.request())
@@ -182,7 +182,7 @@
         co_return true;
     }
     const RequestProfile &profile = this->routed.profile;
-    std::optional<StreamVersion> version = co_await awaitUntil<StreamVersion>(
+    std::optional<StreamVersion> version = co_await this->decisionWaits.awaitUntil<StreamVersion>(
         this->environment.hooks.streamVersion(this->routed.resumedRequest, profile.service),
         profile.arrival + profile.requestClass.deadline, nullptr);
     if (version.has_value() && version->isKnown) {
@@ -221,7 +221,7 @@
     request.fingerprint = this->routed.profile.fingerprint;
     request.requestId = this->outcome.requestId;
     const RequestProfile &profile = this->routed.profile;
-    std::optional<ClaimDecision> decided = co_await awaitUntil<ClaimDecision>(
+    std::optional<ClaimDecision> decided = co_await this->decisionWaits.awaitUntil<ClaimDecision>(
         this->environment.hooks.claim(std::move(request)), profile.arrival + profile.requestClass.deadline, releaseLateClaim);
     claimSpan.end();
     this->environment.reportStep(RequestStep::Claim);
--- a/src/relay/callerexchange.h
+++ b/src/relay/callerexchange.h
@@ -24,7 +24,7 @@
 {
 public:
     /** @param forwarded set if a peer forwards the request */
-    CallerExchange(const CallerEnvironment &environment, HttpExchange &exchange, BackendPool &pool,
+    CallerExchange(const CallerEnvironment &environment, HttpExchange &exchange, BackendPool &pool, DecisionWaits &decisionWaits,
         std::optional<ForwardedRequest> forwarded);
     ~CallerExchange();
     CallerExchange(const CallerExchange &) = delete;
@@ -64,6 +64,7 @@
     const CallerEnvironment &environment;
     HttpExchange &exchange;
     BackendPool &pool;
+    DecisionWaits &decisionWaits;
     std::optional<ForwardedRequest> forwarded;
     HttpRequest forwardedRequest; // the caller's request, if a peer forwards it
     const HttpRequest &request; // the caller's request
--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -26,8 +26,9 @@
     void limitDeadlines(TimePoint deadline)
     {
         for (asio::io_context *context : this->contexts) {
-            asio::post(*context, [pool = this->environment.pools.at(context).get(), deadline]() {
-                pool->limitDeadlines(deadline);
+            asio::post(*context, [this, context, deadline]() {
+                this->environment.pools.at(context)->limitDeadlines(deadline);
+                this->environment.decisionWaits.at(context)->limitDeadlines(deadline);
             });
         }
     }
@@ -36,7 +37,8 @@
     {
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
         BackendPool &pool = *this->environment.pools.at(&executor.context());
-        CallerExchange callerExchange(this->environment, exchange, pool, std::nullopt);
+        DecisionWaits &waits = *this->environment.decisionWaits.at(&executor.context());
+        CallerExchange callerExchange(this->environment, exchange, pool, waits, std::nullopt);
         co_await callerExchange.run();
     }
 
@@ -50,7 +52,8 @@
                 = co_await exchange.respond(this->environment.adapter.renderRefusal(refusalFor(forwarded.error())));
             co_return;
         }
-        CallerExchange callerExchange(this->environment, exchange, pool, forwarded.value());
+        DecisionWaits &waits = *this->environment.decisionWaits.at(&executor.context());
+        CallerExchange callerExchange(this->environment, exchange, pool, waits, forwarded.value());
         co_await callerExchange.run();
     }
 
@@ -152,9 +155,10 @@
             "set all of them on the builder");
     }
     CallerEnvironment environment{this->routingSnapshots, this->asyncDispatcher, this->connectionRegistry, this->protocolAdapter,
-        this->callerOptions, this->callerHooks, this->requestTracer, {}};
+        this->callerOptions, this->callerHooks, this->requestTracer, {}, {}};
     for (const asio::io_context *context : this->executionContexts) {
         environment.pools.emplace(context, std::make_unique<BackendPool>(this->callerOptions.pool));
+        environment.decisionWaits.emplace(context, std::make_unique<DecisionWaits>());
     }
     auto implementation = std::make_unique<Implementation>(std::move(environment), this->executionContexts);
     return std::unique_ptr<CallerHandler>(new CallerHandler(std::move(implementation)));
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -252,6 +252,11 @@
     this->snapshots.publish(std::make_shared<RoutingSnapshot>(this->config, std::set<KeyId>(), freshUntil));
 }
 
+void CallerFixture::limitDeadlines(TimePoint deadline)
+{
+    this->handler->limitDeadlines(deadline);
+}
+
 void CallerFixture::drain()
 {
     this->server->drain();
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -69,6 +69,9 @@
     /** Starts draining the server that callers are connected to. */
     void drain();
 
+    /** Lets no request go on beyond @p deadline, as at the end of a drain. */
+    void limitDeadlines(TimePoint deadline);
+
     /** Sends one request on a new connection and reads until it is closed. */
     std::string exchange(const std::string &request) const;
 
--- a/tests/relay/decisionwait_test.cpp
+++ b/tests/relay/decisionwait_test.cpp
@@ -122,6 +122,39 @@
     EXPECT_TRUE(service.requests().empty());
 }
 
+// Guards against a drain that cuts requests which have not run.
+TEST(DecisionWait, ARequestThatWaitsForItsClaimIsRefusedAtTheEndOfADrain)
+{
+    for (const bool isDrainingBefore : {false, true}) {
+        const PausedClock paused;
+        std::promise<void> asked;
+        CallerHooks hooks;
+        hooks.claim = [&asked](const ClaimRequest &) -> awaitable<ClaimDecision> {
+            asked.set_value();
+            co_await delay(decisionDelay);
+            co_return ClaimUnavailable();
+        };
+        const FakeBackend service(neverRespond);
+        CallerFixture setup({}, {&service}, hooks);
+        const std::string request = requestText(
+            "POST /s/deposit", "{}", std::string("Authorization: Bearer ") + validKey + "\r\nIdempotency-Key: i\r\n");
+        if (isDrainingBefore) {
+            setup.limitDeadlines(RuntimeClock::now() + deadline);
+            setup.thread.settle();
+        }
+        const std::future<void> isAsked = asked.get_future();
+        std::future<void> drain = std::async(std::launch::async, [&]() {
+            isAsked.wait();
+            setup.limitDeadlines(RuntimeClock::now() + deadline);
+        });
+        const WaitingCaller caller(setup, request);
+        drain.get();
+        ASSERT_TRUE(caller.response.has_value()) << isDrainingBefore;
+        EXPECT_EQ(statusOf(*caller.response), 503) << *caller.response;
+        EXPECT_NE(caller.response->find("X-Flamingosaddle-Run-State: not-run"), std::string::npos) << *caller.response;
+    }
+}
+
 TEST(DecisionWait, AStreamWhoseVersionIsNotFoundInTimeIsRefusedAtTheDeadline)
 {
     const PausedClock paused;
