--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -554,7 +554,8 @@
         this->settingsWatch.stop();
         this->controller.stop();
         this->workers.stop();
-        // A request that waits for the control thread is owned by a handler there, and its socket by the context of a traffic thread.
+        // A request that waits for the control thread is owned by a handler there, and its socket by the context of a traffic
+        // thread.
         this->controlContext.destroyHandlers();
         this->workers.destroyHandlers();
     }
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -21,8 +21,8 @@
 
 auto staleConfiguration()
 {
-    return fail(
-        ErrorKind::Unavailable, "this instance cannot tell at present whether its configuration is up to date", "try again later");
+    return fail(ErrorKind::Unavailable, "this instance cannot tell at present whether its configuration is up to date",
+        "try again later");
 }
 
 bool isSafe(std::string_view method)
--- a/tests/relay/decisionwait_test.cpp
+++ b/tests/relay/decisionwait_test.cpp
@@ -107,8 +107,8 @@
     };
     const FakeBackend service(neverRespond);
     CallerFixture setup({}, {&service}, hooks, {}, adapterWithDeadline());
-    const std::string request = requestText(
-        "POST /s/deposit", "{}", std::string("Authorization: Bearer ") + validKey + "\r\nIdempotency-Key: i\r\n");
+    const std::string request
+        = requestText("POST /s/deposit", "{}", std::string("Authorization: Bearer ") + validKey + "\r\nIdempotency-Key: i\r\n");
     const WaitingCaller caller(setup, request);
     ASSERT_TRUE(caller.response.has_value());
     EXPECT_EQ(statusOf(*caller.response), 503) << *caller.response;
