The port of a stopped backend server stays taken in tests

Cause, a fault of the test: it stops a backend server and then starts two instances. At times a listener of one of them gets the port of the stopped server, and answers requests that are meant to be refused a connection (401 from the callers' listener, 400 from that for forwarded requests).

What the tests expect is unchanged.

--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -147,6 +147,13 @@
     while (this->server.thread.await(acceptsConnections(this->endpoint()))) {
         std::this_thread::yield();
     }
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(this->endpoint().address), this->endpoint().port);
+    using ReuseAddress = boost::asio::socket_base::reuse_address;
+    this->portHolder.open(address.protocol());
+    // Closed connections of the port may linger; once bound, nobody else may share it.
+    this->portHolder.set_option(ReuseAddress(true));
+    this->portHolder.bind(address);
+    this->portHolder.set_option(ReuseAddress(false));
 }
 
 void FakeBackend::settle()
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -33,7 +33,10 @@
 
     Endpoint endpoint() const;
     std::vector<HttpRequest> requests() const;
-    /** Closes the listener and every connection, as when its process ends. */
+    /**
+     * Closes the listener and every connection, as when its process ends. The port stays taken, so that no server that starts
+     * later gets the requests that are meant for this one.
+     */
     void stop();
     /** Returns when what has arrived so far is handled. */
     void settle();
@@ -41,6 +44,8 @@
 private:
     mutable std::mutex mutex;
     std::vector<HttpRequest> receivedRequests;
+    boost::asio::io_context portContext;
+    boost::asio::ip::tcp::socket portHolder{portContext}; // bound once the listener is closed; takes no connections
     TestServer server;
 };
 
