--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -142,6 +142,9 @@
 
 void FakeBackend::stop()
 {
+    if (this->portHolder.is_open()) {
+        return;
+    }
     this->server.server->stop();
     // The listener closes on the server's thread.
     while (this->server.thread.await(acceptsConnections(this->endpoint()))) {
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -35,7 +35,7 @@
     std::vector<HttpRequest> requests() const;
     /**
      * Closes the listener and every connection, as when its process ends. The port stays taken, so that no server that starts
-     * later gets the requests that are meant for this one.
+     * later gets the requests that are meant for this one. Idempotent.
      */
     void stop();
     /** Returns when what has arrived so far is handled. */
