Comments in the field's terms; tests of decision waits check the time of the answer

Read as a newcomer: figures of speech and half sentences reworded, counts of records named. The tests of waits for decisions accepted an answer after five deadlines; they now ask for one at the deadline, give or take two steps of the clock.

--- a/include/flamingosaddle/app/workerthreads.h
+++ b/include/flamingosaddle/app/workerthreads.h
@@ -28,7 +28,7 @@
     void start();
     /** Ends the contexts and joins the threads. Idempotent. */
     void stop();
-    /** Destroys the handlers that are left in the contexts, after stop(). Idempotent. */
+    /** Destroys the remaining handlers of the contexts, after stop(). Idempotent. */
     void destroyHandlers();
 
     // Queries.
--- a/include/flamingosaddle/control/configreplica.h
+++ b/include/flamingosaddle/control/configreplica.h
@@ -65,7 +65,7 @@
     LogReplica replica;
     ConfigState workingState; // ahead of `currentState` while a batch is being applied, or behind it after discardState()
     std::shared_ptr<const ConfigState> currentState;
-    bool isDiscarded = false; // whether `currentState` is not that of the log
+    bool isDiscarded = false; // whether `currentState` is to be replaced although its offset may be the same
     std::optional<TimePoint> lastEndReadAt;
     std::uint64_t undecodable = 0;
 };
--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -92,7 +92,7 @@
     Backoff backoff;
     std::size_t instanceCount = 1;
     std::optional<std::uint64_t> nextOffset; // of the log; empty before the first read
-    std::optional<Refresh> lastRefresh; // that has ended
+    std::optional<Refresh> lastRefresh; // the last one that ended
     bool isRefreshing = false;
     bool stopped = false;
 };
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -84,7 +84,7 @@
 
 void ConfigReplica::discardState()
 {
-    // The state in force stays until that of the log is known.
+    // The published state stays in force until the log has been read to its end.
     this->workingState = ConfigState();
     this->isDiscarded = true;
 }
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -513,7 +513,7 @@
         return std::vector<KeyId>(this->pendingTombstones.begin(), this->pendingTombstones.end());
     };
     peerHooks.onConfigSnapshot = [this](const std::string &text) {
-        // The log has the last word: a peer may belong to another deployment, whose instance had its address before.
+        // The log is authoritative. A peer may belong to another deployment if its address was reused.
         if (this->directory || this->replica.isLogReachable()) {
             return;
         }
--- a/src/control/logreplica.cpp
+++ b/src/control/logreplica.cpp
@@ -112,6 +112,9 @@
         co_return fail(loaded.error());
     }
     if (this->hooks.nextOffset() > logEnd) {
+        logEvent(LogLevel::Error, "control", "the newest snapshot is ahead of the log and is ignored",
+            {{"stream", toString(this->stream)}, {"next", std::to_string(this->hooks.nextOffset())},
+                {"log_end", std::to_string(logEnd)}});
         this->hooks.discardState();
     }
     co_return success();
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -20,7 +20,7 @@
 // Another instance may still be about to save where the stream began.
 constexpr std::chrono::seconds unknownVersionRetryAfter(1);
 
-/** Gives back a claim that was granted after its request had been refused. */
+/** Releases a claim that was granted after its request had been refused, so that another request can use the key. */
 void releaseLateClaim(const ClaimDecision &decision)
 {
     if (const ClaimGranted *granted = std::get_if<ClaimGranted>(&decision)) {
--- a/tests/control/configreplica_test.cpp
+++ b/tests/control/configreplica_test.cpp
@@ -23,11 +23,13 @@
     return encodeConfigChange({ChangeId(changeId), revision, "test", PutRoute{route}});
 }
 
-/** The state after five records of another log. */
+constexpr std::uint64_t foreignRecords = 5;
+
+/** The state after several records of another log. */
 ConfigState foreignState()
 {
     ConfigState foreign;
-    for (std::uint64_t offset = 0; offset < 5; ++offset) {
+    for (std::uint64_t offset = 0; offset < foreignRecords; ++offset) {
         const std::string name = "foreign" + std::to_string(offset);
         foreign.apply(offset, decodeConfigChange(encodePutRoute(name, name)).value());
     }
@@ -169,7 +171,7 @@
     EXPECT_EQ(this->replica.state()->nextOffset(), 1u);
 }
 
-// Guards against an instance that got the state of another log and does not return to its own.
+// Guards against an instance that has the state of another log and never reads its own.
 TEST_F(ConfigTailTest, ReadsTheLogAnewIfItsStateIsAheadOfTheLog)
 {
     this->platform.log.append("config", encodePutRoute("c1", "own"));
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -229,7 +229,7 @@
             });
         advanceTime(this->context, 100ms);
     }
-    // The read that runs when a resumption comes may be older than it; the next one is not.
+    // A resumption waits for the read under way, which began before it, and for the next one.
     advanceTime(this->context, 2 * first.instance.failureDelay);
     EXPECT_EQ(decided, resumptions);
     advanceTime(this->context, resumptions * first.instance.failureDelay); // ends what still waits
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -114,8 +114,8 @@
     EXPECT_EQ(this->daemon().process.waitForEnd(std::chrono::seconds(20)), 0);
 }
 
-// Guards against a process that crashes at its end because requests wait for the platform, and against callers that learn from a
-// closed connection only that their requests may have run.
+// Guards against a process that crashes at its end because requests wait for the platform, and against requests that have not run
+// and whose connections are closed without an answer.
 TEST(DrainDuringClaims, RequestsThatWaitForTheirClaimsAreRefusedAndTheProcessEndsInOrder)
 {
     Cluster cluster;
--- a/tests/process/foreignpeer_test.cpp
+++ b/tests/process/foreignpeer_test.cpp
@@ -1,5 +1,5 @@
-// Instances of another deployment, with another log, that have the address of an instance which is gone. Guards against
-// instances that take over the configuration of others and then know neither their keys nor their log.
+// Two deployments, each with its own log, one of which has an instance of the other as a peer, as after the reuse of an address.
+// Guards against instances that take over the other deployment's configuration, and so know neither their keys nor their log.
 
 #include "cluster.h"
 #include "standardcluster.h"
@@ -13,9 +13,10 @@
 namespace
 {
 
-constexpr Duration exchangeTime = 3s; ///< several heartbeats, in which peers send what they believe others lack
+constexpr unsigned moreAccounts = 5; ///< so that the log of the other deployment is longer
+constexpr Duration exchangeTime = 3s; ///< several heartbeats, in which peers send their configuration
 
-/** A deployment with one daemon, and more client accounts than the standard ones. */
+/** A deployment with one daemon and client accounts beside the standard one. */
 struct Deployment {
     Deployment(unsigned accounts, const std::string &instanceId, const std::vector<std::string> &flags)
         : daemon(&this->withBackends().addDaemon("dc-a", instanceId, flags))
@@ -54,7 +55,7 @@
     ASSERT_TRUE(waitUntil([&own] {
         return own.serves();
     }));
-    const Deployment foreign(5, "i2", {"--seed-peers", own.daemon->peer.text()});
+    const Deployment foreign(moreAccounts, "i2", {"--seed-peers", own.daemon->peer.text()});
     const TimePoint end = RuntimeClock::now() + exchangeTime;
     while (RuntimeClock::now() < end) {
         ASSERT_EQ(statusOf(*own.daemon, own.key), 200);
@@ -70,7 +71,7 @@
         return own.serves();
     }));
     own.cluster.platform().setFaults({{"log", {{"down", true}}}});
-    const Deployment foreign(5, "i2", {"--seed-peers", own.daemon->peer.text()});
+    const Deployment foreign(moreAccounts, "i2", {"--seed-peers", own.daemon->peer.text()});
     const TimePoint end = RuntimeClock::now() + exchangeTime;
     EXPECT_TRUE(waitUntil([end] {
         return RuntimeClock::now() > end;
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -153,7 +153,7 @@
     const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(this->endpoint().address), this->endpoint().port);
     using ReuseAddress = boost::asio::socket_base::reuse_address;
     this->portHolder.open(address.protocol());
-    // Closed connections of the port may linger; once bound, nobody else may share it.
+    // Closed connections may still hold the port in TIME_WAIT. Without the option, no later socket shares it.
     this->portHolder.set_option(ReuseAddress(true));
     this->portHolder.bind(address);
     this->portHolder.set_option(ReuseAddress(false));
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -45,7 +45,7 @@
     mutable std::mutex mutex;
     std::vector<HttpRequest> receivedRequests;
     boost::asio::io_context portContext;
-    boost::asio::ip::tcp::socket portHolder{portContext}; // bound once the listener is closed; takes no connections
+    boost::asio::ip::tcp::socket portHolder{portContext}; // bound to the port, without listening, once the server is stopped
     TestServer server;
 };
 
--- a/tests/relay/decisionwait_test.cpp
+++ b/tests/relay/decisionwait_test.cpp
@@ -1,5 +1,5 @@
-// Decisions that a request needs before it may run and that the platform does not bring in time. Guards against requests that are
-// not answered at their deadline because they wait for a claim or for the software version of their stream.
+// Decisions that a request needs before it may run and that are not made in time. Guards against requests that are not answered
+// at their deadline because they wait for a claim or for the software version of their stream.
 
 #include "callerfixture.h"
 
@@ -25,6 +25,7 @@
 constexpr auto deadline = 1s;
 constexpr auto decisionDelay = 1h;
 constexpr auto clockStep = 50ms;
+constexpr Duration latestAnswer = deadline + 2 * clockStep; ///< the clock moves on in steps
 
 /** Routes every request with the deadline; @p resumed is the request whose stream it resumes, if not empty. */
 ProtocolAdapter adapterWithDeadline(const std::string &resumed = {})
@@ -43,7 +44,7 @@
     return adapter;
 }
 
-/** The states that requests with a claim ended in. */
+/** The reported outcomes of claimed requests. Thread-safe. */
 class ClaimOutcomes
 {
 public:
@@ -73,22 +74,24 @@
             return setup.exchange(request);
         }))
     {
-        constexpr auto realStep = 10ms; // in which the instance notices that the clock moved on
+        constexpr int repetitions = 100; // long enough for timers to notice that the clock moved on
         for (; this->passed < 5 * deadline; this->passed += clockStep) {
-            if (this->answer.wait_for(realStep) == std::future_status::ready) {
-                this->response = this->answer.get();
-                return;
+            for (int i = 0; i < repetitions; ++i) {
+                setup.thread.settle();
+                if (this->answer.wait_for(1ms) == std::future_status::ready) {
+                    this->response = this->answer.get();
+                    return;
+                }
             }
             RuntimeClock::advance(clockStep);
         }
         RuntimeClock::advance(decisionDelay); // ends the wait
     }
 
-    /** The response, if it came in time. */
-    std::optional<std::string> response;
+    std::optional<std::string> response; ///< nothing if there was none after several deadlines
+    Duration passed = Duration::zero(); ///< clock time from the request to the response
 
 private:
-    Duration passed = Duration::zero();
     std::future<std::string> answer;
 };
 
@@ -111,6 +114,7 @@
         = requestText("POST /s/deposit", "{}", std::string("Authorization: Bearer ") + validKey + "\r\nIdempotency-Key: i\r\n");
     const WaitingCaller caller(setup, request);
     ASSERT_TRUE(caller.response.has_value());
+    EXPECT_LE(caller.passed, latestAnswer);
     EXPECT_EQ(statusOf(*caller.response), 503) << *caller.response;
     EXPECT_NE(caller.response->find("X-Flamingosaddle-Run-State: not-run"), std::string::npos) << *caller.response;
     EXPECT_NE(caller.response->find("Retry-After"), std::string::npos) << *caller.response;
@@ -122,7 +126,7 @@
     EXPECT_TRUE(service.requests().empty());
 }
 
-// Guards against a drain that cuts requests which have not run.
+// Guards against a drain that closes the connections of requests which have not run.
 TEST(DecisionWait, ARequestThatWaitsForItsClaimIsRefusedAtTheEndOfADrain)
 {
     for (const bool isDrainingBefore : {false, true}) {
@@ -150,6 +154,7 @@
         const WaitingCaller caller(setup, request);
         drain.get();
         ASSERT_TRUE(caller.response.has_value()) << isDrainingBefore;
+        EXPECT_LE(caller.passed, latestAnswer) << isDrainingBefore;
         EXPECT_EQ(statusOf(*caller.response), 503) << *caller.response;
         EXPECT_NE(caller.response->find("X-Flamingosaddle-Run-State: not-run"), std::string::npos) << *caller.response;
     }
@@ -167,6 +172,7 @@
     CallerFixture setup({&engine}, {}, hooks, {}, adapterWithDeadline("first"));
     const WaitingCaller caller(setup, chatRequest());
     ASSERT_TRUE(caller.response.has_value());
+    EXPECT_LE(caller.passed, latestAnswer);
     EXPECT_EQ(statusOf(*caller.response), 503) << *caller.response;
     EXPECT_NE(caller.response->find("X-Flamingosaddle-Run-State: not-run"), std::string::npos) << *caller.response;
     EXPECT_NE(caller.response->find("Retry-After"), std::string::npos) << *caller.response;
--- a/tests/relay/requestrouter_test.cpp
+++ b/tests/relay/requestrouter_test.cpp
@@ -69,7 +69,7 @@
     }
 }
 
-// A refusal that is final has to be true: the key or the route may be in the changes that the instance has not read.
+// Guards against final refusals of keys and paths that may be in changes which the instance has not read.
 TEST(RequestRouter, AStaleConfigurationDoesNotTellThatAKeyOrARouteIsUnknown)
 {
     RouterFixture fixture;
