A pipelined request arrives when its bytes do

Callers saw: answers up to 4 s after the timeout of requests that they had sent on one connection without waiting, while backend servers send bytes without end.

Fix: the connection keeps when its bytes were received; a request arrives with its last byte. Nothing changes for requests that come one by one.

--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -45,6 +45,8 @@
 
     // Queries.
     virtual const HttpRequest &request() const = 0;
+    /** Returns when the last byte of the request was received, which may be long before the answer to the request before it. */
+    virtual TimePoint receivedAt() const = 0;
     virtual bool isStarted() const = 0; ///< whether a byte of the answer may have been written
     virtual bool isPeerGone() const = 0; ///< whether the caller closed the connection
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -153,6 +153,11 @@
     return this->currentRequest;
 }
 
+TimePoint ServerConnection::receivedAt() const
+{
+    return this->requestReceivedAt;
+}
+
 bool ServerConnection::isStarted() const
 {
     return this->answer != Answer::None;
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "receivetimes.h"
 #include "watchdog.h"
 
 #include <flamingosaddle/base/timer.h>
@@ -62,6 +63,7 @@
 
     // Queries of the exchange.
     const HttpRequest &request() const override;
+    TimePoint receivedAt() const override;
     bool isStarted() const override;
     bool isPeerGone() const override;
 
@@ -132,6 +134,8 @@
 
     std::array<char, readBytes> readBuffer{};
     std::string input; // read but not yet parsed
+    ReceiveTimes receiveTimes;
+    TimePoint requestReceivedAt; // the last byte of the current request
     std::size_t headBytes = 0; // parsed of a header that is not complete
     bool headTooLarge = false;
     bool readInFlight = false;
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -155,6 +155,7 @@
 
 void ServerConnection::takeRequest(Parser &parser)
 {
+    this->requestReceivedAt = this->receiveTimes.takeUntil(this->receiveTimes.received() - this->input.size());
     auto &message = parser.get();
     this->version = message.version();
     this->keepAlive = parser.keep_alive();
@@ -191,6 +192,7 @@
 {
     this->readInFlight = false;
     this->input.append(this->readBuffer.data(), count);
+    this->receiveTimes.recordRead(count, RuntimeClock::now());
     this->inputArrived.cancel();
     if (!error) {
         // Bytes of a pipelined request wait, up to a limit; beyond it the caller's end is noticed by a failed write.
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -60,7 +60,7 @@
     , span(environment.tracer, environment.tracer.contextFromHeader(this->request.headers.find(traceHeader)), "caller")
     , relay(environment, exchange, this->routed, this->outcome)
 {
-    this->outcome.arrival = RuntimeClock::now();
+    this->outcome.arrival = exchange.receivedAt();
     this->outcome.requestId = environment.adapter.requestId(this->request);
     if (this->forwarded.has_value()) {
         this->outcome.arrival -= this->forwarded->elapsed;
