Split the dispatcher's implementation by decision

Shares of limits, quarantine and rejections of waiting requests move into files of their own; no behaviour changes. dispatcherimplementation.cpp shrinks from 805 to 506 lines.

--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -12,12 +12,10 @@
 
 constexpr double percent = 100.0;
 constexpr std::chrono::seconds noServerRetryAfter{5};
-constexpr std::chrono::seconds otherInstanceRetryAfter{1}; // if other instances can serve the request
 constexpr std::chrono::seconds maxRetryAfter{60};
 // Per heartbeat. With names of 50 bytes this is 4 KB, or half a second of prefills at the reference peak load.
 constexpr std::size_t maxReportedPrefills = 64;
 constexpr Duration parkedRecheckInterval = std::chrono::milliseconds(100); // between two checks of suspects that run elsewhere
-constexpr Duration rejectionShareInterval = std::chrono::seconds(1); // between updates of the shares of rejection limits
 constexpr Duration reserveRecheckInterval = std::chrono::milliseconds(500); // after which arrival rates are evaluated again
 
 Refusal refusalNotRun(RefusalReason reason, std::chrono::seconds retryAfter)
@@ -116,72 +114,6 @@
     return refusalNotRun(RefusalReason::NoServer, hasServerOfOthers ? otherInstanceRetryAfter : noServerRetryAfter);
 }
 
-std::optional<RefusalReason> Dispatcher::Implementation::quarantineReason(
-    std::uint64_t fingerprint, const std::vector<std::uint64_t> &promptParts, TimePoint now) const
-{
-    if (this->promptQuarantine.quarantinedUntil(promptParts, now).has_value()) {
-        return RefusalReason::PromptQuarantined;
-    }
-    if (this->quarantine.status(fingerprint, now) != Quarantine::Status::Refused) {
-        return std::nullopt;
-    }
-    const std::uint32_t explained = this->promptQuarantine.explainedDeaths(fingerprint, promptParts);
-    const bool isRefused = this->quarantine.status(fingerprint, now, explained) == Quarantine::Status::Refused;
-    return isRefused ? std::optional(RefusalReason::Quarantined) : std::nullopt;
-}
-
-void Dispatcher::Implementation::recordPromptPart(std::optional<PromptPartChange> change, bool isLocal)
-{
-    if (change.has_value()) {
-        change->isLocal = isLocal;
-        this->promptPartChanges.push_back(*change);
-        this->quarantinesChanged = true;
-    }
-}
-
-void Dispatcher::Implementation::applyPeerDeath(const ServerDeath &death, TimePoint now)
-{
-    if (const std::optional<ServerIndex> server = this->pool.find(death.server)) {
-        this->pool.recordDeath(*server, now);
-    }
-    this->quarantine.recordDeath(death.fingerprint, hash64(death.server.text()), now);
-    this->recordPromptPart(this->promptQuarantine.recordDeath(death, now), false);
-}
-
-void Dispatcher::Implementation::applyPeerPromptPart(const PromptPartChange &change, TimePoint now)
-{
-    if (this->promptQuarantine.applyPeerChange(change, now)) {
-        this->recordPromptPart(change, false);
-    }
-}
-
-bool Dispatcher::Implementation::mustPark(std::uint64_t fingerprint, TimePoint now) const
-{
-    return this->options.serializeSuspects && this->quarantine.status(fingerprint, now) == Quarantine::Status::SuspectRunning;
-}
-
-void Dispatcher::Implementation::park(RequestIndex index)
-{
-    this->requests.record(index).parked = true;
-    this->parked.push_back(index);
-    this->waitLimits.add(index, this->waitLimit(this->requests.record(index)));
-}
-
-void Dispatcher::Implementation::releaseParked(TimePoint now)
-{
-    const std::vector<RequestIndex> waiting = std::exchange(this->parked, {});
-    for (const RequestIndex index : waiting) {
-        RequestRecord &record = this->requests.record(index);
-        if (this->mustPark(record.fingerprint, now)) {
-            this->parked.push_back(index);
-            continue;
-        }
-        record.parked = false;
-        this->waitLimits.remove(index);
-        this->addToQueue(index, now);
-    }
-}
-
 ResendLimit &Dispatcher::Implementation::resendLimit(TargetIndex target)
 {
     while (target >= this->resendLimits.size()) {
@@ -349,40 +281,6 @@
     this->waitLimits.remove(index);
 }
 
-void Dispatcher::Implementation::reject(RequestIndex index, RefusalReason reason, TimePoint now)
-{
-    this->pendingRejections.push_back(
-        Rejection{this->requests.ticket(index), this->refusalFor(this->requests.record(index), reason, now)});
-    this->removeFromQueue(index, false, now);
-    this->requests.remove(index);
-}
-
-std::chrono::seconds Dispatcher::Implementation::retryAfterQuarantine(
-    const std::vector<std::uint64_t> &promptParts, TimePoint now) const
-{
-    const TimePoint until = this->promptQuarantine.quarantinedUntil(promptParts, now).value_or(now);
-    return std::chrono::ceil<std::chrono::seconds>(until - now);
-}
-
-Refusal Dispatcher::Implementation::refusalFor(const RequestRecord &record, RefusalReason reason, TimePoint now) const
-{
-    if (reason == RefusalReason::PromptQuarantined) {
-        return Refusal{
-            reason, record.wasSent ? RunState::Unknown : RunState::NotRun, this->retryAfterQuarantine(record.promptParts, now)};
-    }
-    const RunState runState = record.wasSent ? RunState::Unknown : RunState::NotRun;
-    if (reason == RefusalReason::Draining) {
-        return Refusal{reason, runState, otherInstanceRetryAfter};
-    }
-    if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target)) {
-        return Refusal{reason, runState, std::chrono::ceil<std::chrono::seconds>(std::max(*pausedUntil - now, Duration::zero()))};
-    }
-    const std::optional<double> holdSeconds = this->statistics.holdSeconds(record.entry.target);
-    const auto seconds = std::chrono::seconds(
-        std::clamp(static_cast<std::int64_t>(holdSeconds.value_or(1.0)), std::int64_t{1}, std::int64_t{60}));
-    return Refusal{reason, runState, seconds};
-}
-
 void Dispatcher::Implementation::dispatch(TimePoint now, Decisions &decisions)
 {
     decisions.assignments.clear();
@@ -420,54 +318,6 @@
     decisions.rejections.swap(this->pendingRejections);
 }
 
-void Dispatcher::Implementation::rejectExpired(TimePoint now)
-{
-    while (!this->waitLimits.isEmpty() && this->waitLimits.earliestDeadline() <= now) {
-        const RequestIndex index = this->waitLimits.earliestMember();
-        const bool isDeadline = this->requests.record(index).deadline <= now;
-        this->reject(index, isDeadline ? RefusalReason::DeadlineMissed : RefusalReason::Draining, now);
-    }
-}
-
-void Dispatcher::Implementation::rejectUnservable(TimePoint now)
-{
-    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
-        for (const bool cheapAllowed : {false, true}) {
-            while (!this->pool.hasUsableServer(target, cheapAllowed)) {
-                const std::optional<RequestIndex> request = this->queue.anyWaiting(target, cheapAllowed);
-                if (!request.has_value()) {
-                    break;
-                }
-                this->reject(*request, RefusalReason::NoServer, now);
-            }
-        }
-    }
-}
-
-bool Dispatcher::Implementation::isPausedPastDeadline(const RequestRecord &record) const
-{
-    const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target);
-    return pausedUntil.has_value() && *pausedUntil >= record.deadline;
-}
-
-void Dispatcher::Implementation::rejectPaused(TimePoint now)
-{
-    for (const RequestIndex index : this->requests.waiting()) {
-        if (this->isPausedPastDeadline(this->requests.record(index))) {
-            this->reject(index, RefusalReason::NoServer, now);
-        }
-    }
-}
-
-void Dispatcher::Implementation::rejectQuarantined(TimePoint now)
-{
-    for (const RequestIndex index : this->requests.waiting()) {
-        if (this->promptQuarantine.quarantinedUntil(this->requests.record(index).promptParts, now).has_value()) {
-            this->reject(index, RefusalReason::PromptQuarantined, now);
-        }
-    }
-}
-
 Availability Dispatcher::Implementation::availability(TargetIndex target, TimePoint now)
 {
     Availability available = this->pool.availability(target);
@@ -587,155 +437,6 @@
     this->updateRejectionShares(now);
 }
 
-bool Dispatcher::Implementation::applyPeerRateLimit(const ServerRateLimit &report, TimePoint now)
-{
-    const bool changed = this->rateLimits.applyPeerReport(report);
-    if (changed) {
-        this->updateRateShare(report.server, now);
-    }
-    return changed;
-}
-
-void Dispatcher::Implementation::rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now)
-{
-    const auto isConfigured = [this](const BackendServerId &server) {
-        const std::optional<ServerIndex> index = this->pool.find(server);
-        return index.has_value() && this->pool.server(*index).present;
-    };
-    this->rateLimits.expire(isConfigured, now);
-    this->rateLimits.ownReports(reports);
-}
-
-void Dispatcher::Implementation::updateRateShares(TimePoint now)
-{
-    std::vector<BackendServerId> servers = this->rateLimits.servers();
-    // Includes servers whose limit has expired meanwhile.
-    for (const ServerIndex index : this->pool.rateLimitedServers()) {
-        servers.push_back(this->pool.server(index).id);
-    }
-    for (const BackendServerId &server : servers) {
-        this->updateRateShare(server, now);
-    }
-}
-
-void Dispatcher::Implementation::updateRateShare(const BackendServerId &server, TimePoint now)
-{
-    const std::optional<ServerIndex> index = this->pool.find(server);
-    if (index.has_value()) {
-        this->pool.setRateShare(*index, this->rateLimits.share(server), now);
-        this->serversChanged = true;
-    }
-}
-
-void Dispatcher::Implementation::refreshRejectionShares(TimePoint now)
-{
-    const bool isRecent
-        = this->rejectionSharesUpdatedAt.has_value() && now - *this->rejectionSharesUpdatedAt < rejectionShareInterval;
-    if (this->rejectionLimits.isEmpty() || isRecent) {
-        return;
-    }
-    this->rejectionSharesUpdatedAt = now;
-    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
-        if (this->rejectionLimits.hasLimit(target)) {
-            this->rejectionLimits.expire(target, now);
-            this->updateRejectionShares(target, now);
-        }
-    }
-}
-
-bool Dispatcher::Implementation::applyPeerRejectionLimit(const TargetRejectionLimit &report, TimePoint now)
-{
-    const std::optional<TargetIndex> target = this->pool.findTarget(report.target.model, report.target.service);
-    if (!target.has_value() || !this->rejectionLimits.applyPeerReport(*target, report.rejectionsPerSecond, report.statedAt)) {
-        return false;
-    }
-    this->updateRejectionShares(*target, now);
-    return true;
-}
-
-std::vector<TargetRejectionLimit> Dispatcher::Implementation::rejectionLimitReports(TimePoint now) const
-{
-    std::vector<TargetRejectionLimit> reports;
-    if (this->rejectionLimits.isEmpty()) {
-        return reports;
-    }
-    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
-        if (const auto report = this->rejectionLimits.ownReport(target, now)) {
-            reports.push_back({this->nameOf(target), report->rejectionsPerSecond, report->statedAt});
-        }
-    }
-    return reports;
-}
-
-void Dispatcher::Implementation::updateRejectionShares(TimePoint now)
-{
-    if (this->rejectionLimits.isEmpty()) {
-        return;
-    }
-    for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
-        if (this->rejectionLimits.hasLimit(target)) {
-            this->updateRejectionShares(target, now);
-        }
-    }
-}
-
-void Dispatcher::Implementation::updateRejectionShares(TargetIndex target, TimePoint now)
-{
-    std::vector<std::pair<BackendServerId, ServerIndex>> servers = this->pool.presentServers(target);
-    std::sort(servers.begin(), servers.end());
-    std::vector<BackendServerId> ids;
-    ids.reserve(servers.size());
-    for (const auto &[id, index] : servers) {
-        ids.push_back(id);
-    }
-    this->rejectionLimits.retain(target, ids);
-    std::vector<std::optional<RejectionShare>> shares;
-    shares.reserve(servers.size());
-    for (std::size_t position = 0; position < servers.size(); ++position) {
-        const auto &[id, index] = servers[position];
-        shares.push_back(
-            this->rejectionLimits.share(target, id, {position, servers.size(), this->pool.server(index).slots}, now));
-    }
-    this->leaveToPeers(target, shares);
-    for (std::size_t position = 0; position < servers.size(); ++position) {
-        const ServerIndex index = servers[position].second;
-        if (shares[position] != this->pool.server(index).rejectionShare) {
-            this->pool.setRejectionShare(index, shares[position]);
-            this->serversChanged = true;
-        }
-    }
-}
-
-void Dispatcher::Implementation::leaveToPeers(TargetIndex target, std::vector<std::optional<RejectionShare>> &shares)
-{
-    const bool isWithoutShare
-        = !shares.empty() && std::all_of(shares.begin(), shares.end(), [](const std::optional<RejectionShare> &share) {
-              return share.has_value() && share->starts == 0;
-          });
-    const bool isLeft = isWithoutShare && this->peers.canServe(this->nameOf(target));
-    if (isWithoutShare && !isLeft) {
-        // Nobody else takes the requests, so that each server gets one until it rejects it.
-        for (std::optional<RejectionShare> &share : shares) {
-            share = RejectionShare{1, share->pause, std::nullopt};
-        }
-    }
-    const bool wasLeft = this->leftToPeers.contains(target);
-    if (isLeft == wasLeft) {
-        return;
-    }
-    this->pathsChanged = true;
-    PathChange change;
-    change.target = this->nameOf(target);
-    change.loss = PathLoss::NoSlot;
-    change.isReachable = !isLeft;
-    this->pathChanges.push_back(std::move(change));
-    if (isLeft) {
-        this->leftToPeers.insert(target);
-    } else {
-        this->leftToPeers.erase(target);
-    }
-}
-
 void Dispatcher::Implementation::setExcluded(const DataCentre &dataCentre, bool excluded)
 {
     this->pool.setExcluded(dataCentre, excluded);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -101,6 +101,8 @@
     }
 
 private:
+    static constexpr std::chrono::seconds otherInstanceRetryAfter{1}; // if other instances can serve the request
+
     // Class parameters that determine how requests are queued.
     struct ClassKey {
         ClassName name;
