--- a/include/flamingosaddle/app/trafficmetrics.h
+++ b/include/flamingosaddle/app/trafficmetrics.h
@@ -17,8 +17,11 @@
 class TrafficMetrics
 {
 public:
-    /** Both objects outlive this one. */
-    TrafficMetrics(MetricsRegistry &registry, const SharedRoutingSnapshot &board);
+    /**
+     * Both objects outlive this one.
+     * @param ownDataCentre data centre of this instance
+     */
+    TrafficMetrics(MetricsRegistry &registry, const SharedRoutingSnapshot &board, DataCentre ownDataCentre);
 
     void observe(const RequestOutcome &outcome);
     /** Counts a change of a backend server's known rate limit. @param source what the limit was learned from */
@@ -31,10 +34,13 @@
 private:
     const RequestClass *classOf(const RoutingSnapshot &snapshot, const RequestOutcome &outcome) const;
     void observeAnswer(const RequestOutcome &outcome, const MetricLabels &labels);
+    /** Counts the attempts and bytes in the own data centre and in others. */
+    void observeTraffic(const RequestOutcome &outcome);
     void observeRefusal(const RequestOutcome &outcome);
 
     MetricsRegistry &registry;
     const SharedRoutingSnapshot &board;
+    DataCentre ownDataCentre;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -5,6 +5,7 @@
 #include <flamingosaddle/control/claim.h>
 #include <flamingosaddle/control/streamregistry.h>
 #include <flamingosaddle/relay/requeststep.h>
+#include <flamingosaddle/state/targetname.h>
 #include <flamingosaddle/traffic/types.h>
 
 #include <cstdint>
@@ -30,6 +31,17 @@
     friend bool operator==(const UsageEvent &, const UsageEvent &) = default;
 };
 
+/**
+ * What an attempt at a backend server carried.
+ */
+struct AttemptTraffic {
+    DataCentre dataCentre; ///< of the server
+    std::uint64_t sentBytes = 0; ///< body of the request
+    std::uint64_t receivedBytes = 0; ///< body of the response
+
+    friend bool operator==(const AttemptTraffic &, const AttemptTraffic &) = default;
+};
+
 /**
  * Outcome of one request, for logs, metrics and traces.
  */
@@ -41,6 +53,8 @@
     RouteId route; ///< empty for model requests and when no route matched
     BackendServerId server; ///< of the last attempt; empty without an attempt
     std::string softwareVersion; ///< of that server
+    TargetName target; ///< empty if the request was not routed
+    std::vector<AttemptTraffic> traffic; ///< of each attempt
     std::string resumedRequest; ///< see RoutedRequest
     std::uint64_t resumeAfter = 0; ///< see RoutedRequest
     std::uint32_t promptTokens = 0; ///< as used for placement; 0 without a prompt
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -565,7 +565,7 @@
     std::uint64_t seed;
     MetricsRegistry metrics;
     SharedRoutingSnapshot board;
-    TrafficMetrics trafficMetrics{this->metrics, this->board};
+    TrafficMetrics trafficMetrics{this->metrics, this->board, this->settings.dataCentre};
     RequestLog requestLog;
     RateLimitLog rateLimitLog;
     ServerDeathLog serverDeathLog;
--- a/src/app/trafficmetrics.cpp
+++ b/src/app/trafficmetrics.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace flamingosaddle
 {
@@ -29,9 +30,10 @@
 
 } // namespace
 
-TrafficMetrics::TrafficMetrics(MetricsRegistry &registry, const SharedRoutingSnapshot &board)
+TrafficMetrics::TrafficMetrics(MetricsRegistry &registry, const SharedRoutingSnapshot &board, DataCentre ownDataCentre)
     : registry(registry)
     , board(board)
+    , ownDataCentre(std::move(ownDataCentre))
 {
 }
 
@@ -42,6 +44,7 @@
     this->registry.counter("flamingosaddle_attempts_total", "Backend servers that were asked.", labels).add(outcome.attempts);
     this->registry.counter("flamingosaddle_wasted_tokens_total", "Tokens generated and not part of a whole answer.", labels)
         .add(outcome.wastedTokens);
+    this->observeTraffic(outcome);
     if (outcome.complete) {
         this->observeAnswer(outcome, labels);
     } else if (outcome.status == 0) {
@@ -116,6 +119,27 @@
     }
 }
 
+void TrafficMetrics::observeTraffic(const RequestOutcome &outcome)
+{
+    for (const AttemptTraffic &attempt : outcome.traffic) {
+        const MetricLabels labels
+            = {{"target", outcome.target.text()}, {"place", attempt.dataCentre == this->ownDataCentre ? "own" : "other"}};
+        this->registry
+            .counter("flamingosaddle_data_centre_attempts_total",
+                "Backend servers that were asked, in the instance's own data centre and in others.", labels)
+            .add();
+        this->registry
+            .counter("flamingosaddle_data_centre_sent_bytes_total",
+                "Bytes of requests' bodies sent to backend servers in the instance's own data centre and in others.", labels)
+            .add(attempt.sentBytes);
+        this->registry
+            .counter("flamingosaddle_data_centre_received_bytes_total",
+                "Bytes of responses' bodies received from backend servers in the instance's own data centre and in others.",
+                labels)
+            .add(attempt.receivedBytes);
+    }
+}
+
 void TrafficMetrics::observeRefusal(const RequestOutcome &outcome)
 {
     const MetricLabels labels = {
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -129,6 +129,7 @@
     this->outcome.clientAccount = this->routed.profile.clientAccount;
     this->outcome.className = this->routed.profile.requestClass.name;
     this->outcome.tier = this->routed.profile.requestClass.tier;
+    this->outcome.target = {this->routed.profile.model, this->routed.profile.service};
     this->outcome.promptTokens = this->routed.profile.promptTokens;
     this->outcome.sharedTokens = this->routed.profile.sharedTokens;
     this->outcome.prefixHash = this->routed.profile.prefixHash;
@@ -339,6 +340,7 @@
     this->outcome.softwareVersion = server->value.softwareVersion;
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
+    this->outcome.traffic.push_back({server->value.dataCentre, parameters.request.body.size(), 0});
     parameters.tryResend = [&grant]() {
         return grant.tryResend();
     };
--- a/src/relay/responserelay.cpp
+++ b/src/relay/responserelay.cpp
@@ -83,6 +83,7 @@
             call.releaseConnection();
             break;
         }
+        this->recordReceived(piece);
         const SseSplitter::Batch batch = splitter.feed(piece);
         if (splitter.isEventTooLarge()) {
             co_return this->failure(streamError("contains an event that is too large"));
@@ -176,6 +177,7 @@
             call.releaseConnection();
             break;
         }
+        this->recordReceived(piece);
         response.body.append(piece);
         if (response.body.size() > this->environment.options.maxBufferedResponseBytes) {
             co_return co_await this->relayOversized(call, std::move(response));
@@ -225,6 +227,7 @@
             written = co_await this->exchange.endStream();
             co_return written.has_value() ? completed() : callerGone();
         }
+        this->recordReceived(piece);
     }
     co_return callerGone();
 }
@@ -303,6 +306,13 @@
     return headers;
 }
 
+void ResponseRelay::recordReceived(std::string_view piece)
+{
+    if (!this->outcome.traffic.empty()) {
+        this->outcome.traffic.back().receivedBytes += piece.size();
+    }
+}
+
 void ResponseRelay::capture(std::string_view piece)
 {
     if (!this->capturing) {
--- a/src/relay/responserelay.h
+++ b/src/relay/responserelay.h
@@ -75,6 +75,7 @@
     boost::asio::awaitable<AttemptResult> classifiedFailure(BackendCall &call, Error error) const;
     bool continuesStream(const SseSplitter::Batch &batch);
     void recordFirstToken(ServerGrant &grant);
+    void recordReceived(std::string_view piece);
     void notifyStarted() const;
     HttpHeaders responseHeaders(const HttpHeaders &fromBackend) const;
     void capture(std::string_view piece);
--- a/tests/relay/callerhandler_test.cpp
+++ b/tests/relay/callerhandler_test.cpp
@@ -146,6 +146,9 @@
     EXPECT_TRUE(outcome.complete);
     EXPECT_EQ(outcome.relayedTokens, 3U);
     EXPECT_EQ(outcome.className, ClassName("chat"));
+    ASSERT_EQ(outcome.traffic.size(), 1U);
+    EXPECT_EQ(outcome.traffic[0].sentBytes, engine.requests().at(0).body.size());
+    EXPECT_GT(outcome.traffic[0].receivedBytes, 3 * std::string_view("data: ").size());
     ASSERT_EQ(recorder.usages.size(), 1U);
     EXPECT_EQ(recorder.usages[0].promptTokens, 11U);
     EXPECT_EQ(recorder.usages[0].completionTokens, 3U);
