Requests leave the data centre only where that pays

Cause: neither Selector::penalty nor PromptPlacement::cost knew whether a server stands in the instance's data centre, so that with three or four of them two thirds to three quarters of the requests crossed, though a plain service's own servers were a fifth full.

Change: requests without a known prompt stay while their own servers keep two standard deviations of room (DataCentreShares); beyond that a growing share goes to the best server anywhere. Nothing changes with one data centre.

--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -81,6 +81,8 @@
     std::chrono::milliseconds firstByteTimeout{30000};
     std::chrono::milliseconds progressTimeout{10000};
     std::chrono::milliseconds backendIdleLimit{15000};
+    std::chrono::milliseconds distanceTime{2};
+    std::chrono::milliseconds distanceMegabyteTime{20};
     std::size_t maxAttempts = 3;
     std::size_t retryPercent = 10;
     std::size_t quarantineDeaths = 2;
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/state/promptprefill.h>
 #include <flamingosaddle/state/servicedemand.h>
 #include <flamingosaddle/state/waitingtier.h>
+#include <flamingosaddle/traffic/distancecost.h>
 #include <flamingosaddle/traffic/quarantine.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/serverpaths.h>
@@ -41,6 +42,8 @@
     bool serializeSuspects = true; ///< whether a request suspected of killing a server runs one at a time over all instances
     ResendLimitOptions resendLimit; ///< limit on resends, applied to each service
     std::uint64_t seed = 1; ///< seed for random choices between servers
+    DataCentre dataCentre; ///< data centre that this instance stands in; if empty, servers are chosen regardless of theirs
+    DistanceCost distanceCost; ///< cost of servers in other data centres; if zero, servers are chosen regardless of theirs
 
     friend bool operator==(const DispatcherOptions &, const DispatcherOptions &) = default;
 };
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -126,6 +126,9 @@
     void applyLoadReport(const ServerLoadReport &report);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
 
+    /** Sets the data centre that this instance stands in; an empty name leaves it unknown. */
+    void setOwnDataCentre(const DataCentre &dataCentre);
+
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
 
@@ -266,6 +269,18 @@
         return this->targets[target].localInFlight;
     }
 
+    /** Returns the data centre that this instance stands in, if it is known. */
+    std::optional<DataCentreIndex> ownDataCentre() const
+    {
+        return this->ownDataCentreIndex;
+    }
+
+    /** Returns the number of data centres seen so far. All indexes are below it. */
+    std::size_t dataCentreCount() const
+    {
+        return this->dataCentreNames.size();
+    }
+
     bool isExcluded(ServerIndex server) const;
 
     /** Returns whether the server died before @p startedAt and may still be restarting. */
@@ -349,6 +364,7 @@
     std::vector<ServerState> servers;
     std::vector<Target> targets;
     std::vector<bool> excludedDataCentres; // by data centre index
+    std::optional<DataCentreIndex> ownDataCentreIndex; // if it is known
     std::uint64_t candidateGeneration = 0;
     std::pair<ModelName, ServiceName> lookupKey; // a member to reuse its memory in look-ups
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -99,6 +99,8 @@
     options.resendLimit
         = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
     options.seed = seed;
+    options.dataCentre = settings.dataCentre;
+    options.distanceCost = {settings.distanceTime, settings.distanceMegabyteTime};
     return options;
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -433,6 +433,14 @@
         &Settings::progressTimeout, 1, hour));
     all.push_back(timeSetting("backend-idle-limit", "Time after which an idle connection to a backend server is closed.",
         &Settings::backendIdleLimit, 1, hour));
+    all.push_back(timeSetting("distance-time",
+        "Time by which a server in another data centre has to be faster to be used; 0 for this and distance-megabyte-time "
+        "chooses "
+        "servers regardless of their data centre.",
+        &Settings::distanceTime, 0, hour));
+    all.push_back(timeSetting("distance-megabyte-time",
+        "Time by which it has to be faster for each megabyte of prompt and answer, as the price of the bytes.",
+        &Settings::distanceMegabyteTime, 0, hour));
     all.push_back(
         sizeSetting("max-attempts", "attempts", "Backend servers tried for one request.", &Settings::maxAttempts, 1, 10));
     all.push_back(sizeSetting(
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -51,6 +51,8 @@
         this->policies.admission = meetsTarget;
     }
     this->pool.setStragglerDetection(this->policies.detectsStragglers);
+    this->pool.setOwnDataCentre(this->options.dataCentre);
+    this->selector.setDistanceCost(this->options.distanceCost);
 }
 
 std::variant<Ticket, Refusal> Dispatcher::Implementation::submit(const RequestProfile &profile, TimePoint now)
--- a/src/traffic/selection.cpp
+++ b/src/traffic/selection.cpp
@@ -115,6 +115,8 @@
     this->promptPlacement.updatePartition(pool, request.target);
     const ServerIndex home = this->homeServer(pool, request);
     const BacklogLimits bounds = this->promptPlacement.backlogLimits(*request.prompt);
+    const std::optional<DataCentreIndex> own = pool.ownDataCentre();
+    const double distance = own.has_value() ? this->distanceTokens(*request.prompt) : 0.0;
     // A server that failed recently has no backlog and would look attractive, so it is used only if all servers have failed.
     const bool allFailed = this->haveAllFailed(pool, request.target, now);
     ServerIndex best = noServer;
@@ -131,10 +133,12 @@
         if (!allFailed && pool.server(candidate.server).backoffUntil > now) {
             continue;
         }
-        const int level = this->penalty(pool, request, candidate.server, now).level;
+        const int level = this->penalty(pool, request, std::nullopt, candidate.server, now).level;
+        const bool isRemote = own.has_value() && pool.server(candidate.server).dataCentre != *own;
         // Ties are broken by rendezvous weight, so that instances choose the same server for the same prefix.
         const std::uint64_t order = ~rendezvousWeight(candidate.nameHash, request.prefixHash);
-        const std::tuple<int, bool, double, std::uint64_t> rank{level, !cost.isOwnPartition, cost.tokens, order};
+        const std::tuple<int, bool, double, std::uint64_t> rank{
+            level, !cost.isOwnPartition, cost.tokens + (isRemote ? distance : 0.0), order};
         if (best == noServer || rank < lowest) {
             best = candidate.server;
             lowest = rank;
@@ -159,6 +163,56 @@
     return this->views.empty() ? noServer : this->views[this->policy(this->views)].server;
 }
 
+double Selector::distanceTokens(const PromptRequest &request) const
+{
+    const double milliseconds
+        = std::chrono::duration<double, std::milli>(this->distanceCost.of(request.promptTokens, request.outputTokens)).count();
+    return milliseconds * this->promptPlacement.tokensPerMillisecond();
+}
+
+std::optional<DataCentreIndex> Selector::preferredDataCentre(const ServerPool &pool, TargetIndex target, TimePoint now)
+{
+    const std::optional<DataCentreIndex> own = pool.ownDataCentre();
+    if (!own.has_value() || pool.dataCentreCount() < 2 || this->distanceCost == DistanceCost()) {
+        return std::nullopt;
+    }
+    if (target >= this->shares.size()) {
+        this->shares.resize(target + 1);
+    }
+    if (this->shares[target].isDue(now)) {
+        this->updateShares(pool, target, *own, now);
+    }
+    constexpr auto range = static_cast<double>(std::mt19937_64::max());
+    const bool stays = static_cast<double>(this->random()) / range < this->shares[target].stayingShare();
+    return stays ? own : std::nullopt;
+}
+
+void Selector::updateShares(const ServerPool &pool, TargetIndex target, DataCentreIndex own, TimePoint now)
+{
+    DataCentreLoad ownLoad;
+    DataCentreLoad othersLoad;
+    std::uint64_t ownMeasurements = 0;
+    std::uint64_t othersMeasurements = 0;
+    for (const Candidate &candidate : pool.candidates(target)) {
+        const ServerState &state = pool.server(candidate.server);
+        if (state.missing || state.backoffUntil > now || state.pausedUntil.has_value()) {
+            continue;
+        }
+        DataCentreLoad &load = state.dataCentre == own ? ownLoad : othersLoad;
+        const double inFlight = state.inFlight + state.peersInFlight;
+        load.slots += inFlight + candidate.freeSlots;
+        load.inFlight += inFlight;
+        load.firstByteSeconds += state.firstTokenSeconds.value() * static_cast<double>(state.firstTokenSeconds.count());
+        (state.dataCentre == own ? ownMeasurements : othersMeasurements) += state.firstTokenSeconds.count();
+    }
+    const auto mean = [](double sum, std::uint64_t measurements) {
+        return measurements < ServerPool::minSamples ? 0.0 : sum / static_cast<double>(measurements);
+    };
+    ownLoad.firstByteSeconds = mean(ownLoad.firstByteSeconds, ownMeasurements);
+    othersLoad.firstByteSeconds = mean(othersLoad.firstByteSeconds, othersMeasurements);
+    this->shares[target].update(ownLoad, othersLoad, now);
+}
+
 ServerIndex Selector::selectBySampling(const ServerPool &pool, const SelectionRequest &request, TimePoint now)
 {
     const std::size_t count = pool.freeCandidates(request.target, false).size()
@@ -166,12 +220,15 @@
     if (count == 0) {
         return noServer;
     }
-    const ServerIndex sampled = this->bestOfSample(pool, request, now, std::min(count, maxSamples));
-    const bool hasNoPenalty = this->penalty(pool, request, sampled, now).level == 0;
-    return hasNoPenalty || count <= maxSamples ? sampled : this->bestOfSample(pool, request, now, count);
+    const std::optional<DataCentreIndex> preferred = this->preferredDataCentre(pool, request.target, now);
+    const std::size_t samples = maxSamples * (preferred.has_value() ? pool.dataCentreCount() : 1);
+    const ServerIndex sampled = this->bestOfSample(pool, request, preferred, now, std::min(count, samples));
+    const bool hasNoPenalty = this->penalty(pool, request, preferred, sampled, now).level == 0;
+    return hasNoPenalty || count <= samples ? sampled : this->bestOfSample(pool, request, preferred, now, count);
 }
 
-ServerIndex Selector::bestOfSample(const ServerPool &pool, const SelectionRequest &request, TimePoint now, std::size_t samples)
+ServerIndex Selector::bestOfSample(const ServerPool &pool, const SelectionRequest &request,
+    std::optional<DataCentreIndex> preferred, TimePoint now, std::size_t samples)
 {
     const std::vector<std::uint32_t> &ordinary = pool.freeCandidates(request.target, false);
     const std::vector<std::uint32_t> &cheap = pool.freeCandidates(request.target, true);
@@ -184,7 +241,7 @@
     for (std::size_t i = 0; i < samples; ++i, offset = offset + 1 == count ? 0 : offset + 1) {
         const std::uint32_t position = offset < ordinary.size() ? ordinary[offset] : cheap[offset - ordinary.size()];
         const ServerIndex server = pool.candidates(request.target)[position].server;
-        const Penalty penalty = this->penalty(pool, request, server, now);
+        const Penalty penalty = this->penalty(pool, request, preferred, server, now);
         if (best == noServer || penalty < lowest) {
             best = server;
             lowest = penalty;
@@ -196,8 +253,8 @@
     return best;
 }
 
-Selector::Penalty Selector::penalty(
-    const ServerPool &pool, const SelectionRequest &request, ServerIndex server, TimePoint now) const
+Selector::Penalty Selector::penalty(const ServerPool &pool, const SelectionRequest &request,
+    std::optional<DataCentreIndex> preferred, ServerIndex server, TimePoint now) const
 {
     const ServerState &state = pool.server(server);
     int level = 0;
@@ -215,7 +272,8 @@
     if (pool.isStraggler(server, now)) {
         level += 2;
     }
-    return Penalty{level, state.inFlight * state.slowdown / std::max(state.slots, 1U)};
+    const bool isElsewhere = preferred.has_value() && state.dataCentre != *preferred;
+    return Penalty{level, isElsewhere, state.inFlight * state.slowdown / std::max(state.slots, 1U)};
 }
 
 } // namespace flamingosaddle
