--- a/include/flamingosaddle/app/adminhandler.h
+++ b/include/flamingosaddle/app/adminhandler.h
@@ -3,8 +3,10 @@
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/controller.h>
 #include <flamingosaddle/http/server.h>
+#include <flamingosaddle/traffic/coldservers.h>
 
 #include <functional>
+#include <vector>
 
 namespace flamingosaddle
 {
@@ -18,6 +20,7 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t rateLimitedServers = 0; ///< backend servers with a known rate limit
+    std::vector<ColdServerStatus> coldServers; ///< backend servers that are treated as cold
     std::size_t quarantinedPromptParts = 0;
     bool draining = false;
 
--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -47,6 +47,8 @@
     std::vector<TargetRejectionLimit> applyRejectionLimits(const std::vector<RejectionLimitReport> &reports);
     /** Sets the peers that take forwarded requests. */
     void setPeerPaths(const DataCentre &ownDataCentre, const std::vector<PeerPath> &peers);
+    /** Passes on that servers have renewed their entries. */
+    void onServersRenewed(const std::vector<BackendServerId> &servers);
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers);
 
 private:
--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -86,6 +86,8 @@
     std::size_t quarantineDeaths = 2;
     double resendRatio = 0.2;
     std::size_t resendExtra = 0;
+    double coldOverage = 1.0;
+    double coldTolerance = 0.0;
     std::chrono::milliseconds resendWindow{0};
 
     // Control.
--- a/include/flamingosaddle/app/trafficmetrics.h
+++ b/include/flamingosaddle/app/trafficmetrics.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/metrics.h>
 #include <flamingosaddle/control/routingsnapshot.h>
 #include <flamingosaddle/relay/callerhooks.h>
+#include <flamingosaddle/traffic/coldservers.h>
 #include <flamingosaddle/traffic/serverpaths.h>
 
 #include <string_view>
@@ -26,6 +27,7 @@
     /** Counts a report that a server died while it ran a request. @param source where the report comes from */
     void observeServerDeath(std::string_view source);
     void observePathChange(const PathChange &change);
+    void observeColdServerChange(const ColdServerChange &change);
     void observePromptPartChange(const PromptPartChange &change);
 
 private:
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -121,8 +121,15 @@
 class Directory
 {
 public:
+    /**
+     * Called with servers that have renewed their entries, whether these changed or not; only with those that bear few requests
+     * while they are cold.
+     */
+    using RenewalHook = std::function<void(const std::vector<BackendServerId> &servers)>;
+
     /** @param onUpdate called when state() has changed or was confirmed to be current */
-    Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate);
+    Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate,
+        RenewalHook onRenewal = {});
 
     // Commands.
 
@@ -172,6 +179,7 @@
         std::uint64_t fromOffset = 0;
         std::uint64_t nextOffset = 0;
         std::vector<ServerChange> changes;
+        TimePoint readAt;
     };
 
     boost::asio::awaitable<bool> readConfigOnce();
@@ -194,6 +202,12 @@
     void applyConfig(PublishedConfig config);
     /** @param source where the entries come from, for the log */
     void applyServers(const ServerReadResult &reading, std::string_view source);
+    /** Drops the cold times of servers that bear all requests while they are cold, so that nobody has to keep or pass them on. */
+    void dropUnlimitedColdTimes(ServerReadResult &reading) const;
+    /** Reports the servers whose entries were renewed by a read. */
+    void reportRenewals(const ServerReadResult &reading);
+    /** Returns how many requests a cold server of the service bears per second; 0 if there is no limit. */
+    double coldRequestsPerSecond(const ServiceName &service) const;
     void expireServers();
     std::chrono::milliseconds serverReadWait() const;
     void publishState();
@@ -202,6 +216,7 @@
     DirectoryRelayHooks relayHooks;
     DirectoryOptions options;
     std::function<void()> onUpdate;
+    RenewalHook onRenewal;
     Backoff configBackoff;
     Backoff serverBackoff;
     std::optional<std::uint64_t> nextConfigOffset;
--- a/include/flamingosaddle/control/fleetscaler.h
+++ b/include/flamingosaddle/control/fleetscaler.h
@@ -35,7 +35,7 @@
 private:
     /** Sends the due orders of a service. Returns whether an order was refused because no such servers are available. */
     boost::asio::awaitable<bool> placeOrders(ServiceRules rules);
-    std::map<DataCentre, ServerCounts> countServing(const ServiceName &service) const;
+    std::map<DataCentre, ServerCounts> countServing(const ServiceRules &rules) const;
 
     const DutyHooks &hooks;
     DutyLog &dutyLog;
--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -42,6 +42,8 @@
     std::function<void(const std::vector<PathCheck> &checks)> onPathChecks{};
     /** The path to the servers of a target was lost or found again. */
     std::function<void(const PathChange &change)> onPathChange{};
+    /** A backend server turned cold or warm. */
+    std::function<void(const ColdServerChange &change)> onColdServerChange{};
 };
 
 /**
@@ -124,6 +126,7 @@
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
     std::size_t rateLimitedCount() const;
+    std::vector<ColdServerStatus> coldServers() const;
     std::size_t quarantinedPromptPartCount() const;
 
 private:
--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/id.h>
@@ -116,6 +117,8 @@
     bool missing = false; ///< its registration has disappeared, so it may be gone; the last choice for a request
     std::string softwareVersion; ///< a stream continues only on servers of the version that began it; empty if not stated
     bool checksFencing = false; ///< whether it refuses orders with an outdated fencing number
+    double coldRequestsPerSecond = 0.0; ///< requests that it bears from all instances while it is cold; 0 if it is never cold
+    TimePoint coldUntil{}; ///< end of its cold time as its entry states it; in the past if it is warm
 
     friend bool operator==(const BackendServer &, const BackendServer &) = default;
 };
--- a/include/flamingosaddle/state/fleetplanner.h
+++ b/include/flamingosaddle/state/fleetplanner.h
@@ -19,6 +19,7 @@
 struct ServerCounts {
     std::uint32_t ordinary = 0;
     std::uint32_t cheap = 0;
+    std::uint32_t coldCheap = 0; ///< cheap servers that are still cold, included in `cheap`
 
     friend bool operator==(const ServerCounts &, const ServerCounts &) = default;
 };
--- a/include/flamingosaddle/state/publishedconfig.h
+++ b/include/flamingosaddle/state/publishedconfig.h
@@ -35,6 +35,7 @@
     bool isEngine = false; ///< whether its servers generate tokens
     std::uint64_t kvCapacityTokens = 0; ///< capacity of one engine's KV cache, in tokens of prompts and completions
     std::optional<ScalingRules> scaling;
+    double coldRequestsPerSecond = 0.0; ///< requests that a cold server bears from all callers; 0 if its servers are never cold
 
     friend bool operator==(const ServiceRules &, const ServiceRules &) = default;
 };
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -22,6 +22,7 @@
     BackendServer server;
     std::uint64_t startedAt = 0; ///< Unix milliseconds; distinguishes two starts with the same id
     std::optional<std::chrono::milliseconds> leavesIn{}; ///< time until a server that is being reclaimed stops
+    std::chrono::milliseconds coldFor{0}; ///< how much longer the server is cold; 0 if it is warm
 
     friend bool operator==(const RegisteredServer &, const RegisteredServer &) = default;
 };
@@ -44,13 +45,18 @@
 /**
  * The registered backend servers. An entry that disappears during an outage of the store, or is found missing shortly after
  * it, is kept as missing until the grace period ends, because the server could not renew it. A server that leaves remains leaving
- * until it restarts, since an entry that says otherwise comes from a backup of the store. The class does no I/O and reads no
- * clock: the time is an argument.
+ * until it restarts, since an entry that says otherwise comes from a backup of the store. An entry states how much longer its server
+ * is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no I/O and reads no clock: the time is an
+ * argument.
  */
 class ServerTable
 {
 public:
     static constexpr std::size_t maxDeparted = 256; ///< servers remembered after they left
+    /** Longest cold time that is believed, so that a faulty entry cannot hold back work for ever. */
+    static constexpr std::chrono::milliseconds maxColdTime = std::chrono::minutes(10);
+    /** Difference between two statements of the end of a cold time below which the earlier one holds: entries lag differently. */
+    static constexpr Duration coldUntilTolerance = std::chrono::milliseconds(300);
 
     explicit ServerTable(ServerTableOptions options = {});
 
@@ -75,6 +81,8 @@
 
     // Queries.
     const std::map<BackendServerId, RegisteredServer> &servers() const;
+    /** Returns the server as its entry would state it at @p now. */
+    RegisteredServer statementOf(const BackendServerId &id, TimePoint now) const;
     /** Returns when expire() is next due. */
     std::optional<TimePoint> nextExpiry() const;
     /** Returns whether the entry has disappeared and is kept only for the grace period. */
@@ -84,6 +92,7 @@
 
 private:
     bool remove(const BackendServerId &id, TimePoint now);
+    TimePoint coldUntil(const ServerChange &change, TimePoint now) const;
     bool isKnownToLeave(const BackendServerId &id, const RegisteredServer &server) const;
 
     ServerTableOptions options;
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/state/promptprefill.h>
 #include <flamingosaddle/state/servicedemand.h>
 #include <flamingosaddle/state/waitingtier.h>
+#include <flamingosaddle/traffic/coldservers.h>
 #include <flamingosaddle/traffic/quarantine.h>
 #include <flamingosaddle/traffic/resendlimit.h>
 #include <flamingosaddle/traffic/serverpaths.h>
@@ -40,6 +41,7 @@
     bool confirmDeathsByPathCheck = false;
     bool serializeSuspects = true; ///< whether a request suspected of killing a server runs one at a time over all instances
     ResendLimitOptions resendLimit; ///< limit on resends, applied to each service
+    ColdServerOptions coldServers; ///< what cold servers bear beyond what they state
     std::uint64_t seed = 1; ///< seed for random choices between servers
 
     friend bool operator==(const DispatcherOptions &, const DispatcherOptions &) = default;
@@ -225,11 +227,23 @@
     void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
 
     /**
-     * Sets the instances that share the limits common to all, which are the backend servers' rate limits and the allowance for
-     * resends: this one and the peers that may be sending requests.
+     * Sets the instances that share the limits common to all, which are the backend servers' rate limits, what cold servers bear and
+     * the allowance for resends: this one and the peers that may be sending requests.
      */
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now);
 
+    /** Handles renewals of the entries of servers, also without a change. */
+    void onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now);
+
+    /**
+     * Handles the return of a data centre that was evacuated: its servers are treated as cold until entries that were written since
+     * say otherwise.
+     */
+    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
+
+    /** Returns the servers that turned cold or warm since the last call. */
+    std::vector<ColdServerChange> takeColdChanges();
+
     /** Replaces what is known of the requests waiting at peers. Lower tiers leave their servers to those requests. */
     void applyPeerWaitingTiers(const std::vector<WaitingTier> &waiting);
 
@@ -273,6 +287,9 @@
     std::size_t runningCount() const;
     /** Returns the number of backend servers that are known to have a rate limit. */
     std::size_t rateLimitedCount() const;
+    /** Returns the number of backend servers that are treated as cold. */
+    std::size_t coldCount() const;
+    std::vector<ColdServerStatus> coldServers(TimePoint now) const;
     std::uint32_t inFlight(const BackendServerId &server) const;
     /** Returns the tokens of this instance's prompts that the server has not processed yet. */
     std::uint64_t backlogTokens(const BackendServerId &server) const;
--- a/include/flamingosaddle/traffic/promptplacement.h
+++ b/include/flamingosaddle/traffic/promptplacement.h
@@ -118,6 +118,8 @@
     void cancelPrefill(ServerIndex server, double tokens);
     /** Applies a peer's report that the server has processed this prefix. */
     void applyPeerPrefill(const ServerPool &pool, ServerIndex server, std::uint64_t prefixHash);
+    /** Forgets which prefixes the server caches, because it has started again. */
+    void forgetPrefixes(ServerIndex server);
     /** Sets the backlog of peers' prompts at the server, in tokens. */
     void applyPeerBacklog(ServerIndex server, double tokens);
     /**
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/clock.h>
+#include <flamingosaddle/traffic/coldservers.h>
 #include <flamingosaddle/traffic/fairqueue.h>
 #include <flamingosaddle/traffic/interner.h>
 #include <flamingosaddle/traffic/movingaverage.h>
@@ -33,6 +34,27 @@
     std::uint32_t inFlight = 0; ///< requests of the target that this instance runs on the server
 };
 
+/**
+ * What is known of a backend server that bears few requests while it is cold.
+ */
+struct ColdState {
+    double requestsPerSecond = 0.0; ///< that it bears from all instances while it is cold
+    TimePoint statedUntil; ///< end of its cold time as its entry states it; in the past if it is warm
+    TimePoint renewedAt; ///< last renewal of its entry
+    std::optional<ColdReason> suspicion; ///< why it may have turned cold since its entry was written, if it may
+    TimePoint suspectedAt; ///< last time with such a reason
+    std::uint32_t renewals = 0; ///< of its entry since then
+    std::optional<ColdReason> reason; ///< why it is treated as cold; empty if it is warm
+    std::uint32_t share = 0; ///< requests that this instance may start in ColdServers::window while it is cold
+    RecentStarts starts{0}; ///< also kept while it is warm, for the time after it turns cold
+
+    /** Returns how many requests this instance may start now. */
+    std::uint32_t startsLeft() const
+    {
+        return this->reason.has_value() ? this->starts.left(this->share) : std::numeric_limits<std::uint32_t>::max();
+    }
+};
+
 /**
  * State of one backend server, as used by the selection.
  */
@@ -65,6 +87,7 @@
     std::deque<TimePoint>
         recentStarts; ///< of requests that may still be rejected, oldest first; kept with a rejection share only
     std::optional<TokenBucket> rateLimit; ///< this instance's share of the server's rate limit, if it has one
+    std::optional<ColdState> cold; ///< if the server bears few requests while it is cold
     std::vector<TargetMembership> memberships;
 };
 
@@ -79,7 +102,7 @@
 };
 
 /**
- * What the rate-limited servers of a target contribute to its capacity.
+ * What the rate-limited and the cold servers of a target contribute to its capacity.
  */
 struct RateLimitedCapacity {
     double startsPerSecond = 0.0; ///< this instance's share of the limits
@@ -95,7 +118,7 @@
  * A server is usable if it is configured, not leaving, not left to other instances by its rate limit and, if it is cheap, its
  * data centre is not excluded. It has a free slot if fewer requests than its slots run on it, including those of peers. A server
  * with a rate limit has no more free slots than tokens, one with a rejection limit no more than this instance may still start
- * within RejectionLimits::confirmationTime, and a paused one has none. Since reports from peers lag, an instance that shares its
+ * within RejectionLimits::confirmationTime, a cold one no more than this instance's share of what it bears, and a paused one has none. Since reports from peers lag, an instance that shares its
  * servers may always use an even share of the slots. It takes more only while one slot for each of the other instances stays
  * free, up to half of the slots, because the others may be about to take more as well. If there are more instances than slots,
  * fewer stay free. The slots of a straggler are divided by its slowdown.
@@ -135,9 +158,27 @@
     /** Limits the starts on a server to a share of its rejection limit, or not at all. */
     void setRejectionShare(ServerIndex server, const std::optional<RejectionShare> &share);
 
-    /** Records a start on a server with a rejection limit. */
+    /** Records a start on a server with a rejection limit or one that may turn cold. */
     void recordStart(ServerIndex server, TimePoint now);
 
+    /** Records a start on a server if it may turn cold. */
+    void recordColdStart(ServerIndex server, TimePoint now);
+
+    /**
+     * Treats the server as cold for @p reason, of which this instance may start @p share requests in ColdServers::window, or as
+     * warm.
+     */
+    void setCold(ServerIndex server, std::optional<ColdReason> reason, std::uint32_t share);
+
+    /** Keeps the last @p starts starts on a server that bears few requests while it is cold. */
+    void keepStarts(ServerIndex server, std::uint32_t starts, TimePoint now);
+
+    /** Records a reason why the server may have turned cold since its entry was written. */
+    void suspectCold(ServerIndex server, ColdReason reason, TimePoint now);
+
+    /** Records that the server's entry was renewed. Enough renewals end the suspicion that it is cold. */
+    void recordRenewal(ServerIndex server, TimePoint now);
+
     /** Sends no requests to the server until @p until, or until the later end of a pause that it is in. */
     void pause(ServerIndex server, TimePoint until);
 
@@ -241,13 +282,34 @@
 
     RateLimitedCapacity rateLimitedCapacity(TargetIndex target) const;
 
+    /** Returns the servers that are treated as cold. */
+    const std::vector<ServerIndex> &coldServers() const
+    {
+        return this->cold;
+    }
+
+    /** Returns the servers that bear few requests while they are cold. */
+    const std::vector<ServerIndex> &coldProneServers() const
+    {
+        return this->coldProne;
+    }
+
+    /** Returns whether the server stands in the data centre. */
+    bool isIn(ServerIndex server, const DataCentre &dataCentre) const;
+
+    /** Returns why the server has to be treated as cold at @p now, or nothing. */
+    std::optional<ColdReason> coldReason(ServerIndex server, TimePoint now) const;
+
     /**
-     * Returns when a limit or the end of a pause next lets a server take a request that has no free slot now; nothing if
-     * there is no such server.
+     * Returns when a limit, the end of a pause or of a cold time next lets a server take a request that has no free slot now;
+     * nothing if there is no such server.
      */
     std::optional<TimePoint> nextDelayedStart() const;
 
-    /** Returns when the first pause of the target's servers ends if all of them are paused; nothing otherwise. */
+    /**
+     * Returns when the first of the target's servers takes requests again if all of them are paused, or cold and left to other
+     * instances; nothing otherwise.
+     */
     std::optional<TimePoint> pausedUntil(TargetIndex target) const;
 
     /** Returns the requests known to run on the target's usable servers. slots() returns the slots of these servers. */
@@ -336,6 +398,10 @@
     void refresh(ServerIndex server);
     void endPauses(TimePoint now);
     void forgetConfirmedStarts(TimePoint now);
+    void updateColdState(ServerIndex index, const BackendServer &server);
+    void forgetColdStarts(TimePoint now);
+    std::optional<TimePoint> nextColdStart(ServerIndex server) const;
+    static std::optional<TimePoint> unusableUntil(const ServerState &state);
     void refreshCandidate(ServerIndex server, TargetIndex target, std::uint32_t position);
     void refreshDataCentre(TargetIndex target, DataCentreIndex dataCentre);
     void adjustLoad(ServerIndex server, std::int64_t delta);
@@ -354,6 +420,8 @@
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
     std::vector<ServerIndex> paused;
     std::vector<ServerIndex> rejectionLimited; // servers with a share of a rejection limit
+    std::vector<ServerIndex> cold; // servers that are treated as cold
+    std::vector<ServerIndex> coldProne; // servers that bear few requests while they are cold
     std::vector<double> medianSamples; // a member to reuse its memory
     std::uint32_t instanceCount = 0;
     bool detectsStragglers = true;
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -37,6 +37,20 @@
         {"id", result.id.text()}, {"offset", result.offset}, {"outcome", toString(result.outcome)}, {"detail", result.detail}};
 }
 
+nlohmann::json coldServersOf(const std::vector<ColdServerStatus> &servers)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const ColdServerStatus &server : servers) {
+        nlohmann::json entry
+            = {{"id", server.server.text()}, {"reason", toString(server.reason.value_or(ColdReason::Stated))}, {"share", server.share}};
+        if (server.remaining.has_value()) {
+            entry["remainingMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(*server.remaining).count();
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 nlohmann::json accountsOf(const WindowCounts &counts)
 {
     nlohmann::json accounts = nlohmann::json::array();
@@ -140,6 +154,7 @@
         {"activeExchanges", traffic.activeExchanges},
         {"waiting", traffic.waiting},
         {"running", traffic.running},
+        {"coldServers", coldServersOf(traffic.coldServers)},
     };
     return jsonResponse(200, body.dump());
 }
--- a/src/app/controlmetrics.cpp
+++ b/src/app/controlmetrics.cpp
@@ -60,6 +60,8 @@
     registry.gauge("flamingosaddle_running_requests", "Requests at backend servers.").set(static_cast<double>(traffic.running));
     registry.gauge("flamingosaddle_rate_limited_servers", "Backend servers that are known to have a rate limit.")
         .set(static_cast<double>(traffic.rateLimitedServers));
+    registry.gauge("flamingosaddle_cold_servers", "Backend servers that are treated as cold.")
+        .set(static_cast<double>(traffic.coldServers.size()));
     registry.gauge("flamingosaddle_quarantined_prompt_parts", "Parts of prompts whose requests are refused.")
         .set(static_cast<double>(traffic.quarantinedPromptParts));
     registry.gauge("flamingosaddle_caller_connections", "Connections of callers.")
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/app/adminhandler.h>
 #include <flamingosaddle/app/executioncontext.h>
+#include <flamingosaddle/app/coldserverlog.h>
 #include <flamingosaddle/app/pathlog.h>
 #include <flamingosaddle/app/peertraffic.h>
 #include <flamingosaddle/app/promptpartlog.h>
@@ -98,6 +99,7 @@
     options.serializeSuspects = settings.configuration == ConfigurationSource::Log;
     options.resendLimit
         = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
+    options.coldServers = {settings.coldOverage, settings.coldTolerance, RuntimeClock::now()};
     options.seed = seed;
     return options;
 }
@@ -267,6 +269,9 @@
             this->gate.setServers(servers);
             this->peerTraffic.setServers(servers);
         };
+        hooks.onServersRenewed = [this](const std::vector<BackendServerId> &servers) {
+            this->peerTraffic.onServersRenewed(servers);
+        };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
         };
@@ -350,6 +355,10 @@
             this->trafficMetrics.observePathChange(change);
             this->pathLog.observe(change);
         };
+        hooks.onColdServerChange = [this](const ColdServerChange &change) {
+            this->trafficMetrics.observeColdServerChange(change);
+            this->coldServerLog.observe(change);
+        };
         hooks.onPromptPartChange = [this](const PromptPartChange &change) {
             this->onPromptPartChange(change);
         };
@@ -481,6 +490,7 @@
         status.waiting = this->gate.waitingCount();
         status.running = this->gate.runningCount();
         status.rateLimitedServers = this->gate.rateLimitedCount();
+        status.coldServers = this->gate.coldServers();
         status.quarantinedPromptParts = this->gate.quarantinedPromptPartCount();
         status.draining = this->draining;
         return status;
@@ -572,6 +582,7 @@
     ServerPauseLog serverPauseLog;
     PromptPartLog promptPartLog;
     PathLog pathLog;
+    ColdServerLog coldServerLog;
     ExecutionContext controlContext{1};
     WorkerThreads workers;
     ConnectionRegistry keys;
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -240,6 +240,13 @@
     });
 }
 
+void PeerTraffic::onServersRenewed(const std::vector<BackendServerId> &servers)
+{
+    this->gate.update([&servers](Dispatcher &dispatcher, TimePoint now) {
+        dispatcher.onServersRenewed(servers, now);
+    });
+}
+
 void PeerTraffic::setInstances(const InstanceId &self, const std::vector<InstanceId> &peers)
 {
     this->gate.update([&self, &peers](Dispatcher &dispatcher, TimePoint now) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::size_t minSecretBytes = 16;
 constexpr double maxResendRatio = 100.0;
+constexpr double maxColdOverage = 100.0;
+constexpr double maxColdTolerance = 1e6;
 
 Error settingError(std::string message, std::string remedy)
 {
@@ -356,6 +358,21 @@
     return description;
 }
 
+SettingDescription coldSetting(
+    const std::string &flag, const std::string &unit, const std::string &help, double largest, double Settings::*field)
+{
+    SettingDescription description = describe(flag, unit, help);
+    description.show = [field](const Settings &settings) {
+        std::ostringstream text;
+        text << settings.*field;
+        return text.str();
+    };
+    description.assign = [largest, field](Settings &settings, const std::string &text) {
+        return readNumber(text, 0.0, largest, settings.*field);
+    };
+    return description;
+}
+
 SettingDescription resendWindowSetting()
 {
     SettingDescription description
@@ -443,6 +460,11 @@
     all.push_back(sizeSetting("resend-extra", "requests",
         "Requests sent once more in a resend window beyond the ratio, over all instances.", &Settings::resendExtra, 0, 1 << 20));
     all.push_back(resendWindowSetting());
+    all.push_back(coldSetting("cold-overage", "ratio",
+        "Requests that a cold backend server may get in one second, as a multiple of what its service states that it bears.",
+        maxColdOverage, &Settings::coldOverage));
+    all.push_back(coldSetting("cold-tolerance", "requests",
+        "Requests that a cold backend server may get in one second beyond that.", maxColdTolerance, &Settings::coldTolerance));
 }
 
 void addControlSettings(std::vector<SettingDescription> &all)
--- a/src/app/trafficmetrics.cpp
+++ b/src/app/trafficmetrics.cpp
@@ -75,6 +75,14 @@
         .add();
 }
 
+void TrafficMetrics::observeColdServerChange(const ColdServerChange &change)
+{
+    this->registry
+        .counter("flamingosaddle_cold_server_changes_total", "Backend servers that turned cold or warm.",
+            {{"change", change.reason.has_value() ? toString(*change.reason) : "warm"}})
+        .add();
+}
+
 void TrafficMetrics::observePromptPartChange(const PromptPartChange &change)
 {
     this->registry
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -51,14 +51,14 @@
 }
 
 std::unique_ptr<Directory> makeDirectory(const std::optional<DirectoryHooks> &hooks, DirectoryRelayHooks relayHooks,
-    const ControllerOptions &options, std::function<void()> onUpdate)
+    const ControllerOptions &options, std::function<void()> onUpdate, Directory::RenewalHook onRenewal)
 {
     if (!hooks.has_value()) {
         return nullptr;
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
-    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate));
+    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onRenewal));
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
@@ -178,6 +178,11 @@
     , directory(makeDirectory(directory, this->directoryRelayHooks(), this->controllerOptions,
           [this] {
               this->onConfigUpdate();
+          },
+          [this](const std::vector<BackendServerId> &servers) {
+              if (this->hooks.onServersRenewed) {
+                  this->hooks.onServersRenewed(servers);
+              }
           }))
     , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions))
     , duties(std::make_unique<Duties>(duties, this->directory.get(), this->peers, this->controllerOptions))
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -23,12 +23,13 @@
 
 } // namespace
 
-Directory::Directory(
-    DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate)
+Directory::Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options,
+    std::function<void()> onUpdate, RenewalHook onRenewal)
     : hooks(std::move(hooks))
     , relayHooks(std::move(relayHooks))
     , options(options)
     , onUpdate(std::move(onUpdate))
+    , onRenewal(std::move(onRenewal))
     , configBackoff(initialRetryDelay, maxRetryDelay, options.seed)
     , serverBackoff(initialRetryDelay, maxRetryDelay, options.seed + 1)
     , serverTable(options.servers)
@@ -271,14 +272,21 @@
         for (const Batch &batch : this->batches) {
             if (batch.nextOffset > from) {
                 relayed.changes.insert(relayed.changes.end(), batch.changes.begin(), batch.changes.end());
+                const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - batch.readAt);
+                for (auto change = relayed.changes.end() - static_cast<std::ptrdiff_t>(batch.changes.size());
+                     change != relayed.changes.end(); ++change) {
+                    if (change->server.has_value()) {
+                        change->server->coldFor = std::max(change->server->coldFor - age, std::chrono::milliseconds(0));
+                    }
+                }
             }
         }
         return relayed;
     }
     relayed.isComplete = true;
-    for (const auto &[id, server] : this->serverTable.servers()) {
+    for (const auto &[id, registered] : this->serverTable.servers()) {
         if (!this->serverTable.isInGracePeriod(id)) {
-            relayed.changes.push_back({id, server});
+            relayed.changes.push_back({id, this->serverTable.statementOf(id, now)});
         }
     }
     return relayed;
@@ -292,7 +300,7 @@
     if (reading.isComplete || reading.nextOffset == from) {
         return;
     }
-    this->batches.push_back({from, reading.nextOffset, reading.changes});
+    this->batches.push_back({from, reading.nextOffset, reading.changes, RuntimeClock::now()});
     if (this->batches.size() > this->options.maxRetainedBatches) {
         this->batches.pop_front();
     }
@@ -343,7 +351,7 @@
 {
     const TimePoint sentAt = RuntimeClock::now();
     const std::optional<std::uint64_t> from = this->nextServersOffset;
-    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
+    Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
     if (this->stopped) {
         co_return false;
     }
@@ -369,6 +377,7 @@
     }
     this->advanceServersOffset(reading.value().nextOffset);
     this->ownServersConfirmedAt = sentAt;
+    this->dropUnlimitedColdTimes(reading.value());
     this->retainBatch(from.value_or(0), reading.value());
     this->applyServers(reading.value(), "store");
     co_return true;
@@ -406,6 +415,46 @@
     if (changed) {
         this->publishState();
     }
+    this->reportRenewals(reading);
+}
+
+double Directory::coldRequestsPerSecond(const ServiceName &service) const
+{
+    for (const ServiceRules &rules : this->newestConfig->services) {
+        if (rules.name == service) {
+            return rules.coldRequestsPerSecond;
+        }
+    }
+    return 0.0;
+}
+
+void Directory::dropUnlimitedColdTimes(ServerReadResult &reading) const
+{
+    if (!this->newestConfig.has_value()) {
+        return;
+    }
+    for (ServerChange &change : reading.changes) {
+        if (change.server.has_value() && this->coldRequestsPerSecond(change.server->server.service) <= 0.0) {
+            change.server->coldFor = std::chrono::milliseconds(0);
+        }
+    }
+}
+
+void Directory::reportRenewals(const ServerReadResult &reading)
+{
+    // A list of all entries does not tell when they were written.
+    if (reading.isComplete || !this->newestConfig.has_value() || !this->onRenewal) {
+        return;
+    }
+    std::vector<BackendServerId> renewed;
+    for (const ServerChange &change : reading.changes) {
+        if (change.server.has_value() && this->coldRequestsPerSecond(change.server->server.service) > 0.0) {
+            renewed.push_back(change.id);
+        }
+    }
+    if (!renewed.empty()) {
+        this->onRenewal(renewed);
+    }
 }
 
 void Directory::expireServers()
@@ -429,6 +478,7 @@
     ConfigObjects objects = this->newestConfig->objects;
     for (const auto &[id, registered] : this->serverTable.servers()) {
         objects.backendServers.push_back(registered.server);
+        objects.backendServers.back().coldRequestsPerSecond = this->coldRequestsPerSecond(registered.server.service);
     }
     this->currentState = std::make_shared<const ConfigState>(ConfigState::fromObjects(objects, this->newestConfig->offset + 1));
     this->onUpdate();
--- a/src/control/fleetscaler.cpp
+++ b/src/control/fleetscaler.cpp
@@ -66,7 +66,7 @@
 
 boost::asio::awaitable<bool> FleetScaler::placeOrders(ServiceRules rules)
 {
-    const std::map<DataCentre, ServerCounts> serving = this->countServing(rules.name);
+    const std::map<DataCentre, ServerCounts> serving = this->countServing(rules);
     if (serving.empty()) {
         // No server has registered yet, so the number of serving ones is not known.
         co_return false;
@@ -95,16 +95,18 @@
     co_return hasUnavailable;
 }
 
-std::map<DataCentre, ServerCounts> FleetScaler::countServing(const ServiceName &service) const
+std::map<DataCentre, ServerCounts> FleetScaler::countServing(const ServiceRules &rules) const
 {
+    const TimePoint now = RuntimeClock::now();
     std::map<DataCentre, ServerCounts> serving;
     for (const auto &[id, registered] : this->directory.servers().servers()) {
         const BackendServer &server = registered.server;
-        if (server.service != service || server.leaving) {
+        if (server.service != rules.name || server.leaving) {
             continue;
         }
         ServerCounts &count = serving[server.dataCentre];
         ++(server.cheap ? count.cheap : count.ordinary);
+        count.coldCheap += server.cheap && rules.coldRequestsPerSecond > 0.0 && server.coldUntil > now ? 1 : 0;
     }
     return serving;
 }
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -4,6 +4,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <cstddef>
@@ -39,6 +40,16 @@
 template <typename Tag>
 inline constexpr bool isId<Id<Tag>> = true;
 
+/**
+ * Number of fields at the end of a structure that were added to a version of the protocol in use. They are left out of a message
+ * while they have their default values, and take these if a message lacks them, so that instances that do not know them understand
+ * all messages without them.
+ */
+template <typename T>
+inline constexpr std::size_t addedFields = 0;
+template <>
+inline constexpr std::size_t addedFields<RegisteredServer> = 1;
+
 auto fieldsOf(MaybeConst<Incarnation> auto &value)
 {
     return std::tie(value.instance, value.number);
@@ -127,7 +138,7 @@
 
 auto fieldsOf(MaybeConst<RegisteredServer> auto &value)
 {
-    return std::tie(value.server, value.startedAt, value.leavesIn);
+    return std::tie(value.server, value.startedAt, value.leavesIn, value.coldFor);
 }
 
 auto fieldsOf(MaybeConst<ServerChange> auto &value)
@@ -201,6 +212,23 @@
     return std::tie(value.sequence);
 }
 
+/** Returns how many fields of the structure are sent, see addedFields. */
+template <typename T>
+std::size_t sentFields(const T &value)
+{
+    const auto fields = fieldsOf(value);
+    constexpr std::size_t size = std::tuple_size_v<decltype(fields)>;
+    std::size_t count = size - addedFields<T>;
+    if constexpr (addedFields<T> > 0) {
+        std::size_t index = 0;
+        const auto countSet = [&index, &count](const auto &...field) {
+            ((++index, count = field == std::remove_cvref_t<decltype(field)>() ? count : std::max(count, index)), ...);
+        };
+        std::apply(countSet, fields);
+    }
+    return count;
+}
+
 template <typename T>
 void encode(Packer &packer, const T &value)
 {
@@ -224,9 +252,11 @@
         }
     } else {
         const auto fields = fieldsOf(value);
-        packer.pack_array(std::tuple_size_v<decltype(fields)>);
-        const auto encodeEach = [&packer](const auto &...field) {
-            (encode(packer, field), ...);
+        const std::size_t count = sentFields(value);
+        packer.pack_array(static_cast<std::uint32_t>(count));
+        const auto encodeEach = [&packer, count](const auto &...field) {
+            std::size_t index = 0;
+            ((index++ < count ? encode(packer, field) : void()), ...);
         };
         std::apply(encodeEach, fields);
     }
@@ -269,12 +299,19 @@
     T value;
     const auto fields = fieldsOf(value);
     const msgpack::object_array &array = asArray(object);
-    if (array.size != std::tuple_size_v<decltype(fields)>) {
+    constexpr std::size_t size = std::tuple_size_v<decltype(fields)>;
+    if (array.size > size || array.size < size - addedFields<T>) {
         throw msgpack::type_error();
     }
     std::size_t index = 0;
-    const auto decodeEach = [&array, &index](auto &...field) {
-        ((field = decode<std::remove_reference_t<decltype(field)>>(array.ptr[index++])), ...);
+    const auto decodeNext = [&array, &index](auto &field) {
+        if (index < array.size) {
+            field = decode<std::remove_reference_t<decltype(field)>>(array.ptr[index]);
+        }
+        ++index;
+    };
+    const auto decodeEach = [&decodeNext](auto &...field) {
+        (decodeNext(field), ...);
     };
     std::apply(decodeEach, fields);
     return value;
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -248,6 +248,11 @@
     return this->core->rateLimitedCount();
 }
 
+std::vector<ColdServerStatus> AsyncDispatcher::coldServers() const
+{
+    return this->core->coldServers();
+}
+
 std::size_t AsyncDispatcher::quarantinedPromptPartCount() const
 {
     return this->core->quarantinedPromptPartCount();
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -181,6 +181,7 @@
     this->dispatcher.takePathChecks(now, this->pathChecks);
     const std::vector<PathCheck> checks = this->pathChecks;
     const std::vector<PathChange> pathChanges = this->dispatcher.takePathChanges();
+    const std::vector<ColdServerChange> coldChanges = this->dispatcher.takeColdChanges();
     const std::vector<ServerDeath> deaths = this->dispatcher.takeDeaths();
     const std::vector<PromptPartChange> changes = this->dispatcher.takePromptPartChanges();
     const TimePoint next = std::min(
@@ -208,6 +209,11 @@
             this->hooks.onPathChange(change);
         }
     }
+    for (const ColdServerChange &change : coldChanges) {
+        if (this->hooks.onColdServerChange) {
+            this->hooks.onColdServerChange(change);
+        }
+    }
     for (Delivery &delivery : deliveries) {
         this->deliver(std::move(delivery), own);
     }
@@ -291,6 +297,12 @@
     return this->dispatcher.rateLimitedCount();
 }
 
+std::vector<ColdServerStatus> AsyncDispatcherCore::coldServers() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->dispatcher.coldServers(RuntimeClock::now());
+}
+
 std::size_t AsyncDispatcherCore::quarantinedPromptPartCount() const
 {
     const std::scoped_lock lock(this->mutex);
--- a/src/relay/asyncdispatchercore.h
+++ b/src/relay/asyncdispatchercore.h
@@ -77,6 +77,7 @@
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
     std::size_t rateLimitedCount() const;
+    std::vector<ColdServerStatus> coldServers() const;
     std::size_t quarantinedPromptPartCount() const;
 
 private:
--- a/src/state/fleetplanner.cpp
+++ b/src/state/fleetplanner.cpp
@@ -84,7 +84,9 @@
     if (state.loadKnownSince.has_value() || cheap > present.cheap) {
         this->addDueOrder(dataCentre, true, cheap, present.cheap, now, orders);
     }
-    const bool isReplaced = present.cheap >= cheap && present.cheap > 0;
+    // A cold server does not carry its part of the load yet, but it will before another could be had.
+    const std::uint32_t warmCheap = present.cheap - present.coldCheap;
+    const bool isReplaced = warmCheap >= cheap && warmCheap > 0;
     const bool isTooMany = present.ordinary > ordinary && isReplaced;
     if (now >= this->settledAt && (present.ordinary < ordinary || isTooMany)) {
         this->addDueOrder(dataCentre, false, ordinary, present.ordinary, now, orders);
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -20,6 +20,8 @@
     this->graceDeadlines.erase(change.id);
     RegisteredServer server = *change.server;
     server.server.leaving = server.server.leaving || this->isKnownToLeave(change.id, server);
+    server.server.coldUntil = this->coldUntil(change, now);
+    server.coldFor = std::chrono::milliseconds(0);
     const auto found = this->entries.find(change.id);
     if (found != this->entries.end() && found->second == server) {
         return false;
@@ -31,6 +33,20 @@
     return true;
 }
 
+TimePoint ServerTable::coldUntil(const ServerChange &change, TimePoint now) const
+{
+    const bool isCold = change.server->coldFor.count() > 0;
+    const TimePoint stated = isCold ? now + std::min(change.server->coldFor, maxColdTime) : TimePoint();
+    const auto found = this->entries.find(change.id);
+    if (found == this->entries.end() || found->second.startedAt != change.server->startedAt) {
+        return stated;
+    }
+    // An entry is renewed continuously. What says the same as the one before must not count as a change.
+    const TimePoint known = found->second.server.coldUntil;
+    const bool isSameColdTime = isCold && std::chrono::abs(stated - known) < coldUntilTolerance;
+    return isSameColdTime || (!isCold && known <= now) ? known : stated;
+}
+
 bool ServerTable::recordLeaving(const BackendServerId &id, TimePoint sentAt)
 {
     const auto found = this->entries.find(id);
@@ -134,6 +150,15 @@
     return this->entries;
 }
 
+RegisteredServer ServerTable::statementOf(const BackendServerId &id, TimePoint now) const
+{
+    RegisteredServer server = this->entries.at(id);
+    const Duration left = std::max(server.server.coldUntil, now) - now;
+    server.coldFor = std::chrono::ceil<std::chrono::milliseconds>(left);
+    server.server.coldUntil = TimePoint();
+    return server;
+}
+
 std::optional<TimePoint> ServerTable::nextExpiry() const
 {
     std::optional<TimePoint> next;
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -193,9 +193,26 @@
 {
     this->implementation->rateLimits.setInstances(self, peers);
     this->implementation->rejectionLimits.setInstances(self, peers);
+    this->implementation->coldServers.setInstances(self, peers);
     this->implementation->sharingCount.set(static_cast<std::uint32_t>(peers.size()) + 1, now);
     this->implementation->updateRateShares(now);
     this->implementation->updateRejectionShares(now);
+    this->implementation->updateColdServers(now);
+}
+
+void Dispatcher::onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now)
+{
+    this->implementation->onServersRenewed(servers, now);
+}
+
+void Dispatcher::onDataCentreReturned(const DataCentre &dataCentre, TimePoint now)
+{
+    this->implementation->onDataCentreReturned(dataCentre, now);
+}
+
+std::vector<ColdServerChange> Dispatcher::takeColdChanges()
+{
+    return std::exchange(this->implementation->coldChanges, {});
 }
 
 void Dispatcher::applyPeerWaitingTiers(const std::vector<WaitingTier> &waiting)
@@ -309,6 +326,16 @@
     return this->implementation->rateLimits.size();
 }
 
+std::size_t Dispatcher::coldCount() const
+{
+    return this->implementation->pool.coldServers().size();
+}
+
+std::vector<ColdServerStatus> Dispatcher::coldServers(TimePoint now) const
+{
+    return this->implementation->coldServerStatuses(now);
+}
+
 std::uint32_t Dispatcher::inFlight(const BackendServerId &server) const
 {
     const std::optional<ServerIndex> index = this->implementation->pool.find(server);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -83,8 +83,18 @@
 bool Dispatcher::Implementation::tryResend(Ticket ticket, TimePoint now)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
-    return index.has_value() && this->requests.record(*index).isRunning()
-        && this->tryResend(this->requests.record(*index).serviceTarget, now);
+    if (!index.has_value() || !this->requests.record(*index).isRunning()) {
+        return false;
+    }
+    const RequestRecord &record = this->requests.record(*index);
+    this->pool.advanceTo(now);
+    const std::optional<ColdState> &cold = this->pool.server(record.server).cold;
+    const bool isAllowed = !cold.has_value() || cold->startsLeft() > 0;
+    if (!isAllowed || !this->tryResend(record.serviceTarget, now)) {
+        return false;
+    }
+    this->pool.recordColdStart(record.server, now);
+    return true;
 }
 
 void Dispatcher::Implementation::onFirstToken(Ticket ticket, TimePoint now)
@@ -267,6 +277,7 @@
         break;
     case AttemptOutcome::ServerFailed:
         this->pool.recordFailure(record.server, now);
+        this->suspectCold(record.server, ColdReason::Failed, now);
         this->recordDeath(record, now);
         break;
     case AttemptOutcome::Rejected:
@@ -277,8 +288,14 @@
         }
         break;
     case AttemptOutcome::NotSent:
+        this->pool.recordFailure(record.server, now);
+        this->suspectCold(record.server, ColdReason::Failed, now);
+        break;
     case AttemptOutcome::ServerError:
         this->pool.recordFailure(record.server, now);
+        if (this->pool.isRestarting(record.server, record.startedAt, now)) {
+            this->suspectCold(record.server, ColdReason::Failed, now);
+        }
         break;
     case AttemptOutcome::CallerDisconnected:
         break;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -40,6 +40,7 @@
     : peers(options.seed)
     , selector(options.seed, policies.selection)
     , quarantine(options.quarantineDeaths)
+    , coldServers(options.coldServers)
     , sharingCount(options.resendLimit.window)
     , options(options)
     , policies(std::move(policies))
@@ -287,6 +288,7 @@
     decisions.rejections.clear();
     this->lastDispatch = now;
     this->reserveRecheckAt.reset();
+    this->refreshColdServers(now);
     this->pool.advanceTo(now);
     this->refreshRejectionShares(now);
     this->rejectExpired(now);
@@ -435,6 +437,7 @@
     this->serversChanged = true;
     this->updateRateShares(now);
     this->updateRejectionShares(now);
+    this->updateColdServers(now);
 }
 
 void Dispatcher::Implementation::setExcluded(const DataCentre &dataCentre, bool excluded)
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -56,6 +56,10 @@
     void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
     void updateRateShares(TimePoint now);
     void updateRejectionShares(TimePoint now);
+    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
+    void onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now);
+    /** Updates which servers are treated as cold, and this instance's shares of these. */
+    void updateColdServers(TimePoint now);
     bool applyPeerRejectionLimit(const TargetRejectionLimit &report, TimePoint now);
     std::vector<TargetRejectionLimit> rejectionLimitReports(TimePoint now) const;
     void applyPeerDeath(const ServerDeath &death, TimePoint now);
@@ -75,6 +79,8 @@
     std::vector<ServerDeath> deaths; // not taken yet
     RateLimits rateLimits;
     RejectionLimits rejectionLimits; // by target of the service
+    ColdServers coldServers;
+    std::vector<ColdServerChange> coldChanges; // not taken yet
     std::map<ServiceName, double> demands; // server time in milliseconds since the last report to peers
     std::vector<PromptPrefill> prefills; // newest prefills since the last report to peers
     SharingCount sharingCount; // instances that share limits common to all, including this one
@@ -91,6 +97,7 @@
         return this->requests.size() - this->waitingCount();
     }
 
+    std::vector<ColdServerStatus> coldServerStatuses(TimePoint now) const;
     std::vector<TargetName> unreachableTargets() const;
     void waitingTiers(std::vector<WaitingTier> &waiting) const;
     std::optional<TimePoint> nextWakeup() const;
@@ -132,6 +139,12 @@
     void leaveToPeers(TargetIndex target, std::vector<std::optional<RejectionShare>> &shares);
     /** Updates the shares of all rejection limits at intervals, without statements that no longer hold. */
     void refreshRejectionShares(TimePoint now);
+    /** Lets a server be treated as cold until its entry, renewed since, says otherwise. */
+    void suspectCold(ServerIndex server, ColdReason reason, TimePoint now);
+    void updateColdServer(ServerIndex server, TimePoint now);
+    /** Ends the cold times that are over and, at intervals, looks for entries that are too old. */
+    void refreshColdServers(TimePoint now);
+    ColdServerStatus coldStatus(ServerIndex server, TimePoint now) const;
     Refusal refuseWithoutServer(std::optional<TargetIndex> target) const;
     /** Returns why the request must not run, or nothing if it may. */
     std::optional<RefusalReason> quarantineReason(
@@ -229,6 +242,9 @@
     std::vector<Rejection> pendingRejections; // returned by the next dispatch()
     std::optional<TimePoint> rejectionSharesUpdatedAt; // since something changed, if ever
     std::set<TargetIndex> leftToPeers; // targets whose servers are divided among other instances
+    TimePoint coldCheckedAt; // last updateColdServers()
+    std::optional<TimePoint> coldSharesChangeAt; // without a change of the instances
+    std::vector<ServerIndex> endedCold; // a member to reuse its memory
     bool serversChanged = false;
     bool pausesChanged = false;
     bool quarantinesChanged = false;
--- a/src/traffic/dispatcherquarantine.cpp
+++ b/src/traffic/dispatcherquarantine.cpp
@@ -36,6 +36,7 @@
 {
     if (const std::optional<ServerIndex> server = this->pool.find(death.server)) {
         this->pool.recordDeath(*server, now);
+        this->suspectCold(*server, ColdReason::Failed, now);
     }
     this->quarantine.recordDeath(death.fingerprint, hash64(death.server.text()), now);
     this->recordPromptPart(this->promptQuarantine.recordDeath(death, now), false);
--- a/src/traffic/promptplacement.cpp
+++ b/src/traffic/promptplacement.cpp
@@ -224,6 +224,11 @@
     state.localBacklog = std::max(0.0, state.localBacklog - tokens);
 }
 
+void PromptPlacement::forgetPrefixes(ServerIndex server)
+{
+    this->serverAt(server).lastUses.clear();
+}
+
 void PromptPlacement::applyPeerBacklog(ServerIndex server, double tokens)
 {
     this->serverAt(server).peerBacklog = tokens;
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -49,6 +49,7 @@
     state.leaving = server.leaving;
     state.missing = server.missing;
     state.present = true;
+    this->updateColdState(index, server);
     std::vector<TargetMembership> previous;
     previous.swap(state.memberships);
     if (server.kind == BackendKind::Service) {
@@ -97,6 +98,8 @@
     std::erase(this->rateLimited, index);
     std::erase(this->paused, index);
     std::erase(this->rejectionLimited, index);
+    std::erase(this->cold, index);
+    std::erase(this->coldProne, index);
     this->serverNames.release(state.id);
     state = ServerState();
 }
@@ -208,6 +211,7 @@
         state.recentStarts.push_back(now);
         this->refresh(index);
     }
+    this->recordColdStart(index, now);
 }
 
 void ServerPool::forgetConfirmedStarts(TimePoint now)
@@ -256,6 +260,7 @@
 {
     this->endPauses(now);
     this->forgetConfirmedStarts(now);
+    this->forgetColdStarts(now);
     for (const ServerIndex index : this->rateLimited) {
         TokenBucket &bucket = *this->servers[index].rateLimit;
         const std::uint32_t before = bucket.wholeTokens();
@@ -269,18 +274,26 @@
 RateLimitedCapacity ServerPool::rateLimitedCapacity(TargetIndex target) const
 {
     RateLimitedCapacity capacity;
-    for (const ServerIndex index : this->rateLimited) {
-        const ServerState &state = this->servers[index];
+    const auto add = [this, target, &capacity](const ServerState &state, double startsPerSecond) {
         for (const TargetMembership &membership : state.memberships) {
             if (membership.target != target) {
                 continue;
             }
             capacity.localInFlight += membership.inFlight;
             if (this->isUsable(state)) {
-                capacity.startsPerSecond += state.rateLimit->tokensPerSecond();
+                capacity.startsPerSecond += startsPerSecond;
                 capacity.freeSlots += this->targets[target].candidates[membership.position].freeSlots;
             }
         }
+    };
+    for (const ServerIndex index : this->rateLimited) {
+        add(this->servers[index], this->servers[index].rateLimit->tokensPerSecond());
+    }
+    for (const ServerIndex index : this->cold) {
+        const ServerState &state = this->servers[index];
+        if (!state.rateLimit.has_value()) {
+            add(state, state.cold->share / std::chrono::duration<double>(ColdServers::window).count());
+        }
     }
     return capacity;
 }
@@ -299,6 +312,9 @@
     for (const ServerIndex index : this->paused) {
         add(index, this->servers[index].pausedUntil);
     }
+    for (const ServerIndex index : this->cold) {
+        add(index, this->nextColdStart(index));
+    }
     for (const ServerIndex index : this->rejectionLimited) {
         const ServerState &state = this->servers[index];
         if (state.recentStarts.size() >= state.rejectionShare->starts && !state.recentStarts.empty()) {
@@ -310,12 +326,12 @@
 
 std::optional<TimePoint> ServerPool::pausedUntil(TargetIndex target) const
 {
-    if (this->paused.empty()) {
+    if (this->paused.empty() && this->cold.empty()) {
         return std::nullopt;
     }
     std::optional<TimePoint> earliest;
     for (const Candidate &candidate : this->targets[target].candidates) {
-        const std::optional<TimePoint> &until = this->servers[candidate.server].pausedUntil;
+        const std::optional<TimePoint> until = unusableUntil(this->servers[candidate.server]);
         if (!until.has_value()) {
             return std::nullopt;
         }
@@ -515,6 +531,9 @@
             free = std::min(free, *most - std::min(*most, state.inFlight));
         }
     }
+    if (state.cold.has_value()) {
+        free = std::min(free, state.cold->startsLeft());
+    }
     return state.rateLimit.has_value() ? std::min(free, state.rateLimit->wholeTokens()) : free;
 }
 
