Cold servers: what is known as of when, in place of renewals of single entries

The store passes an entry on only if it has changed. The directory now reports as of when all entries are known.

--- a/include/flamingosaddle/app/peertraffic.h
+++ b/include/flamingosaddle/app/peertraffic.h
@@ -47,8 +47,8 @@
     std::vector<TargetRejectionLimit> applyRejectionLimits(const std::vector<RejectionLimitReport> &reports);
     /** Sets the peers that take forwarded requests. */
     void setPeerPaths(const DataCentre &ownDataCentre, const std::vector<PeerPath> &peers);
-    /** Passes on that servers have renewed their entries. */
-    void onServersRenewed(const std::vector<BackendServerId> &servers);
+    /** Passes on that the servers' entries are those of @p confirmedAt. */
+    void onServersConfirmed(TimePoint confirmedAt);
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers);
 
 private:
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -122,14 +122,14 @@
 {
 public:
     /**
-     * Called with servers that have renewed their entries, whether these changed or not; only with those that bear few requests
-     * while they are cold.
+     * Called when the servers' entries were confirmed to be those of a newer time; only if servers of some service bear few requests
+     * while they are cold, and not while servers may not have renewed their entries after an outage of the store.
      */
-    using RenewalHook = std::function<void(const std::vector<BackendServerId> &servers)>;
+    using ConfirmationHook = std::function<void(TimePoint confirmedAt)>;
 
     /** @param onUpdate called when state() has changed or was confirmed to be current */
     Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate,
-        RenewalHook onRenewal = {});
+        ConfirmationHook onServersConfirmed = {});
 
     // Commands.
 
@@ -204,8 +204,8 @@
     void applyServers(const ServerReadResult &reading, std::string_view source);
     /** Drops the cold times of servers that bear all requests while they are cold, so that nobody has to keep or pass them on. */
     void dropUnlimitedColdTimes(ServerReadResult &reading) const;
-    /** Reports the servers whose entries were renewed by a read. */
-    void reportRenewals(const ServerReadResult &reading);
+    /** Reports, at intervals, how new the servers' entries are. */
+    void reportServersConfirmed(TimePoint now);
     /** Returns how many requests a cold server of the service bears per second; 0 if there is no limit. */
     double coldRequestsPerSecond(const ServiceName &service) const;
     void expireServers();
@@ -216,7 +216,7 @@
     DirectoryRelayHooks relayHooks;
     DirectoryOptions options;
     std::function<void()> onUpdate;
-    RenewalHook onRenewal;
+    ConfirmationHook onServersConfirmed;
     Backoff configBackoff;
     Backoff serverBackoff;
     std::optional<std::uint64_t> nextConfigOffset;
@@ -228,6 +228,7 @@
     std::optional<TimePoint> configConfirmedAt;
     std::optional<TimePoint> ownConfigConfirmedAt; // by this instance's own reads
     std::optional<TimePoint> ownServersConfirmedAt;
+    std::optional<TimePoint> reportedServersConfirmedAt; // the last that was reported
     RelayedTopic relayedConfig;
     RelayedTopic relayedServers;
     std::optional<TimePoint> laggingSince; // when a relay was first seen to have entries that this instance lacks
--- a/include/flamingosaddle/traffic/coldservers.h
+++ b/include/flamingosaddle/traffic/coldservers.h
@@ -26,7 +26,7 @@
     Stated, ///< its entry says so
     Failed, ///< it failed, so that it may have started again
     Missing, ///< its entry has disappeared
-    Stale, ///< its entry has not been renewed for long
+    Stale, ///< the servers' entries are old
     Returned, ///< its data centre was evacuated and is taken back
 };
 
@@ -70,10 +70,14 @@
     static constexpr std::uint32_t assumedInstances = 8; ///< by an instance that knows no other
     static constexpr Duration joinTime = std::chrono::seconds(4); ///< after its start, in which an instance has no share
     static constexpr Duration aloneTime = std::chrono::seconds(30); ///< after which an instance that knows no other is alone
-    /** Renewals of an entry after which it describes the server as it was after a failure: the first may be older. */
-    static constexpr std::uint32_t confirmingRenewals = 2;
-    static constexpr Duration confirmationTime = std::chrono::seconds(2); ///< least time from a failure to these renewals
-    /** Time without a renewal after which an entry is too old to say that the server is warm. */
+    /** Time within which the entry of a server that turns cold says so. */
+    static constexpr Duration statementTime = std::chrono::milliseconds(2500);
+    /**
+     * Time within which the entry of a server that failed says that it started again, or disappears: entries expire after three
+     * times the interval of 1.2 s at which they are renewed.
+     */
+    static constexpr Duration restartStatementTime = std::chrono::milliseconds(5500);
+    /** Age of the entries from which on they do not say which servers are warm. */
     static constexpr Duration staleTime = std::chrono::seconds(5);
 
     explicit ColdServers(ColdServerOptions options);
@@ -101,14 +105,14 @@
 };
 
 /**
- * The recent starts of this instance on one backend server, up to a fixed number. Does not allocate after its construction.
+ * The recent starts of this instance on one backend server, up to a fixed number. Allocates only when that number grows.
  */
 class RecentStarts
 {
 public:
-    explicit RecentStarts(std::uint32_t capacity);
-
     // Commands.
+    /** Keeps at least the last @p starts starts from now on. */
+    void keep(std::uint32_t starts);
     void record(TimePoint now);
     /** Forgets the starts that have left ColdServers::window. Returns whether there were any. */
     bool expire(TimePoint now);
@@ -121,7 +125,7 @@
 
 private:
     std::vector<TimePoint> times; // oldest first
-    std::size_t capacity;
+    std::size_t capacity = 0;
 };
 
 } // namespace flamingosaddle
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -232,8 +232,8 @@
      */
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now);
 
-    /** Handles renewals of the entries of servers, also without a change. */
-    void onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now);
+    /** Handles that the servers passed to setServers() are those of @p confirmedAt. */
+    void onServersConfirmed(TimePoint confirmedAt, TimePoint now);
 
     /**
      * Handles the return of a data centre that was evacuated: its servers are treated as cold until entries that were written since
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -40,13 +40,11 @@
 struct ColdState {
     double requestsPerSecond = 0.0; ///< that it bears from all instances while it is cold
     TimePoint statedUntil; ///< end of its cold time as its entry states it; in the past if it is warm
-    TimePoint renewedAt; ///< last renewal of its entry
     std::optional<ColdReason> suspicion; ///< why it may have turned cold since its entry was written, if it may
     TimePoint suspectedAt; ///< last time with such a reason
-    std::uint32_t renewals = 0; ///< of its entry since then
     std::optional<ColdReason> reason; ///< why it is treated as cold; empty if it is warm
     std::uint32_t share = 0; ///< requests that this instance may start in ColdServers::window while it is cold
-    RecentStarts starts{0}; ///< also kept while it is warm, for the time after it turns cold
+    RecentStarts starts; ///< also kept while it is warm, for the time after it turns cold
 
     /** Returns how many requests this instance may start now. */
     std::uint32_t startsLeft() const
@@ -170,14 +168,14 @@
      */
     void setCold(ServerIndex server, std::optional<ColdReason> reason, std::uint32_t share);
 
-    /** Keeps the last @p starts starts on a server that bears few requests while it is cold. */
-    void keepStarts(ServerIndex server, std::uint32_t starts, TimePoint now);
+    /** Keeps at least the last @p starts starts on a server that bears few requests while it is cold. */
+    void keepStarts(ServerIndex server, std::uint32_t starts);
 
     /** Records a reason why the server may have turned cold since its entry was written. */
     void suspectCold(ServerIndex server, ColdReason reason, TimePoint now);
 
-    /** Records that the server's entry was renewed. Enough renewals end the suspicion that it is cold. */
-    void recordRenewal(ServerIndex server, TimePoint now);
+    /** Records that the servers are those of @p confirmedAt, which ends suspicions that are old enough by then. */
+    void recordServersConfirmed(TimePoint confirmedAt);
 
     /** Sends no requests to the server until @p until, or until the later end of a pause that it is in. */
     void pause(ServerIndex server, TimePoint until);
@@ -401,6 +399,8 @@
     void updateColdState(ServerIndex index, const BackendServer &server);
     void forgetColdStarts(TimePoint now);
     std::optional<TimePoint> nextColdStart(ServerIndex server) const;
+    /** Returns whether a server that turned cold when it was suspected to would have said so by now. */
+    bool isSuspicionAnswered(const ColdState &state) const;
     static std::optional<TimePoint> unusableUntil(const ServerState &state);
     void refreshCandidate(ServerIndex server, TargetIndex target, std::uint32_t position);
     void refreshDataCentre(TargetIndex target, DataCentreIndex dataCentre);
@@ -420,6 +420,7 @@
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
     std::vector<ServerIndex> paused;
     std::vector<ServerIndex> rejectionLimited; // servers with a share of a rejection limit
+    std::optional<TimePoint> serversConfirmedAt;
     std::vector<ServerIndex> cold; // servers that are treated as cold
     std::vector<ServerIndex> coldProne; // servers that bear few requests while they are cold
     std::vector<double> medianSamples; // a member to reuse its memory
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -269,8 +269,8 @@
             this->gate.setServers(servers);
             this->peerTraffic.setServers(servers);
         };
-        hooks.onServersRenewed = [this](const std::vector<BackendServerId> &servers) {
-            this->peerTraffic.onServersRenewed(servers);
+        hooks.onServersConfirmed = [this](TimePoint confirmedAt) {
+            this->peerTraffic.onServersConfirmed(confirmedAt);
         };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -240,10 +240,10 @@
     });
 }
 
-void PeerTraffic::onServersRenewed(const std::vector<BackendServerId> &servers)
+void PeerTraffic::onServersConfirmed(TimePoint confirmedAt)
 {
-    this->gate.update([&servers](Dispatcher &dispatcher, TimePoint now) {
-        dispatcher.onServersRenewed(servers, now);
+    this->gate.update([confirmedAt](Dispatcher &dispatcher, TimePoint now) {
+        dispatcher.onServersConfirmed(confirmedAt, now);
     });
 }
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -51,14 +51,14 @@
 }
 
 std::unique_ptr<Directory> makeDirectory(const std::optional<DirectoryHooks> &hooks, DirectoryRelayHooks relayHooks,
-    const ControllerOptions &options, std::function<void()> onUpdate, Directory::RenewalHook onRenewal)
+    const ControllerOptions &options, std::function<void()> onUpdate, Directory::ConfirmationHook onServersConfirmed)
 {
     if (!hooks.has_value()) {
         return nullptr;
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
-    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onRenewal));
+    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onServersConfirmed));
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
@@ -179,9 +179,9 @@
           [this] {
               this->onConfigUpdate();
           },
-          [this](const std::vector<BackendServerId> &servers) {
-              if (this->hooks.onServersRenewed) {
-                  this->hooks.onServersRenewed(servers);
+          [this](TimePoint confirmedAt) {
+              if (this->hooks.onServersConfirmed) {
+                  this->hooks.onServersConfirmed(confirmedAt);
               }
           }))
     , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions))
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -19,17 +19,18 @@
 {
 
 constexpr std::chrono::milliseconds initialRetryDelay(50);
+constexpr Duration confirmationReportInterval = std::chrono::milliseconds(300); // between reports of how new entries are
 constexpr std::chrono::milliseconds maxRetryDelay(400); // bounds the delay until a recovered store is detected
 
 } // namespace
 
 Directory::Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options,
-    std::function<void()> onUpdate, RenewalHook onRenewal)
+    std::function<void()> onUpdate, ConfirmationHook onServersConfirmed)
     : hooks(std::move(hooks))
     , relayHooks(std::move(relayHooks))
     , options(options)
     , onUpdate(std::move(onUpdate))
-    , onRenewal(std::move(onRenewal))
+    , onServersConfirmed(std::move(onServersConfirmed))
     , configBackoff(initialRetryDelay, maxRetryDelay, options.seed)
     , serverBackoff(initialRetryDelay, maxRetryDelay, options.seed + 1)
     , serverTable(options.servers)
@@ -184,6 +185,7 @@
             this->wakeServerExpiry();
         }
         this->requestMissingServers(peer, isSameDataCentre, *progress.servers, now);
+        this->reportServersConfirmed(now);
     }
     if (this->isConfigReadDue(now)) {
         this->wakeReaders();
@@ -232,6 +234,7 @@
     this->batches.clear();
     this->advanceServersOffset(relayed.nextOffset);
     this->applyServers({relayed.nextOffset, relayed.isComplete, relayed.changes}, "relay");
+    this->reportServersConfirmed(RuntimeClock::now());
 }
 
 void Directory::recordServerLeaving(const BackendServerId &id, TimePoint sentAt)
@@ -380,6 +383,7 @@
     this->dropUnlimitedColdTimes(reading.value());
     this->retainBatch(from.value_or(0), reading.value());
     this->applyServers(reading.value(), "store");
+    this->reportServersConfirmed(RuntimeClock::now());
     co_return true;
 }
 
@@ -415,7 +419,6 @@
     if (changed) {
         this->publishState();
     }
-    this->reportRenewals(reading);
 }
 
 double Directory::coldRequestsPerSecond(const ServiceName &service) const
@@ -440,20 +443,27 @@
     }
 }
 
-void Directory::reportRenewals(const ServerReadResult &reading)
+void Directory::reportServersConfirmed(TimePoint now)
 {
-    // A list of all entries does not tell when they were written.
-    if (reading.isComplete || !this->newestConfig.has_value() || !this->onRenewal) {
+    if (!this->newestConfig.has_value() || !this->onServersConfirmed || !this->nextServersOffset.has_value()) {
         return;
     }
-    std::vector<BackendServerId> renewed;
-    for (const ServerChange &change : reading.changes) {
-        if (change.server.has_value() && this->coldRequestsPerSecond(change.server->server.service) > 0.0) {
-            renewed.push_back(change.id);
-        }
+    const bool hasLimits
+        = std::any_of(this->newestConfig->services.begin(), this->newestConfig->services.end(), [](const ServiceRules &rules) {
+              return rules.coldRequestsPerSecond > 0.0;
+          });
+    if (!hasLimits || this->serverTable.remainingGrace(now) > Duration::zero()) {
+        return;
+    }
+    std::optional<TimePoint> confirmed = this->relayedServers.confirmedAt(*this->nextServersOffset);
+    if (this->ownServersConfirmedAt.has_value()) {
+        confirmed = std::max(confirmed.value_or(*this->ownServersConfirmedAt), *this->ownServersConfirmedAt);
     }
-    if (!renewed.empty()) {
-        this->onRenewal(renewed);
+    if (confirmed.has_value()
+        && (!this->reportedServersConfirmedAt.has_value()
+            || *confirmed >= *this->reportedServersConfirmedAt + confirmationReportInterval)) {
+        this->reportedServersConfirmedAt = confirmed;
+        this->onServersConfirmed(*confirmed);
     }
 }
 
--- a/src/traffic/coldservers.cpp
+++ b/src/traffic/coldservers.cpp
@@ -77,10 +77,10 @@
     return std::nullopt;
 }
 
-RecentStarts::RecentStarts(std::uint32_t capacity)
-    : capacity(capacity)
+void RecentStarts::keep(std::uint32_t starts)
 {
-    this->times.reserve(capacity);
+    this->capacity = std::max<std::size_t>(this->capacity, starts);
+    this->times.reserve(this->capacity);
 }
 
 void RecentStarts::record(TimePoint now)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -200,9 +200,9 @@
     this->implementation->updateColdServers(now);
 }
 
-void Dispatcher::onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now)
+void Dispatcher::onServersConfirmed(TimePoint confirmedAt, TimePoint now)
 {
-    this->implementation->onServersRenewed(servers, now);
+    this->implementation->onServersConfirmed(confirmedAt, now);
 }
 
 void Dispatcher::onDataCentreReturned(const DataCentre &dataCentre, TimePoint now)
--- a/src/traffic/dispatchercold.cpp
+++ b/src/traffic/dispatchercold.cpp
@@ -21,14 +21,10 @@
     }
 }
 
-void Dispatcher::Implementation::onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now)
+void Dispatcher::Implementation::onServersConfirmed(TimePoint confirmedAt, TimePoint now)
 {
-    for (const BackendServerId &id : servers) {
-        if (const std::optional<ServerIndex> server = this->pool.find(id)) {
-            this->pool.recordRenewal(*server, now);
-            this->updateColdServer(*server, now);
-        }
-    }
+    this->pool.recordServersConfirmed(confirmedAt);
+    this->updateColdServers(now);
 }
 
 void Dispatcher::Implementation::suspectCold(ServerIndex server, ColdReason reason, TimePoint now)
@@ -42,7 +38,7 @@
     this->coldCheckedAt = now;
     this->coldSharesChangeAt = this->coldServers.nextChange(now);
     for (const ServerIndex server : this->pool.coldProneServers()) {
-        this->pool.keepStarts(server, this->coldServers.allowance(this->pool.server(server).cold->requestsPerSecond), now);
+        this->pool.keepStarts(server, this->coldServers.allowance(this->pool.server(server).cold->requestsPerSecond));
         this->updateColdServer(server, now);
     }
 }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -57,7 +57,7 @@
     void updateRateShares(TimePoint now);
     void updateRejectionShares(TimePoint now);
     void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
-    void onServersRenewed(const std::vector<BackendServerId> &servers, TimePoint now);
+    void onServersConfirmed(TimePoint confirmedAt, TimePoint now);
     /** Updates which servers are treated as cold, and this instance's shares of these. */
     void updateColdServers(TimePoint now);
     bool applyPeerRejectionLimit(const TargetRejectionLimit &report, TimePoint now);
--- a/src/traffic/serverpoolcold.cpp
+++ b/src/traffic/serverpoolcold.cpp
@@ -26,13 +26,9 @@
     state.cold->statedUntil = server.coldUntil;
 }
 
-void ServerPool::keepStarts(ServerIndex index, std::uint32_t starts, TimePoint now)
+void ServerPool::keepStarts(ServerIndex index, std::uint32_t starts)
 {
-    ColdState &state = *this->servers[index].cold;
-    if (state.renewedAt == TimePoint()) {
-        state.renewedAt = now;
-        state.starts = RecentStarts(starts);
-    }
+    this->servers[index].cold->starts.keep(starts);
 }
 
 void ServerPool::recordColdStart(ServerIndex index, TimePoint now)
@@ -71,23 +67,12 @@
     if (state.has_value()) {
         state->suspicion = reason;
         state->suspectedAt = now;
-        state->renewals = 0;
     }
 }
 
-void ServerPool::recordRenewal(ServerIndex index, TimePoint now)
+void ServerPool::recordServersConfirmed(TimePoint confirmedAt)
 {
-    std::optional<ColdState> &state = this->servers[index].cold;
-    if (!state.has_value()) {
-        return;
-    }
-    state->renewedAt = now;
-    ++state->renewals;
-    const bool isConfirmed
-        = state->renewals >= ColdServers::confirmingRenewals && now - state->suspectedAt >= ColdServers::confirmationTime;
-    if (isConfirmed) {
-        state->suspicion.reset();
-    }
+    this->serversConfirmedAt = std::max(this->serversConfirmedAt.value_or(confirmedAt), confirmedAt);
 }
 
 std::optional<ColdReason> ServerPool::coldReason(ServerIndex index, TimePoint now) const
@@ -99,13 +84,21 @@
     if (state.cold->statedUntil > now) {
         return ColdReason::Stated;
     }
-    if (state.cold->suspicion.has_value()) {
+    if (state.cold->suspicion.has_value() && !this->isSuspicionAnswered(*state.cold)) {
         return state.cold->suspicion;
     }
     if (state.missing) {
         return ColdReason::Missing;
     }
-    return now - state.cold->renewedAt >= ColdServers::staleTime ? std::optional(ColdReason::Stale) : std::nullopt;
+    const bool isStale = this->serversConfirmedAt.has_value() && now - *this->serversConfirmedAt >= ColdServers::staleTime;
+    return isStale ? std::optional(ColdReason::Stale) : std::nullopt;
+}
+
+bool ServerPool::isSuspicionAnswered(const ColdState &state) const
+{
+    const Duration wait
+        = state.suspicion == ColdReason::Returned ? ColdServers::statementTime : ColdServers::restartStatementTime;
+    return this->serversConfirmedAt.has_value() && *this->serversConfirmedAt >= state.suspectedAt + wait;
 }
 
 void ServerPool::forgetColdStarts(TimePoint now)
--- a/tests/adapter/records_test.cpp
+++ b/tests/adapter/records_test.cpp
@@ -105,6 +105,33 @@
     EXPECT_EQ(decodeServer("i-1", leaving).value().leavesIn, 2500ms);
 }
 
+TEST(ServerEntry, TellsHowMuchLongerTheServerIsCold)
+{
+    const std::string field = R"("cold_remaining_ms": 0)";
+    const auto coldFor = [&field](const std::string &value) {
+        return decodeServer("i-1", replaced(entry, field, R"("cold_remaining_ms": )" + value)).value().coldFor;
+    };
+    EXPECT_EQ(coldFor("0"), 0ms);
+    EXPECT_EQ(coldFor("2400"), 2400ms);
+    EXPECT_EQ(coldFor("2399.6"), 2400ms);
+    EXPECT_EQ(coldFor("-5"), 0ms);
+    EXPECT_EQ(coldFor("\"2400\""), 0ms) << "the rest of the entry holds";
+    EXPECT_GT(coldFor("1e300"), 0ms);
+    EXPECT_EQ(decodeServer("i-1", replaced(entry, field + ",", "")).value().coldFor, 0ms);
+}
+
+TEST(ConfigRecord, TellsWhatAColdServerBears)
+{
+    const auto borne = [](const std::string &text) {
+        return decodeConfig(text, 0, secret).value().services[0].coldRequestsPerSecond;
+    };
+    const std::string connections = R"("max_connections": 360,)";
+    EXPECT_EQ(borne(config), 0.0);
+    EXPECT_EQ(borne(replaced(config, connections, connections + R"("cold_start_s": 3.0, "cold_per_s": 5.2,)")), 5.2);
+    EXPECT_EQ(borne(replaced(config, connections, connections + R"("cold_per_s": -1,)")), 0.0);
+    EXPECT_EQ(borne(replaced(config, connections, connections + R"("cold_per_s": "many",)")), 0.0);
+}
+
 TEST(ServerEntry, IsRejectedWhenAnyFieldIsInvalid)
 {
     for (const auto &[from, to] :
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -55,6 +55,8 @@
             if (this->onUpdate) {
                 this->onUpdate();
             }
+        }, [this](TimePoint confirmedAt) {
+            this->serversConfirmedAt = confirmedAt;
         })
     {
         boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
@@ -141,6 +143,7 @@
     Duration failureDelay{0}; ///< time until a call to an unreachable store fails
     std::size_t calls = 0;
     std::function<void()> onUpdate; ///< called when the directory has changed
+    std::optional<TimePoint> serversConfirmedAt; ///< as the directory reported last
     std::optional<std::uint64_t> requestedFrom; ///< offset from which entries were requested from the relay
     Directory directory;
 };
--- a/tests/state/fleetplanner_test.cpp
+++ b/tests/state/fleetplanner_test.cpp
@@ -40,6 +40,16 @@
     EXPECT_EQ(dueOrders(planner, {4, 4}, TimePoint(4s), 5.0), (std::vector<FleetOrder>{{dataCentre, 1, false}}));
 }
 
+// A cold server bears a fraction of the requests of a warm one.
+TEST(FleetPlanner, KeepsOrdinaryServersUntilTheirReplacementsAreWarm)
+{
+    FleetPlanner planner(noHeadroom);
+    dueOrders(planner, {4, 0}, TimePoint(), 5.0);
+    planner.onOrderResult({dataCentre, 4, true}, FleetOrderResult::Accepted, TimePoint());
+    EXPECT_TRUE(dueOrders(planner, {4, 4, 1}, TimePoint(4s), 5.0).empty());
+    EXPECT_EQ(dueOrders(planner, {4, 4, 0}, TimePoint(7s), 5.0), (std::vector<FleetOrder>{{dataCentre, 1, false}}));
+}
+
 TEST(FleetPlanner, BothKindsTogetherStayWithinTheLimit)
 {
     FleetPlanner planner(noHeadroom);
--- a/tests/state/servertable_test.cpp
+++ b/tests/state/servertable_test.cpp
@@ -93,6 +93,46 @@
     EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(8s)));
 }
 
+// Each renewal says how much longer a server is cold. Read with different lags, these must neither move the end nor be published
+// as changes again and again.
+TEST(ServerTable, TheEndOfAColdTimeIsKnownFromTheFirstEntry)
+{
+    ServerTable table;
+    const auto coldUntil = [&table] {
+        return table.servers().at(BackendServerId("a")).server.coldUntil;
+    };
+    ServerChange cold = entry("a");
+    cold.server->coldFor = 3s;
+    EXPECT_TRUE(table.apply(cold, TimePoint(10s)));
+    EXPECT_EQ(coldUntil(), TimePoint(13s));
+    cold.server->coldFor = 1800ms;
+    EXPECT_FALSE(table.apply(cold, TimePoint(11400ms))) << "the same end, read 200 ms later";
+    EXPECT_EQ(coldUntil(), TimePoint(13s));
+    EXPECT_EQ(table.statementOf(BackendServerId("a"), TimePoint(12s)).coldFor, 1s);
+    EXPECT_FALSE(table.apply(entry("a"), TimePoint(13500ms))) << "the time is over";
+    EXPECT_EQ(table.statementOf(BackendServerId("a"), TimePoint(14s)).coldFor, 0ms);
+    EXPECT_TRUE(table.apply(cold, TimePoint(20s))) << "it has turned cold again";
+    EXPECT_EQ(coldUntil(), TimePoint(21800ms));
+    EXPECT_TRUE(table.apply(entry("a"), TimePoint(20500ms))) << "it is warm sooner";
+    EXPECT_LE(coldUntil(), TimePoint(20500ms));
+}
+
+TEST(ServerTable, AServerThatRestartsUnderItsIdIsColdAnew)
+{
+    ServerTable table;
+    ServerChange cold = entry("a");
+    cold.server->coldFor = 3s;
+    table.apply(cold, TimePoint(10s));
+    cold.server->startedAt = 1;
+    cold.server->coldFor = 2900ms;
+    EXPECT_TRUE(table.apply(cold, TimePoint(10200ms)));
+    EXPECT_EQ(table.servers().at(BackendServerId("a")).server.coldUntil, TimePoint(13100ms));
+    cold.server->coldFor = std::chrono::hours(1000);
+    table.apply(cold, TimePoint(11s));
+    EXPECT_EQ(table.servers().at(BackendServerId("a")).server.coldUntil, TimePoint(11s) + ServerTable::maxColdTime)
+        << "a faulty entry does not end a server for good";
+}
+
 TEST(ServerTable, KeepsEntriesThatExpiredDuringAnOutageForTheGracePeriod)
 {
     ServerTable table;
