--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -50,7 +50,8 @@
 struct ControllerHooks {
     std::function<void(std::shared_ptr<const RoutingSnapshot>)> publishSnapshot;
     std::function<void(const std::vector<BackendServer> &)> setServers;
-    /** The servers passed last are those of a newer time; only if servers of some service bear few requests while they are cold. */
+    /** The servers passed last are those of a newer time; only if servers of some service bear few requests while they are cold.
+     */
     std::function<void(TimePoint confirmedAt)> onServersConfirmed;
     std::function<void(const KeyId &)> onKeyWithdrawn; ///< must end the exchanges that run with the key
     std::function<void(HeartbeatMessage &)> fillTrafficState; ///< fills in the message's fields on traffic
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -122,8 +122,8 @@
 {
 public:
     /**
-     * Called when the servers' entries were confirmed to be those of a newer time; only if servers of some service bear few requests
-     * while they are cold, and not while servers may not have renewed their entries after an outage of the store.
+     * Called when the servers' entries were confirmed to be those of a newer time; only if servers of some service bear few
+     * requests while they are cold, and not while servers may not have renewed their entries after an outage of the store.
      */
     using ConfirmationHook = std::function<void(TimePoint confirmedAt)>;
 
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -45,9 +45,9 @@
 /**
  * The registered backend servers. An entry that disappears during an outage of the store, or is found missing shortly after
  * it, is kept as missing until the grace period ends, because the server could not renew it. A server that leaves remains leaving
- * until it restarts, since an entry that says otherwise comes from a backup of the store. An entry states how much longer its server
- * is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no I/O and reads no clock: the time is an
- * argument.
+ * until it restarts, since an entry that says otherwise comes from a backup of the store. An entry states how much longer its
+ * server is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no I/O and reads no clock: the
+ * time is an argument.
  */
 class ServerTable
 {
--- a/include/flamingosaddle/traffic/coldservers.h
+++ b/include/flamingosaddle/traffic/coldservers.h
@@ -52,10 +52,10 @@
 /**
  * Divides what cold backend servers bear among the instances.
  *
- * A cold server bears so many requests in any second from all instances together. Each instance has a share of whole requests in a
- * window that is a little longer. If there are more instances than requests, rendezvous hashing selects those that use the server,
- * for each server anew. All instances derive the same shares from the same membership without communication. They use part of the
- * limit, since their views of the membership and of the server's state may differ for a while.
+ * A cold server bears so many requests in any second from all instances together. Each instance has a share of whole requests in
+ * a window that is a little longer. If there are more instances than requests, rendezvous hashing selects those that use the
+ * server, for each server anew. All instances derive the same shares from the same membership without communication. They use
+ * part of the limit, since their views of the membership and of the server's state may differ for a while.
  *
  * An instance that has just started has no share: it does not know the others, nor these it. One that knows no other assumes some
  * until it has been alone for long.
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -227,8 +227,8 @@
     void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
 
     /**
-     * Sets the instances that share the limits common to all, which are the backend servers' rate limits, what cold servers bear and
-     * the allowance for resends: this one and the peers that may be sending requests.
+     * Sets the instances that share the limits common to all, which are the backend servers' rate limits, what cold servers bear
+     * and the allowance for resends: this one and the peers that may be sending requests.
      */
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers, TimePoint now);
 
@@ -236,8 +236,8 @@
     void onServersConfirmed(TimePoint confirmedAt, TimePoint now);
 
     /**
-     * Handles the return of a data centre that was evacuated: its servers are treated as cold until entries that were written since
-     * say otherwise.
+     * Handles the return of a data centre that was evacuated: its servers are treated as cold until entries that were written
+     * since say otherwise.
      */
     void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
 
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -116,10 +116,11 @@
  * A server is usable if it is configured, not leaving, not left to other instances by its rate limit and, if it is cheap, its
  * data centre is not excluded. It has a free slot if fewer requests than its slots run on it, including those of peers. A server
  * with a rate limit has no more free slots than tokens, one with a rejection limit no more than this instance may still start
- * within RejectionLimits::confirmationTime, a cold one no more than this instance's share of what it bears, and a paused one has none. Since reports from peers lag, an instance that shares its
- * servers may always use an even share of the slots. It takes more only while one slot for each of the other instances stays
- * free, up to half of the slots, because the others may be about to take more as well. If there are more instances than slots,
- * fewer stay free. The slots of a straggler are divided by its slowdown.
+ * within RejectionLimits::confirmationTime, a cold one no more than this instance's share of what it bears, and a paused one has
+ * none. Since reports from peers lag, an instance that shares its servers may always use an even share of the slots. It takes
+ * more only while one slot for each of the other instances stays free, up to half of the slots, because the others may be about
+ * to take more as well. If there are more instances than slots, fewer stay free. The slots of a straggler are divided by its
+ * slowdown.
  *
  * The requests on the cheap servers of one data centre never exceed the target's slots elsewhere, so that they can continue
  * elsewhere if that capacity is reclaimed. This rule applies only if there are slots elsewhere.
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -41,8 +41,8 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const ColdServerStatus &server : servers) {
-        nlohmann::json entry
-            = {{"id", server.server.text()}, {"reason", toString(server.reason.value_or(ColdReason::Stated))}, {"share", server.share}};
+        nlohmann::json entry = {{"id", server.server.text()}, {"reason", toString(server.reason.value_or(ColdReason::Stated))},
+            {"share", server.share}};
         if (server.remaining.has_value()) {
             entry["remainingMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(*server.remaining).count();
         }
--- a/src/app/coldserverlog.cpp
+++ b/src/app/coldserverlog.cpp
@@ -12,7 +12,8 @@
 
 std::string millisecondsOf(const std::optional<Duration> &duration)
 {
-    return duration.has_value() ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count()) : "unknown";
+    return duration.has_value() ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count())
+                                : "unknown";
 }
 
 } // namespace
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,8 +1,8 @@
 #include <flamingosaddle/app/daemon.h>
 
 #include <flamingosaddle/app/adminhandler.h>
-#include <flamingosaddle/app/executioncontext.h>
 #include <flamingosaddle/app/coldserverlog.h>
+#include <flamingosaddle/app/executioncontext.h>
 #include <flamingosaddle/app/pathlog.h>
 #include <flamingosaddle/app/peertraffic.h>
 #include <flamingosaddle/app/promptpartlog.h>
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -58,7 +58,8 @@
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
-    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onServersConfirmed));
+    return std::make_unique<Directory>(
+        *hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onServersConfirmed));
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
@@ -175,7 +176,8 @@
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
     , hooks(std::move(hooks))
-    , directory(makeDirectory(directory, this->directoryRelayHooks(), this->controllerOptions,
+    , directory(makeDirectory(
+          directory, this->directoryRelayHooks(), this->controllerOptions,
           [this] {
               this->onConfigUpdate();
           },
--- a/src/peer/wire.h
+++ b/src/peer/wire.h
@@ -42,8 +42,8 @@
 
 /**
  * Number of fields at the end of a structure that were added to a version of the protocol in use. They are left out of a message
- * while they have their default values, and take these if a message lacks them, so that instances that do not know them understand
- * all messages without them.
+ * while they have their default values, and take these if a message lacks them, so that instances that do not know them
+ * understand all messages without them.
  */
 template <typename T>
 inline constexpr std::size_t addedFields = 0;
@@ -219,7 +219,7 @@
     const auto fields = fieldsOf(value);
     constexpr std::size_t size = std::tuple_size_v<decltype(fields)>;
     std::size_t count = size - addedFields<T>;
-    if constexpr (addedFields<T> > 0) {
+    if constexpr (addedFields < T >> 0) {
         std::size_t index = 0;
         const auto countSet = [&index, &count](const auto &...field) {
             ((++index, count = field == std::remove_cvref_t<decltype(field)>() ? count : std::max(count, index)), ...);
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -80,9 +80,9 @@
 // Guards against a daemon that does not start because a deployment's figure is no whole number.
 TEST(Settings, NumbersMayHaveAFraction)
 {
-    const auto loaded = loadSettings({"--freshness-limit", "5000.5", "--resend-extra", "33.1578947368421", "--resend-window",
-                                         "2.5", "--usage-window", "5.0s", "--resend-ratio", "1.5", "--max-waiting", "2e3", "--cold-overage", "1.25",
-                                         "--cold-tolerance", "4.5"},
+    const auto loaded = loadSettings(
+        {"--freshness-limit", "5000.5", "--resend-extra", "33.1578947368421", "--resend-window", "2.5", "--usage-window", "5.0s",
+            "--resend-ratio", "1.5", "--max-waiting", "2e3", "--cold-overage", "1.25", "--cold-tolerance", "4.5"},
         environmentOf(minimalEnvironment));
     ASSERT_TRUE(std::holds_alternative<Settings>(loaded));
     const Settings &settings = std::get<Settings>(loaded);
--- a/tests/control/coldservers_test.cpp
+++ b/tests/control/coldservers_test.cpp
@@ -1,5 +1,5 @@
-// What instances learn of cold servers from the store and from relays. Guards against an instance that takes a relay's old word for
-// a new one, and against any effect on services whose servers bear all requests while they are cold.
+// What instances learn of cold servers from the store and from relays. Guards against an instance that takes a relay's old word
+// for a new one, and against any effect on services whose servers bear all requests while they are cold.
 
 #include "fakeinstance.h"
 #include "rununtil.h"
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -51,13 +51,16 @@
     FakeInstance(boost::asio::io_context &context, FakeStore &store, bool isRelay)
         : store(store)
         , isRelay(isRelay)
-        , directory(this->hooks(), this->relayHooks(), DirectoryOptions(), [this] {
-            if (this->onUpdate) {
-                this->onUpdate();
-            }
-        }, [this](TimePoint confirmedAt) {
-            this->serversConfirmedAt = confirmedAt;
-        })
+        , directory(
+              this->hooks(), this->relayHooks(), DirectoryOptions(),
+              [this] {
+                  if (this->onUpdate) {
+                      this->onUpdate();
+                  }
+              },
+              [this](TimePoint confirmedAt) {
+                  this->serversConfirmedAt = confirmedAt;
+              })
     {
         boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
         boost::asio::co_spawn(context, this->directory.runServers(), boost::asio::detached);
--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -111,7 +111,8 @@
 // Instances that do not know the cold time of a server read the messages of those that do, as long as no server is cold.
 TEST(PeerFrame, TheColdTimeOfAServerIsLeftOutWhileItIsWarm)
 {
-    ServersMessage message{1, 2, true, {{BackendServerId("s"), registeredServer(BackendServerId("s"))}}, std::chrono::milliseconds(0)};
+    ServersMessage message{
+        1, 2, true, {{BackendServerId("s"), registeredServer(BackendServerId("s"))}}, std::chrono::milliseconds(0)};
     constexpr char fieldsOfAnEntry = '\x93'; // msgpack's array of three
     EXPECT_NE(encodeMessage(message).fields.find(std::string("\xa1s\x91") + fieldsOfAnEntry), std::string::npos);
     message.changes[0].server->coldFor = std::chrono::milliseconds(2900);
--- a/tests/traffic/coldfleet_test.cpp
+++ b/tests/traffic/coldfleet_test.cpp
@@ -271,7 +271,7 @@
     void fail(Instance &instance, const BackendServerId &server)
     {
         for (int tries = 0; tries < 1000; ++tries) {
-            const auto submitted = instance.dispatcher->submit(this->request(), this->now);
+            static_cast<void>(instance.dispatcher->submit(this->request(), this->now));
             Decisions decisions;
             instance.dispatcher->dispatch(this->now, decisions);
             for (const Assignment &assignment : decisions.assignments) {
--- a/tests/traffic/coldservers_test.cpp
+++ b/tests/traffic/coldservers_test.cpp
@@ -161,7 +161,8 @@
     std::vector<std::uint32_t> servers(25, 0);
     constexpr int count = 100;
     for (int server = 0; server < count; ++server) {
-        const std::vector<std::uint32_t> shares = sharesOf(25, {1.5, 3.0, std::nullopt}, BackendServerId("s" + std::to_string(server)));
+        const std::vector<std::uint32_t> shares
+            = sharesOf(25, {1.5, 3.0, std::nullopt}, BackendServerId("s" + std::to_string(server)));
         for (std::size_t i = 0; i < shares.size(); ++i) {
             servers[i] += shares[i];
         }
@@ -243,8 +244,8 @@
     EXPECT_GT(this->startMany(60), 0U);
 }
 
-// A server that restarts under its id is cold before its entry says so. If its entry has neither changed nor disappeared long enough
-// after, the server did not restart: only the connection failed.
+// A server that restarts under its id is cold before its entry says so. If its entry has neither changed nor disappeared long
+// enough after, the server did not restart: only the connection failed.
 TEST_F(ColdDispatcher, AServerThatFailedIsColdUntilItsEntryWouldSayThatItRestarted)
 {
     this->startMany(60, AttemptOutcome::ServerFailed);
@@ -332,8 +333,7 @@
         this->pass(100ms);
     }
     this->pass(ColdServers::window);
-    this->dispatcher.setServers(
-        {serverOf(coldId, this->now + 60s), serverOf(warmId, this->now + 60s)}, this->now);
+    this->dispatcher.setServers({serverOf(coldId, this->now + 60s), serverOf(warmId, this->now + 60s)}, this->now);
     this->startMany(20);
     EXPECT_GT(this->dispatcher.waitingCount(), 10U);
     EXPECT_GT(this->dispatcher.forecast(requestAt(this->now), this->now).waitSeconds, 2.0);
