--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -121,8 +121,15 @@
 class Directory
 {
 public:
+    /**
+     * Called when the servers' entries were confirmed to be those of a newer time; only if servers of some service bear few
+     * requests while they are cold, and not while servers may not have renewed their entries after an outage of the store.
+     */
+    using ConfirmationHook = std::function<void(TimePoint confirmedAt)>;
+
     /** @param onUpdate called when state() has changed or was confirmed to be current */
-    Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate);
+    Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate,
+        ConfirmationHook onServersConfirmed = {});
 
     // Commands.
 
@@ -172,6 +179,7 @@
         std::uint64_t fromOffset = 0;
         std::uint64_t nextOffset = 0;
         std::vector<ServerChange> changes;
+        TimePoint readAt;
     };
 
     boost::asio::awaitable<bool> readConfigOnce();
@@ -194,6 +202,12 @@
     void applyConfig(PublishedConfig config);
     /** @param source where the entries come from, for the log */
     void applyServers(const ServerReadResult &reading, std::string_view source);
+    /** Drops the cold times of servers that bear all requests while they are cold, so that nobody has to keep or pass them on. */
+    void dropUnlimitedColdTimes(ServerReadResult &reading) const;
+    /** Reports, at intervals, how new the servers' entries are. */
+    void reportServersConfirmed(TimePoint now);
+    /** Returns how many requests a cold server of the service bears per second; 0 if there is no limit. */
+    double coldRequestsPerSecond(const ServiceName &service) const;
     void expireServers();
     std::chrono::milliseconds serverReadWait() const;
     void publishState();
@@ -202,6 +216,7 @@
     DirectoryRelayHooks relayHooks;
     DirectoryOptions options;
     std::function<void()> onUpdate;
+    ConfirmationHook onServersConfirmed;
     Backoff configBackoff;
     Backoff serverBackoff;
     std::optional<std::uint64_t> nextConfigOffset;
@@ -213,6 +228,7 @@
     std::optional<TimePoint> configConfirmedAt;
     std::optional<TimePoint> ownConfigConfirmedAt; // by this instance's own reads
     std::optional<TimePoint> ownServersConfirmedAt;
+    std::optional<TimePoint> reportedServersConfirmedAt; // the last that was reported
     RelayedTopic relayedConfig;
     RelayedTopic relayedServers;
     std::optional<TimePoint> laggingSince; // when a relay was first seen to have entries that this instance lacks
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/app/daemon.h>
 
 #include <flamingosaddle/app/adminhandler.h>
+#include <flamingosaddle/app/coldserverlog.h>
 #include <flamingosaddle/app/executioncontext.h>
 #include <flamingosaddle/app/pathlog.h>
 #include <flamingosaddle/app/peertraffic.h>
@@ -98,6 +99,7 @@
     options.serializeSuspects = settings.configuration == ConfigurationSource::Log;
     options.resendLimit
         = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
+    options.coldServers = {settings.coldOverage, settings.coldTolerance, RuntimeClock::now()};
     options.seed = seed;
     options.dataCentre = settings.dataCentre;
     options.distanceCost = {settings.distanceTime, settings.distanceMegabyteTime};
@@ -269,6 +271,9 @@
             this->gate.setServers(servers);
             this->peerTraffic.setServers(servers);
         };
+        hooks.onServersConfirmed = [this](TimePoint confirmedAt) {
+            this->peerTraffic.onServersConfirmed(confirmedAt);
+        };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
         };
@@ -352,6 +357,10 @@
             this->trafficMetrics.observePathChange(change);
             this->pathLog.observe(change);
         };
+        hooks.onColdServerChange = [this](const ColdServerChange &change) {
+            this->trafficMetrics.observeColdServerChange(change);
+            this->coldServerLog.observe(change);
+        };
         hooks.onPromptPartChange = [this](const PromptPartChange &change) {
             this->onPromptPartChange(change);
         };
@@ -483,6 +492,7 @@
         status.waiting = this->gate.waitingCount();
         status.running = this->gate.runningCount();
         status.rateLimitedServers = this->gate.rateLimitedCount();
+        status.coldServers = this->gate.coldServers();
         status.quarantinedPromptParts = this->gate.quarantinedPromptPartCount();
         status.draining = this->draining;
         return status;
@@ -574,6 +584,7 @@
     ServerPauseLog serverPauseLog;
     PromptPartLog promptPartLog;
     PathLog pathLog;
+    ColdServerLog coldServerLog;
     ExecutionContext controlContext{1};
     WorkerThreads workers;
     ConnectionRegistry keys;
--- a/src/app/peertraffic.cpp
+++ b/src/app/peertraffic.cpp
@@ -240,6 +240,13 @@
     });
 }
 
+void PeerTraffic::onServersConfirmed(TimePoint confirmedAt)
+{
+    this->gate.update([confirmedAt](Dispatcher &dispatcher, TimePoint now) {
+        dispatcher.onServersConfirmed(confirmedAt, now);
+    });
+}
+
 void PeerTraffic::setInstances(const InstanceId &self, const std::vector<InstanceId> &peers)
 {
     this->gate.update([&self, &peers](Dispatcher &dispatcher, TimePoint now) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -51,14 +51,15 @@
 }
 
 std::unique_ptr<Directory> makeDirectory(const std::optional<DirectoryHooks> &hooks, DirectoryRelayHooks relayHooks,
-    const ControllerOptions &options, std::function<void()> onUpdate)
+    const ControllerOptions &options, std::function<void()> onUpdate, Directory::ConfirmationHook onServersConfirmed)
 {
     if (!hooks.has_value()) {
         return nullptr;
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
-    return std::make_unique<Directory>(*hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate));
+    return std::make_unique<Directory>(
+        *hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onServersConfirmed));
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
@@ -175,9 +176,15 @@
     , platform(std::move(platform))
     , controllerOptions(std::move(options))
     , hooks(std::move(hooks))
-    , directory(makeDirectory(directory, this->directoryRelayHooks(), this->controllerOptions,
+    , directory(makeDirectory(
+          directory, this->directoryRelayHooks(), this->controllerOptions,
           [this] {
               this->onConfigUpdate();
+          },
+          [this](TimePoint confirmedAt) {
+              if (this->hooks.onServersConfirmed) {
+                  this->hooks.onServersConfirmed(confirmedAt);
+              }
           }))
     , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions))
     , duties(std::make_unique<Duties>(duties, this->directory.get(), this->peers, this->controllerOptions))
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -19,16 +19,18 @@
 {
 
 constexpr std::chrono::milliseconds initialRetryDelay(50);
+constexpr Duration confirmationReportInterval = std::chrono::milliseconds(300); // between reports of how new entries are
 constexpr std::chrono::milliseconds maxRetryDelay(400); // bounds the delay until a recovered store is detected
 
 } // namespace
 
-Directory::Directory(
-    DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options, std::function<void()> onUpdate)
+Directory::Directory(DirectoryHooks hooks, DirectoryRelayHooks relayHooks, DirectoryOptions options,
+    std::function<void()> onUpdate, ConfirmationHook onServersConfirmed)
     : hooks(std::move(hooks))
     , relayHooks(std::move(relayHooks))
     , options(options)
     , onUpdate(std::move(onUpdate))
+    , onServersConfirmed(std::move(onServersConfirmed))
     , configBackoff(initialRetryDelay, maxRetryDelay, options.seed)
     , serverBackoff(initialRetryDelay, maxRetryDelay, options.seed + 1)
     , serverTable(options.servers)
@@ -183,6 +185,7 @@
             this->wakeServerExpiry();
         }
         this->requestMissingServers(peer, isSameDataCentre, *progress.servers, now);
+        this->reportServersConfirmed(now);
     }
     if (this->isConfigReadDue(now)) {
         this->wakeReaders();
@@ -231,6 +234,7 @@
     this->batches.clear();
     this->advanceServersOffset(relayed.nextOffset);
     this->applyServers({relayed.nextOffset, relayed.isComplete, relayed.changes}, "relay");
+    this->reportServersConfirmed(RuntimeClock::now());
 }
 
 void Directory::recordServerLeaving(const BackendServerId &id, TimePoint sentAt)
@@ -271,14 +275,21 @@
         for (const Batch &batch : this->batches) {
             if (batch.nextOffset > from) {
                 relayed.changes.insert(relayed.changes.end(), batch.changes.begin(), batch.changes.end());
+                const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - batch.readAt);
+                for (auto change = relayed.changes.end() - static_cast<std::ptrdiff_t>(batch.changes.size());
+                     change != relayed.changes.end(); ++change) {
+                    if (change->server.has_value()) {
+                        change->server->coldFor = std::max(change->server->coldFor - age, std::chrono::milliseconds(0));
+                    }
+                }
             }
         }
         return relayed;
     }
     relayed.isComplete = true;
-    for (const auto &[id, server] : this->serverTable.servers()) {
+    for (const auto &[id, registered] : this->serverTable.servers()) {
         if (!this->serverTable.isInGracePeriod(id)) {
-            relayed.changes.push_back({id, server});
+            relayed.changes.push_back({id, this->serverTable.statementOf(id, now)});
         }
     }
     return relayed;
@@ -292,7 +303,7 @@
     if (reading.isComplete || reading.nextOffset == from) {
         return;
     }
-    this->batches.push_back({from, reading.nextOffset, reading.changes});
+    this->batches.push_back({from, reading.nextOffset, reading.changes, RuntimeClock::now()});
     if (this->batches.size() > this->options.maxRetainedBatches) {
         this->batches.pop_front();
     }
@@ -343,7 +354,7 @@
 {
     const TimePoint sentAt = RuntimeClock::now();
     const std::optional<std::uint64_t> from = this->nextServersOffset;
-    const Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
+    Result<ServerReadResult> reading = co_await this->hooks.readServers(this->nextServersOffset, wait);
     if (this->stopped) {
         co_return false;
     }
@@ -369,8 +380,10 @@
     }
     this->advanceServersOffset(reading.value().nextOffset);
     this->ownServersConfirmedAt = sentAt;
+    this->dropUnlimitedColdTimes(reading.value());
     this->retainBatch(from.value_or(0), reading.value());
     this->applyServers(reading.value(), "store");
+    this->reportServersConfirmed(RuntimeClock::now());
     co_return true;
 }
 
@@ -408,6 +421,52 @@
     }
 }
 
+double Directory::coldRequestsPerSecond(const ServiceName &service) const
+{
+    for (const ServiceRules &rules : this->newestConfig->services) {
+        if (rules.name == service) {
+            return rules.coldRequestsPerSecond;
+        }
+    }
+    return 0.0;
+}
+
+void Directory::dropUnlimitedColdTimes(ServerReadResult &reading) const
+{
+    if (!this->newestConfig.has_value()) {
+        return;
+    }
+    for (ServerChange &change : reading.changes) {
+        if (change.server.has_value() && this->coldRequestsPerSecond(change.server->server.service) <= 0.0) {
+            change.server->coldFor = std::chrono::milliseconds(0);
+        }
+    }
+}
+
+void Directory::reportServersConfirmed(TimePoint now)
+{
+    if (!this->newestConfig.has_value() || !this->onServersConfirmed || !this->nextServersOffset.has_value()) {
+        return;
+    }
+    const bool hasLimits
+        = std::any_of(this->newestConfig->services.begin(), this->newestConfig->services.end(), [](const ServiceRules &rules) {
+              return rules.coldRequestsPerSecond > 0.0;
+          });
+    if (!hasLimits || this->serverTable.remainingGrace(now) > Duration::zero()) {
+        return;
+    }
+    std::optional<TimePoint> confirmed = this->relayedServers.confirmedAt(*this->nextServersOffset);
+    if (this->ownServersConfirmedAt.has_value()) {
+        confirmed = std::max(confirmed.value_or(*this->ownServersConfirmedAt), *this->ownServersConfirmedAt);
+    }
+    if (confirmed.has_value()
+        && (!this->reportedServersConfirmedAt.has_value()
+            || *confirmed >= *this->reportedServersConfirmedAt + confirmationReportInterval)) {
+        this->reportedServersConfirmedAt = confirmed;
+        this->onServersConfirmed(*confirmed);
+    }
+}
+
 void Directory::expireServers()
 {
     const TimePoint now = RuntimeClock::now();
@@ -429,6 +488,7 @@
     ConfigObjects objects = this->newestConfig->objects;
     for (const auto &[id, registered] : this->serverTable.servers()) {
         objects.backendServers.push_back(registered.server);
+        objects.backendServers.back().coldRequestsPerSecond = this->coldRequestsPerSecond(registered.server.service);
     }
     this->currentState = std::make_shared<const ConfigState>(ConfigState::fromObjects(objects, this->newestConfig->offset + 1));
     this->onUpdate();
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -51,11 +51,16 @@
     FakeInstance(boost::asio::io_context &context, FakeStore &store, bool isRelay)
         : store(store)
         , isRelay(isRelay)
-        , directory(this->hooks(), this->relayHooks(), DirectoryOptions(), [this] {
-            if (this->onUpdate) {
-                this->onUpdate();
-            }
-        })
+        , directory(
+              this->hooks(), this->relayHooks(), DirectoryOptions(),
+              [this] {
+                  if (this->onUpdate) {
+                      this->onUpdate();
+                  }
+              },
+              [this](TimePoint confirmedAt) {
+                  this->serversConfirmedAt = confirmedAt;
+              })
     {
         boost::asio::co_spawn(context, this->directory.runConfig(), boost::asio::detached);
         boost::asio::co_spawn(context, this->directory.runServers(), boost::asio::detached);
@@ -141,6 +146,7 @@
     Duration failureDelay{0}; ///< time until a call to an unreachable store fails
     std::size_t calls = 0;
     std::function<void()> onUpdate; ///< called when the directory has changed
+    std::optional<TimePoint> serversConfirmedAt; ///< as the directory reported last
     std::optional<std::uint64_t> requestedFrom; ///< offset from which entries were requested from the relay
     Directory directory;
 };
