Evacuated data centres get no new requests and no orders of servers

Change: the records are read with the configuration, in the order of their offsets, with the same relays, proofs and epochs of the store (docs/design/evacuation.md). ServerPool::setEvacuated makes the servers there unusable: new and waiting requests, retries, resumed streams, forwarded requests and path checks go elsewhere, a request is not sent a second time to a server there, and what runs finishes. A request without servers elsewhere is refused as not run, `data_centre_evacuated`. Slots there do not back the cheap servers of others, deaths there count against no request, and the planner orders nothing there and the missing servers elsewhere. On return the dispatcher gets onDataCentreReturned, which does nothing yet. `status`, `backends`, metrics, log and the lines of requests show evacuations.

--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -19,6 +19,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -50,6 +51,11 @@
 struct ControllerHooks {
     std::function<void(std::shared_ptr<const RoutingSnapshot>)> publishSnapshot;
     std::function<void(const std::vector<BackendServer> &)> setServers;
+    /**
+     * Called when a data centre was evacuated, and, without @p evacuated, when it was taken back, which may be the first that is
+     * known of its evacuation. May be empty.
+     */
+    std::function<void(const DataCentre &, bool evacuated)> setEvacuated;
     std::function<void(const KeyId &)> onKeyWithdrawn; ///< must end the exchanges that run with the key
     std::function<void(HeartbeatMessage &)> fillTrafficState; ///< fills in the message's fields on traffic
     std::function<void(const std::vector<ServerLoad> &)> onPeerLoads;
@@ -133,6 +139,8 @@
     TimePoint freshUntil() const;
     /** Returns the current configuration, which is empty before the first one is read. */
     std::shared_ptr<const ConfigState> config() const;
+    /** Returns the data centres that the operator has evacuated or taken back; none without a directory. */
+    const std::map<DataCentre, EvacuationState> &evacuations() const;
     const ConfigReplica &configReplica() const;
     const DutyLog &dutyLog() const;
     const UsageMeter &usageMeter() const;
@@ -155,6 +163,8 @@
     /** Returns whether any configuration was read. Before that nothing is published, and requests are refused as not run. */
     bool hasConfig() const;
     void onConfigUpdate();
+    /** Tells the traffic side which data centres were evacuated or taken back since the last call. Returns whether any were. */
+    bool publishEvacuations();
     boost::asio::awaitable<void> runFreshnessUpdates();
     void publishSnapshot();
     void notifyWithdrawnKeys(const ConfigState &before, const ConfigState &after);
@@ -166,6 +176,7 @@
     std::set<KeyId> pendingTombstones;
     std::shared_ptr<const ConfigState> publishedState;
     TimePoint publishedFreshUntil;
+    std::map<DataCentre, EvacuationState> publishedEvacuations;
     struct Duties;
     std::unique_ptr<Directory> directory;
     std::unique_ptr<StreamRegistry> streamRegistry; // set only with a directory whose platform has a log for it
--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -7,6 +7,7 @@
 #include <flamingosaddle/base/timer.h>
 #include <flamingosaddle/peer/message.h>
 #include <flamingosaddle/state/configstate.h>
+#include <flamingosaddle/state/evacuations.h>
 #include <flamingosaddle/state/publishedconfig.h>
 #include <flamingosaddle/state/servertable.h>
 #include <flamingosaddle/state/storeprogress.h>
@@ -32,6 +33,8 @@
     std::uint64_t nextOffset = 0; ///< offset at which the next read continues
     std::optional<PublishedConfig> newest; ///< empty when no configuration was published since the last read
     bool isAtEnd = false; ///< whether the read reached the end of the log
+    bool isComplete = false; ///< whether the evacuations list every data centre that is evacuated
+    std::vector<EvacuationChange> evacuations; ///< in the same topic; oldest first
 
     friend bool operator==(const ConfigReadResult &, const ConfigReadResult &) = default;
 };
@@ -161,6 +164,8 @@
     const std::optional<PublishedConfig> &config() const;
     /** Returns the registered servers. */
     const ServerTable &servers() const;
+    /** Returns the data centres that the operator has evacuated or taken back. */
+    const Evacuations &evacuations() const;
     /**
      * Returns the newest time at which the configuration was confirmed to be current, either by a read of this instance that
      * found no newer one (the time at which it was sent) or by a relay.
@@ -192,6 +197,8 @@
     void adoptRelayedConfirmation();
     void retainBatch(std::uint64_t from, const ServerReadResult &reading);
     void applyConfig(PublishedConfig config);
+    /** Returns whether the evacuation of any data centre changed. */
+    bool applyEvacuations(const ConfigReadResult &reading);
     /** @param source where the entries come from, for the log */
     void applyServers(const ServerReadResult &reading, std::string_view source);
     void expireServers();
@@ -209,6 +216,7 @@
     std::uint64_t serversEpoch = 0; // of the store at the last own read of the servers' entries
     std::optional<PublishedConfig> newestConfig;
     ServerTable serverTable;
+    Evacuations evacuationTable;
     std::shared_ptr<const ConfigState> currentState;
     std::optional<TimePoint> configConfirmedAt;
     std::optional<TimePoint> ownConfigConfirmedAt; // by this instance's own reads
--- a/include/flamingosaddle/control/routingsnapshot.h
+++ b/include/flamingosaddle/control/routingsnapshot.h
@@ -26,12 +26,15 @@
      * @param config the current configuration
      * @param tombstones keys withdrawn by a peer or an operator whose record may not be in the log yet
      * @param freshUntil time after which the snapshot may miss a withdrawal and requests with a key are refused
+     * @param evacuated data centres to whose backend servers no new request goes, for the lines of requests in the log
      */
-    RoutingSnapshot(std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil);
+    RoutingSnapshot(std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil,
+        std::set<DataCentre> evacuated = {});
 
     const ConfigState &config() const;
     std::uint64_t offset() const; ///< next offset of the config stream
     TimePoint freshUntil() const;
+    const std::set<DataCentre> &evacuated() const;
 
     /** Returns the key with this digest, or nullptr if there is none or it was withdrawn. Compares in constant time. */
     const ClientKey *findKey(const KeyDigest &digest) const;
@@ -52,6 +55,7 @@
     std::shared_ptr<const ConfigState> configState;
     std::set<KeyId> tombstones;
     TimePoint freshnessDeadline;
+    std::set<DataCentre> evacuatedDataCentres;
     std::unordered_multimap<std::uint64_t, const ClientKey *> keysByDigest;
     std::unordered_map<std::string_view, std::vector<const Route *>> routesByHost; // longest prefix first
     std::unordered_map<ClientAccountId, std::vector<RequestClass>> classesByAccount;
--- a/include/flamingosaddle/state/fleetplanner.h
+++ b/include/flamingosaddle/state/fleetplanner.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace flamingosaddle
@@ -86,9 +87,10 @@
      * Returns the orders to send now.
      * @param serving servers by data centre
      * @param busy the load, or nothing while it is not known
+     * @param evacuated data centres that take no requests, and for which nothing is ordered
      */
     std::vector<FleetOrder> dueOrders(const ScalingRules &rules, const std::map<DataCentre, ServerCounts> &serving,
-        const std::optional<BusyServers> &busy, TimePoint now);
+        const std::optional<BusyServers> &busy, TimePoint now, const std::set<DataCentre> &evacuated = {});
     /** Records the result of an order. */
     void onOrderResult(const FleetOrder &order, FleetOrderResult result, TimePoint now);
 
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -236,6 +236,15 @@
     /** Stops sending work to the cheap servers of a data centre, which are being reclaimed. */
     void excludeDataCentre(const DataCentre &dataCentre, TimePoint now);
 
+    /**
+     * Sends no new request to the backend servers of a data centre, or does so again. Requests that run there continue, and those
+     * that only servers there could take are refused as DataCentreEvacuated.
+     */
+    void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
+
+    /** Records that an evacuated data centre was taken back at @p now. Its servers may have become cold meanwhile. */
+    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
+
     /**
      * Sets the number of instances that share the backend servers. Each instance may always use an even share of a server's
      * slots, however old its peers' reports are. With 0, the initial value, only the reports count.
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -92,13 +92,13 @@
 /**
  * The backend servers with their load, and the free slots of each target.
  *
- * A server is usable if it is configured, not leaving, not left to other instances by its rate limit and, if it is cheap, its
- * data centre is not excluded. It has a free slot if fewer requests than its slots run on it, including those of peers. A server
- * with a rate limit has no more free slots than tokens, one with a rejection limit no more than this instance may still start
- * within RejectionLimits::confirmationTime, and a paused one has none. Since reports from peers lag, an instance that shares its
- * servers may always use an even share of the slots. It takes more only while one slot for each of the other instances stays
- * free, up to half of the slots, because the others may be about to take more as well. If there are more instances than slots,
- * fewer stay free. The slots of a straggler are divided by its slowdown.
+ * A server is usable if it is configured, not leaving, not in an evacuated data centre, not left to other instances by its rate
+ * limit and, if it is cheap, its data centre is not excluded. It has a free slot if fewer requests than its slots run on it,
+ * including those of peers. A server with a rate limit has no more free slots than tokens, one with a rejection limit no more
+ * than this instance may still start within RejectionLimits::confirmationTime, and a paused one has none. Since reports from
+ * peers lag, an instance that shares its servers may always use an even share of the slots. It takes more only while one slot for
+ * each of the other instances stays free, up to half of the slots, because the others may be about to take more as well. If there
+ * are more instances than slots, fewer stay free. The slots of a straggler are divided by its slowdown.
  *
  * The requests on the cheap servers of one data centre never exceed the target's slots elsewhere, so that they can continue
  * elsewhere if that capacity is reclaimed. This rule applies only if there are slots elsewhere.
@@ -125,6 +125,8 @@
 
     void applyLoadReport(const ServerLoadReport &report);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
+    /** Sends no new requests to any server of the data centre, or does so again. */
+    void setEvacuated(const DataCentre &dataCentre, bool evacuated);
 
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
@@ -223,7 +225,10 @@
         return this->targets[target].freeOrdinarySlots + (cheapAllowed ? this->targets[target].freeCheapSlots : 0);
     }
 
-    /** Returns the configured servers of the target that do not leave, also those that are left to other instances. */
+    /**
+     * Returns the configured servers of the target that do not leave and are in no evacuated data centre, also those that are
+     * left to other instances.
+     */
     std::vector<std::pair<BackendServerId, ServerIndex>> presentServers(TargetIndex target) const;
 
     bool hasUsableServer(TargetIndex target, bool cheapAllowed) const;
@@ -234,6 +239,17 @@
         return this->targets[target].otherInstancesCount > 0;
     }
 
+    /** Returns whether servers of the target are unusable because their data centres are evacuated. */
+    bool hasEvacuatedServer(TargetIndex target) const
+    {
+        return this->targets[target].evacuatedCount > 0;
+    }
+
+    bool isEvacuated(ServerIndex server) const
+    {
+        return this->isEvacuated(this->servers[server]);
+    }
+
     const std::vector<ServerIndex> &rateLimitedServers() const
     {
         return this->rateLimited;
@@ -266,6 +282,8 @@
         return this->targets[target].localInFlight;
     }
 
+    /** Returns whether the server is in an evacuated data centre, or is a cheap one that is being reclaimed with its data centre.
+     */
     bool isExcluded(ServerIndex server) const;
 
     /** Returns whether the server died before @p startedAt and may still be restarting. */
@@ -314,6 +332,7 @@
         std::uint32_t freeCheapSlots = 0;
         bool isOfVersion = false; // whether its requests continue streams, see internVersionTarget()
         std::uint32_t otherInstancesCount = 0; // servers that rate limits leave to other instances
+        std::uint32_t evacuatedCount = 0; // servers in evacuated data centres
 
         std::uint32_t measurements = 0; // since the last update of slowdowns
     };
@@ -328,7 +347,10 @@
     void adjustInFlight(ServerIndex server, TargetIndex target, std::int64_t delta);
     bool isUsable(const ServerState &state) const;
     static bool isLeftToOthers(const ServerState &state);
+    bool isEvacuated(const ServerState &state) const;
     void rebuildTargets();
+    /** Counts a server that neither leaves nor is usable in its targets. */
+    void countUnusable(const ServerState &state);
     void addCandidate(ServerIndex server, const TargetMembership &membership);
     std::uint32_t usableSlots(const ServerState &state) const;
     std::uint32_t freeSlotsOf(const ServerState &state, const Target &target) const;
@@ -349,6 +371,7 @@
     std::vector<ServerState> servers;
     std::vector<Target> targets;
     std::vector<bool> excludedDataCentres; // by data centre index
+    std::vector<bool> evacuatedDataCentres; // by data centre index
     std::uint64_t candidateGeneration = 0;
     std::pair<ModelName, ServiceName> lookupKey; // a member to reuse its memory in look-ups
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -52,6 +52,7 @@
     Evicted, ///< evicted from the queue in favour of a higher tier
     DeadlineMissed,
     NoServer, ///< no usable backend server at present
+    DataCentreEvacuated, ///< no usable backend server outside the evacuated data centres
     Quarantined, ///< the request was running when backend servers died
     PromptQuarantined, ///< requests with a part of this prompt were running when backend servers died
     RetriesExhausted,
--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -37,6 +37,18 @@
         {"id", result.id.text()}, {"offset", result.offset}, {"outcome", toString(result.outcome)}, {"detail", result.detail}};
 }
 
+nlohmann::json evacuationsOf(const Controller &controller)
+{
+    nlohmann::json evacuations = nlohmann::json::array();
+    for (const auto &[dataCentre, state] : controller.evacuations()) {
+        if (state.isEvacuated) {
+            const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now() - state.since);
+            evacuations.push_back({{"dataCentre", dataCentre.text()}, {"offset", state.offset}, {"forMs", ago.count()}});
+        }
+    }
+    return evacuations;
+}
+
 nlohmann::json accountsOf(const WindowCounts &counts)
 {
     nlohmann::json accounts = nlohmann::json::array();
@@ -140,6 +152,7 @@
         {"activeExchanges", traffic.activeExchanges},
         {"waiting", traffic.waiting},
         {"running", traffic.running},
+        {"evacuated", evacuationsOf(this->controller)},
     };
     return jsonResponse(200, body.dump());
 }
@@ -187,10 +200,14 @@
 HttpResponse AdminHandler::backendsResponse() const
 {
     nlohmann::json backends = nlohmann::json::array();
+    const auto isEvacuated = [this](const DataCentre &dataCentre) {
+        const auto known = this->controller.evacuations().find(dataCentre);
+        return known != this->controller.evacuations().end() && known->second.isEvacuated;
+    };
     for (const BackendServer &server : backendServersOf(*this->controller.config())) {
         backends.push_back({{"id", server.id.text()}, {"endpoint", server.endpoint.text()},
             {"dataCentre", server.dataCentre.text()}, {"leaving", server.leaving}, {"cheap", server.cheap},
-            {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
+            {"evacuated", isEvacuated(server.dataCentre)}, {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
     }
     return jsonResponse(200, nlohmann::json{{"backends", std::move(backends)}}.dump());
 }
--- a/src/app/controlmetrics.cpp
+++ b/src/app/controlmetrics.cpp
@@ -38,12 +38,29 @@
         .set(static_cast<double>(controller.dutyLog().fencingToken().fencingNumber));
 }
 
+void updateEvacuationMetrics(MetricsRegistry &registry, const Controller &controller)
+{
+    for (const auto &[dataCentre, state] : controller.evacuations()) {
+        const MetricLabels labels{{"data_centre", dataCentre.text()}};
+        registry
+            .gauge("flamingosaddle_data_centre_evacuated", "1 while no new request goes to the data centre's backend servers.",
+                labels)
+            .set(state.isEvacuated ? 1 : 0);
+        const Duration since = RuntimeClock::now() - state.since;
+        registry
+            .gauge("flamingosaddle_data_centre_evacuated_seconds",
+                "Time since the data centre was evacuated; 0 if it was taken back.", labels)
+            .set(state.isEvacuated ? std::chrono::duration<double>(since).count() : 0.0);
+    }
+}
+
 } // namespace
 
 void updateControlMetrics(MetricsRegistry &registry, const Controller &controller, const TrafficStatus &traffic)
 {
     updateConfigMetrics(registry, controller);
     updateLeaseMetrics(registry, controller);
+    updateEvacuationMetrics(registry, controller);
     registry.gauge("flamingosaddle_usage_unappended", "Usage records that the log has not taken yet.")
         .set(static_cast<double>(controller.usageMeter().pendingRecordCount()));
     registry.gauge("flamingosaddle_usage_unreported", "Windows with fixed figures that are not known to be reported.")
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -267,6 +267,14 @@
             this->gate.setServers(servers);
             this->peerTraffic.setServers(servers);
         };
+        hooks.setEvacuated = [this](const DataCentre &dataCentre, bool evacuated) {
+            this->gate.update([&dataCentre, evacuated](Dispatcher &dispatcher, TimePoint now) {
+                dispatcher.setEvacuated(dataCentre, evacuated, now);
+                if (!evacuated) {
+                    dispatcher.onDataCentreReturned(dataCentre, now);
+                }
+            });
+        };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
         };
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -386,6 +386,12 @@
     return newest == TimePoint() ? newest : newest + this->controllerOptions.freshnessLimit;
 }
 
+const std::map<DataCentre, EvacuationState> &Controller::evacuations() const
+{
+    static const std::map<DataCentre, EvacuationState> none;
+    return this->directory ? this->directory->evacuations().states() : none;
+}
+
 const ConfigReplica &Controller::configReplica() const
 {
     return this->replica;
@@ -565,8 +571,26 @@
     }
 }
 
+bool Controller::publishEvacuations()
+{
+    const std::map<DataCentre, EvacuationState> &states = this->evacuations();
+    if (states == this->publishedEvacuations) {
+        return false;
+    }
+    for (const auto &[dataCentre, state] : states) {
+        const auto before = this->publishedEvacuations.find(dataCentre);
+        const bool isChanged = before == this->publishedEvacuations.end() || before->second != state;
+        if (isChanged && this->hooks.setEvacuated) {
+            this->hooks.setEvacuated(dataCentre, state.isEvacuated);
+        }
+    }
+    this->publishedEvacuations = states;
+    return true;
+}
+
 void Controller::onConfigUpdate()
 {
+    const bool evacuationsChanged = this->publishEvacuations();
     const std::shared_ptr<const ConfigState> before = this->publishedState;
     if (!this->hasConfig()) {
         return;
@@ -579,7 +603,7 @@
     // Indexing a snapshot takes a pass over the configuration, so progress of the freshness alone is published in steps.
     const bool hasFreshnessAdvanced
         = this->freshUntil() - this->publishedFreshUntil > this->controllerOptions.freshnessLimit / freshnessSteps;
-    if (!changed && !hasFreshnessAdvanced) {
+    if (!changed && !hasFreshnessAdvanced && !evacuationsChanged) {
         return;
     }
     this->publishSnapshot();
@@ -594,8 +618,9 @@
 {
     this->publishedState = this->config();
     this->publishedFreshUntil = this->freshUntil();
-    this->hooks.publishSnapshot(
-        std::make_shared<const RoutingSnapshot>(this->publishedState, this->pendingTombstones, this->publishedFreshUntil));
+    std::set<DataCentre> evacuated = this->directory ? this->directory->evacuations().evacuated() : std::set<DataCentre>();
+    this->hooks.publishSnapshot(std::make_shared<const RoutingSnapshot>(
+        this->publishedState, this->pendingTombstones, this->publishedFreshUntil, std::move(evacuated)));
 }
 
 void Controller::notifyWithdrawnKeys(const ConfigState &before, const ConfigState &after)
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -316,9 +316,14 @@
         co_return false;
     }
     this->nextConfigOffset = reading.value().nextOffset;
+    // Before the configuration, so that no request is sent to an evacuated data centre by the first one.
+    const bool evacuationsChanged = this->applyEvacuations(reading.value());
     if (reading.value().newest.has_value()) {
         this->applyConfig(std::move(*reading.value().newest));
     }
+    if (evacuationsChanged) {
+        this->onUpdate();
+    }
     if (reading.value().isAtEnd) {
         this->ownConfigConfirmedAt = sentAt;
         this->configConfirmedAt = std::max(this->configConfirmedAt.value_or(sentAt), sentAt);
@@ -386,6 +391,29 @@
     this->publishState();
 }
 
+bool Directory::applyEvacuations(const ConfigReadResult &reading)
+{
+    const std::set<DataCentre> before = this->evacuationTable.evacuated();
+    EvacuationRecords records{reading.evacuations, reading.isComplete, reading.nextOffset, 0};
+    records.epochBegin = makeOffset(epochOf(reading.nextOffset), 0);
+    const std::vector<DataCentre> changed = this->evacuationTable.apply(records, RuntimeClock::now());
+    for (const DataCentre &dataCentre : changed) {
+        const EvacuationState &state = this->evacuationTable.states().at(dataCentre);
+        logEvent(LogLevel::Info, "control", state.isEvacuated ? "a data centre is evacuated" : "a data centre was taken back",
+            {{"data_centre", dataCentre.text()}, {"offset", std::to_string(state.offset)},
+                {"was_evacuated", before.contains(dataCentre) ? "yes" : "no"}});
+    }
+    if (reading.isComplete) {
+        for (const DataCentre &dataCentre : this->evacuationTable.evacuated()) {
+            if (this->evacuationTable.states().at(dataCentre).offset < records.epochBegin) {
+                logEvent(LogLevel::Warning, "control", "the restored store has no record of an evacuation, which holds on",
+                    {{"data_centre", dataCentre.text()}, {"remedy", "evacuate the data centre and take it back once more"}});
+            }
+        }
+    }
+    return !changed.empty();
+}
+
 void Directory::applyServers(const ServerReadResult &reading, std::string_view source)
 {
     if (reading.changes.empty() && !reading.isComplete) {
@@ -449,6 +477,11 @@
     return this->serverTable;
 }
 
+const Evacuations &Directory::evacuations() const
+{
+    return this->evacuationTable;
+}
+
 std::optional<TimePoint> Directory::confirmedAt() const
 {
     return this->configConfirmedAt;
--- a/src/control/fleetscaler.cpp
+++ b/src/control/fleetscaler.cpp
@@ -73,12 +73,16 @@
     }
     const TimePoint now = RuntimeClock::now();
     const std::optional<BusyServers> busy = this->demand.busyServers(rules.name, now);
-    const std::vector<FleetOrder> orders = this->plans[rules.name].dueOrders(*rules.scaling, serving, busy, now);
+    const std::vector<FleetOrder> orders
+        = this->plans[rules.name].dueOrders(*rules.scaling, serving, busy, now, this->directory.evacuations().evacuated());
     bool hasUnavailable = false;
     for (const FleetOrder &order : orders) {
         if (!this->dutyLog.isLeading() || this->stopped) {
             co_return false;
         }
+        if (this->directory.evacuations().isEvacuated(order.dataCentre)) {
+            continue; // since an earlier order was sent
+        }
         const FencingToken stamp = this->dutyLog.fencingToken();
         const Result<void> sent = co_await this->hooks.orderServers(rules.name, order, stamp, this->dutyLog.permission());
         logEvent(sent.has_value() ? LogLevel::Info : LogLevel::Warning, "control", "servers ordered",
--- a/src/control/routingsnapshot.cpp
+++ b/src/control/routingsnapshot.cpp
@@ -20,10 +20,12 @@
 
 } // namespace
 
-RoutingSnapshot::RoutingSnapshot(std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil)
+RoutingSnapshot::RoutingSnapshot(
+    std::shared_ptr<const ConfigState> config, std::set<KeyId> tombstones, TimePoint freshUntil, std::set<DataCentre> evacuated)
     : configState(std::move(config))
     , tombstones(std::move(tombstones))
     , freshnessDeadline(freshUntil)
+    , evacuatedDataCentres(std::move(evacuated))
 {
     for (const auto &[id, key] : this->configState->keys()) {
         this->keysByDigest.emplace(key.value.digest.prefix(), &key.value);
@@ -61,6 +63,11 @@
     return this->freshnessDeadline;
 }
 
+const std::set<DataCentre> &RoutingSnapshot::evacuated() const
+{
+    return this->evacuatedDataCentres;
+}
+
 const ClientKey *RoutingSnapshot::findKey(const KeyDigest &digest) const
 {
     const auto [first, last] = this->keysByDigest.equal_range(digest.prefix());
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -108,6 +108,7 @@
         return missingConfiguration();
     }
     this->outcome.configOffset = snapshot->offset();
+    this->outcome.evacuated.assign(snapshot->evacuated().begin(), snapshot->evacuated().end());
     if (this->forwarded.has_value() && snapshot->offset() < this->forwarded->configOffset) {
         this->isConfigBehind = true;
         return fail(ErrorKind::Unavailable, "this instance has an older configuration than the one that forwarded the request",
--- a/src/state/fleetplanner.cpp
+++ b/src/state/fleetplanner.cpp
@@ -37,14 +37,21 @@
 }
 
 std::vector<FleetOrder> FleetPlanner::dueOrders(const ScalingRules &rules, const std::map<DataCentre, ServerCounts> &serving,
-    const std::optional<BusyServers> &busy, TimePoint now)
+    const std::optional<BusyServers> &busy, TimePoint now, const std::set<DataCentre> &evacuated)
 {
     std::vector<FleetOrder> orders;
     if (!rules.cheapPriceRatio.has_value() || rules.maxServers == 0 || rules.minServers > rules.maxServers) {
         return orders;
     }
     this->firstEvaluatedAt = this->firstEvaluatedAt.value_or(now);
+    const auto usedDataCentres
+        = std::count_if(rules.ordinaryPrices.begin(), rules.ordinaryPrices.end(), [&evacuated](const auto &entry) {
+              return !evacuated.contains(entry.first);
+          });
     for (const auto &[dataCentre, price] : rules.ordinaryPrices) {
+        if (evacuated.contains(dataCentre)) {
+            continue;
+        }
         const auto found = serving.find(dataCentre);
         const ServerCounts present = found == serving.end() ? ServerCounts() : found->second;
         if (present == ServerCounts() && !busy.has_value() && now < *this->firstEvaluatedAt + emptyDataCentreDelay) {
@@ -54,7 +61,7 @@
         DataCentreState &state = this->dataCentres[dataCentre];
         if (busy.has_value()) {
             const double wanted = std::max(busy->steady * this->policy.steadyHeadroom, busy->peak * this->policy.peakHeadroom);
-            const double wantedHere = wanted / static_cast<double>(rules.ordinaryPrices.size());
+            const double wantedHere = wanted / static_cast<double>(usedDataCentres);
             resizeByLoad(state, present, std::min<double>(wantedHere, rules.maxServers), now);
         } else {
             this->setInitialSize(state, present, now);
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -213,6 +213,16 @@
     this->implementation->setExcluded(dataCentre, false);
 }
 
+void Dispatcher::setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now)
+{
+    this->implementation->setEvacuated(dataCentre, evacuated, now);
+}
+
+void Dispatcher::onDataCentreReturned(const DataCentre &dataCentre, TimePoint now)
+{
+    this->implementation->onDataCentreReturned(dataCentre, now);
+}
+
 void Dispatcher::setInstanceCount(std::uint32_t count)
 {
     this->implementation->pool.setInstanceCount(count);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -84,6 +84,7 @@
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
     return index.has_value() && this->requests.record(*index).isRunning()
+        && !this->pool.isEvacuated(this->requests.record(*index).server)
         && this->tryResend(this->requests.record(*index).serviceTarget, now);
 }
 
@@ -208,7 +209,7 @@
         return RefusalReason::Unreachable;
     }
     if (!this->pool.hasUsableServer(record.entry.target, record.entry.cheapAllowed)) {
-        return RefusalReason::NoServer;
+        return this->noServerReason(record.entry.target);
     }
     if (this->isPausedPastDeadline(record)) {
         return RefusalReason::NoServer;
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr double percent = 100.0;
-constexpr std::chrono::seconds noServerRetryAfter{5};
 constexpr std::chrono::seconds maxRetryAfter{60};
 // Per heartbeat. With names of 50 bytes this is 4 KB, or half a second of prefills at the reference peak load.
 constexpr std::size_t maxReportedPrefills = 64;
@@ -111,7 +110,8 @@
 Refusal Dispatcher::Implementation::refuseWithoutServer(std::optional<TargetIndex> target) const
 {
     const bool hasServerOfOthers = target.has_value() && this->pool.hasServerOfOthers(*target);
-    return refusalNotRun(RefusalReason::NoServer, hasServerOfOthers ? otherInstanceRetryAfter : noServerRetryAfter);
+    const RefusalReason reason = target.has_value() ? this->noServerReason(*target) : RefusalReason::NoServer;
+    return refusalNotRun(reason, hasServerOfOthers ? otherInstanceRetryAfter : noServerRetryAfter);
 }
 
 ResendLimit &Dispatcher::Implementation::resendLimit(TargetIndex target)
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -47,6 +47,8 @@
     void setServers(const std::vector<BackendServer> &servers, TimePoint now);
     void drain(TimePoint end);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
+    void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
+    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
     void applyPeerServedTokens(const ServedTokensReport &report);
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
     void forecastTierWaits(const ModelName &model, const ServiceName &service, TimePoint now, std::vector<TierWait> &waits);
@@ -102,6 +104,7 @@
 
 private:
     static constexpr std::chrono::seconds otherInstanceRetryAfter{1}; // if other instances can serve the request
+    static constexpr std::chrono::seconds noServerRetryAfter{5};
 
     // Class parameters that determine how requests are queued.
     struct ClassKey {
@@ -133,6 +136,8 @@
     /** Updates the shares of all rejection limits at intervals, without statements that no longer hold. */
     void refreshRejectionShares(TimePoint now);
     Refusal refuseWithoutServer(std::optional<TargetIndex> target) const;
+    /** Returns why the target has no usable server. */
+    RefusalReason noServerReason(TargetIndex target) const;
     /** Returns why the request must not run, or nothing if it may. */
     std::optional<RefusalReason> quarantineReason(
         std::uint64_t fingerprint, const std::vector<std::uint64_t> &promptParts, TimePoint now) const;
--- a/src/traffic/dispatcherpaths.cpp
+++ b/src/traffic/dispatcherpaths.cpp
@@ -77,7 +77,7 @@
 {
     const ServerState &server = this->pool.server(record.server);
     ServerDeath death{server.id, record.fingerprint, record.promptParts, now - record.startedAt};
-    // A server in a data centre that is being reclaimed is stopped regardless of the request.
+    // A server in a data centre that is being reclaimed or was evacuated is stopped regardless of the request.
     if (this->pool.isExcluded(record.server)) {
         this->deaths.push_back(std::move(death));
         return;
--- a/src/traffic/dispatcherrejections.cpp
+++ b/src/traffic/dispatcherrejections.cpp
@@ -32,6 +32,9 @@
     if (reason == RefusalReason::Draining) {
         return Refusal{reason, runState, otherInstanceRetryAfter};
     }
+    if (reason == RefusalReason::DataCentreEvacuated) {
+        return Refusal{reason, runState, noServerRetryAfter};
+    }
     if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target)) {
         return Refusal{reason, runState, std::chrono::ceil<std::chrono::seconds>(std::max(*pausedUntil - now, Duration::zero()))};
     }
@@ -59,7 +62,7 @@
                 if (!request.has_value()) {
                     break;
                 }
-                this->reject(*request, RefusalReason::NoServer, now);
+                this->reject(*request, this->noServerReason(target), now);
             }
         }
     }
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -152,6 +152,21 @@
     this->rebuildTargets();
 }
 
+void ServerPool::setEvacuated(const DataCentre &dataCentre, bool evacuated)
+{
+    const DataCentreIndex index = this->dataCentreNames.intern(dataCentre);
+    if (index >= this->evacuatedDataCentres.size()) {
+        this->evacuatedDataCentres.resize(index + 1, false);
+    }
+    this->evacuatedDataCentres[index] = evacuated;
+    this->rebuildTargets();
+}
+
+bool ServerPool::isEvacuated(const ServerState &state) const
+{
+    return state.dataCentre < this->evacuatedDataCentres.size() && this->evacuatedDataCentres[state.dataCentre];
+}
+
 void ServerPool::setStragglerDetection(bool enabled)
 {
     this->detectsStragglers = enabled;
@@ -403,7 +418,7 @@
             = std::any_of(state.memberships.begin(), state.memberships.end(), [target](const TargetMembership &membership) {
                   return membership.target == target;
               });
-        if (isMember && state.present && !state.leaving) {
+        if (isMember && state.present && !state.leaving && !this->isEvacuated(state)) {
             present.emplace_back(state.id, index);
         }
     }
@@ -418,14 +433,16 @@
 bool ServerPool::isExcluded(ServerIndex index) const
 {
     const ServerState &state = this->servers[index];
-    return state.cheap && state.dataCentre < this->excludedDataCentres.size() && this->excludedDataCentres[state.dataCentre];
+    const bool isReclaimed
+        = state.cheap && state.dataCentre < this->excludedDataCentres.size() && this->excludedDataCentres[state.dataCentre];
+    return isReclaimed || this->isEvacuated(state);
 }
 
 bool ServerPool::isUsable(const ServerState &state) const
 {
     const bool excluded
         = state.cheap && state.dataCentre < this->excludedDataCentres.size() && this->excludedDataCentres[state.dataCentre];
-    return state.present && !state.leaving && !excluded && !isLeftToOthers(state);
+    return state.present && !state.leaving && !excluded && !this->isEvacuated(state) && !isLeftToOthers(state);
 }
 
 bool ServerPool::isLeftToOthers(const ServerState &state)
@@ -448,6 +465,7 @@
         target.freeOrdinarySlots = 0;
         target.freeCheapSlots = 0;
         target.otherInstancesCount = 0;
+        target.evacuatedCount = 0;
         std::fill(target.cheapByDataCentre.begin(), target.cheapByDataCentre.end(), CheapCapacity());
     }
     for (ServerIndex index = 0; index < this->servers.size(); ++index) {
@@ -456,10 +474,8 @@
                 membership.position = static_cast<std::uint32_t>(this->targets[membership.target].candidates.size());
                 this->addCandidate(index, membership);
             }
-        } else if (this->servers[index].present && !this->servers[index].leaving && isLeftToOthers(this->servers[index])) {
-            for (const TargetMembership &membership : this->servers[index].memberships) {
-                ++this->targets[membership.target].otherInstancesCount;
-            }
+        } else if (this->servers[index].present && !this->servers[index].leaving) {
+            this->countUnusable(this->servers[index]);
         }
     }
     for (ServerIndex index = 0; index < this->servers.size(); ++index) {
@@ -468,6 +484,18 @@
     this->medianSamples.reserve(this->servers.size());
 }
 
+void ServerPool::countUnusable(const ServerState &state)
+{
+    for (const TargetMembership &membership : state.memberships) {
+        Target &target = this->targets[membership.target];
+        if (this->isEvacuated(state)) {
+            ++target.evacuatedCount;
+        } else if (isLeftToOthers(state)) {
+            ++target.otherInstancesCount;
+        }
+    }
+}
+
 void ServerPool::addCandidate(ServerIndex index, const TargetMembership &membership)
 {
     const ServerState &state = this->servers[index];
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,8 +22,34 @@
 /** The configurations and servers' entries in the store. */
 struct FakeStore {
     std::vector<PublishedConfig> configs;
+    std::vector<EvacuationChange> evacuations; // each at the offset of a repeated configuration
     std::vector<ServerChange> entries;
 
+    void evacuate(const DataCentre &dataCentre, bool evacuated)
+    {
+        this->evacuations.push_back({dataCentre, evacuated, this->configs.size()});
+        this->configs.push_back(this->configs.back());
+    }
+
+    /** Returns the records from @p from on, or the newest of each data centre that is evacuated. */
+    std::vector<EvacuationChange> evacuationsSince(std::optional<std::uint64_t> from) const
+    {
+        std::map<DataCentre, EvacuationChange> newest;
+        std::vector<EvacuationChange> since;
+        for (const EvacuationChange &change : this->evacuations) {
+            newest.insert_or_assign(change.dataCentre, change);
+            if (from.has_value() && change.offset >= *from) {
+                since.push_back(change);
+            }
+        }
+        for (const auto &[dataCentre, change] : newest) {
+            if (!from.has_value() && change.isEvacuated) {
+                since.push_back(change);
+            }
+        }
+        return since;
+    }
+
     void publish(std::uint64_t version)
     {
         PublishedConfig config;
@@ -110,6 +137,8 @@
         ConfigReadResult reading;
         reading.nextOffset = this->store.configs.size();
         reading.isAtEnd = true;
+        reading.isComplete = !from.has_value();
+        reading.evacuations = this->store.evacuationsSince(from);
         if (reading.nextOffset > begin) {
             reading.newest = this->store.configs.back();
         }
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -108,6 +108,33 @@
     EXPECT_LE(*this->follower.directory.confirmedAt(), published) << "relays must not confirm an older configuration";
 }
 
+TEST_F(RelaysTest, ReadsAnEvacuationAndItsEndWhenARelayHasThem)
+{
+    const DataCentre dataCentre("b");
+    this->store.evacuate(dataCentre, true);
+    this->runHeartbeats(2 * heartbeatInterval);
+    EXPECT_TRUE(this->follower.directory.evacuations().isEvacuated(dataCentre));
+    this->store.evacuate(dataCentre, false);
+    this->runHeartbeats(2 * heartbeatInterval);
+    EXPECT_FALSE(this->follower.directory.evacuations().isEvacuated(dataCentre));
+}
+
+// An instance that the store refuses must not go on for long with requests to a data centre that was evacuated meanwhile.
+TEST_F(RelaysTest, AnInstanceThatCannotReadAnEvacuationIsNotConfirmed)
+{
+    this->runHeartbeats(2s);
+    this->follower.isStoreUnreachable = true;
+    this->store.evacuate(DataCentre("b"), true);
+    const TimePoint evacuated = RuntimeClock::now();
+    this->runHeartbeats(6s);
+    EXPECT_FALSE(this->follower.directory.evacuations().isEvacuated(DataCentre("b")));
+    ASSERT_TRUE(this->follower.directory.confirmedAt().has_value());
+    EXPECT_LE(*this->follower.directory.confirmedAt(), evacuated);
+    this->follower.isStoreUnreachable = false;
+    this->runHeartbeats(1s);
+    EXPECT_TRUE(this->follower.directory.evacuations().isEvacuated(DataCentre("b")));
+}
+
 TEST_F(RelaysTest, ReadsTheStoreWhenItsRelaysCannotReachIt)
 {
     this->runHeartbeats(2s);
--- a/tests/state/fleetplanner_test.cpp
+++ b/tests/state/fleetplanner_test.cpp
@@ -138,3 +138,23 @@
     EXPECT_TRUE(dueOrders(planner, {1, 7}, TimePoint(6s), 3.0).empty()) << "the load has been known only for a moment";
     EXPECT_EQ(dueOrders(planner, {1, 7}, TimePoint(20s), 3.0), (std::vector<FleetOrder>{{dataCentre, 2, true}}));
 }
+
+TEST(FleetPlanner, OrdersNothingInAnEvacuatedDataCentreAndWhatIsMissingElsewhere)
+{
+    const DataCentre second("d1");
+    ScalingRules twoDataCentres = rules();
+    twoDataCentres.ordinaryPrices = {{dataCentre, 1.0}, {second, 1.0}};
+    const std::map<DataCentre, ServerCounts> serving{{dataCentre, {1, 3}}, {second, {1, 3}}};
+    FleetPlanner planner(noHeadroom);
+    for (const FleetOrder &order : planner.dueOrders(twoDataCentres, serving, BusyServers{8.0, 8.0}, TimePoint())) {
+        EXPECT_EQ(order.count, 3U);
+        planner.onOrderResult(order, FleetOrderResult::Accepted, TimePoint());
+    }
+    const std::vector<FleetOrder> orders
+        = planner.dueOrders(twoDataCentres, serving, BusyServers{8.0, 8.0}, TimePoint(1s), {dataCentre});
+    EXPECT_EQ(orders, (std::vector<FleetOrder>{{second, 7, true}})) << "eight servers, which is also the limit";
+    EXPECT_TRUE(planner.dueOrders(twoDataCentres, serving, BusyServers{80.0, 80.0}, TimePoint(2s), {dataCentre, second}).empty());
+    for (const FleetOrder &order : planner.dueOrders(twoDataCentres, {}, BusyServers{8.0, 8.0}, TimePoint(3s), {second})) {
+        EXPECT_EQ(order.dataCentre, dataCentre) << "the servers lost meanwhile are replaced after the return";
+    }
+}
