--- a/src/app/adminhandler.cpp
+++ b/src/app/adminhandler.cpp
@@ -51,6 +51,18 @@
     return list;
 }
 
+nlohmann::json evacuationsOf(const Controller &controller)
+{
+    nlohmann::json evacuations = nlohmann::json::array();
+    for (const auto &[dataCentre, state] : controller.evacuations()) {
+        if (state.isEvacuated) {
+            const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now() - state.since);
+            evacuations.push_back({{"dataCentre", dataCentre.text()}, {"offset", state.offset}, {"forMs", ago.count()}});
+        }
+    }
+    return evacuations;
+}
+
 nlohmann::json accountsOf(const WindowCounts &counts)
 {
     nlohmann::json accounts = nlohmann::json::array();
@@ -155,6 +167,7 @@
         {"waiting", traffic.waiting},
         {"running", traffic.running},
         {"coldServers", coldServersOf(traffic.coldServers)},
+        {"evacuated", evacuationsOf(this->controller)},
     };
     return jsonResponse(200, body.dump());
 }
@@ -202,10 +215,14 @@
 HttpResponse AdminHandler::backendsResponse() const
 {
     nlohmann::json backends = nlohmann::json::array();
+    const auto isEvacuated = [this](const DataCentre &dataCentre) {
+        const auto known = this->controller.evacuations().find(dataCentre);
+        return known != this->controller.evacuations().end() && known->second.isEvacuated;
+    };
     for (const BackendServer &server : backendServersOf(*this->controller.config())) {
         backends.push_back({{"id", server.id.text()}, {"endpoint", server.endpoint.text()},
             {"dataCentre", server.dataCentre.text()}, {"leaving", server.leaving}, {"cheap", server.cheap},
-            {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
+            {"evacuated", isEvacuated(server.dataCentre)}, {"slots", server.slots}, {"inFlightHere", this->inFlight(server.id)}});
     }
     return jsonResponse(200, nlohmann::json{{"backends", std::move(backends)}}.dump());
 }
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -274,6 +274,14 @@
         hooks.onServersConfirmed = [this](TimePoint confirmedAt) {
             this->peerTraffic.onServersConfirmed(confirmedAt);
         };
+        hooks.setEvacuated = [this](const DataCentre &dataCentre, bool evacuated) {
+            this->gate.update([&dataCentre, evacuated](Dispatcher &dispatcher, TimePoint now) {
+                dispatcher.setEvacuated(dataCentre, evacuated, now);
+                if (!evacuated) {
+                    dispatcher.onDataCentreReturned(dataCentre, now);
+                }
+            });
+        };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
         };
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -230,6 +230,11 @@
     this->implementation->setExcluded(dataCentre, false);
 }
 
+void Dispatcher::setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now)
+{
+    this->implementation->setEvacuated(dataCentre, evacuated, now);
+}
+
 void Dispatcher::setInstanceCount(std::uint32_t count)
 {
     this->implementation->pool.setInstanceCount(count);
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -87,6 +87,9 @@
         return false;
     }
     const RequestRecord &record = this->requests.record(*index);
+    if (this->pool.isEvacuated(record.server)) {
+        return false;
+    }
     this->pool.advanceTo(now);
     const std::optional<ColdState> &cold = this->pool.server(record.server).cold;
     const bool isAllowed = !cold.has_value() || cold->startsLeft() > 0;
@@ -218,7 +221,7 @@
         return RefusalReason::Unreachable;
     }
     if (!this->pool.hasUsableServer(record.entry.target, record.entry.cheapAllowed)) {
-        return RefusalReason::NoServer;
+        return this->noServerReason(record.entry.target);
     }
     if (this->isPausedPastDeadline(record)) {
         return RefusalReason::NoServer;
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -47,6 +47,8 @@
     void setServers(const std::vector<BackendServer> &servers, TimePoint now);
     void drain(TimePoint end);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
+    void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
+    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
     void applyPeerServedTokens(const ServedTokensReport &report);
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
     void forecastTierWaits(const ModelName &model, const ServiceName &service, TimePoint now, std::vector<TierWait> &waits);
@@ -56,7 +58,6 @@
     void rateLimitReports(std::vector<ServerRateLimit> &reports, TimePoint now);
     void updateRateShares(TimePoint now);
     void updateRejectionShares(TimePoint now);
-    void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
     void onServersConfirmed(TimePoint confirmedAt, TimePoint now);
     /** Updates which servers are treated as cold, and this instance's shares of these. */
     void updateColdServers(TimePoint now);
@@ -109,6 +110,7 @@
 
 private:
     static constexpr std::chrono::seconds otherInstanceRetryAfter{1}; // if other instances can serve the request
+    static constexpr std::chrono::seconds noServerRetryAfter{5};
 
     // Class parameters that determine how requests are queued.
     struct ClassKey {
@@ -146,6 +148,8 @@
     void refreshColdServers(TimePoint now);
     ColdServerStatus coldStatus(ServerIndex server, TimePoint now) const;
     Refusal refuseWithoutServer(std::optional<TargetIndex> target) const;
+    /** Returns why the target has no usable server. */
+    RefusalReason noServerReason(TargetIndex target) const;
     /** Returns why the request must not run, or nothing if it may. */
     std::optional<RefusalReason> quarantineReason(
         std::uint64_t fingerprint, const std::vector<std::uint64_t> &promptParts, TimePoint now) const;
