A leader that loses the store says so before its lease ends

Ruled out: claims that failed (none was sent before 14.3 s), writers that died (they are not waited for beyond one window).

Change: a leader says so only while at most one renewal has failed; a peer that hears that its leader no longer leads reads the log at once instead of after the silence. The log alone decides who leads, as before.

--- a/include/flamingosaddle/control/dutylog.h
+++ b/include/flamingosaddle/control/dutylog.h
@@ -56,11 +56,18 @@
     void enqueueDecision(std::string key, std::string value);
     /** Records a heartbeat of a peer that is the leader. */
     void recordLeaderHeartbeat();
+    /** Records that a peer no longer says that it is the leader, so that the log is read at once. */
+    void recordLeaderLoss();
     /** Gives up the leader lease because a call was refused: a higher fencing number was seen. */
     void stepDown();
 
     // Queries.
     bool isLeading() const;
+    /**
+     * Returns whether this instance leads and renews its lease in time. One that cannot, because it has lost the store, tells
+     * its peers in time that they have to look for another leader.
+     */
+    bool isLeadingSafely() const;
     FencingToken fencingToken() const;
     /** Returns a function for the remaining time of the current lease, zero when it has ended or its fencing number changed. */
     DutyHooks::Permission permission() const;
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -29,7 +29,7 @@
 struct PeerExchangeHooks {
     std::function<std::uint64_t()> configOffset; ///< next offset of the config stream
     std::function<bool()> hasFreshConfig; ///< whether this instance read the config stream to its end within the freshness limit
-    std::function<bool()> isLeader; ///< whether this instance holds the leader lease
+    std::function<bool()> isLeader; ///< whether this instance holds the leader lease and renews it in time
     std::function<std::string()> configSnapshot;
     std::function<std::vector<KeyId>()> tombstones; ///< keys whose withdrawal may not be in the log yet
     std::function<QuarantinesMessage()> deathCounts; ///< deaths of backend servers that a newly connected peer may have missed
@@ -50,6 +50,7 @@
     /** The live peers that take forwarded requests, at each change. */
     std::function<void(const std::vector<PeerPath> &)> onPeerPaths;
     std::function<void()> onLeaderHeartbeat; ///< a heartbeat of a peer that is the leader has arrived
+    std::function<void()> onLeaderLoss; ///< the peer that was the leader says that it no longer is, or cannot renew its lease
     std::function<void(const QuarantinesMessage &)> onQuarantines;
     std::function<void(std::size_t)> onServingCount; ///< number of serving instances, including this one
 
@@ -181,6 +182,7 @@
     std::optional<Endpoint> forwardAddress;
     std::set<BackendServerId> reportedServers; ///< servers whose load was reported in the last interval
     std::map<InstanceId, Endpoint> announcedInstances; ///< instances that were sent to the peers
+    std::optional<InstanceId> leader; ///< the peer that last said to be the leader, until it says that it no longer is
     std::map<InstanceId, PeerConfig> peerConfigs; ///< from the last heartbeat of each peer
     std::shared_ptr<const EncodedMessage> currentHeartbeat; ///< heartbeat of this interval, shared by all links
     std::set<InstanceId> quorumMembers; ///< members known when any instance last read the log, and members that joined since
--- a/include/flamingosaddle/state/leadership.h
+++ b/include/flamingosaddle/state/leadership.h
@@ -73,6 +73,8 @@
     /** Returns the fencing number of the last lease, which may have expired; 0 if there was none or it was dropped. */
     std::uint64_t fencingNumber() const;
     bool isRenewalDue(TimePoint now) const;
+    /** Returns whether the lease is held and at most one renewal has failed to take effect in time. */
+    bool isRenewed(TimePoint now) const;
     bool mayClaim(TimePoint now) const;
     const std::optional<LeadershipRecord> &newestRecord() const;
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -501,11 +501,14 @@
         return confirmedAt && RuntimeClock::now() - *confirmedAt <= this->controllerOptions.freshnessLimit;
     };
     peerHooks.isLeader = [this] {
-        return this->duties->log.isLeading();
+        return this->duties->log.isLeadingSafely();
     };
     peerHooks.onLeaderHeartbeat = [this] {
         this->duties->log.recordLeaderHeartbeat();
     };
+    peerHooks.onLeaderLoss = [this] {
+        this->duties->log.recordLeaderLoss();
+    };
     peerHooks.configSnapshot = [this] {
         return encodeConfigSnapshot(*this->config());
     };
--- a/src/control/dutylog.cpp
+++ b/src/control/dutylog.cpp
@@ -59,6 +59,12 @@
     this->lastLeaderHeartbeatAt = RuntimeClock::now();
 }
 
+void DutyLog::recordLeaderLoss()
+{
+    this->lastLeaderHeartbeatAt.reset();
+    this->isReadRequested = true;
+}
+
 bool DutyLog::hasRecentLeaderHeartbeat(TimePoint now) const
 {
     return this->lastLeaderHeartbeatAt.has_value() && now < *this->lastLeaderHeartbeatAt + this->options.leaderHeartbeatTimeout;
@@ -82,6 +88,11 @@
     return this->leadership.isHeld(RuntimeClock::now());
 }
 
+bool DutyLog::isLeadingSafely() const
+{
+    return this->leadership.isRenewed(RuntimeClock::now());
+}
+
 FencingToken DutyLog::fencingToken() const
 {
     return {this->options.self.instance, this->leadership.fencingNumber()};
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -245,7 +245,11 @@
         this->hooks.onRejectionLimits(message.rejectionLimits);
     }
     if (message.isLeader) {
+        this->leader = from.from.instance;
         this->hooks.onLeaderHeartbeat();
+    } else if (this->leader == from.from.instance) {
+        this->leader.reset();
+        this->hooks.onLeaderLoss();
     }
     if (this->options.usesPeerQuorum) {
         this->sendSnapshotIfBehind(message);
--- a/src/state/leadership.cpp
+++ b/src/state/leadership.cpp
@@ -103,6 +103,11 @@
     return now >= this->heldFrom + this->timing.leaseDuration / 3;
 }
 
+bool Leadership::isRenewed(TimePoint now) const
+{
+    return this->isHeld(now) && now < this->heldFrom + 2 * this->timing.leaseDuration / 3;
+}
+
 bool Leadership::mayClaim(TimePoint now) const
 {
     if (this->isHeld(now)
--- a/tests/control/duties_test.cpp
+++ b/tests/control/duties_test.cpp
@@ -148,6 +148,56 @@
             + 3 * options.tickInterval);
 }
 
+namespace
+{
+
+constexpr Duration heartbeatInterval = 250ms;
+
+/** Makes the calls of one instance to the log of duties fail. */
+void loseStore(Instance &instance)
+{
+    instance.hooks.appendDuty = [](std::string, std::string, std::uint64_t) -> DutyHooks::AsyncResult<std::uint64_t> {
+        co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+    };
+    instance.hooks.readDuties = [](std::optional<std::uint64_t>) -> DutyHooks::AsyncResult<KeyedReadResult> {
+        co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+    };
+}
+
+} // namespace
+
+// A leader that loses the store but not its peers went on to say that it leads until its lease had ended. Others read the log a
+// second later, and counted the lease of a record that was older than the lease from then on: 6 s without a leader.
+TEST_F(DutiesTest, ALeaderThatLosesTheStoreIsSucceededSoon)
+{
+    this->startBoth();
+    Instance &first = this->leader();
+    Instance &second = &first == &this->a ? this->b : this->a;
+    bool wasLeading = false;
+    const auto exchangeHeartbeat = [this, &first, &second, &wasLeading] {
+        if (first.log.isLeadingSafely()) {
+            second.log.recordLeaderHeartbeat();
+        } else if (wasLeading) {
+            second.log.recordLeaderLoss();
+        }
+        wasLeading = first.log.isLeadingSafely();
+        advanceTime(this->context, heartbeatInterval);
+    };
+    for (int heartbeat = 0; heartbeat < 20; ++heartbeat) {
+        exchangeHeartbeat();
+    }
+    loseStore(first);
+    const TimePoint lostAt = RuntimeClock::now();
+    while (!second.log.isLeading() && RuntimeClock::now() < lostAt + 30s) {
+        exchangeHeartbeat();
+    }
+    ASSERT_TRUE(second.log.isLeading());
+    const DutyLog::Options options;
+    EXPECT_LE(RuntimeClock::now() - lostAt,
+        2 * options.timing.leaseDuration / 3 + heartbeatInterval + options.timing.leaseDuration + options.timing.clockMargin
+            + options.claimJitter + options.tickInterval);
+}
+
 TEST_F(DutiesTest, AnIneligibleInstanceDoesNotReadTheLog)
 {
     Instance other(this->duties.hooks(), "c", this->unixTime);
--- a/tests/control/peerexchange_test.cpp
+++ b/tests/control/peerexchange_test.cpp
@@ -53,6 +53,7 @@
             return false;
         };
         hooks.onLeaderHeartbeat = [] {};
+        hooks.onLeaderLoss = [] {};
         hooks.configSnapshot = [] {
             return std::string();
         };
