--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -70,6 +70,8 @@
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t maxConnections = 4096;
+    std::size_t memoryMegabytes = 0; ///< of the machine; 0 for what the system reports
+    std::size_t maxDescriptors = 0; ///< that the process may open; 0 for no limit
     std::chrono::milliseconds headerTimeout{10000};
     std::chrono::milliseconds bodyTimeout{30000};
     std::chrono::milliseconds idleTimeout{120000};
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -40,6 +40,7 @@
         systemTime; ///< returns the system clock's time since the Unix epoch, including clock steps
     std::vector<Endpoint> seedPeers; ///< contacted in addition to the platform's list of instances
     PeerTiming peerTiming;
+    PeerServerLimits peerLimits{};
     std::uint64_t seed = 1;
 };
 
@@ -50,6 +51,7 @@
 struct ControllerHooks {
     std::function<void(std::shared_ptr<const RoutingSnapshot>)> publishSnapshot;
     std::function<void(const std::vector<BackendServer> &)> setServers;
+    std::function<void(const PublishedLimits &)> onCallerLimits; ///< of a configuration that came into force; may be empty
     std::function<void(const KeyId &)> onKeyWithdrawn; ///< must end the exchanges that run with the key
     std::function<void(HeartbeatMessage &)> fillTrafficState; ///< fills in the message's fields on traffic
     std::function<void(const std::vector<ServerLoad> &)> onPeerLoads;
--- a/include/flamingosaddle/control/peerexchange.h
+++ b/include/flamingosaddle/control/peerexchange.h
@@ -73,6 +73,7 @@
     DataCentre dataCentre;
     std::vector<Endpoint> seeds; ///< contacted in addition to the platform's list of instances
     PeerTiming timing;
+    PeerServerLimits limits{};
     MembershipTiming membership;
     Duration instanceListInterval = std::chrono::seconds(2); ///< between two reads of the platform's list of instances
     /** Relays per data centre. With two, the loss of one leaves no gap. */
--- a/include/flamingosaddle/http/message.h
+++ b/include/flamingosaddle/http/message.h
@@ -55,6 +55,15 @@
     std::string target = "/"; ///< path and query
     HttpHeaders headers;
     std::string body;
+    /**
+     * Sent in place of an empty body; belongs to another request, which outlives the sending. A large body is kept once.
+     */
+    std::string_view borrowedBody{};
+
+    /**
+     * The bytes that are sent as the body.
+     */
+    std::string_view payload() const;
 
     /**
      * The target without its query.
--- a/include/flamingosaddle/http/server.h
+++ b/include/flamingosaddle/http/server.h
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/base/endpoint.h>
+#include <flamingosaddle/base/memoryguard.h>
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/http/message.h>
 
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -72,10 +74,43 @@
      * What a handler keeps on the connection from one exchange to the next; destroyed with the connection.
      */
     virtual std::shared_ptr<void> &connectionState() = 0;
+    /**
+     * Records that the handler keeps @p bytes of an answer that is not written yet. Returns whether it may keep more; if not, it
+     * should write what it has.
+     */
+    virtual bool holdAnswer(std::size_t bytes)
+    {
+        static_cast<void>(bytes);
+        return true;
+    }
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
 
+/**
+ * What a server decides on the head of a request whose body is still to come.
+ */
+struct HeadDecision {
+    std::optional<HttpResponse> refusal; ///< answered at once, without reading the body
+    std::string clientAccount; ///< that the request belongs to; empty if it is not known
+
+    HeadDecision() = default;
+};
+
+using HeadCheck = std::function<HeadDecision(const HttpRequest &head)>;
+
+/**
+ * Limits that an operator can change while the server runs.
+ */
+struct CallerLimits {
+    std::size_t maxHeaderBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    Duration headerTimeout = Duration::zero();
+    Duration idleTimeout = Duration::zero();
+
+    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
 /**
  * Accepts connections on one address and runs the handler once for each request. Malformed, oversized and slow requests
  * are answered by the server itself through the errorResponse hook and the connection is closed.
@@ -101,6 +136,8 @@
     virtual void drain() = 0;
     /** Closes everything at once. */
     virtual void stop() = 0;
+    /** Replaces the limits, for requests that begin from now on. Those that are zero stay as they are. */
+    virtual void setCallerLimits(const CallerLimits &limits) = 0;
 };
 
 class HttpServer::Builder
@@ -111,6 +148,16 @@
     Builder &handler(HttpHandler handler);
     /** Turns an error of the server itself (malformed, too large, timeout) into its answer. */
     Builder &errorResponse(std::function<HttpResponse(const Error &)> hook);
+    /** Called with the head of a request whose body does not come with it, on the connection's executor. */
+    Builder &headCheck(HeadCheck check);
+    /**
+     * Lets the server close the connection that waits longest for its caller, for a new one at the limit of connections, and
+     * calls
+     * @p hook then, on any thread. Without it, or if all connections carry requests, the new one is turned away.
+     */
+    Builder &onConnectionClosed(std::function<void()> hook);
+    /** Accounts for the memory of all connections. Servers without a guard have no limit on them together. */
+    Builder &memory(std::shared_ptr<MemoryGuard> guard, MemoryOwner owner);
     /**
      * The contexts that connections are spread over, one thread each. The caller runs them and keeps them alive longer
      * than the server.
@@ -125,6 +172,10 @@
     HttpServerLimits serverLimits;
     HttpHandler requestHandler;
     std::function<HttpResponse(const Error &)> errorHook;
+    std::function<void()> closedHook;
+    HeadCheck checkHead;
+    std::shared_ptr<MemoryGuard> memoryGuard;
+    MemoryOwner memoryOwner = MemoryOwner::Callers;
     std::vector<boost::asio::io_context *> executionContexts;
 };
 
--- a/include/flamingosaddle/peer/peerserver.h
+++ b/include/flamingosaddle/peer/peerserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <flamingosaddle/base/endpoint.h>
+#include <flamingosaddle/base/memoryguard.h>
 #include <flamingosaddle/base/result.h>
 #include <flamingosaddle/peer/message.h>
 #include <flamingosaddle/peer/timing.h>
@@ -14,10 +15,18 @@
 namespace flamingosaddle
 {
 
+/**
+ * Limits on what other instances may make a PeerServer hold.
+ */
+struct PeerServerLimits {
+    std::size_t maxConnections = 4096;
+    std::shared_ptr<MemoryGuard> memory; ///< accounts for frames that are being read; empty for no account
+};
+
 struct PeerServerOptions {
     Endpoint listen; ///< port 0 selects a free port
     PeerTiming timing;
-    std::size_t maxConnections = 4096;
+    PeerServerLimits limits{};
     std::function<StoreProgress()> progress; ///< progress to report in each acknowledgement; empty to report none
 };
 
@@ -33,7 +42,8 @@
     std::uint64_t oversizedFrames = 0; ///< frames over the size limit
     std::uint64_t sequenceViolations = 0; ///< frames out of sequence, and replayed connections
     std::uint64_t receiveTimeouts = 0; ///< connections closed because no frame arrived in time
-    std::uint64_t rejectedConnections = 0; ///< connections closed because maxConnections was reached
+    std::uint64_t refusedFrames = 0; ///< frames for which there was no memory
+    std::uint64_t rejectedConnections = 0; ///< connections closed because the limit of connections was reached
 
     friend bool operator==(const PeerServerCounters &, const PeerServerCounters &) = default;
 };
--- a/include/flamingosaddle/relay/callerhandler.h
+++ b/include/flamingosaddle/relay/callerhandler.h
@@ -63,6 +63,9 @@
      */
     void limitDeadlines(TimePoint deadline);
 
+    /** Decides on the head of a request whose body is still to come: answers those that no route or no key admits. */
+    HeadDecision checkHead(const HttpRequest &head) const;
+
     /** Returns handle() as a handler for HttpServer. */
     HttpHandler handler() const;
     /** Returns handleForwarded() as a handler for the HttpServer that only peers reach. */
--- a/include/flamingosaddle/relay/protocoladapter.h
+++ b/include/flamingosaddle/relay/protocoladapter.h
@@ -39,6 +39,11 @@
     std::function<std::string(const HttpRequest &request)> requestId;
     /** Authenticates the request and determines its destination. */
     std::function<Result<RoutedRequest>(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now)> route;
+    /**
+     * Decides on the head alone whether a request can be admitted, as route() does, and returns its client account, which is
+     * empty for open routes. Fails with NotFound, Unauthorized or Forbidden only where route() would fail, too. May be empty.
+     */
+    std::function<Result<ClientAccountId>(const RoutingSnapshot &snapshot, const HttpRequest &head, TimePoint now)> admitHead;
     /** Builds the request that is sent to the backend server. */
     std::function<HttpRequest(const BackendRequestContext &context)> buildBackendRequest;
     /** Matches a response head with the request that was sent. */
--- a/include/flamingosaddle/state/publishedconfig.h
+++ b/include/flamingosaddle/state/publishedconfig.h
@@ -39,6 +39,18 @@
     friend bool operator==(const ServiceRules &, const ServiceRules &) = default;
 };
 
+/**
+ * Limits on what callers send. A limit that is zero is not set.
+ */
+struct PublishedLimits {
+    std::uint64_t maxHeaderBytes = 0;
+    std::uint64_t maxBodyBytes = 0;
+    std::chrono::milliseconds headerTimeout{0};
+    std::chrono::milliseconds idleTimeout{0};
+
+    friend bool operator==(const PublishedLimits &, const PublishedLimits &) = default;
+};
+
 /**
  * A complete configuration as an operator publishes it.
  */
@@ -47,6 +59,7 @@
     std::uint64_t offset = 0; ///< offset of its record
     ConfigObjects objects; ///< without backend servers, which register themselves
     std::vector<ServiceRules> services;
+    PublishedLimits limits{};
 
     friend bool operator==(const PublishedConfig &, const PublishedConfig &) = default;
 };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,6 +1,8 @@
 #include <flamingosaddle/app/daemon.h>
 
 #include <flamingosaddle/app/adminhandler.h>
+#include <flamingosaddle/app/callermemory.h>
+#include <flamingosaddle/app/daemonoptions.h>
 #include <flamingosaddle/app/executioncontext.h>
 #include <flamingosaddle/app/pathlog.h>
 #include <flamingosaddle/app/peertraffic.h>
@@ -43,90 +45,12 @@
 constexpr std::chrono::milliseconds drainAnswerTime(200); // at the end of a drain, for answers to reach their callers
 constexpr std::size_t forwardingHeaderBytes = 1024; // that an instance adds to a request which it forwards
 
-InstanceId instanceIdOf(const Settings &settings, std::uint64_t seed)
-{
-    if (!settings.instanceId.isEmpty()) {
-        return settings.instanceId;
-    }
-    return InstanceId(settings.dataCentre.text() + "-" + std::to_string(seed));
-}
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-HttpServerLimits limitsOf(const Settings &settings)
-{
-    HttpServerLimits limits;
-    limits.maxHeaderBytes = settings.maxHeaderBytes;
-    limits.maxBodyBytes = settings.maxBodyBytes;
-    limits.maxConnections = settings.maxConnections;
-    limits.headerTimeout = settings.headerTimeout;
-    limits.bodyTimeout = settings.bodyTimeout;
-    limits.idleTimeout = settings.idleTimeout;
-    limits.writeTimeout = settings.writeTimeout;
-    return limits;
-}
-
-CallerOptions callerOptionsOf(const Settings &settings, const InstanceId &instance)
-{
-    CallerOptions options;
-    options.pool.connectTimeout = settings.connectTimeout;
-    options.pool.idleTimeout = settings.backendIdleLimit;
-    options.headTimeout = settings.firstByteTimeout;
-    options.progressTimeout = settings.progressTimeout;
-    const bool ownLog = settings.configuration == ConfigurationSource::Log;
-    options.freshnessLimit = settings.freshnessLimit;
-    options.instance = instance;
-    options.closeOnKeyWithdrawal = ownLog;
-    options.pool.confirmDeathByReconnect = !ownLog;
-    options.pool.allowBodyUntilClose = !ownLog;
-    return options;
-}
-
-DispatcherOptions dispatcherOptionsOf(const Settings &settings, std::uint64_t seed)
-{
-    DispatcherOptions options;
-    options.maxWaiting = settings.maxWaiting;
-    options.retryPercent = static_cast<std::uint32_t>(settings.retryPercent);
-    options.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
-    options.quarantineDeaths = static_cast<std::uint32_t>(settings.quarantineDeaths);
-    options.exemptUnsentAttempts = settings.configuration == ConfigurationSource::Operator;
-    options.confirmDeathsByPathCheck = true;
-    options.serializeSuspects = settings.configuration == ConfigurationSource::Log;
-    options.resendLimit
-        = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
-    options.seed = seed;
-    return options;
-}
-
-std::chrono::milliseconds wallMilliseconds()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
-ControllerOptions controllerOptionsOf(const Settings &settings, std::uint64_t seed)
-{
-    ControllerOptions options;
-    options.self = {instanceIdOf(settings, seed), static_cast<std::uint64_t>(wallMilliseconds().count())};
-    options.dataCentre = settings.dataCentre;
-    options.freshnessLimit = settings.freshnessLimit;
-    options.leaseDuration = settings.leaseDuration;
-    options.usageFlushInterval = settings.usageFlushInterval;
-    options.usageWindow = std::chrono::duration_cast<std::chrono::seconds>(settings.usageWindow);
-    options.snapshotRecordInterval = settings.snapshotRecordInterval;
-    options.wallTime = [] {
-        return std::chrono::duration_cast<std::chrono::seconds>(wallMilliseconds());
-    };
-    options.systemTime = wallMilliseconds;
-    options.seedPeers = settings.seedPeers;
-    options.peerTiming.heartbeatInterval = settings.heartbeatInterval;
-    options.seed = seed;
-    return options;
-}
-
 } // namespace
 
 class Daemon::Implementation
@@ -140,10 +64,11 @@
         , gate(Dispatcher(dispatcherOptionsOf(settings, this->seed)), this->controlContext.get_executor(), this->gateHooks())
         , peerTraffic(this->gate)
         , controller(this->controlContext, this->integration.platform, this->integration.directory, this->integration.duties,
-              controllerOptionsOf(settings, this->seed), this->controllerHooks())
+              this->controllerOptions(), this->controllerHooks())
         , adminHandler(
               this->controller, this->metrics,
               [this] {
+                  this->callerMemory.updateMetrics();
                   return this->trafficStatus();
               },
               [this](const BackendServerId &server) {
@@ -169,12 +94,16 @@
         BOOST_OUTCOME_TRY(handler, this->callerHandlerBuilder().build());
         this->callerHandler = std::move(handler);
         HttpServer::Builder callers;
-        callers.listenOn(this->settings.listen).limits(limitsOf(this->settings)).contexts(this->workers.contexts());
-        callers.handler(this->callerHandler->handler());
+        this->callerMemory.configure(callers, limitsOf(this->settings), MemoryOwner::Callers);
+        callers.listenOn(this->settings.listen).contexts(this->workers.contexts());
+        callers.handler(this->callerHandler->handler()).headCheck([this](const HttpRequest &head) {
+            return this->callerHandler->checkHead(head);
+        });
         BOOST_OUTCOME_TRY(callerListener, callers.start());
         this->callerServer = std::move(callerListener);
         BOOST_OUTCOME_TRY(this->bindForward());
         HttpServer::Builder admin;
+        this->callerMemory.configure(admin, HttpServerLimits(), MemoryOwner::Operators);
         admin.listenOn(this->settings.adminListen).contexts({&this->controlContext});
         admin.handler([this](HttpExchange &exchange) {
             return this->adminHandler.handle(exchange);
@@ -216,6 +145,7 @@
             return success();
         }
         HttpServer::Builder ready;
+        this->callerMemory.configure(ready, HttpServerLimits(), MemoryOwner::Readiness);
         ready.listenOn(this->settings.readyListen).contexts({&this->controlContext});
         ready.handler([this](HttpExchange &exchange) {
             return this->adminHandler.handleReadiness(exchange);
@@ -230,7 +160,8 @@
         HttpServerLimits limits = limitsOf(this->settings);
         limits.maxHeaderBytes += forwardingHeaderBytes;
         HttpServer::Builder forwarded;
-        forwarded.listenOn(this->settings.forwardListen).limits(limits).contexts(this->workers.contexts());
+        this->callerMemory.configure(forwarded, limits, MemoryOwner::Forwarded);
+        forwarded.listenOn(this->settings.forwardListen).contexts(this->workers.contexts());
         forwarded.handler(this->callerHandler->forwardedHandler());
         BOOST_OUTCOME_TRY(forwardListener, forwarded.start());
         this->forwardServer = std::move(forwardListener);
@@ -238,6 +169,22 @@
         return success();
     }
 
+    ControllerOptions controllerOptions() const
+    {
+        ControllerOptions options = controllerOptionsOf(this->settings, this->seed);
+        options.peerLimits = this->callerMemory.peerLimits();
+        return options;
+    }
+
+    void applyCallerLimits(const PublishedLimits &published)
+    {
+        CallerLimits limits = callerLimitsOf(published);
+        this->callerServer->setCallerLimits(limits);
+        limits.maxHeaderBytes += limits.maxHeaderBytes > 0 ? forwardingHeaderBytes : 0;
+        limits.idleTimeout = Duration::zero(); // between instances, the settings hold
+        this->forwardServer->setCallerLimits(limits);
+    }
+
     void logStart() const
     {
         std::string ignored;
@@ -267,6 +214,9 @@
             this->gate.setServers(servers);
             this->peerTraffic.setServers(servers);
         };
+        hooks.onCallerLimits = [this](const PublishedLimits &limits) {
+            this->applyCallerLimits(limits);
+        };
         hooks.onKeyWithdrawn = [this](const KeyId &id) {
             this->keys.closeConnections(id);
         };
@@ -573,6 +523,7 @@
     PromptPartLog promptPartLog;
     PathLog pathLog;
     ExecutionContext controlContext{1};
+    CallerMemory callerMemory{this->settings, this->metrics, this->controlContext};
     WorkerThreads workers;
     ConnectionRegistry keys;
     AsyncDispatcher gate;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -37,6 +37,7 @@
     peers.dataCentre = options.dataCentre;
     peers.seeds = options.seedPeers;
     peers.timing = options.peerTiming;
+    peers.limits = options.peerLimits;
     // With a directory, only a relay's progress, which carries its age, confirms the configuration.
     peers.usesPeerQuorum = !hasDirectory;
     peers.seed = options.seed;
@@ -586,6 +587,9 @@
     if (!changed) {
         return;
     }
+    if (this->hooks.onCallerLimits && this->directory && this->directory->config().has_value()) {
+        this->hooks.onCallerLimits(this->directory->config()->limits);
+    }
     this->hooks.setServers(backendServersOf(*after));
     this->notifyWithdrawnKeys(before ? *before : ConfigState(), *after);
 }
--- a/src/control/peerexchange.cpp
+++ b/src/control/peerexchange.cpp
@@ -61,6 +61,7 @@
     PeerServerOptions serverOptions;
     serverOptions.listen = endpoint;
     serverOptions.timing = this->options.timing;
+    serverOptions.limits = this->options.limits;
     serverOptions.progress = this->hooks.progress;
     BOOST_OUTCOME_TRY(
         started, PeerServer::start(this->context, serverOptions, [this](const HelloMessage &from, const PeerMessage &message) {
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -97,7 +97,7 @@
 
 bool needsLength(const HttpRequest &request)
 {
-    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    return !request.payload().empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
 }
 
 } // namespace
@@ -123,14 +123,14 @@
 
 std::string ClientConnection::headOf(const HttpRequest &request) const
 {
-    HttpRequest head{request.method, request.target, request.headers, {}};
+    HttpRequest head{request.method, request.target, request.headers, {}, {}};
     head.headers.remove("Content-Length");
     head.headers.remove("Transfer-Encoding");
     if (!head.headers.has("Host")) {
         head.headers.add("Host", this->host);
     }
     if (needsLength(request)) {
-        head.headers.add("Content-Length", std::to_string(request.body.size()));
+        head.headers.add("Content-Length", std::to_string(request.payload().size()));
     }
     return requestHead(head);
 }
@@ -178,7 +178,7 @@
     this->parser.reset();
     this->body.clear();
     const std::string head = this->headOf(request);
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(request.body)};
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(request.payload())};
     boost::system::error_code error;
     this->startWait(RuntimeClock::now() + timeout);
     const std::size_t sent = co_await asio::async_write(this->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -96,6 +96,11 @@
     return this->list;
 }
 
+std::string_view HttpRequest::payload() const
+{
+    return this->body.empty() ? this->borrowedBody : std::string_view(this->body);
+}
+
 std::string_view HttpRequest::path() const
 {
     const std::string_view whole = this->target;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,6 +26,7 @@
 
 // Pause after a failed accept, for instance when no file descriptor is left.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr int unreadBytes = 64 * 1024; // of one connection, in the kernel
 
 /**
  * Accepts connections on the first context and spreads them over all.
@@ -51,6 +52,10 @@
         if (!error) {
             this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
         }
+        // Connections inherit it: bytes that are received and not read count towards the machine's memory. Not every system has
+        // it.
+        boost::system::error_code ignored;
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(unreadBytes), ignored);
         if (!error) {
             this->acceptor.bind(local, error);
         }
@@ -130,7 +135,8 @@
 
     void serve(tcp::socket socket)
     {
-        if (this->core->connectionCount >= this->core->limits.maxConnections) {
+        const bool isFull = this->core->connectionCount >= this->core->limits.maxConnections;
+        if (isFull && !(this->core->onConnectionClosed && this->core->closeLongestWaiting())) {
             this->turnAway(std::move(socket));
             return;
         }
@@ -219,6 +225,11 @@
         this->stopAll();
     }
 
+    void setCallerLimits(const CallerLimits &limits) override
+    {
+        this->core->callerLimits.assign(limits);
+    }
+
 private:
     void stopAll()
     {
@@ -274,6 +285,25 @@
     return *this;
 }
 
+HttpServer::Builder &HttpServer::Builder::headCheck(HeadCheck check)
+{
+    this->checkHead = std::move(check);
+    return *this;
+}
+
+HttpServer::Builder &HttpServer::Builder::onConnectionClosed(std::function<void()> hook)
+{
+    this->closedHook = std::move(hook);
+    return *this;
+}
+
+HttpServer::Builder &HttpServer::Builder::memory(std::shared_ptr<MemoryGuard> guard, MemoryOwner owner)
+{
+    this->memoryGuard = std::move(guard);
+    this->memoryOwner = owner;
+    return *this;
+}
+
 HttpServer::Builder &HttpServer::Builder::contexts(std::vector<asio::io_context *> contexts)
 {
     this->executionContexts = std::move(contexts);
@@ -287,7 +317,13 @@
     }
     auto core = std::make_shared<ServerCore>();
     core->limits = this->serverLimits;
+    core->callerLimits.assign({this->serverLimits.maxHeaderBytes, this->serverLimits.maxBodyBytes,
+        this->serverLimits.headerTimeout, this->serverLimits.idleTimeout});
     core->handler = this->requestHandler;
+    core->onConnectionClosed = this->closedHook;
+    core->checkHead = this->checkHead;
+    core->memory = this->memoryGuard;
+    core->memoryOwner = this->memoryOwner;
     core->errorHook = this->errorHook ? this->errorHook : flamingosaddle::errorResponse;
     auto listener = std::make_shared<Listener>(this->executionContexts, core);
     const boost::system::error_code error = listener->open(this->endpoint);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -55,10 +55,17 @@
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);
     ++this->core->connectionCount;
+    if (this->core->memory) {
+        this->core->memory->addConnection();
+    }
 }
 
 ServerConnection::~ServerConnection()
 {
+    this->releaseMemory();
+    if (this->core->memory) {
+        this->core->memory->removeConnection();
+    }
     const std::scoped_lock lock(this->core->mutex);
     this->core->connections.erase(this->id);
     --this->core->connectionCount;
@@ -122,6 +129,8 @@
 asio::awaitable<void> ServerConnection::refuse(const Error &error)
 {
     this->phase = Phase::Closing;
+    this->input = {};
+    this->releaseMemory();
     this->answer = Answer::None;
     this->keepAlive = false;
     HttpResponse response = this->core->errorHook(error);
@@ -139,7 +148,7 @@
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->watchdog.arm(lingerTimeout);
-    std::size_t budget = this->core->limits.maxBodyBytes;
+    std::size_t budget = this->core->callerLimits.maxBodyBytes;
     bool more = true;
     while (more && this->input.size() <= budget) {
         budget -= this->input.size();
@@ -239,11 +248,12 @@
         co_return success();
     }
     if (this->version == 10) {
-        if (this->heldBack.body.size() + piece.size() > this->core->limits.maxHeldBackBytes) {
+        const bool mayHold = this->holdAnswer(this->heldBack.body.size() + piece.size());
+        if (!mayHold || this->heldBack.body.size() + piece.size() > this->core->limits.maxHeldBackBytes) {
             this->closeNow();
             co_return fail(ErrorKind::TooLarge,
-                "the answer is over " + std::to_string(this->core->limits.maxHeldBackBytes)
-                    + " bytes, and HTTP/1.0 has no streams",
+                "the answer is too long to be kept (limit " + std::to_string(this->core->limits.maxHeldBackBytes)
+                    + " bytes), and HTTP/1.0 has no streams",
                 "use HTTP/1.1");
         }
         this->heldBack.body.append(piece);
@@ -308,10 +318,19 @@
     rest.consume(written);
     this->watchdog.arm(this->core->limits.writeTimeout);
     this->writing = true;
+    const bool isCounted = this->core->memory && (this->holder.has_value() || asio::buffer_size(rest) > uncountedBytes);
+    if (isCounted) {
+        this->setHeld(this->requestBytes + asio::buffer_size(rest));
+        this->beginPhase(MemoryAccount::Phase::Answering);
+    }
     boost::system::error_code error;
     co_await asio::async_write(this->socket, rest, awaitInto(error));
     this->writing = false;
     this->watchdog.disarm();
+    if (isCounted) {
+        this->setHeld(this->requestBytes);
+        this->beginPhase(MemoryAccount::Phase::Owed);
+    }
     if (error) {
         this->closeNow();
         co_return callerGone();
@@ -378,7 +397,7 @@
 Duration ServerConnection::idleLimit() const
 {
     if (!this->core->closing) {
-        return this->core->draining ? drainGrace : this->core->limits.idleTimeout;
+        return this->core->draining ? drainGrace : this->core->callerLimits.idleTimeout.load();
     }
     const Duration untold = this->core->drainAnnouncedAt.load() + drainGrace - RuntimeClock::now();
     return std::max(untold, this->servedAny ? Duration::zero() : firstRequestGrace);
@@ -390,6 +409,13 @@
         this->closeNow();
         return;
     }
+    // After a pause of this process, bytes that came in time may still be unread.
+    boost::system::error_code ignored;
+    if (this->phase == Phase::Reading && this->readInFlight && !this->hasLateRead && this->socket.available(ignored) > 0) {
+        this->hasLateRead = true;
+        this->watchdog.arm(lateReadTime);
+        return;
+    }
     this->inputArrived.cancel();
 }
 
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingosaddle
@@ -18,6 +19,9 @@
 namespace
 {
 
+// What a field takes beyond its text, in the parser and in the requests that are made of it.
+constexpr std::size_t bytesPerField = 256;
+
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto malformed(const std::string &detail)
@@ -25,6 +29,11 @@
     return fail(ErrorKind::InvalidRequest, "the request is no valid HTTP/1.1: " + detail, "correct the client");
 }
 
+std::size_t linesIn(std::string_view text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
 /** A body of an unknown transfer coding would be taken for no body, and its bytes for the next request. */
 Result<void> checkFraming(const http::request_header<> &head)
 {
@@ -43,10 +52,37 @@
 struct ServerConnection::Parser : http::request_parser<http::string_body> {
 };
 
+std::size_t ServerConnection::neededBytes(const Parser &parser) const
+{
+    const std::string &body = parser.get().body();
+    std::size_t bytes = body.size();
+    if (parser.chunked()) {
+        // Its string grows to twice its size at a time.
+        const std::size_t grown = body.size() + readBytes > body.capacity() ? 2 * body.capacity() : 0;
+        bytes = std::max(body.capacity(), grown);
+    }
+    // A forwarded request is copied without the fields of its forwarding.
+    bytes *= this->core->memoryOwner == MemoryOwner::Forwarded ? 2 : 1;
+    return bytes + this->fieldBytes + this->input.size() + readBytes;
+}
+
+void ServerConnection::countFields(const Parser &parser)
+{
+    if (!parser.is_header_done()) {
+        this->fieldBytes = bytesPerField * (this->parsedLines + linesIn(this->input));
+    }
+}
+
+Error ServerConnection::timeoutError()
+{
+    return this->memoryRefusal.has_value() ? this->memoryError()
+                                           : Error(ErrorKind::Timeout, "the request came too slowly", "send it without pauses");
+}
+
 Error ServerConnection::limitError(bool inHeader)
 {
     this->headTooLarge = inHeader;
-    const std::size_t limit = inHeader ? this->core->limits.maxHeaderBytes : this->core->limits.maxBodyBytes;
+    const std::size_t limit = inHeader ? this->core->callerLimits.maxHeaderBytes : this->core->callerLimits.maxBodyBytes;
     const std::string part = inHeader ? "header" : "body";
     return {
         ErrorKind::TooLarge, "the " + part + " of the request is over " + std::to_string(limit) + " bytes", "send a smaller one"};
@@ -55,18 +91,21 @@
 Result<bool> ServerConnection::parseInput(Parser &parser)
 {
     boost::system::error_code error;
+    const std::size_t maxHeaderBytes = this->core->callerLimits.maxHeaderBytes;
     while (!this->input.empty() && !parser.is_done()) {
+        const bool isInHead = !parser.is_header_done();
         const std::size_t used = parser.put(asio::buffer(this->input), error);
+        this->parsedLines += isInHead ? linesIn(std::string_view(this->input).substr(0, used)) : 0;
         this->input.erase(0, used);
         this->headBytes += used;
-        if (!parser.is_header_done() && this->headBytes > this->core->limits.maxHeaderBytes) {
+        if (!parser.is_header_done() && this->headBytes > maxHeaderBytes) {
             return fail(this->limitError(true));
         }
         if (error == http::error::need_more || (!error && used == 0)) {
             // Chunk headers, their extensions and trailer fields are parsed only as a whole, so that they are kept until their
             // end.
-            if (this->input.size() > this->core->limits.maxHeaderBytes) {
-                return malformed("a line of its chunks is over " + std::to_string(this->core->limits.maxHeaderBytes) + " bytes");
+            if (this->input.size() > maxHeaderBytes) {
+                return malformed("a line of its chunks is over " + std::to_string(maxHeaderBytes) + " bytes");
             }
             return false;
         }
@@ -99,11 +138,19 @@
 {
     this->phase = Phase::Idle;
     this->currentRequest = {};
+    this->heldBack = {};
+    this->releaseMemory();
+    if (this->input.empty() && this->input.capacity() > readBytes) {
+        this->input = {};
+    }
+    this->waitsSince = RuntimeClock::now();
     this->headBytes = 0;
+    this->parsedLines = 0;
+    this->hasLateRead = false;
     Parser parser;
     parser.eager(true);
-    parser.header_limit(static_cast<std::uint32_t>(this->core->limits.maxHeaderBytes));
-    parser.body_limit(this->core->limits.maxBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(this->core->callerLimits.maxHeaderBytes.load()));
+    parser.body_limit(this->core->callerLimits.maxBodyBytes.load());
     const Duration idleLimit = this->idleLimit();
     if (idleLimit == Duration::zero() && this->input.empty()) {
         co_return false;
@@ -113,7 +160,18 @@
     while (true) {
         if (this->phase == Phase::Idle && !this->input.empty()) {
             this->phase = Phase::Reading;
-            this->watchdog.arm(this->core->limits.headerTimeout);
+            this->watchdog.arm(this->core->callerLimits.headerTimeout);
+        }
+        this->countFields(parser);
+        const std::size_t needed = this->neededBytes(parser);
+        if (needed > std::max(this->grantedBytes, uncountedBytes)) {
+            const bool isGranted = co_await this->awaitMemory(needed);
+            if (!isGranted && this->gone) {
+                co_return false;
+            }
+            if (!isGranted) {
+                co_return fail(this->timeoutError());
+            }
         }
         const Result<bool> whole = this->parseInput(parser);
         if (!whole.has_value()) {
@@ -132,14 +190,19 @@
             if (!framed.has_value()) {
                 co_return fail(framed.error());
             }
+            const Result<bool> accepted = co_await this->checkHead(parser);
+            if (!accepted.has_value() || !accepted.value()) {
+                co_return accepted;
+            }
             const Result<void> prepared = co_await this->prepareForBody(parser);
             if (!prepared.has_value()) {
                 co_return false;
             }
         }
         const bool more = co_await this->waitForInput();
-        if (!more && this->watchdog.hasExpired() && this->phase == Phase::Reading) {
-            co_return fail(ErrorKind::Timeout, "the request came too slowly", "send it without pauses");
+        const bool isTooSlow = this->watchdog.hasExpired() || this->memoryRefusal.has_value();
+        if (!more && isTooSlow && this->phase == Phase::Reading && !this->gone) {
+            co_return fail(this->timeoutError());
         }
         if (!more && this->phase == Phase::Reading && !this->gone) {
             co_return malformed("it ends before its end");
@@ -163,17 +226,63 @@
     this->currentRequest.target = std::string(message.target());
     this->currentRequest.headers = headersFrom(message);
     this->currentRequest.body = std::move(message.body());
+    this->waitsSince = TimePoint::max();
+    if (this->holder.has_value()) {
+        const std::size_t copies = this->core->memoryOwner == MemoryOwner::Forwarded ? 2 : 1;
+        this->requestBytes = copies * this->currentRequest.body.capacity() + this->fieldBytes;
+        this->setHeld(this->requestBytes);
+        this->beginPhase(MemoryAccount::Phase::Owed);
+    }
+}
+
+asio::awaitable<Result<bool>> ServerConnection::checkHead(Parser &parser)
+{
+    if (!this->core->checkHead) {
+        co_return true;
+    }
+    const auto &message = parser.get();
+    HttpRequest head;
+    head.method = std::string(message.method_string());
+    head.target = std::string(message.target());
+    head.headers = headersFrom(message);
+    HeadDecision decision = this->core->checkHead(head);
+    if (!decision.refusal.has_value()) {
+        if (this->core->memory && !decision.clientAccount.empty()) {
+            this->openHolder();
+            this->core->memory->identify(*this->holder, decision.clientAccount);
+        }
+        co_return true;
+    }
+    // The body isn't read for an answer that the head decides.
+    this->version = message.version();
+    this->currentRequest = std::move(head);
+    this->phase = Phase::Closing;
+    this->answer = Answer::None;
+    this->keepAlive = false;
+    this->input = {};
+    const Result<void> written = co_await this->respond(std::move(*decision.refusal));
+    if (written.has_value()) {
+        co_await this->lingeringClose();
+    }
+    co_return false;
 }
 
 asio::awaitable<bool> ServerConnection::waitForInput()
 {
     const std::size_t before = this->input.size();
+    if (before == 0 && this->phase == Phase::Reading) {
+        // Of the request that is being read, only the time of its last byte counts.
+        this->receiveTimes.takeUntil(this->receiveTimes.received());
+    }
+    const auto isWaiting = [this, before] {
+        return this->input.size() == before && !this->watchdog.hasExpired() && !this->gone && !this->memoryRefusal.has_value();
+    };
     this->startRead();
-    while (this->readInFlight && this->input.size() == before && !this->watchdog.hasExpired() && !this->gone) {
+    while (this->readInFlight && isWaiting()) {
         boost::system::error_code ignored;
         co_await this->inputArrived.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return this->input.size() != before && !this->watchdog.hasExpired() && !this->gone;
+    co_return this->input.size() != before && !this->watchdog.hasExpired() && !this->gone && !this->memoryRefusal.has_value();
 }
 
 void ServerConnection::startRead()
@@ -196,7 +305,7 @@
     this->inputArrived.cancel();
     if (!error) {
         // Bytes of a pipelined request wait, up to a limit; beyond it the caller's end is noticed by a failed write.
-        if (this->phase == Phase::Handling && this->input.size() < this->core->limits.maxHeaderBytes) {
+        if (this->phase == Phase::Handling && this->input.size() < maxAheadBytes) {
             this->startRead();
         }
         return;
--- a/src/peer/frameio.cpp
+++ b/src/peer/frameio.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingosaddle
@@ -14,6 +15,9 @@
 namespace
 {
 
+constexpr std::size_t frameStep = std::size_t{64} * 1024;
+constexpr std::size_t uncountedFrameBytes = frameStep; // frames of every day ask for no memory
+
 auto connectionLost(const boost::system::error_code &error)
 {
     return fail(
@@ -75,7 +79,39 @@
     return this->timedOut;
 }
 
-boost::asio::awaitable<Result<PeerFrame>> readFrame(DeadlineSocket &deadlineSocket, std::size_t &bytes)
+std::string DeadlineSocket::remoteAddress() const
+{
+    boost::system::error_code error;
+    const auto remote = this->underlying.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
+FrameMemory::FrameMemory(std::shared_ptr<MemoryGuard> guard, const DeadlineSocket &from)
+    : guard(std::move(guard))
+    , from(from)
+{
+}
+
+FrameMemory::~FrameMemory()
+{
+    if (this->holder.has_value()) {
+        this->guard->close(*this->holder);
+    }
+}
+
+bool FrameMemory::grow(std::size_t bytes)
+{
+    if (!this->guard || bytes <= uncountedFrameBytes) {
+        return true;
+    }
+    if (!this->holder.has_value()) {
+        this->holder = this->guard->open(MemoryOwner::Instances, this->from.remoteAddress(), {});
+    }
+    return this->guard->grow(*this->holder, bytes);
+}
+
+boost::asio::awaitable<Result<PeerFrame>> readFrame(
+    DeadlineSocket &deadlineSocket, std::size_t &bytes, std::size_t longest, FrameMemory &memory)
 {
     PeerFrameHeader header{};
     boost::system::error_code error;
@@ -88,11 +124,26 @@
     if (length.has_error()) {
         co_return fail(length.error());
     }
-    std::string payload(length.value(), '\0');
-    co_await boost::asio::async_read(
-        deadlineSocket.socket(), boost::asio::buffer(payload), boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    if (error) {
-        co_return connectionLost(error);
+    if (length.value() > longest) {
+        co_return fail(ErrorKind::TooLarge, "a peer announced a first frame of " + std::to_string(length.value()) + " bytes",
+            "look at who connects to the address for instances");
+    }
+    // The length is only announced: memory is taken as the bytes come.
+    std::string payload;
+    while (payload.size() < length.value()) {
+        const std::size_t before = payload.size();
+        const std::size_t step = std::min(length.value() - before, frameStep + before);
+        if (!memory.grow(before + step)) {
+            co_return fail(ErrorKind::Unavailable,
+                "there is no memory for a frame of " + std::to_string(length.value()) + " bytes",
+                "the peer sends it again on a new connection");
+        }
+        payload.resize(before + step);
+        co_await boost::asio::async_read(deadlineSocket.socket(), boost::asio::buffer(payload.data() + before, step),
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error) {
+            co_return connectionLost(error);
+        }
     }
     bytes = header.size() + payload.size();
     co_return decodeFrame(payload);
--- a/src/peer/peerlink.cpp
+++ b/src/peer/peerlink.cpp
@@ -202,7 +202,8 @@
         std::uint64_t expected = 0;
         while (deadlineSocket->isOpen()) {
             std::size_t bytes = 0;
-            const Result<PeerFrame> frame = co_await readFrame(*deadlineSocket, bytes);
+            FrameMemory uncounted(nullptr, *deadlineSocket); // this instance has chosen the other side
+            const Result<PeerFrame> frame = co_await readFrame(*deadlineSocket, bytes, PeerFrameFormat::maxFrameBytes, uncounted);
             const auto *ack = frame.has_value() ? std::get_if<AckMessage>(&frame.value().message) : nullptr;
             // An acknowledgement covers all frames up to its sequence number.
             if (ack == nullptr || ack->sequence < expected || ack->sequence - expected >= core->sentAt.size()) {
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -21,6 +21,7 @@
 using boost::asio::ip::tcp;
 
 constexpr std::chrono::milliseconds acceptRetryDelay(50);
+constexpr std::size_t maxHelloBytes = std::size_t{16} * 1024; // of the first frame, before the other side is known
 
 /**
  * The state of one accepted connection.
@@ -101,9 +102,14 @@
 
     void open(tcp::socket socket)
     {
-        if (this->connections.size() >= this->options.maxConnections) {
+        if (this->connections.size() >= this->options.limits.maxConnections) {
             ++this->counts.rejectedConnections;
-            return;
+            // Instances say who they are at once; a connection that has not is no loss.
+            if (this->silent.empty()) {
+                return;
+            }
+            (*this->silent.begin()).second->close();
+            this->silent.erase(this->silent.begin());
         }
         ++this->counts.connections;
         boost::system::error_code ignored;
@@ -111,8 +117,10 @@
         auto deadlineSocket = std::make_shared<DeadlineSocket>(std::move(socket));
         deadlineSocket->closeAfter(this->options.timing.receiveTimeout());
         this->connections.insert(deadlineSocket);
+        this->silent.emplace(this->counts.connections, deadlineSocket);
         boost::asio::co_spawn(this->context, DeadlineSocket::enforceDeadline(deadlineSocket), boost::asio::detached);
-        boost::asio::co_spawn(this->context, serve(this->shared_from_this(), deadlineSocket), boost::asio::detached);
+        boost::asio::co_spawn(
+            this->context, serve(this->shared_from_this(), deadlineSocket, this->counts.connections), boost::asio::detached);
     }
 
     void stop()
@@ -143,13 +151,17 @@
     }
 
 private:
-    static boost::asio::awaitable<void> serve(std::shared_ptr<Core> core, std::shared_ptr<DeadlineSocket> deadlineSocket)
+    static boost::asio::awaitable<void> serve(
+        std::shared_ptr<Core> core, std::shared_ptr<DeadlineSocket> deadlineSocket, std::uint64_t number)
     {
         PeerConnection connection;
         connection.deadlineSocket = deadlineSocket;
         while (deadlineSocket->isOpen()) {
             std::size_t bytes = 0;
-            const Result<PeerFrame> frame = co_await readFrame(*deadlineSocket, bytes);
+            FrameMemory memory(core->options.limits.memory, *deadlineSocket);
+            const std::size_t longest = connection.nextSequence == 0 ? maxHelloBytes : PeerFrameFormat::maxFrameBytes;
+            const Result<PeerFrame> frame = co_await readFrame(*deadlineSocket, bytes, longest, memory);
+            core->silent.erase(number);
             if (core->stopped || !core->onFrame(connection, frame, bytes)) {
                 break;
             }
@@ -168,6 +180,7 @@
         core->counts.receiveTimeouts += deadlineSocket->isTimedOut() ? 1 : 0;
         deadlineSocket->close();
         core->connections.erase(deadlineSocket);
+        core->silent.erase(number);
     }
 
     /**
@@ -230,6 +243,7 @@
     {
         this->counts.malformedFrames += error.kind() == ErrorKind::Protocol ? 1 : 0;
         this->counts.oversizedFrames += error.kind() == ErrorKind::TooLarge ? 1 : 0;
+        this->counts.refusedFrames += error.kind() == ErrorKind::Unavailable ? 1 : 0;
     }
 
     bool isAckDue(const PeerConnection &connection, const PeerFrame &frame, const StoreProgress &progress) const
@@ -252,6 +266,8 @@
     PeerMessageHook onMessage;
     PeerServerCounters counts;
     std::set<std::shared_ptr<DeadlineSocket>> connections;
+    std::map<std::uint64_t, std::shared_ptr<DeadlineSocket>>
+        silent; // those that have sent no frame, by the order of their opening
     // Highest incarnation and connection number received from each instance.
     std::map<InstanceId, std::pair<std::uint64_t, std::uint64_t>> latestConnections;
     bool stopped = false;
--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -33,6 +33,35 @@
         }
     }
 
+    HeadDecision checkHead(const HttpRequest &head) const
+    {
+        HeadDecision decision;
+        const std::shared_ptr<const RoutingSnapshot> snapshot = this->environment.snapshots->current();
+        if (!snapshot || !this->environment.adapter.admitHead) {
+            return decision;
+        }
+        const TimePoint now = RuntimeClock::now();
+        const Result<ClientAccountId> admitted = this->environment.adapter.admitHead(*snapshot, head, now);
+        if (admitted.has_value()) {
+            decision.clientAccount = admitted.value().text();
+            return decision;
+        }
+        const ErrorKind kind = admitted.error().kind();
+        if (kind != ErrorKind::NotFound && kind != ErrorKind::Unauthorized && kind != ErrorKind::Forbidden) {
+            return decision;
+        }
+        const RefusalResponse refused = refusalFor(admitted.error());
+        HttpResponse response = this->environment.adapter.renderRefusal(refused);
+        const TraceContext trace = this->environment.tracer.contextFromHeader(head.headers.find("traceparent"));
+        const HttpHeaders own = this->environment.adapter.routerHeaders(this->environment.adapter.requestId(head), trace);
+        for (const HttpHeader &field : own.fields()) {
+            response.headers.set(field.name, field.value);
+        }
+        this->reportRefused(head, *snapshot, now, refused, response.status);
+        decision.refusal = std::move(response);
+        return decision;
+    }
+
     asio::awaitable<void> handle(HttpExchange &exchange)
     {
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -58,6 +87,24 @@
     }
 
 private:
+    void reportRefused(
+        const HttpRequest &head, const RoutingSnapshot &snapshot, TimePoint now, const RefusalResponse &refused, int status) const
+    {
+        if (!this->environment.hooks.onOutcome) {
+            return;
+        }
+        RequestOutcome outcome;
+        outcome.requestId = this->environment.adapter.requestId(head);
+        outcome.configOffset = snapshot.offset();
+        outcome.configAge = now - (snapshot.freshUntil() - this->environment.options.freshnessLimit);
+        outcome.error = refused.error.message();
+        outcome.status = status;
+        outcome.runState = refused.runState;
+        outcome.arrival = now;
+        outcome.end = now;
+        this->environment.hooks.onOutcome(outcome);
+    }
+
     CallerEnvironment environment;
     std::vector<asio::io_context *> contexts;
 };
@@ -84,6 +131,11 @@
     this->implementation->limitDeadlines(deadline);
 }
 
+HeadDecision CallerHandler::checkHead(const HttpRequest &head) const
+{
+    return this->implementation->checkHead(head);
+}
+
 HttpHandler CallerHandler::forwardedHandler() const
 {
     return [this](HttpExchange &exchange) {
--- a/src/relay/forwarding.cpp
+++ b/src/relay/forwarding.cpp
@@ -84,7 +84,8 @@
 
 HttpRequest buildForwardedRequest(const HttpRequest &callerRequest, const ForwardedRequest &forwarded)
 {
-    HttpRequest request{callerRequest.method, callerRequest.target, endToEndFields(callerRequest.headers), callerRequest.body};
+    HttpRequest request{
+        callerRequest.method, callerRequest.target, endToEndFields(callerRequest.headers), {}, callerRequest.payload()};
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(forwarded.elapsed);
     request.headers.add(fromField, forwarded.from.text());
     request.headers.add(requestIdField, forwarded.requestId);
--- a/src/relay/openaiadapter.cpp
+++ b/src/relay/openaiadapter.cpp
@@ -20,8 +20,11 @@
     request.target = context.callerRequest.target;
     request.headers
         = headersForBackend(context.callerRequest.headers, context.requestId, context.trace, context.profile.requestClass.tier);
-    request.body = context.resumeAfter.has_value() ? withResumePosition(context.callerRequest.body, *context.resumeAfter)
-                                                   : context.callerRequest.body;
+    if (context.resumeAfter.has_value()) {
+        request.body = withResumePosition(context.callerRequest.body, *context.resumeAfter);
+    } else {
+        request.borrowedBody = context.callerRequest.payload();
+    }
     return request;
 }
 
@@ -43,6 +46,10 @@
                         const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) {
         return router.route(snapshot, request, now);
     };
+    adapter.admitHead = [router = RequestRouter(keySecret, openClass)](
+                            const RoutingSnapshot &snapshot, const HttpRequest &head, TimePoint now) {
+        return router.admitHead(snapshot, head, now);
+    };
     adapter.buildBackendRequest = backendRequestOf;
     adapter.checkResponse = [](const HttpRequest &, const HttpResponseHead &) {
         return ResponseCheck::Valid;
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -25,6 +25,11 @@
         "try again later");
 }
 
+auto noRoute()
+{
+    return fail(ErrorKind::NotFound, "no route matches this path", "use /v1/chat/completions or a configured route");
+}
+
 bool isSafe(std::string_view method)
 {
     return method == "GET" || method == "HEAD";
@@ -128,7 +133,7 @@
         if (now > snapshot.freshUntil()) {
             return staleConfiguration();
         }
-        return fail(ErrorKind::NotFound, "no route matches this path", "use /v1/chat/completions or a configured route");
+        return noRoute();
     }
     if (route != nullptr && route->open) {
         routed.profile.requestClass = this->openClass;
@@ -147,6 +152,24 @@
     return routed;
 }
 
+Result<ClientAccountId> RequestRouter::admitHead(const RoutingSnapshot &snapshot, const HttpRequest &head, TimePoint now) const
+{
+    const std::string_view path = head.path();
+    const bool isModelPath = path == modelListPath || path == chatPath || path == completionPath;
+    const Route *route = isModelPath ? nullptr : snapshot.findRoute(head.headers.find("Host"), path);
+    if (!isModelPath && route == nullptr) {
+        if (now > snapshot.freshUntil()) {
+            return staleConfiguration();
+        }
+        return noRoute();
+    }
+    if (route != nullptr && route->open) {
+        return ClientAccountId();
+    }
+    BOOST_OUTCOME_TRY(key, this->authenticate(snapshot, head, now));
+    return key->clientAccount;
+}
+
 Result<const ClientKey *> RequestRouter::authenticate(
     const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const
 {
--- a/src/relay/requestrouter.h
+++ b/src/relay/requestrouter.h
@@ -24,6 +24,9 @@
      */
     Result<RoutedRequest> route(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const;
 
+    /** Decides on the head of a request alone, like route(). Returns the client account, which is empty for an open route. */
+    Result<ClientAccountId> admitHead(const RoutingSnapshot &snapshot, const HttpRequest &head, TimePoint now) const;
+
 private:
     Result<const ClientKey *> authenticate(const RoutingSnapshot &snapshot, const HttpRequest &request, TimePoint now) const;
     Result<void> admitAccount(
--- a/src/relay/responserelay.cpp
+++ b/src/relay/responserelay.cpp
@@ -177,7 +177,8 @@
             break;
         }
         response.body.append(piece);
-        if (response.body.size() > this->environment.options.maxBufferedResponseBytes) {
+        const bool mayHold = this->exchange.holdAnswer(response.body.size());
+        if (!mayHold || response.body.size() > this->environment.options.maxBufferedResponseBytes) {
             co_return co_await this->relayOversized(call, std::move(response));
         }
     }
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -139,9 +139,10 @@
 
 TEST_F(CallerWireTest, ForwardsARequestWithoutTheKeyAndWithTheRoutersOwnHeaders)
 {
-    const HttpRequest sent = this->forwarded(requestFor("/chat/1", "key-2"));
+    const HttpRequest received = requestFor("/chat/1", "key-2");
+    const HttpRequest sent = this->forwarded(received);
     EXPECT_EQ(sent.target, "/chat/1");
-    EXPECT_EQ(sent.body, "body");
+    EXPECT_EQ(sent.payload(), "body");
     EXPECT_FALSE(sent.headers.has("Authorization"));
     EXPECT_FALSE(sent.headers.has("Connection"));
     EXPECT_FALSE(sent.headers.has("X-Hop"));
--- a/tests/adapter/records_test.cpp
+++ b/tests/adapter/records_test.cpp
@@ -40,6 +40,23 @@
 
 } // namespace
 
+TEST(ConfigRecord, LimitsOnCallersAreDecoded)
+{
+    EXPECT_EQ(decodeConfig(config, 5, secret).value().limits, PublishedLimits());
+    const std::string limits
+        = R"("version": 7, "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,)"
+          R"( "idle_timeout_ms": 15000})";
+    const PublishedLimits expected{16384, 4194304, 3s, 15s};
+    EXPECT_EQ(decodeConfig(replaced(config, R"("version": 7)", limits), 5, secret).value().limits, expected);
+    // A limit that is none leaves the configuration in force, with the limit of the settings.
+    for (const char *odd : {R"("limits": 3)", R"("limits": {"max_body_bytes": -1, "idle_timeout_ms": "x"})",
+             R"("limits": {"max_header_bytes": 18446744073709551615, "header_timeout_ms": -5})"}) {
+        const auto decoded = decodeConfig(replaced(config, R"("version": 7)", std::string(R"("version": 7, )") + odd), 5, secret);
+        ASSERT_TRUE(decoded.has_value()) << odd;
+        EXPECT_EQ(decoded.value().limits, PublishedLimits()) << odd;
+    }
+}
+
 TEST(ConfigRecord, IsDecoded)
 {
     const PublishedConfig published = decodeConfig(config, 5, secret).value();
--- a/tests/relay/forward_test.cpp
+++ b/tests/relay/forward_test.cpp
@@ -433,7 +433,7 @@
     const HttpRequest sent = buildForwardedRequest(request, forwarded);
     EXPECT_EQ(sent.method, request.method);
     EXPECT_EQ(sent.target, request.target);
-    EXPECT_EQ(sent.body, request.body);
+    EXPECT_EQ(sent.payload(), request.body);
     EXPECT_EQ(parseForwardedRequest(sent).value(), forwarded) << "a caller's own fields do not count";
     const HttpHeaders left{{"Host", "x"}, {"Authorization", "Bearer key"}, {"X-Other", "2"}};
     EXPECT_EQ(withoutForwardingFields(sent).headers, left);
--- a/tools/flamingosaddled.cpp
+++ b/tools/flamingosaddled.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -57,6 +59,18 @@
     static_cast<void>(signals);
 }
 
+/**
+ * Large blocks, such as bodies, go back to the system as soon as they are freed. By default the allocator would keep blocks of
+ * the sizes that it has seen freed, each with the pages that were ever used in it.
+ */
+void returnLargeBlocks()
+{
+    constexpr int largeBlockBytes = 128 * 1024;
+    constexpr int freeBytesKept = 1024 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    ::mallopt(M_TRIM_THRESHOLD, freeBytesKept);
+}
+
 int runDaemon(const Settings &settings, SettingsWatch::Load reload)
 {
     initializeLogging(settings.logLevel, LogOutput::StandardOutput);
@@ -78,6 +92,7 @@
 int main(int argc, char **argv)
 {
     holdSignals();
+    returnLargeBlocks();
     std::vector<std::string> arguments(argv + 1, argv + argc);
     if (takeSwitch(arguments, "--help")) {
         printHelp();
