--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -41,6 +41,7 @@
         systemTime; ///< returns the system clock's time since the Unix epoch, including clock steps
     std::vector<Endpoint> seedPeers; ///< contacted in addition to the platform's list of instances
     PeerTiming peerTiming;
+    PeerServerLimits peerLimits{};
     std::uint64_t seed = 1;
 };
 
@@ -59,6 +60,7 @@
      * known of its evacuation. May be empty.
      */
     std::function<void(const DataCentre &, bool evacuated)> setEvacuated;
+    std::function<void(const PublishedLimits &)> onCallerLimits; ///< of a configuration that came into force; may be empty
     std::function<void(const KeyId &)> onKeyWithdrawn; ///< must end the exchanges that run with the key
     std::function<void(HeartbeatMessage &)> fillTrafficState; ///< fills in the message's fields on traffic
     std::function<void(const std::vector<ServerLoad> &)> onPeerLoads;
