Requests that were sent ahead are read only as they are handled

Cause: each request of many that were sent ahead took in another read of 8 KiB while it was handled, and gave up only its own bytes, so that a caller who reads no answers had all its requests kept: 410 KB each in a crowd of 100 (68 MB, found by counting texts in the process's memory: 316,000 heads). Change: no read begins while a read's worth of requests is waiting. Lines of requests that follow do not count for a head, and lines that are parsed already do.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -105,7 +105,10 @@
 {
     this->phase = Phase::Handling;
     this->answer = Answer::None;
-    this->startRead();
+    // With each request of many that were sent ahead, a read here would take in more than the request has given up.
+    if (this->input.size() < maxAheadBytes) {
+        this->startRead();
+    }
     ++this->core->activeExchanges;
     try {
         co_await this->core->handler(*this);
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -22,6 +22,7 @@
 // What a field takes beyond its text, in the parser and in the requests that are made of it.
 constexpr std::size_t bytesPerField = 256;
 
+constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto malformed(const std::string &detail)
@@ -69,7 +70,9 @@
 void ServerConnection::countFields(const Parser &parser)
 {
     if (!parser.is_header_done()) {
-        this->fieldBytes = bytesPerField * (this->parsedLines + linesIn(this->input));
+        // Requests that were sent ahead follow the head.
+        const std::string_view unparsed = this->input;
+        this->fieldBytes = bytesPerField * (this->parsedLines + linesIn(unparsed.substr(0, unparsed.find(headEnd))));
     }
 }
 
--- a/tests/http/memory_test.cpp
+++ b/tests/http/memory_test.cpp
@@ -54,7 +54,8 @@
     {
         HttpServer::Builder builder;
         builder.listenOn({ownLoopbackAddress(), 0}).limits(limits).contexts({&this->thread.context});
-        builder.handler([](HttpExchange &exchange) -> awaitable<void> {
+        builder.handler([this](HttpExchange &exchange) -> awaitable<void> {
+            ++this->handled;
             HttpResponse response;
             response.body = exchange.request().target + " " + std::to_string(exchange.request().body.size());
             const Result<void> ignored = co_await exchange.respond(std::move(response));
@@ -88,6 +89,7 @@
     std::unique_ptr<HttpServer> server;
     std::atomic<int> refusals{0};
     std::atomic<int> displaced{0};
+    std::atomic<std::size_t> handled{0};
 };
 
 } // namespace
@@ -203,3 +205,36 @@
     });
     EXPECT_EQ(statusOf(slow.readUntil("}}")), "HTTP/1.1 408 Request Timeout");
 }
+
+// Each request that was sent ahead used to take in another read, so that all of them were kept as long as nobody read the
+// answers.
+TEST_F(ServerMemory, RequestsAheadAreReadOnlyAsTheyAreHandled)
+{
+    this->start();
+    RawClient client(this->server->localEndpoint());
+    std::atomic<bool> hasSent{false};
+    std::thread sender([&client, &hasSent] {
+        std::string requests;
+        constexpr unsigned count = 200'000;
+        for (unsigned i = 0; i < count; ++i) {
+            requests += head("/a", 1) + "x";
+        }
+        client.send(requests);
+        hasSent = true;
+    });
+    // The client reads nothing: the server stops when the answers fill the sockets, with one read of requests left at most.
+    std::size_t before = 0;
+    unsigned steady = 0;
+    constexpr unsigned steadyRounds = 200;
+    while (steady < steadyRounds) {
+        this->thread.settle();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        const std::size_t now = this->handled;
+        steady = now == before ? steady + 1 : 0;
+        before = now;
+    }
+    EXPECT_FALSE(hasSent);
+    EXPECT_LE(this->guard->heldBytes(), 64 * kilobyte) << "of 13 MB that the client would send";
+    this->server->stop();
+    sender.join();
+}
