Instances that are no relays call a store that is down less often

Change: an instance that is no relay retries after up to 1.5 s, or as soon as a relay has read again; relays look every 0.4 s as before. One that alone is turned away while its relays are served, and lacks a configuration, retries every 0.4 s as before.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -183,6 +183,9 @@
     void advanceServersOffset(std::uint64_t next);
     void updateReliance(bool relies);
     /** Waits until @p deadline or wakeReaders(), but at most for the lag limit. */
+    /** Waits before a retry for @p relayDelay or, if this instance is no relay, for @p followerDelay or until a relay has read.
+     */
+    boost::asio::awaitable<void> waitForRetry(Duration relayDelay, Duration followerDelay, const RelayedTopic &relayed);
     boost::asio::awaitable<void> waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline);
     boost::asio::awaitable<void> waitUntil(std::shared_ptr<Timer> &timer, TimePoint deadline);
     void wakeReaders();
@@ -204,6 +207,8 @@
     std::function<void()> onUpdate;
     Backoff configBackoff;
     Backoff serverBackoff;
+    Backoff followerConfigBackoff; // while this instance is no relay
+    Backoff followerServerBackoff; // while this instance is no relay
     std::optional<std::uint64_t> nextConfigOffset;
     std::optional<std::uint64_t> nextServersOffset;
     std::uint64_t serversEpoch = 0; // of the store at the last own read of the servers' entries
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -19,7 +19,10 @@
 {
 
 constexpr std::chrono::milliseconds initialRetryDelay(50);
-constexpr std::chrono::milliseconds maxRetryDelay(400); // bounds the delay until a recovered store is detected
+constexpr std::chrono::milliseconds maxRetryDelay(400); // bounds the delay until a relay detects a recovered store
+// Instances that are no relays learn from relays that the store is back, so they need not look themselves as often.
+constexpr std::chrono::milliseconds maxFollowerRetryDelay(1500);
+constexpr std::chrono::milliseconds relayCheckInterval(100); // between two looks whether a relay has reached the store again
 
 } // namespace
 
@@ -31,6 +34,8 @@
     , onUpdate(std::move(onUpdate))
     , configBackoff(initialRetryDelay, maxRetryDelay, options.seed)
     , serverBackoff(initialRetryDelay, maxRetryDelay, options.seed + 1)
+    , followerConfigBackoff(initialRetryDelay, maxFollowerRetryDelay, options.seed + 2)
+    , followerServerBackoff(initialRetryDelay, maxFollowerRetryDelay, options.seed + 3)
     , serverTable(options.servers)
     , relayedConfig(options.configStalenessLimit, options.relaySilenceLimit)
     , relayedServers(options.serverStalenessLimit, options.relaySilenceLimit)
@@ -54,8 +59,9 @@
         }
         if (succeeded) {
             this->configBackoff.reset();
-        } else if (!this->stopped) {
-            co_await delay(this->configBackoff.next());
+            this->followerConfigBackoff.reset();
+        } else {
+            co_await this->waitForRetry(this->configBackoff.next(), this->followerConfigBackoff.next(), this->relayedConfig);
         }
     }
 }
@@ -71,9 +77,10 @@
         this->recordServerStoreReachable(succeeded);
         if (succeeded) {
             this->serverBackoff.reset();
+            this->followerServerBackoff.reset();
             co_await delay(this->options.serverPollPause);
-        } else if (!this->stopped) {
-            co_await delay(this->serverBackoff.next());
+        } else {
+            co_await this->waitForRetry(this->serverBackoff.next(), this->followerServerBackoff.next(), this->relayedServers);
         }
     }
 }
@@ -138,6 +145,19 @@
     }
 }
 
+boost::asio::awaitable<void> Directory::waitForRetry(Duration relayDelay, Duration followerDelay, const RelayedTopic &relayed)
+{
+    const TimePoint failedAt = RuntimeClock::now();
+    co_await delay(relayDelay);
+    const auto mustWait = [this, &relayed, until = failedAt + followerDelay]() {
+        const TimePoint now = RuntimeClock::now();
+        return !this->stopped && !this->relayHooks.isRelay() && now < until && !relayed.isFresh(now);
+    };
+    while (mustWait()) {
+        co_await delay(relayCheckInterval);
+    }
+}
+
 boost::asio::awaitable<void> Directory::waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline)
 {
     // A change of this instance's role as a relay is not signalled, so it is checked at this interval.
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -122,6 +122,39 @@
     EXPECT_FALSE(this->follower.hasServer("s1"));
 }
 
+// In an outage of the store every instance read both topics three times a second, and all calls are priced.
+TEST_F(RelaysTest, CallsAStoreThatIsDownSeldomAndReturnsWithItsRelays)
+{
+    constexpr Duration outage = 10s;
+    const auto setUnreachable = [this](bool isUnreachable) {
+        for (FakeInstance *instance : {&this->first, &this->second, &this->follower}) {
+            instance->isStoreUnreachable = isUnreachable;
+        }
+    };
+    this->runHeartbeats(2s);
+    setUnreachable(true);
+    const std::size_t before = this->follower.calls;
+    const std::size_t relayCallsBefore = this->first.calls;
+    this->runHeartbeats(outage);
+    EXPECT_LE(this->follower.calls - before, 30U);
+    EXPECT_GE(this->first.calls - relayCallsBefore, 40U) << "relays look for the store";
+    setUnreachable(false);
+    this->store.publish(2);
+    this->runHeartbeats(1s);
+    EXPECT_EQ(this->follower.directory.config()->version, 2U) << "a relay's word ends the wait";
+}
+
+TEST_F(RelaysTest, AnInstanceThatAloneIsTurnedAwayRetriesAtIntervals)
+{
+    this->runHeartbeats(2s);
+    this->follower.isStoreUnreachable = true;
+    const std::size_t before = this->follower.calls;
+    this->store.publish(2);
+    this->runHeartbeats(4s);
+    EXPECT_GT(this->follower.calls, before + 8) << "it lacks a configuration that its relays have";
+    EXPECT_LT(this->follower.calls, before + 40);
+}
+
 TEST_F(RelaysTest, ReadsTheStoreWithinTheShortestBoundWhenAllRelaysAreKilled)
 {
     // The shortest bound of any deployment on the delay of a configuration change or a server's removal.
