--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -195,6 +195,10 @@
     TimePoint nextServerReadDue() const;
     void advanceServersOffset(std::uint64_t next);
     void updateReliance(bool relies);
+    /**
+     * Waits before a retry for @p relayDelay or, if this instance is no relay, for @p followerDelay or until a relay has read.
+     */
+    boost::asio::awaitable<void> waitForRetry(Duration relayDelay, Duration followerDelay, const RelayedTopic &relayed);
     /** Waits until @p deadline or wakeReaders(), but at most for the lag limit. */
     boost::asio::awaitable<void> waitForReadDue(std::shared_ptr<Timer> &timer, TimePoint deadline);
     boost::asio::awaitable<void> waitUntil(std::shared_ptr<Timer> &timer, TimePoint deadline);
@@ -226,6 +230,8 @@
     ConfirmationHook onServersConfirmed;
     Backoff configBackoff;
     Backoff serverBackoff;
+    Backoff followerConfigBackoff; // while this instance is no relay
+    Backoff followerServerBackoff; // while this instance is no relay
     std::optional<std::uint64_t> nextConfigOffset;
     std::optional<std::uint64_t> nextServersOffset;
     std::uint64_t serversEpoch = 0; // of the store at the last own read of the servers' entries
