--- a/tests/process/crowd_test.cpp
+++ b/tests/process/crowd_test.cpp
@@ -82,7 +82,7 @@
     /** The settings file that tells of the machine, as the platform fills it in. */
     std::string machineFile(std::size_t memoryMegabytes, std::size_t maxDescriptors)
     {
-        const std::string file = this->cluster.writeFile(Json::object());
+        std::string file = this->cluster.writeFile(Json::object());
         std::ofstream(file) << "memory-mb = " << memoryMegabytes << "\nmax-fds = " << maxDescriptors << '\n';
         return file;
     }
