--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -64,7 +64,9 @@
     }
     try {
         for (const options::option &line : options::parse_config_file(file, known, true).options) {
-            if (line.unregistered) {
+            // A place that whoever fills in the file does not know of is a setting that is not given.
+            const bool isUnfilled = !line.value.empty() && line.value.front().starts_with("{{");
+            if (line.unregistered || isUnfilled) {
                 ignored.push_back(line.string_key);
             } else if (!line.value.empty() && !line.value.front().empty()) {
                 values[line.string_key] = line.value.front();
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -161,6 +161,17 @@
         loadSettings({"--settings-file", "/no/such/file"}, environmentOf(minimalEnvironment))));
 }
 
+// Whoever fills in the deployed settings may not know of a place that is newer: the daemon has to start all the same.
+TEST(Settings, APlaceThatWasNotFilledInIsASettingThatIsNotGiven)
+{
+    const std::string path = writtenFile("memory-mb = {{limits.memory_mb}}\nmax-waiting = 7\n");
+    const auto loaded = loadSettings({"--settings-file", path}, environmentOf(minimalEnvironment));
+    ASSERT_TRUE(std::holds_alternative<Settings>(loaded));
+    EXPECT_EQ(std::get<Settings>(loaded).memoryMegabytes, 0U);
+    EXPECT_EQ(std::get<Settings>(loaded).maxWaiting, 7U);
+    EXPECT_EQ(std::get<Settings>(loaded).ignoredNames, std::vector<std::string>{"memory-mb"});
+}
+
 TEST(Settings, ThePlatformsRequestsNeedItsOperatorsRoutes)
 {
     EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(
