Requests with homes are served, retried, resumed and forwarded in their regions only

Cause: nothing read the homes of routes and client accounts (`allowed_regions`), so their requests went to the servers of any region, and their bodies to any peer.

Change: the homes of route and account, or their intersection, go with the request (state/homes.h); the new setting data-centre-regions tells the region of each data centre, and one that it lacks is no home. ServerPool::internHomeTarget derives from a target, also one for long prompts or a version, that of its servers in the homes, so that selection and forecasts stay as they are. Such requests are forwarded to peers in a home only, and refused as not run without a server there (`no_home_server`). While there are such targets, tiers are served in turn over all targets.

The orders of servers do not follow homes yet, and a path that is lost to the homes alone is not noticed before requests fail.

--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/base/error.h>
 #include <flamingosaddle/base/id.h>
 #include <flamingosaddle/base/log.h>
+#include <flamingosaddle/state/homes.h>
 
 #include <chrono>
 #include <cstddef>
@@ -60,6 +61,7 @@
     Endpoint platformApi; ///< takes usage reports and server orders, where the store does not
     std::vector<Endpoint> seedPeers; ///< asked for the other instances besides the platform's list
     DataCentre dataCentre;
+    DataCentreRegions dataCentreRegions;
     InstanceId instanceId; ///< made up at the start when it is not given
 
     // Secrets, from the environment only.
--- a/include/flamingosaddle/relay/callerhooks.h
+++ b/include/flamingosaddle/relay/callerhooks.h
@@ -49,6 +49,7 @@
     std::vector<std::uint64_t> promptParts; ///< see RequestProfile
     std::uint64_t configOffset = 0; ///< of the configuration that the request was routed by
     std::optional<Duration> configAge; ///< time since that configuration was last known to be current
+    Homes homes; ///< see RequestProfile
     std::vector<DataCentre> evacuated; ///< data centres whose backend servers were left out at its admission
     std::string error; ///< why the request failed, unless the dispatcher refused it
     int status = 0; ///< of the response; 0 when the caller disconnected before it
--- a/include/flamingosaddle/state/config.h
+++ b/include/flamingosaddle/state/config.h
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/endpoint.h>
 #include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/id.h>
+#include <flamingosaddle/state/homes.h>
 
 #include <chrono>
 #include <cstdint>
@@ -65,6 +66,7 @@
     std::vector<ModelName> models; ///< models that its requests may name
     std::vector<ServiceName> services; ///< plain services that its requests may reach
     std::optional<int> tier{}; ///< tier of all its requests, in place of that of their class
+    std::vector<RegionName> homes{}; ///< regions in which its requests may be served; empty for all
 
     friend bool operator==(const ClientAccount &, const ClientAccount &) = default;
 };
@@ -94,6 +96,7 @@
     std::uint32_t maxAttempts = 0; ///< maximum number of backend servers tried for a request; 0 for the daemon's limit
     bool streaming = false; ///< whether responses are event streams
     bool resumable = false; ///< whether an interrupted stream may be continued on another backend server
+    std::vector<RegionName> homes{}; ///< regions in which its requests may be served; empty for all
 
     friend bool operator==(const Route &, const Route &) = default;
 };
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -242,6 +242,10 @@
      */
     void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
 
+    /** Sets the region of each data centre. Requests with homes are served and forwarded only in data centres of these regions.
+     */
+    void setRegions(const DataCentreRegions &regions);
+
     /** Records that an evacuated data centre was taken back at @p now. Its servers may have become cold meanwhile. */
     void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
 
--- a/include/flamingosaddle/traffic/peerpaths.h
+++ b/include/flamingosaddle/traffic/peerpaths.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <flamingosaddle/state/homes.h>
 #include <flamingosaddle/state/peerpath.h>
 
 #include <cstdint>
@@ -32,11 +33,14 @@
     /** Replaces what is known of the peers. */
     void setPeers(const DataCentre &ownDataCentre, std::vector<PeerPath> peers);
 
+    /** Sets the regions by which peers are in the homes of a request or not. */
+    void setRegions(DataCentreRegions regions);
+
     /**
-     * Returns the peer to forward a request to and counts the request, until release(). Peers in @p tried are not chosen. Returns
-     * nothing if there is no peer.
+     * Returns the peer to forward a request to and counts the request, until release(). Peers in @p tried and those outside of
+     * the request's homes are not chosen. Returns nothing if there is no peer.
      */
-    std::optional<PeerPath> choose(const TargetName &target, const std::vector<InstanceId> &tried);
+    std::optional<PeerPath> choose(const TargetName &target, const std::vector<InstanceId> &tried, const Homes &homes = {});
 
     /** Records that a forwarded request has ended. */
     void release(const InstanceId &peer);
@@ -47,14 +51,15 @@
 
     // Queries.
 
-    /** Returns whether there is a peer to forward requests for the target to. */
-    bool canServe(const TargetName &target) const;
+    /** Returns whether there is a peer to forward requests with these homes for the target to. */
+    bool canServe(const TargetName &target, const Homes &homes = {}) const;
 
 private:
-    bool isUsable(const PeerPath &peer, const TargetName &target) const;
+    bool isUsable(const PeerPath &peer, const TargetName &target, const Homes &homes) const;
     std::uint32_t forwardedTo(const InstanceId &peer) const;
 
     DataCentre ownDataCentre;
+    DataCentreRegions regions;
     std::vector<PeerPath> peers;
     std::set<std::pair<InstanceId, TargetName>> refused;
     std::map<InstanceId, std::uint32_t> forwarded; // requests that have not ended
--- a/include/flamingosaddle/traffic/requesttable.h
+++ b/include/flamingosaddle/traffic/requesttable.h
@@ -23,6 +23,7 @@
     std::vector<std::uint64_t> promptParts; ///< see RequestProfile
     std::uint32_t promptTokens = 0;
     PromptRequest prompt; ///< without tokens if the length of the prompt is unknown
+    Homes homes; ///< see RequestProfile
     bool idempotent = true;
     std::uint32_t maxAttempts = 0;
     std::uint32_t attempts = 0; ///< attempts that a server may have seen
--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -184,6 +184,12 @@
     /** Returns the index of the target whose servers are those of @p target with the software version. */
     TargetIndex internVersionTarget(TargetIndex target, const std::string &softwareVersion);
 
+    /** Sets the regions that decide which servers are in the homes of requests. */
+    void setRegions(DataCentreRegions regions);
+
+    /** Returns the index of the target whose servers are those of @p target in the homes, see homesOf(). */
+    TargetIndex internHomeTarget(TargetIndex target, const std::vector<RegionName> &homes);
+
     /** Returns the index of the model or plain service, assigning one if it is new. */
     TargetIndex internTarget(const ModelName &model, const ServiceName &service);
 
@@ -298,6 +304,17 @@
         return this->targets[target].isOfVersion;
     }
 
+    /** Returns whether the servers of the target are restricted to homes. */
+    bool isHomeTarget(TargetIndex target) const
+    {
+        return this->targets[target].isOfHomes;
+    }
+
+    bool hasHomeTargets() const
+    {
+        return !this->homeTargets.empty();
+    }
+
     std::size_t targetCount() const
     {
         return this->targets.size();
@@ -319,6 +336,13 @@
         std::uint32_t inFlight = 0;
     };
 
+    // A target whose servers are those of another one in some regions.
+    struct HomeTarget {
+        TargetIndex base = 0;
+        TargetIndex target = 0;
+        std::vector<RegionName> homes;
+    };
+
     struct Target {
         std::vector<Candidate> candidates;
         std::vector<std::uint32_t> freeOrdinary;
@@ -331,6 +355,7 @@
         std::uint32_t freeOrdinarySlots = 0;
         std::uint32_t freeCheapSlots = 0;
         bool isOfVersion = false; // whether its requests continue streams, see internVersionTarget()
+        bool isOfHomes = false; // see internHomeTarget()
         std::uint32_t otherInstancesCount = 0; // servers that rate limits leave to other instances
         std::uint32_t evacuatedCount = 0; // servers in evacuated data centres
 
@@ -340,6 +365,9 @@
     void addServer(const BackendServer &server);
     void removeIfUnused(ServerState &state);
     void removeServer(ServerState &state);
+    static ModelName homeModel(const ModelName &model, const std::vector<RegionName> &homes);
+    /** Adds the server to the home targets of its other targets. */
+    void addHomeMemberships(ServerState &state, const std::vector<TargetMembership> &previous);
     static ModelName versionModel(const ModelName &model, const std::string &softwareVersion);
     void addMemberships(
         ServerState &state, const std::vector<TargetMembership> &previous, const ModelName &model, const ServiceName &service);
@@ -372,6 +400,8 @@
     std::vector<Target> targets;
     std::vector<bool> excludedDataCentres; // by data centre index
     std::vector<bool> evacuatedDataCentres; // by data centre index
+    DataCentreRegions regions;
+    std::vector<HomeTarget> homeTargets;
     std::uint64_t candidateGeneration = 0;
     std::pair<ModelName, ServiceName> lookupKey; // a member to reuse its memory in look-ups
     std::vector<ServerIndex> rateLimited; // servers with a rate limit
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -29,6 +29,7 @@
     std::uint32_t sharedTokens = 0; ///< length of the prefix hashed in prefixHash; 0 if unknown
     std::uint32_t outputTokens = 0; ///< upper bound; 0 if unknown
     std::string softwareVersion; ///< if set, only servers of this version may run it, because it continues a stream of theirs
+    Homes homes; ///< only servers in these regions may run it
     bool idempotent = true; ///< determined by class, route and method together
     std::uint32_t maxAttempts = 0; ///< maximum number of backend servers to send it to; 0 for the dispatcher's limit
     bool isForwarded = false; ///< whether another instance forwarded it to this one
@@ -52,6 +53,7 @@
     Evicted, ///< evicted from the queue in favour of a higher tier
     DeadlineMissed,
     NoServer, ///< no usable backend server at present
+    NoHomeServer, ///< no usable backend server in the homes of the request
     DataCentreEvacuated, ///< no usable backend server outside the evacuated data centres
     Quarantined, ///< the request was running when backend servers died
     PromptQuarantined, ///< requests with a part of this prompt were running when backend servers died
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -193,6 +193,7 @@
     void run()
     {
         this->logStart();
+        this->setRegions(this->settings.dataCentreRegions);
         this->controller.start();
         this->awaitSignal();
         this->awaitReloadSignal();
@@ -252,11 +253,19 @@
 
     void takeSettings(const Settings &after)
     {
+        this->setRegions(after.dataCentreRegions);
         if (this->integration.reload) {
             this->integration.reload(after);
         }
     }
 
+    void setRegions(const DataCentreRegions &regions)
+    {
+        this->gate.update([&regions](Dispatcher &dispatcher, TimePoint) {
+            dispatcher.setRegions(regions);
+        });
+    }
+
     ControllerHooks controllerHooks()
     {
         ControllerHooks hooks;
--- a/src/app/requestlog.cpp
+++ b/src/app/requestlog.cpp
@@ -17,11 +17,12 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-std::string listOf(const std::vector<DataCentre> &dataCentres)
+template <typename Name>
+std::string listOf(const std::vector<Name> &names)
 {
     std::string list;
-    for (const DataCentre &dataCentre : dataCentres) {
-        list += (list.empty() ? "" : ",") + dataCentre.text();
+    for (const Name &name : names) {
+        list += (list.empty() ? "" : ",") + name.text();
     }
     return list.empty() ? "none" : list;
 }
@@ -76,9 +77,10 @@
             {"tier", std::to_string(outcome.tier)}, {"route", outcome.route.text()},
             {"config_offset", std::to_string(outcome.configOffset)},
             {"config_proved_ms_ago", outcome.configAge.has_value() ? milliseconds(*outcome.configAge) : "none"},
-            {"evacuated", listOf(outcome.evacuated)}, {"prompt_tokens", std::to_string(outcome.promptTokens)},
-            {"shared_tokens", std::to_string(outcome.sharedTokens)}, {"prefix", std::to_string(outcome.prefixHash)},
-            {"prompt_parts", hashList(outcome.promptParts)}, {"attempts", std::to_string(outcome.attempts)},
+            {"evacuated", listOf(outcome.evacuated)}, {"homes", outcome.homes.has_value() ? listOf(*outcome.homes) : "anywhere"},
+            {"prompt_tokens", std::to_string(outcome.promptTokens)}, {"shared_tokens", std::to_string(outcome.sharedTokens)},
+            {"prefix", std::to_string(outcome.prefixHash)}, {"prompt_parts", hashList(outcome.promptParts)},
+            {"attempts", std::to_string(outcome.attempts)},
             {"last_attempt", outcome.lastAttempt.has_value() ? toString(*outcome.lastAttempt) : "none"},
             {"server", outcome.server.text()}, {"server_version", outcome.softwareVersion}, {"resumes", outcome.resumedRequest},
             {"resume_after", std::to_string(outcome.resumeAfter)}, {"deadline_ms", since(outcome.deadline)},
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -247,6 +247,39 @@
     return description;
 }
 
+MaybeError readRegions(const std::string &text, DataCentreRegions &target)
+{
+    DataCentreRegions regions;
+    std::istringstream list(text);
+    for (std::string entry; std::getline(list, entry, ',');) {
+        const std::size_t colon = entry.find(':');
+        if (colon == 0 || colon == std::string::npos || colon + 1 == entry.size()) {
+            return settingError(
+                "'" + entry + "' names no data centre and its region", "give DATA-CENTRE:REGION, separated by commas");
+        }
+        regions[DataCentre(entry.substr(0, colon))] = RegionName(entry.substr(colon + 1));
+    }
+    target = std::move(regions);
+    return std::nullopt;
+}
+
+SettingDescription regionsSetting()
+{
+    SettingDescription description = describe("data-centre-regions", "name:region,...",
+        "Region of each data centre. Requests restricted to regions are not served in data centres that are missing here.");
+    description.show = [](const Settings &settings) {
+        std::string text;
+        for (const auto &[dataCentre, region] : settings.dataCentreRegions) {
+            text += (text.empty() ? "" : ",") + dataCentre.text() + ":" + region.text();
+        }
+        return text;
+    };
+    description.assign = [](Settings &settings, const std::string &text) {
+        return readRegions(text, settings.dataCentreRegions);
+    };
+    return description;
+}
+
 SettingDescription traceOutputSetting()
 {
     SettingDescription description
@@ -398,6 +431,7 @@
         "Address that takes usage reports and server orders; port 0 for that of the store.", &Settings::platformApi));
     all.push_back(seedPeersSetting());
     all.push_back(required(nameSetting("data-centre", "Data centre that this instance stands in.", &Settings::dataCentre)));
+    all.push_back(regionsSetting());
     all.push_back(
         nameSetting("instance-id", "Name of this instance; made up at the start when not given.", &Settings::instanceId));
     all.push_back(keySecretSetting());
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -124,6 +124,7 @@
         this->routed.profile.earlierAttempts = this->forwarded->attempts;
     }
     this->outcome.route = this->routed.route;
+    this->outcome.homes = this->routed.profile.homes;
     this->outcome.resumedRequest = this->routed.resumedRequest;
     this->outcome.resumeAfter = this->routed.resumeAfter;
     this->relay.setCallerHeaders(this->environment.adapter.routerHeaders(this->outcome.requestId, this->span.context()));
--- a/src/relay/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -26,6 +26,9 @@
         return {ErrorKind::Timeout, "the deadline of the request's class passed", "try again later, or use another class"};
     case RefusalReason::NoServer:
         return {ErrorKind::Unavailable, "no backend server can take the request at present", "try again later"};
+    case RefusalReason::NoHomeServer:
+        return {ErrorKind::Unavailable,
+            "no backend server in the regions that the request is restricted to can take it at present", "try again later"};
     case RefusalReason::DataCentreEvacuated:
         return {ErrorKind::Unavailable, "the backend servers that could take the request are in an evacuated data centre",
             "try again later"};
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -75,6 +75,14 @@
     return hash;
 }
 
+/** Returns the homes of a request on @p route, or of one for a model without a route. */
+Homes homesOfRequest(const RoutingSnapshot &snapshot, const Route *route, const RoutedRequest &routed)
+{
+    const Versioned<ClientAccount> *account = snapshot.config().findClientAccount(routed.profile.clientAccount);
+    return homesOf(route == nullptr ? std::vector<RegionName>() : route->homes,
+        account == nullptr ? std::vector<RegionName>() : account->value.homes);
+}
+
 Result<void> checkMethod(const HttpRequest &request, std::string_view method)
 {
     if (request.method == method) {
@@ -143,6 +151,7 @@
     } else {
         BOOST_OUTCOME_TRYV(this->routeToService(snapshot, *route, request, routed));
     }
+    routed.profile.homes = homesOfRequest(snapshot, route, routed);
     routed.profile.fingerprint = fingerprintOf(routed, request);
     return routed;
 }
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -218,6 +218,11 @@
     this->implementation->setEvacuated(dataCentre, evacuated, now);
 }
 
+void Dispatcher::setRegions(const DataCentreRegions &regions)
+{
+    this->implementation->setRegions(regions);
+}
+
 void Dispatcher::onDataCentreReturned(const DataCentre &dataCentre, TimePoint now)
 {
     this->implementation->onDataCentreReturned(dataCentre, now);
@@ -266,7 +271,7 @@
 
 std::optional<PeerPath> Dispatcher::choosePeer(const RequestProfile &profile, const std::vector<InstanceId> &tried)
 {
-    return this->implementation->peers.choose({profile.model, profile.service}, tried);
+    return this->implementation->peers.choose({profile.model, profile.service}, tried, profile.homes);
 }
 
 void Dispatcher::releasePeer(const InstanceId &peer)
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -167,7 +167,8 @@
     }
     this->endAttempt(record, outcome, now);
     if (!record.softwareVersion.empty()) {
-        record.entry.target = this->pool.internVersionTarget(record.serviceTarget, record.softwareVersion);
+        const TargetIndex versionTarget = this->pool.internVersionTarget(record.serviceTarget, record.softwareVersion);
+        record.entry.target = this->withHomes(versionTarget, record.homes);
         record.prompt.target = record.entry.target;
     }
     const std::optional<RefusalReason> reason = this->reasonNotToRetry(record, outcome, now);
@@ -205,7 +206,7 @@
     if ((record.wasSent && !record.idempotent) || record.attempts >= record.maxAttempts) {
         return this->mayForward(record) ? RefusalReason::Unreachable : RefusalReason::RetriesExhausted;
     }
-    if (this->isLeftToPeers(record.serviceTarget, record.isForwarded)) {
+    if (this->isLeftToPeers(record.serviceTarget, record.isForwarded, record.homes)) {
         return RefusalReason::Unreachable;
     }
     if (!this->pool.hasUsableServer(record.entry.target, record.entry.cheapAllowed)) {
--- a/src/traffic/dispatcherevacuation.cpp
+++ b/src/traffic/dispatcherevacuation.cpp
@@ -19,7 +19,10 @@
 
 RefusalReason Dispatcher::Implementation::noServerReason(TargetIndex target) const
 {
-    return this->pool.hasEvacuatedServer(target) ? RefusalReason::DataCentreEvacuated : RefusalReason::NoServer;
+    if (this->pool.hasEvacuatedServer(target)) {
+        return RefusalReason::DataCentreEvacuated;
+    }
+    return this->pool.isHomeTarget(target) ? RefusalReason::NoHomeServer : RefusalReason::NoServer;
 }
 
 } // namespace flamingosaddle
--- a/src/traffic/dispatcherforecast.cpp
+++ b/src/traffic/dispatcherforecast.cpp
@@ -54,7 +54,11 @@
 WaitForecast Dispatcher::Implementation::forecastOf(const RequestProfile &profile, TimePoint now)
 {
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
-    return target.has_value() ? forecastWait(this->queueSnapshot(this->makeEntry(profile, *target), now)) : WaitForecast();
+    if (!target.has_value()) {
+        return WaitForecast();
+    }
+    const QueueEntry entry = this->makeEntry(profile, this->withHomes(*target, profile.homes));
+    return forecastWait(this->queueSnapshot(entry, now));
 }
 
 void Dispatcher::Implementation::forecastTierWaits(
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/hash.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingosaddle
 {
@@ -11,6 +12,7 @@
 {
 
 constexpr double percent = 100.0;
+constexpr int allTiers = std::numeric_limits<int>::max();
 constexpr std::chrono::seconds maxRetryAfter{60};
 // Per heartbeat. With names of 50 bytes this is 4 KB, or half a second of prefills at the reference peak load.
 constexpr std::size_t maxReportedPrefills = 64;
@@ -62,14 +64,21 @@
                      : std::chrono::duration_cast<std::chrono::seconds>(Quarantine::expiry));
     }
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
-    if (target.has_value() && this->isLeftToPeers(*target, profile.isForwarded)) {
+    if (target.has_value() && this->isLeftToPeers(*target, profile.isForwarded, profile.homes)) {
         return refusalNotRun(RefusalReason::Unreachable, otherInstanceRetryAfter);
     }
     if (!target.has_value() || !this->pool.hasUsableServer(*target, profile.requestClass.cheapAllowed)) {
         return this->refuseWithoutServer(target);
     }
+    if (profile.homes.has_value()) {
+        const TargetIndex homeTarget = this->withHomes(*target, profile.homes);
+        if (!this->pool.hasUsableServer(homeTarget, profile.requestClass.cheapAllowed)) {
+            return this->refuseWithoutServer(homeTarget);
+        }
+    }
     if (!profile.softwareVersion.empty()) {
-        const TargetIndex versionTarget = this->pool.internVersionTarget(*target, profile.softwareVersion);
+        const TargetIndex versionTarget
+            = this->withHomes(this->pool.internVersionTarget(*target, profile.softwareVersion), profile.homes);
         if (!this->pool.hasUsableServer(versionTarget, profile.requestClass.cheapAllowed)) {
             return this->refuseWithoutServer(versionTarget);
         }
@@ -93,6 +102,7 @@
     if (!profile.softwareVersion.empty()) {
         entry.target = this->pool.internVersionTarget(*target, profile.softwareVersion);
     }
+    entry.target = this->withHomes(entry.target, profile.homes);
     this->recordTier(profile.requestClass);
     if (profile.outputTokens > 0) {
         const std::optional<Refusal> tooLong = this->refuseByBacklog(entry, profile, now);
@@ -241,6 +251,7 @@
     record.promptTokens = profile.promptTokens;
     record.prompt = promptRequestOf(profile, entry);
     record.serviceTarget = this->pool.internTarget(profile.model, profile.service);
+    record.homes = profile.homes;
     record.idempotent = profile.idempotent;
     record.isForwarded = profile.isForwarded;
     record.attempts = profile.earlierAttempts;
@@ -309,9 +320,13 @@
     }
     // Callers that have a part of a stream wait for the next event, and share the servers with new requests.
     for (const bool continuesStreams : {true, false}) {
+        if (this->pool.hasHomeTargets()) {
+            this->startByTier(continuesStreams, now, decisions);
+            continue;
+        }
         for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
             if (this->queue.waiting(target) > 0 && this->pool.continuesStreams(target) == continuesStreams) {
-                this->startWaiting(target, now, decisions);
+                this->startWaiting(target, allTiers, now, decisions);
             }
         }
     }
@@ -332,10 +347,11 @@
     return available;
 }
 
-void Dispatcher::Implementation::startWaiting(TargetIndex target, TimePoint now, Decisions &decisions)
+void Dispatcher::Implementation::startWaiting(TargetIndex target, int lowestTier, TimePoint now, Decisions &decisions)
 {
     while (true) {
-        const Availability available = this->availability(target, now);
+        Availability available = this->availability(target, now);
+        available.lowestAllowedTier = std::min(available.lowestAllowedTier, lowestTier);
         if (!available.ordinary && !available.cheap) {
             return;
         }
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -49,6 +49,7 @@
     void setExcluded(const DataCentre &dataCentre, bool excluded);
     void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
     void onDataCentreReturned(const DataCentre &dataCentre, TimePoint now);
+    void setRegions(const DataCentreRegions &regions);
     void applyPeerServedTokens(const ServedTokensReport &report);
     WaitForecast forecastOf(const RequestProfile &profile, TimePoint now);
     void forecastTierWaits(const ModelName &model, const ServiceName &service, TimePoint now, std::vector<TierWait> &waits);
@@ -138,6 +139,10 @@
     Refusal refuseWithoutServer(std::optional<TargetIndex> target) const;
     /** Returns why the target has no usable server. */
     RefusalReason noServerReason(TargetIndex target) const;
+    /** Returns the target whose servers are those of @p target in the homes, or @p target itself without any. */
+    TargetIndex withHomes(TargetIndex target, const Homes &homes);
+    /** Starts waiting requests, tier by tier over all targets, if some of these share servers because of homes. */
+    void startByTier(bool continuesStreams, TimePoint now, Decisions &decisions);
     /** Returns why the request must not run, or nothing if it may. */
     std::optional<RefusalReason> quarantineReason(
         std::uint64_t fingerprint, const std::vector<std::uint64_t> &promptParts, TimePoint now) const;
@@ -176,7 +181,8 @@
     void rejectQuarantined(TimePoint now);
     Availability availability(TargetIndex target, TimePoint now);
     int lowestStartableTier(TargetIndex target, TimePoint now);
-    void startWaiting(TargetIndex target, TimePoint now, Decisions &decisions);
+    /** Starts waiting requests of the target, of @p lowestTier or higher ones. */
+    void startWaiting(TargetIndex target, int lowestTier, TimePoint now, Decisions &decisions);
     std::optional<RefusalReason> reasonNotToStart(const RequestRecord &record, TimePoint now) const;
     void start(RequestIndex index, ServerIndex server, TimePoint now, Decisions &decisions);
     void recordPrefill(const BackendServerId &server, std::uint64_t prefixHash);
@@ -200,7 +206,7 @@
     void checkOtherTargets(TargetIndex target);
     TargetName nameOf(TargetIndex target) const;
     /** Returns whether a request for a target is not sent from here: it is unreachable, and a peer may serve the request. */
-    bool isLeftToPeers(TargetIndex serviceTarget, bool isForwarded) const;
+    bool isLeftToPeers(TargetIndex serviceTarget, bool isForwarded, const Homes &homes) const;
     bool isAnyLeftToPeers() const;
     /** Returns whether a request whose attempts are exhausted may be served by a peer, or by another one if it was forwarded. */
     bool mayForward(const RequestRecord &record) const;
--- a/src/traffic/dispatcherpaths.cpp
+++ b/src/traffic/dispatcherpaths.cpp
@@ -143,11 +143,11 @@
     return this->paths.isAnyUnreachable() || !this->leftToPeers.empty();
 }
 
-bool Dispatcher::Implementation::isLeftToPeers(TargetIndex serviceTarget, bool isForwarded) const
+bool Dispatcher::Implementation::isLeftToPeers(TargetIndex serviceTarget, bool isForwarded, const Homes &homes) const
 {
     // A request that was forwarded to this instance is not sent on: the instance that has it chooses another peer.
     const bool isLeft = this->paths.isUnreachable(serviceTarget) || this->leftToPeers.contains(serviceTarget);
-    return isLeft && (isForwarded || this->peers.canServe(this->nameOf(serviceTarget)));
+    return isLeft && (isForwarded || this->peers.canServe(this->nameOf(serviceTarget), homes));
 }
 
 bool Dispatcher::Implementation::isUnreachable(const RequestProfile &profile)
@@ -156,13 +156,13 @@
         return false;
     }
     const std::optional<TargetIndex> target = this->pool.findTarget(profile.model, profile.service);
-    return target.has_value() && this->isLeftToPeers(*target, profile.isForwarded);
+    return target.has_value() && this->isLeftToPeers(*target, profile.isForwarded, profile.homes);
 }
 
 bool Dispatcher::Implementation::mayForward(const RequestRecord &record) const
 {
     // A request that a server has seen is not repeated beyond its attempts, here or elsewhere.
-    return !record.wasReached && (record.isForwarded || this->peers.canServe(this->nameOf(record.serviceTarget)));
+    return !record.wasReached && (record.isForwarded || this->peers.canServe(this->nameOf(record.serviceTarget), record.homes));
 }
 
 void Dispatcher::Implementation::rejectUnreachable(TimePoint now)
@@ -172,7 +172,7 @@
     }
     for (const RequestIndex index : this->requests.waiting()) {
         const RequestRecord &record = this->requests.record(index);
-        if (this->isLeftToPeers(record.serviceTarget, record.isForwarded)) {
+        if (this->isLeftToPeers(record.serviceTarget, record.isForwarded, record.homes)) {
             this->reject(index, RefusalReason::Unreachable, now);
         }
     }
--- a/src/traffic/dispatcherrejections.cpp
+++ b/src/traffic/dispatcherrejections.cpp
@@ -32,7 +32,7 @@
     if (reason == RefusalReason::Draining) {
         return Refusal{reason, runState, otherInstanceRetryAfter};
     }
-    if (reason == RefusalReason::DataCentreEvacuated) {
+    if (reason == RefusalReason::DataCentreEvacuated || reason == RefusalReason::NoHomeServer) {
         return Refusal{reason, runState, noServerRetryAfter};
     }
     if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(record.entry.target)) {
--- a/src/traffic/peerpaths.cpp
+++ b/src/traffic/peerpaths.cpp
@@ -13,13 +13,18 @@
     this->refused.clear();
 }
 
-std::optional<PeerPath> PeerPaths::choose(const TargetName &target, const std::vector<InstanceId> &tried)
+void PeerPaths::setRegions(DataCentreRegions next)
+{
+    this->regions = std::move(next);
+}
+
+std::optional<PeerPath> PeerPaths::choose(const TargetName &target, const std::vector<InstanceId> &tried, const Homes &homes)
 {
     const PeerPath *best = nullptr;
     std::uint32_t lowest = 0;
     std::size_t ties = 0;
     for (const PeerPath &peer : this->peers) {
-        if (!this->isUsable(peer, target) || std::find(tried.begin(), tried.end(), peer.instance) != tried.end()) {
+        if (!this->isUsable(peer, target, homes) || std::find(tried.begin(), tried.end(), peer.instance) != tried.end()) {
             continue;
         }
         const std::uint32_t penalty = peer.dataCentre == this->ownDataCentre ? 0 : otherDataCentrePenalty;
@@ -56,16 +61,18 @@
     this->refused.clear();
 }
 
-bool PeerPaths::canServe(const TargetName &target) const
+bool PeerPaths::canServe(const TargetName &target, const Homes &homes) const
 {
-    return std::any_of(this->peers.begin(), this->peers.end(), [this, &target](const PeerPath &peer) {
-        return this->isUsable(peer, target);
+    return std::any_of(this->peers.begin(), this->peers.end(), [this, &target, &homes](const PeerPath &peer) {
+        return this->isUsable(peer, target, homes);
     });
 }
 
-bool PeerPaths::isUsable(const PeerPath &peer, const TargetName &target) const
+bool PeerPaths::isUsable(const PeerPath &peer, const TargetName &target, const Homes &homes) const
 {
-    return this->forwardedTo(peer.instance) < maxForwarded
+    // The body of a request must not leave its homes.
+    return (!homes.has_value() || isHome(*homes, this->regions, peer.dataCentre))
+        && this->forwardedTo(peer.instance) < maxForwarded
         && std::find(peer.unreachable.begin(), peer.unreachable.end(), target) == peer.unreachable.end()
         && !this->refused.contains({peer.instance, target});
 }
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -3,6 +3,7 @@
 #include <flamingosaddle/base/hash.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace flamingosaddle
 {
@@ -54,11 +55,68 @@
     if (server.kind == BackendKind::Service) {
         this->addMemberships(state, previous, ModelName(), server.service);
         this->addMembership(state, previous, this->internTarget(longPromptModel(), server.service));
+    } else {
+        for (const ModelName &model : server.models) {
+            this->addMemberships(state, previous, model, ServiceName());
+        }
+    }
+    this->addHomeMemberships(state, previous);
+}
+
+void ServerPool::addHomeMemberships(ServerState &state, const std::vector<TargetMembership> &previous)
+{
+    if (this->homeTargets.empty()) {
         return;
     }
-    for (const ModelName &model : server.models) {
-        this->addMemberships(state, previous, model, ServiceName());
+    const std::vector<TargetMembership> bases = state.memberships;
+    for (const HomeTarget &home : this->homeTargets) {
+        const bool isMember = std::any_of(bases.begin(), bases.end(), [&home](const TargetMembership &membership) {
+            return membership.target == home.base;
+        });
+        if (isMember && isHome(home.homes, this->regions, this->dataCentreNames.name(state.dataCentre))) {
+            this->addMembership(state, previous, home.target);
+        }
+    }
+}
+
+void ServerPool::setRegions(DataCentreRegions next)
+{
+    this->regions = std::move(next);
+    for (ServerState &state : this->servers) {
+        std::vector<TargetMembership> previous;
+        previous.swap(state.memberships);
+        std::copy_if(
+            previous.begin(), previous.end(), std::back_inserter(state.memberships), [this](const TargetMembership &membership) {
+                return !this->targets[membership.target].isOfHomes;
+            });
+        this->addHomeMemberships(state, previous);
     }
+    this->rebuildTargets();
+}
+
+ModelName ServerPool::homeModel(const ModelName &model, const std::vector<RegionName> &homes)
+{
+    std::string names;
+    for (const RegionName &home : homes) {
+        names += (names.empty() ? "" : ",") + home.text();
+    }
+    return ModelName("(homes " + names + ") " + model.text());
+}
+
+TargetIndex ServerPool::internHomeTarget(TargetIndex target, const std::vector<RegionName> &homes)
+{
+    for (const HomeTarget &known : this->homeTargets) {
+        if (known.base == target && known.homes == homes) {
+            return known.target;
+        }
+    }
+    const auto [model, service] = this->targetName(target);
+    const TargetIndex homeTarget = this->internTarget(homeModel(model, homes), service);
+    this->targets[homeTarget].isOfHomes = true;
+    this->targets[homeTarget].isOfVersion = this->targets[target].isOfVersion;
+    this->homeTargets.push_back({target, homeTarget, homes});
+    this->setRegions(this->regions);
+    return homeTarget;
 }
 
 void ServerPool::addMemberships(
--- a/src/traffic/types.cpp
+++ b/src/traffic/types.cpp
@@ -14,6 +14,8 @@
         return "deadline_missed";
     case RefusalReason::NoServer:
         return "no_server";
+    case RefusalReason::NoHomeServer:
+        return "no_home_server";
     case RefusalReason::DataCentreEvacuated:
         return "data_centre_evacuated";
     case RefusalReason::Quarantined:
--- a/tests/adapter/callerwire_test.cpp
+++ b/tests/adapter/callerwire_test.cpp
@@ -25,10 +25,13 @@
         {"name": "lookup", "host": "h.example", "path_prefix": "/lookup/", "type": "idempotent", "timeout_ms": 2000,
          "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2},
         {"name": "open", "host": "h.example", "path_prefix": "/open/", "type": "idempotent", "timeout_ms": 2000,
-         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2, "public": true}
+         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2, "public": true, "allowed_regions": ["east"]},
+        {"name": "home", "host": "h.example", "path_prefix": "/home/", "type": "idempotent", "timeout_ms": 2000,
+         "latency_goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 2, "allowed_regions": ["west", "east"]}
     ],
     "services": [],
-    "tenants": [{"name": "first", "api_keys": ["key-1"], "priority": 0}, {"name": "second", "api_keys": ["key-2"], "priority": 1}]
+    "tenants": [{"name": "first", "api_keys": ["key-1"], "priority": 0}, {"name": "second", "api_keys": ["key-2"], "priority": 1},
+        {"name": "third", "api_keys": ["key-3"], "allowed_regions": ["west", "north"]}]
 })";
 
 HttpRequest requestFor(const std::string &target, const std::string &key = "key-1")
@@ -96,6 +99,21 @@
     EXPECT_TRUE(this->route(requestFor("/open/1", "stolen")).has_value());
 }
 
+TEST_F(CallerWireTest, HomesOfRouteAndAccountBindTogether)
+{
+    const RegionName east("east");
+    const RegionName north("north");
+    const RegionName west("west");
+    const auto homes = [this](const std::string &target, const std::string &key) {
+        return this->route(requestFor(target, key)).value().profile.homes;
+    };
+    EXPECT_EQ(homes("/chat/1", "key-1"), std::nullopt);
+    EXPECT_EQ(homes("/home/1", "key-1"), (std::vector<RegionName>{east, west}));
+    EXPECT_EQ(homes("/chat/1", "key-3"), (std::vector<RegionName>{north, west}));
+    EXPECT_EQ(homes("/home/1", "key-3"), std::vector<RegionName>{west});
+    EXPECT_EQ(homes("/open/1", "key-3"), std::vector<RegionName>{east}) << "an open route takes no account of the key";
+}
+
 TEST_F(CallerWireTest, RejectsRequestsThatNeedTheConfigurationWhenItIsStale)
 {
     const TimePoint past(500ms);
--- a/tests/adapter/records_test.cpp
+++ b/tests/adapter/records_test.cpp
@@ -20,14 +20,14 @@
          "resumable": true, "target_itl_ms": 600},
         {"name": "r2", "host": "h.example", "path_prefix": "/b/", "type": "non_idempotent", "timeout_ms": 2000,
          "latency_goal_ms": 300, "priority": 2, "split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
-         "max_attempts": 1, "public": true, "resumable": true}
+         "max_attempts": 1, "public": true, "resumable": true, "allowed_regions": ["east", "west"]}
     ],
     "services": [
         {"name": "engines", "max_connections": 360, "backend": {"kv_capacity": 540877},
          "scaling": {"min": 1, "max": 8, "boot_s": 4.0, "spot_price": 0.22, "zone_prices": {"z1": 1.0, "z2": 0.8}}},
         {"name": "x", "max_connections": 100}
     ],
-    "tenants": [{"name": "acme", "api_keys": ["k1", "k2"], "priority": 1}, {"name": "plain", "api_keys": []}]
+    "tenants": [{"name": "acme", "api_keys": ["k1", "k2"], "priority": 1}, {"name": "plain", "api_keys": [], "allowed_regions": ["west"]}]
 })";
 
 const std::string entry = R"({"service": "engines", "address": "127.0.0.1:8080", "zone": "z1", "version": "v1", "slots": 64,
@@ -65,6 +65,10 @@
     EXPECT_EQ(published.objects.keys[0].digest, KeyDigest::of("k1", secret));
     EXPECT_EQ(published.objects.clientAccounts[0].tier, 1);
     EXPECT_EQ(published.objects.clientAccounts[1].tier, std::nullopt);
+    EXPECT_TRUE(stream.homes.empty());
+    EXPECT_EQ(deposit.homes, (std::vector<RegionName>{RegionName("east"), RegionName("west")}));
+    EXPECT_TRUE(published.objects.clientAccounts[0].homes.empty());
+    EXPECT_EQ(published.objects.clientAccounts[1].homes, std::vector<RegionName>{RegionName("west")});
     const ScalingRules &scaling = *published.services[0].scaling;
     EXPECT_EQ(scaling.maxServers, 8U);
     EXPECT_EQ(scaling.startupTime, 4s);
@@ -83,7 +87,9 @@
 {
     for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{R"("version": 7)", R"("version": "7")"},
              {R"("host": "h.example")", R"("host": 4)"}, {R"("weight": 90)", R"("weight": "much")"},
-             {R"(["k1", "k2"])", R"(["k1", 2])"}, {R"("routes": [)", R"("routes": {}, "r": [)"}}) {
+             {R"(["k1", "k2"])", R"(["k1", 2])"}, {R"("routes": [)", R"("routes": {}, "r": [)"},
+             {R"(["east", "west"])", R"("east")"}, {R"(["east", "west"])", R"(["east", 2])"},
+             {R"(["west"]})", R"({"west": 1}})"}}) {
         const Result<PublishedConfig> decoded = decodeConfig(replaced(config, from, to), 0, secret);
         ASSERT_TRUE(decoded.has_error()) << to;
         EXPECT_EQ(decoded.error().kind(), ErrorKind::InvalidConfiguration);
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -53,6 +53,22 @@
     }
 }
 
+TEST(Settings, RegionsOfDataCentresAreAListOfPairs)
+{
+    const auto regionsFrom = [](const std::string &text) {
+        const auto loaded = loadSettings({"--data-centre-regions", text}, environmentOf(minimalEnvironment));
+        const Settings *settings = std::get_if<Settings>(&loaded);
+        return settings == nullptr ? std::nullopt : std::optional(settings->dataCentreRegions);
+    };
+    EXPECT_EQ(regionsFrom("a:east,b:east,c:west"),
+        (DataCentreRegions{{DataCentre("a"), RegionName("east")}, {DataCentre("b"), RegionName("east")},
+            {DataCentre("c"), RegionName("west")}}));
+    EXPECT_EQ(regionsFrom(""), DataCentreRegions());
+    for (const char *text : {"a", "a:", ":east", "a:east,,b:west"}) {
+        EXPECT_EQ(regionsFrom(text), std::nullopt) << text;
+    }
+}
+
 TEST(Settings, UnknownFlagsAreRefused)
 {
     EXPECT_TRUE(
