--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -259,6 +259,10 @@
      */
     void setEvacuated(const DataCentre &dataCentre, bool evacuated, TimePoint now);
 
+    /** Sets the region of each data centre. Requests with homes are served and forwarded only in data centres of these regions.
+     */
+    void setRegions(const DataCentreRegions &regions);
+
     /**
      * Sets the number of instances that share the backend servers. Each instance may always use an even share of a server's
      * slots, however old its peers' reports are. With 0, the initial value, only the reports count.
