--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -126,8 +126,14 @@
     void applyLoadReport(const ServerLoadReport &report);
     void setExcluded(const DataCentre &dataCentre, bool excluded);
 
-    /** Sets the data centre that this instance stands in; an empty name leaves it unknown. */
-    void setOwnDataCentre(const DataCentre &dataCentre);
+    /** Sets the data centre that this instance stands in, once, before requests; an empty name leaves it unknown. */
+    void setOwnDataCentre(const DataCentre &dataCentre)
+    {
+        if (!dataCentre.isEmpty()) {
+            this->ownDataCentreIndex = this->dataCentreNames.intern(dataCentre);
+            this->rebuildTargets(); // makes room for its index
+        }
+    }
 
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
--- a/src/traffic/serverpool.cpp
+++ b/src/traffic/serverpool.cpp
@@ -152,15 +152,6 @@
     this->rebuildTargets();
 }
 
-void ServerPool::setOwnDataCentre(const DataCentre &dataCentre)
-{
-    this->ownDataCentreIndex.reset();
-    if (!dataCentre.isEmpty()) {
-        this->ownDataCentreIndex = this->dataCentreNames.intern(dataCentre);
-        this->rebuildTargets(); // makes room for its index
-    }
-}
-
 void ServerPool::setStragglerDetection(bool enabled)
 {
     this->detectsStragglers = enabled;
