--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -150,8 +150,14 @@
     /** Sends no new requests to any server of the data centre, or does so again. */
     void setEvacuated(const DataCentre &dataCentre, bool evacuated);
 
-    /** Sets the data centre that this instance stands in; an empty name leaves it unknown. */
-    void setOwnDataCentre(const DataCentre &dataCentre);
+    /** Sets the data centre that this instance stands in, once, before requests; an empty name leaves it unknown. */
+    void setOwnDataCentre(const DataCentre &dataCentre)
+    {
+        if (!dataCentre.isEmpty()) {
+            this->ownDataCentreIndex = this->dataCentreNames.intern(dataCentre);
+            this->rebuildTargets(); // makes room for its index
+        }
+    }
 
     /** @param count instances that share the servers; 0 while unknown */
     void setInstanceCount(std::uint32_t count);
