Cold servers: no wake-ups in the past, whole reads confirm, a return does not shorten a suspicion

Cause, found in review: when a stated cold time ended while the server was still suspected, its end stayed the time of the next start, so that a waiting request woke the traffic thread again and again for up to half a second. A read that did not reach the end of the entries counted as knowing them all. The return of a data centre replaced the later end of an earlier suspicion.

Change: a change of the reason is applied like its end; only reads to the end confirm; the later end holds; servers that are left to others for a suspicion count as paused until it can be answered.

Tests: ColdDispatcher.AStatedTimeThatEndsBeforeASuspicionIsNoTimeToWakeUp and TheReturnOfADataCentreDoesNotEndAnEarlierSuspicion.

--- a/include/flamingosaddle/traffic/serverpool.h
+++ b/include/flamingosaddle/traffic/serverpool.h
@@ -41,7 +41,7 @@
     double requestsPerSecond = 0.0; ///< that it bears from all instances while it is cold
     TimePoint statedUntil; ///< end of its cold time as its entry states it; in the past if it is warm
     std::optional<ColdReason> suspicion; ///< why it may have turned cold since its entry was written, if it may
-    TimePoint suspectedAt; ///< last time with such a reason
+    TimePoint suspectedUntil; ///< entries that are known as of then answer the suspicion
     std::optional<ColdReason> reason; ///< why it is treated as cold; empty if it is warm
     std::uint32_t share = 0; ///< requests that this instance may start in ColdServers::window while it is cold
     RecentStarts starts; ///< also kept while it is warm, for the time after it turns cold
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -404,7 +404,9 @@
         co_return true;
     }
     this->advanceServersOffset(reading.value().nextOffset);
-    this->ownServersConfirmedAt = sentAt;
+    if (reading.value().isAtEnd) {
+        this->ownServersConfirmedAt = sentAt;
+    }
     this->dropUnlimitedColdTimes(reading.value());
     this->retainBatch(from.value_or(0), reading.value());
     this->applyServers(reading.value(), "store");
--- a/src/traffic/dispatchercold.cpp
+++ b/src/traffic/dispatchercold.cpp
@@ -53,13 +53,13 @@
         this->updateColdServers(now);
         return;
     }
-    this->endedCold.clear();
+    this->changedCold.clear();
     for (const ServerIndex server : this->pool.coldServers()) {
-        if (!this->pool.coldReason(server, now).has_value()) {
-            this->endedCold.push_back(server);
+        if (this->pool.coldReason(server, now) != this->pool.server(server).cold->reason) {
+            this->changedCold.push_back(server);
         }
     }
-    for (const ServerIndex server : this->endedCold) {
+    for (const ServerIndex server : this->changedCold) {
         this->updateColdServer(server, now);
     }
 }
--- a/src/traffic/dispatcherforecast.cpp
+++ b/src/traffic/dispatcherforecast.cpp
@@ -17,7 +17,7 @@
     snapshot.slots = this->pool.localInFlight(target) + snapshot.freeSlots - limited.localInFlight - limited.freeSlots;
     snapshot.rateLimitedStartsPerSecond = limited.startsPerSecond;
     if (const std::optional<TimePoint> pausedUntil = this->pool.pausedUntil(target)) {
-        snapshot.pausedSeconds = std::chrono::duration<double>(*pausedUntil - now).count();
+        snapshot.pausedSeconds = std::max(0.0, std::chrono::duration<double>(*pausedUntil - now).count());
     }
     snapshot.holdSeconds = this->statistics.holdSeconds(target);
     snapshot.higherWaiting = this->queue.waitingAbove(target, tier);
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -254,7 +254,7 @@
     std::set<TargetIndex> leftToPeers; // targets whose servers are divided among other instances
     TimePoint coldCheckedAt; // last updateColdServers()
     std::optional<TimePoint> coldSharesChangeAt; // without a change of the instances
-    std::vector<ServerIndex> endedCold; // a member to reuse its memory
+    std::vector<ServerIndex> changedCold; // a member to reuse its memory
     bool serversChanged = false;
     bool pausesChanged = false;
     bool quarantinesChanged = false;
--- a/src/traffic/serverpoolcold.cpp
+++ b/src/traffic/serverpoolcold.cpp
@@ -65,8 +65,12 @@
 {
     std::optional<ColdState> &state = this->servers[index].cold;
     if (state.has_value()) {
-        state->suspicion = reason;
-        state->suspectedAt = now;
+        const Duration wait = reason == ColdReason::Returned ? ColdServers::statementTime : ColdServers::restartStatementTime;
+        const bool isLater = !state->suspicion.has_value() || now + wait > state->suspectedUntil;
+        if (isLater) {
+            state->suspicion = reason;
+            state->suspectedUntil = now + wait;
+        }
     }
 }
 
@@ -96,9 +100,7 @@
 
 bool ServerPool::isSuspicionAnswered(const ColdState &state) const
 {
-    const Duration wait
-        = state.suspicion == ColdReason::Returned ? ColdServers::statementTime : ColdServers::restartStatementTime;
-    return this->serversConfirmedAt.has_value() && *this->serversConfirmedAt >= state.suspectedAt + wait;
+    return this->serversConfirmedAt.has_value() && *this->serversConfirmedAt >= state.suspectedUntil;
 }
 
 void ServerPool::forgetColdStarts(TimePoint now)
@@ -125,8 +127,14 @@
     if (state.pausedUntil.has_value()) {
         return state.pausedUntil;
     }
-    const bool isLeftToOthers = state.cold.has_value() && state.cold->reason == ColdReason::Stated && state.cold->share == 0;
-    return isLeftToOthers ? std::optional(state.cold->statedUntil) : std::nullopt;
+    const bool isLeftToOthers = state.cold.has_value() && state.cold->reason.has_value() && state.cold->share == 0;
+    if (!isLeftToOthers) {
+        return std::nullopt;
+    }
+    if (state.cold->reason == ColdReason::Stated) {
+        return state.cold->statedUntil;
+    }
+    return state.cold->reason == state.cold->suspicion ? std::optional(state.cold->suspectedUntil) : std::nullopt;
 }
 
 } // namespace flamingosaddle
--- a/tests/traffic/coldservers_test.cpp
+++ b/tests/traffic/coldservers_test.cpp
@@ -260,6 +260,35 @@
     EXPECT_EQ(this->reason(), std::nullopt);
 }
 
+// A server that failed, and whose entry then states a cold time, is still suspected when that time has ended. The stated end must
+// not remain the time of the next start: the traffic thread would wake up again and again.
+TEST_F(ColdDispatcher, AStatedTimeThatEndsBeforeASuspicionIsNoTimeToWakeUp)
+{
+    this->startMany(60, AttemptOutcome::ServerFailed);
+    this->setServers(serverOf(coldId, this->now + 3s));
+    this->dispatch();
+    EXPECT_EQ(this->reason(), ColdReason::Stated);
+    this->pass(3s - 100ms);
+    this->dispatch();
+    this->startMany(60);
+    this->pass(100ms);
+    this->dispatch();
+    EXPECT_EQ(this->reason(), ColdReason::Failed);
+    const std::optional<TimePoint> wakeup = this->dispatcher.nextWakeup();
+    EXPECT_TRUE(!wakeup.has_value() || *wakeup > this->now);
+}
+
+// The return of a data centre must not shorten the time in which a server that failed there may still state a restart.
+TEST_F(ColdDispatcher, TheReturnOfADataCentreDoesNotEndAnEarlierSuspicion)
+{
+    this->startMany(60, AttemptOutcome::ServerFailed);
+    this->pass(500ms);
+    this->dispatcher.onDataCentreReturned(serverOf(coldId).dataCentre, this->now);
+    this->pass(ColdServers::statementTime);
+    this->confirm();
+    EXPECT_EQ(this->reason(), ColdReason::Failed);
+}
+
 TEST_F(ColdDispatcher, AServerThatAPeerSawDieIsCold)
 {
     this->dispatcher.applyPeerDeath({coldId, 7, {}, 1s}, this->now);
