Callers: a connection at the limit is not closed while it reads a request; limits hold from a request's first byte

Cause, found in review: closing the connection that waits longest counted the time before a request that was being read, and could cut a request that had just been read whole; limits of the configuration were taken when the connection went idle; requests of 16 to 64 KB counted for 64 KB while they were read; the bytes sent to servers were counted as 0 since bodies are not copied.

Change: the wait begins anew with a request's first byte, a connection that is to be closed passes nothing on, limits are taken with the first byte, the account is asked in steps of 16 KB up to 64 KB, and the bytes that are sent are counted.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -44,9 +44,9 @@
  */
 struct ServerReadResult {
     std::uint64_t nextOffset = 0; ///< offset at which the next read continues
-    bool isAtEnd = true; ///< whether the read reached the end of the log
     bool isComplete = false; ///< whether the changes list all existing entries
     std::vector<ServerChange> changes; ///< oldest first
+    bool isAtEnd = true; ///< whether the read reached the end of the log
 
     friend bool operator==(const ServerReadResult &, const ServerReadResult &) = default;
 };
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -93,7 +93,8 @@
         co_await this->refuse(read.error());
         co_return false;
     }
-    if (!read.value()) {
+    if (!read.value() || this->abortRequested) {
+        // A request that is not passed on may be cut without breaking a promise.
         co_return false;
     }
     co_await this->runHandler();
--- a/src/http/serverconnectionmemory.cpp
+++ b/src/http/serverconnectionmemory.cpp
@@ -16,11 +16,13 @@
 {
 
 // The account is asked once for so many bytes, so that a large body doesn't take its lock with each read.
+constexpr std::size_t smallHoldingStep = std::size_t{16} * 1024; // up to the next step, for the many requests of ordinary size
 constexpr std::size_t holdingStep = std::size_t{64} * 1024;
 
 std::size_t roundUp(std::size_t bytes)
 {
-    return (bytes + holdingStep - 1) / holdingStep * holdingStep;
+    const std::size_t step = bytes < holdingStep ? smallHoldingStep : holdingStep;
+    return (bytes + step - 1) / step * step;
 }
 
 } // namespace
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -152,8 +152,6 @@
     this->hasLateRead = false;
     Parser parser;
     parser.eager(true);
-    parser.header_limit(static_cast<std::uint32_t>(this->core->callerLimits.maxHeaderBytes.load()));
-    parser.body_limit(this->core->callerLimits.maxBodyBytes.load());
     const Duration idleLimit = this->idleLimit();
     if (idleLimit == Duration::zero() && this->input.empty()) {
         co_return false;
@@ -163,6 +161,10 @@
     while (true) {
         if (this->phase == Phase::Idle && !this->input.empty()) {
             this->phase = Phase::Reading;
+            // The limits may have changed while the connection was idle.
+            parser.header_limit(static_cast<std::uint32_t>(this->core->callerLimits.maxHeaderBytes.load()));
+            parser.body_limit(this->core->callerLimits.maxBodyBytes.load());
+            this->waitsSince = RuntimeClock::now();
             this->watchdog.arm(this->core->callerLimits.headerTimeout);
         }
         this->countFields(parser);
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -342,7 +342,7 @@
     this->outcome.softwareVersion = server->value.softwareVersion;
     this->outcome.sentAt = RuntimeClock::now();
     BackendPool::CallParameters parameters = this->callParameters(server->value, attemptSpan.context());
-    this->outcome.traffic.push_back({server->value.dataCentre, parameters.request.body.size(), 0});
+    this->outcome.traffic.push_back({server->value.dataCentre, parameters.request.payload().size(), 0});
     parameters.tryResend = [&grant]() {
         return grant.tryResend();
     };
