--- a/include/flamingosaddle/app/daemonoptions.h
+++ b/include/flamingosaddle/app/daemonoptions.h
@@ -18,4 +18,7 @@
 DispatcherOptions dispatcherOptionsOf(const Settings &settings, std::uint64_t seed);
 ControllerOptions controllerOptionsOf(const Settings &settings, std::uint64_t seed);
 
+/** Returns a seed that differs between the processes of a deployment. */
+std::uint64_t randomSeed();
+
 } // namespace flamingosaddle
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -32,7 +32,6 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
-#include <random>
 #include <utility>
 
 namespace flamingosaddle
@@ -46,12 +45,6 @@
 constexpr std::chrono::milliseconds drainAnswerTime(200); // at the end of a drain, for answers to reach their callers
 constexpr std::size_t forwardingHeaderBytes = 1024; // that an instance adds to a request which it forwards
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 } // namespace
 
 class Daemon::Implementation
--- a/src/app/daemonoptions.cpp
+++ b/src/app/daemonoptions.cpp
@@ -1,6 +1,7 @@
 #include <flamingosaddle/app/daemonoptions.h>
 
 #include <chrono>
+#include <random>
 #include <string>
 
 namespace flamingosaddle
@@ -92,4 +93,10 @@
     return options;
 }
 
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
 } // namespace flamingosaddle
--- a/tests/http/memory_test.cpp
+++ b/tests/http/memory_test.cpp
@@ -238,3 +238,22 @@
     this->server->stop();
     sender.join();
 }
+
+// The operator raises the limit of bodies while a caller keeps a connection: the limit holds for its next request.
+TEST_F(ServerMemory, LimitsThatWereRaisedHoldOnAnIdleConnection)
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = kilobyte;
+    this->start(limits);
+    RawClient client(this->server->localEndpoint());
+    client.send(head("/a", 100) + std::string(100, 'x'));
+    EXPECT_TRUE(client.readUntil("/a 100").ends_with("/a 100"));
+    this->awaitCondition([this] {
+        return this->guard->heldBytes() == 0;
+    });
+    CallerLimits raised;
+    raised.maxBodyBytes = 64 * kilobyte;
+    this->server->setCallerLimits(raised);
+    client.send(head("/b", 20 * kilobyte) + std::string(20 * kilobyte, 'x'));
+    EXPECT_TRUE(client.readUntil("/b 20480").ends_with("/b 20480"));
+}
