--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -135,6 +135,8 @@
 
     boost::asio::awaitable<bool> serveOne();
     boost::asio::awaitable<Result<bool>> readRequest();
+    /** Begins a request whose first byte has arrived. */
+    void beginReading(Parser &parser);
     boost::asio::awaitable<Result<void>> prepareForBody(Parser &parser);
     Result<bool> parseInput(Parser &parser);
     /** Checks the head of a request whose body is still to come. Returns false if the request was answered. */
--- a/src/http/serverconnectionread.cpp
+++ b/src/http/serverconnectionread.cpp
@@ -137,6 +137,16 @@
     co_return success();
 }
 
+void ServerConnection::beginReading(Parser &parser)
+{
+    this->phase = Phase::Reading;
+    // The limits may have changed while the connection was idle.
+    parser.header_limit(static_cast<std::uint32_t>(this->core->callerLimits.maxHeaderBytes.load()));
+    parser.body_limit(this->core->callerLimits.maxBodyBytes.load());
+    this->waitsSince = RuntimeClock::now();
+    this->watchdog.arm(this->core->callerLimits.headerTimeout);
+}
+
 asio::awaitable<Result<bool>> ServerConnection::readRequest()
 {
     this->phase = Phase::Idle;
@@ -160,12 +170,7 @@
     bool inBody = false;
     while (true) {
         if (this->phase == Phase::Idle && !this->input.empty()) {
-            this->phase = Phase::Reading;
-            // The limits may have changed while the connection was idle.
-            parser.header_limit(static_cast<std::uint32_t>(this->core->callerLimits.maxHeaderBytes.load()));
-            parser.body_limit(this->core->callerLimits.maxBodyBytes.load());
-            this->waitsSince = RuntimeClock::now();
-            this->watchdog.arm(this->core->callerLimits.headerTimeout);
+            this->beginReading(parser);
         }
         this->countFields(parser);
         const std::size_t needed = this->neededBytes(parser);
