--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -57,10 +57,10 @@
 class Dispatcher
 {
 public:
-    explicit Dispatcher(DispatcherOptions options);
+    explicit Dispatcher(const DispatcherOptions &options);
 
     /** Creates a dispatcher with policies that replace the default rules, see policies.h. */
-    Dispatcher(DispatcherOptions options, DispatcherPolicies policies);
+    Dispatcher(const DispatcherOptions &options, DispatcherPolicies policies);
 
     ~Dispatcher();
     Dispatcher(Dispatcher &&) noexcept;
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -9,12 +9,12 @@
 namespace flamingosaddle
 {
 
-Dispatcher::Dispatcher(DispatcherOptions options)
+Dispatcher::Dispatcher(const DispatcherOptions &options)
     : Dispatcher(options, DispatcherPolicies())
 {
 }
 
-Dispatcher::Dispatcher(DispatcherOptions options, DispatcherPolicies policies)
+Dispatcher::Dispatcher(const DispatcherOptions &options, DispatcherPolicies policies)
     : implementation(std::make_unique<Implementation>(options, std::move(policies)))
 {
 }
--- a/src/traffic/dispatcherimplementation.cpp
+++ b/src/traffic/dispatcherimplementation.cpp
@@ -37,7 +37,7 @@
     return hash64(key.name.text(), static_cast<std::uint64_t>(key.tier));
 }
 
-Dispatcher::Implementation::Implementation(DispatcherOptions options, DispatcherPolicies policies)
+Dispatcher::Implementation::Implementation(const DispatcherOptions &options, DispatcherPolicies policies)
     : peers(options.seed)
     , selector(options.seed, policies.selection)
     , quarantine(options.quarantineDeaths)
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -26,7 +26,7 @@
 class Dispatcher::Implementation
 {
 public:
-    Implementation(DispatcherOptions options, DispatcherPolicies policies);
+    Implementation(const DispatcherOptions &options, DispatcherPolicies policies);
 
     // Commands.
 
