--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -184,7 +184,7 @@
 }
 
 CallerFixture::CallerFixture(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
-    CallerHooks hooks, CallerOptions options, ProtocolAdapter interface, DispatcherOptions dispatcherOptions)
+    CallerHooks hooks, CallerOptions options, ProtocolAdapter interface, const DispatcherOptions &dispatcherOptions)
     : config(exampleConfig())
 {
     for (const FakeBackend *engine : engines) {
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -64,7 +64,7 @@
 public:
     CallerFixture(const std::vector<const FakeBackend *> &engines, const std::vector<const FakeBackend *> &services,
         CallerHooks hooks = {}, CallerOptions options = {}, ProtocolAdapter interface = openAiAdapter(secret, RequestClass()),
-        DispatcherOptions dispatcherOptions = {});
+        const DispatcherOptions &dispatcherOptions = {});
     ~CallerFixture();
 
     void addEngine(const Endpoint &endpoint, const std::string &softwareVersion = {});
