--- a/tests/traffic/dispatcherharness.cpp
+++ b/tests/traffic/dispatcherharness.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-DispatcherHarness::DispatcherHarness(HarnessSettings settings)
+DispatcherHarness::DispatcherHarness(const HarnessSettings &settings)
     : settings(settings)
     , dispatcher(settings.options)
     , servers(initialServers())
--- a/tests/traffic/dispatcherharness.h
+++ b/tests/traffic/dispatcherharness.h
@@ -24,7 +24,7 @@
 class DispatcherHarness
 {
 public:
-    explicit DispatcherHarness(HarnessSettings settings);
+    explicit DispatcherHarness(const HarnessSettings &settings);
 
     // Commands.
 
