Show that brittle servers fall over after a quiet time (review case 9)

Machines forget Server-Brittle when no answer has repeated it for 10 s; the first burst after that makes all three servers of a service fall over.

--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -687,6 +687,8 @@
         int firstMs = 50;
         int gapMs = 100; // between two events
         int workMs = 30; // of a plain request
+        int queue = 24; // requests that may wait beyond the slots
+        int brittle = 0; // Server-Brittle: rejections in a second that it bears; 0 if it is not brittle
         std::uint16_t entryPort = 0; // that the entry names; 0 for its own
     };
 
@@ -707,6 +709,8 @@
     {
         this->born = unixMs();
         this->isLeaving = false;
+        this->hasFallen = false;
+        this->rejections.clear();
         this->listener = std::make_unique<Listener>();
         this->port = this->listener->open(this->port, [this](int fd) {
             this->serve(fd);
@@ -772,6 +776,7 @@
     std::atomic<bool> isLeaving{false}; // says so in its answers
     /** Returns what happens to a run: "" to serve it, "500" to fail it, "crash" to end the process. */
     std::function<std::string(const Run &)> fate;
+    std::atomic<bool> hasFallen{false}; // over, after too many rejections; the case ends and starts it
 
     static std::vector<Run> allRuns()
     {
@@ -797,10 +802,45 @@
         }
     }
 
+    /** Counts a rejection; a brittle server falls over after too many in a second. */
+    void reject()
+    {
+        const std::scoped_lock lock(this->rejectionsMutex);
+        this->rejections.push_back(now());
+        std::erase_if(this->rejections, [](double at) { return at <= now() - 1; });
+        if (this->options.brittle > 0 && this->rejections.size() > static_cast<std::size_t>(this->options.brittle)) {
+            this->hasFallen = true;
+        }
+    }
+
     bool run(int fd, const Message &request)
     {
+        struct Place {
+            explicit Place(std::atomic<int> &taken)
+                : taken(taken)
+                , number(++taken)
+            {
+            }
+
+            ~Place()
+            {
+                --this->taken;
+            }
+
+            std::atomic<int> &taken;
+            int number;
+        };
+        const Place place(this->active);
         const std::string id = request.headers.get("Flamingosaddle-Request-Id");
         std::string fields = "Flamingosaddle-Request-Id: " + id + "\r\n";
+        if (this->options.brittle > 0) {
+            fields += "Server-Brittle: " + std::to_string(this->options.brittle) + "\r\n";
+        }
+        if (place.number > this->options.slots + this->options.queue) {
+            note("rejected request=" + id + " server=" + this->options.id);
+            this->reject();
+            return sendAll(fd, response(503, "", fields + "Flamingosaddle-Not-Executed: 1\r\n"));
+        }
         const auto leaving = [this] { return std::string(this->isLeaving ? "Server-Leaving: 1\r\n" : ""); };
         const std::string expected = request.headers.get("Flamingosaddle-Expect-Instance");
         if (!expected.empty() && expected != this->options.id) {
@@ -858,6 +898,9 @@
     std::unique_ptr<Listener> listener;
     std::int64_t born = 0;
     std::atomic<std::uint64_t> sequence{0};
+    std::atomic<int> active{0};
+    std::mutex rejectionsMutex;
+    std::vector<double> rejections; // of the last second
     std::atomic<bool> beating{false};
     std::thread beats;
 };
