--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -173,11 +173,21 @@
     return fd;
 }
 
+/** Returns a free port below those that the system gives to outgoing connections, which could take it before the daemon does. */
 inline std::uint16_t freePort()
 {
-    std::uint16_t port = 0;
-    ::close(listenOn(0, port));
-    return port;
+    static std::uint32_t next = static_cast<std::uint32_t>(::getpid());
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        next = next * 1664525U + 1013904223U;
+        std::uint16_t port = static_cast<std::uint16_t>(20000 + (next >> 8) % 12000);
+        try {
+            ::close(listenOn(port, port));
+            return port;
+        } catch (const CannotRun &) {
+            continue;
+        }
+    }
+    throw CannotRun("no free port");
 }
 
 inline int connectTo(std::uint16_t port, int timeoutMs = 1000)
@@ -1008,6 +1018,7 @@
     std::string fields; // more header lines
     std::string body = "{}";
     int deadlineMs = 12000;
+    int gapMs = 0; // after which the client leaves a stream on which nothing arrives; 0 for its deadline
 };
 
 /** Sends one request on a connection of its own and reads the whole answer. */
@@ -1029,7 +1040,7 @@
             answer.status = message.status();
             answer.leaving = message.headers.get("Server-Leaving");
             std::string pending;
-            const ReadEnd end = reader.body(message, what.deadlineMs, [&](const std::string &piece) {
+            const ReadEnd end = reader.body(message, what.gapMs > 0 ? what.gapMs : what.deadlineMs, [&](const std::string &piece) {
                 answer.body += piece;
                 pending += piece;
                 std::size_t blank = 0;
@@ -1195,6 +1206,9 @@
     return "{\"version\":" + std::to_string(version) + ",\"routes\":["
         + "{\"name\":\"r-plan\",\"path_prefix\":\"/s/plan/\"," + stream
         + "\"timeout_ms\":12000,\"max_attempts\":2,\"resumable\":true},"
+          "{\"name\":\"r-chat\",\"path_prefix\":\"/s/chat/\",\"host\":\"shop.example\",\"type\":\"streaming\",\"priority\":0,"
+          "\"service\":\"llm\",\"public\":false,\"sticky\":true,\"target_itl_ms\":400,\"latency_goal_ms\":600,"
+          "\"timeout_ms\":15000,\"max_attempts\":2,\"resumable\":true},"
           "{\"name\":\"r-digest\",\"path_prefix\":\"/s/digest/\","
         + stream
         + "\"timeout_ms\":6000,\"max_attempts\":1,\"resumable\":false},"
