--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -698,6 +698,7 @@
         int gapMs = 100; // between two events
         int workMs = 30; // of a plain request
         int queue = 24; // requests that may wait beyond the slots
+        int wayMs = 0; // to the caller and back, waited before a rejection is sent
         int brittle = 0; // Server-Brittle: rejections in a second that it bears; 0 if it is not brittle
         std::uint16_t entryPort = 0; // that the entry names; 0 for its own
     };
@@ -849,6 +850,7 @@
         if (place.number > this->options.slots + this->options.queue) {
             note("rejected request=" + id + " server=" + this->options.id);
             this->reject();
+            sleepMs(this->options.wayMs);
             return sendAll(fd, response(503, "", fields + "Flamingosaddle-Not-Executed: 1\r\n"));
         }
         const auto leaving = [this] { return std::string(this->isLeaving ? "Server-Leaving: 1\r\n" : ""); };
@@ -1107,6 +1109,20 @@
         : name(std::move(name))
         , log((folder / (this->name + ".log")).string())
         , settings((folder / (this->name + ".conf")).string())
+        , zone(std::move(zone))
+        , platformPort(platform.port)
+    {
+        this->configure();
+        this->start();
+    }
+
+    ~Daemon()
+    {
+        this->end(SIGKILL);
+    }
+
+    /** Writes the settings, with ports that are free now. */
+    void configure()
     {
         this->caller = freePort();
         this->ready = freePort();
@@ -1114,22 +1130,16 @@
             return "127.0.0.1:" + std::to_string(port) + "\n";
         };
         std::ofstream(this->settings) << "configuration = operator\ncaller-protocol = platform\ninstance-id = " << this->name
-                                      << "\ndata-centre = " << zone
+                                      << "\ndata-centre = " << this->zone
                                       << "\ndata-centre-regions = z-a:region,z-b:region,z-c:region\nlisten = " << local(this->caller)
                                       << "ready-listen = " << local(this->ready) << "admin-listen = " << local(freePort())
                                       << "peer-listen = " << local(freePort()) << "forward-listen = " << local(freePort())
-                                      << "platform = " << local(platform.port) << "platform-api = " << local(platform.port)
+                                      << "platform = " << local(this->platformPort) << "platform-api = " << local(this->platformPort)
                                       << "freshness-limit = 5000\ndrain-notice = 2700\ndrain-timeout = 6900\nresend-ratio = 0.2\n"
                                          "resend-extra = 54\nresend-window = 10\nretry-percent = 100\nquarantine-deaths = 3\n"
                                          "traffic-threads = 1\nmemory-mb = 390\nmax-fds = 6150\nmax-waiting = 2000\n"
                                          "connect-timeout = 400\nfirst-byte-timeout = 3600000\nprogress-timeout = 3600000\n"
                                          "heartbeat-interval = 250\nlog-level = info\nlease-duration = 2500\nusage-window = 5s\n";
-        this->start();
-    }
-
-    ~Daemon()
-    {
-        this->end(SIGKILL);
     }
 
     void start()
@@ -1177,12 +1187,17 @@
         return isAnswered && message.status() == 200;
     }
 
-    void waitUntilReady() const
+    void waitUntilReady()
     {
         for (int i = 0; i < 200; ++i) {
             if (this->isReady()) {
                 return;
             }
+            if (::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
+                note("daemon " + this->name + " found one of its ports taken, and gets others");
+                this->configure();
+                this->start();
+            }
             sleepMs(50);
         }
         throw CannotRun("daemon " + this->name + " is not ready");
@@ -1195,6 +1210,8 @@
 private:
     std::string log;
     std::string settings;
+    std::string zone;
+    std::uint16_t platformPort = 0;
     pid_t pid = -1;
 };
 
