--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -376,6 +376,11 @@
                 const int one = 1;
                 ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
                 const std::scoped_lock lock(this->mutex);
+                if (this->isCut) {
+                    resetOnClose(accepted);
+                    ::close(accepted);
+                    continue;
+                }
                 this->open_.insert(accepted);
                 this->workers.emplace_back([this, accepted, serve] {
                     serve(accepted);
@@ -388,21 +393,26 @@
         return bound;
     }
 
+    /** Cuts every connection at once, and those that come until close(), as when the process ends. */
+    void cut()
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->isCut = true;
+        for (const int open : this->open_) {
+            resetOnClose(open);
+            ::shutdown(open, SHUT_RDWR);
+        }
+    }
+
     /** Stops listening and resets every connection. */
     void close()
     {
         if (!this->isOpen.exchange(false)) {
             return;
         }
+        this->cut();
         this->thread.join();
         ::close(this->fd);
-        {
-            const std::scoped_lock lock(this->mutex);
-            for (const int open : this->open_) {
-                resetOnClose(open);
-                ::shutdown(open, SHUT_RD);
-            }
-        }
         for (std::thread &worker : this->workers) {
             worker.join();
         }
@@ -411,12 +421,13 @@
 
     bool isListening() const
     {
-        return this->isOpen;
+        return this->isOpen && !this->isCut;
     }
 
 private:
     int fd = -1;
     std::atomic<bool> isOpen{false};
+    std::atomic<bool> isCut{false};
     std::thread thread;
     std::mutex mutex;
     std::set<int> open_;
@@ -821,6 +832,7 @@
         std::erase_if(this->rejections, [](double at) { return at <= now() - 1; });
         if (this->options.brittle > 0 && this->rejections.size() > static_cast<std::size_t>(this->options.brittle)) {
             this->hasFallen = true;
+            this->listener->cut();
         }
     }
 
