--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -1160,6 +1161,7 @@
         const std::string path = program == nullptr ? "target/tools/flamingosaddled" : program;
         this->pid = ::fork();
         if (this->pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // no daemon outlives its case
             const int out = ::open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, 1);
             ::dup2(out, 2);
