--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,7 +1,7 @@
 // A server leaves without reporting that it drains: its entry is removed, and its answers say that it leaves. The machine has
 // passed on such answers when the store comes back from a copy that still has the entry. The server must get no more requests. It
 // ends drain_ms and a little longer after it began to leave, and what it still runs then is lost.
-#include "../standins-2/rig.hh"
+#include "../rig-2.hh"
 
 using namespace rig;
 
