--- a/review/rig-2.hh
+++ b/review/rig-2.hh
@@ -709,14 +709,15 @@
         int firstMs = 50;
         int gapMs = 100; // between two events
         int workMs = 30; // of a plain request
-        int queue = 24; // requests that may wait beyond the slots
+        int queue = 24; // requests that may wait beyond the slots, at first
         int wayMs = 0; // to the caller and back, waited before a rejection is sent
         int brittle = 0; // Server-Brittle: rejections in a second that it bears; 0 if it is not brittle
         std::uint16_t entryPort = 0; // that the entry names; 0 for its own
     };
 
-    Backend(Platform &platform, Options options)
-        : options(std::move(options))
+    Backend(Platform &platform, Options given)
+        : options(std::move(given))
+        , room(options.queue)
         , platform(platform)
     {
     }
@@ -795,6 +796,7 @@
     }
 
     Options options;
+    std::atomic<int> room; // requests that may wait beyond the slots
     std::uint16_t port = 0;
     std::atomic<bool> isLeaving{false}; // says so in its answers
     /** Returns what happens to a run: "" to serve it, "500" to fail it, "crash" to end the process. */
@@ -860,7 +862,7 @@
         if (this->options.brittle > 0) {
             fields += "Server-Brittle: " + std::to_string(this->options.brittle) + "\r\n";
         }
-        if (place.number > this->options.slots + this->options.queue) {
+        if (place.number > this->options.slots + this->room) {
             note("rejected request=" + id + " server=" + this->options.id);
             this->reject();
             sleepMs(this->options.wayMs);
