Remember what servers said after their entries are gone

Cause: the table of servers kept such a statement only with an entry. One of a server that was not listed was ignored, and a removed entry left a trace only if its server was known to leave. A restored store lists the same start again, which then counted as ready.

AServerThatRestartedIsNotLeavingBecauseTheOldOneSaidSo used the start that had said it leaves as its third, supposedly new start. That start is now known to leave; the test takes a start of its own, and expects the same of it.

--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -2,14 +2,12 @@
 
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/state/config.h>
+#include <flamingosaddle/state/departedservers.h>
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace flamingosaddle
@@ -45,14 +43,13 @@
 /**
  * The registered backend servers. An entry that disappears during an outage of the store, or is found missing shortly after
  * it, is kept as missing until the grace period ends, because the server could not renew it. A server that leaves remains leaving
- * until it restarts, since an entry that says otherwise comes from a backup of the store. An entry states how much longer its
- * server is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no I/O and reads no clock: the
- * time is an argument.
+ * until it restarts, whether it is listed or not, since an entry that says otherwise comes from a backup of the store. An entry
+ * states how much longer its server is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no
+ * I/O and reads no clock: the time is an argument.
  */
 class ServerTable
 {
 public:
-    static constexpr std::size_t maxDeparted = 256; ///< servers remembered after they left
     /** Longest cold time that is believed, so that a faulty entry cannot hold back work for ever. */
     static constexpr std::chrono::milliseconds maxColdTime = std::chrono::minutes(10);
     /** Difference between two statements of the end of a cold time below which the earlier one holds: entries lag differently. */
@@ -66,8 +63,8 @@
     /** Replaces the entries with the complete list @p entries. */
     bool replace(const std::vector<ServerChange> &entries, TimePoint now);
     /**
-     * Records that a server said itself that it leaves, in response to a request sent at @p sentAt. It is ignored if a newer
-     * start of the server registered since.
+     * Records that a server said itself that it leaves, in response to a request sent at @p sentAt. This counts for the start
+     * that was registered then, also if its entry has disappeared or a newer start of the server has registered since.
      */
     bool recordLeaving(const BackendServerId &id, TimePoint sentAt);
     /** Removes the entries whose grace period has ended. */
@@ -92,13 +89,19 @@
 
 private:
     bool remove(const BackendServerId &id, TimePoint now);
-    TimePoint coldUntil(const ServerChange &change, TimePoint now) const;
-    bool isKnownToLeave(const BackendServerId &id, const RegisteredServer &server) const;
+    /** Removes the entry of a server and remembers what is known of its start. Returns whether there was one. */
+    bool removeEntry(const BackendServerId &id);
+    /** Records since when the start of a server that is listed now is registered. */
+    void recordRegistration(const BackendServerId &id, const std::optional<DepartedServer> &known, TimePoint now);
+    /** Returns what outlasts the entry of a listed server. */
+    DepartedServer knownOf(const BackendServerId &id) const;
+    /** Returns the end of the server's cold time, given what was known of this start. */
+    static TimePoint coldUntil(const RegisteredServer &server, const std::optional<DepartedServer> &known, TimePoint now);
 
     ServerTableOptions options;
     std::map<BackendServerId, RegisteredServer> entries;
     std::map<BackendServerId, TimePoint> registeredAt; // when the current start of each server was first seen
-    std::deque<std::pair<BackendServerId, std::uint64_t>> departed; // id and start of servers that left, the newest last
+    DepartedServers departed;
     std::map<BackendServerId, TimePoint> graceDeadlines; // end of the grace period of each missing entry
     bool storeUnavailable = false;
     std::optional<TimePoint> graceUntil;
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -19,52 +19,62 @@
     }
     this->graceDeadlines.erase(change.id);
     RegisteredServer server = *change.server;
-    server.server.leaving = server.server.leaving || this->isKnownToLeave(change.id, server);
-    server.server.coldUntil = this->coldUntil(change, now);
-    server.coldFor = std::chrono::milliseconds(0);
     const auto found = this->entries.find(change.id);
-    if (found != this->entries.end() && found->second == server) {
+    const bool isListed = found != this->entries.end() && found->second.startedAt == server.startedAt;
+    const std::optional<DepartedServer> known
+        = isListed ? std::optional(this->knownOf(change.id)) : this->departed.take(change.id, server.startedAt);
+    server.server.leaving = server.server.leaving || (known.has_value() && known->leaving);
+    server.server.coldUntil = coldUntil(server, known, now);
+    server.coldFor = std::chrono::milliseconds(0);
+    if (isListed && found->second == server) {
         return false;
     }
-    if (found == this->entries.end() || found->second.startedAt != server.startedAt) {
-        this->registeredAt[change.id] = now;
+    if (!isListed) {
+        if (found != this->entries.end()) {
+            this->departed.add(this->knownOf(change.id));
+        }
+        this->recordRegistration(change.id, known, now);
     }
     this->entries[change.id] = std::move(server);
     return true;
 }
 
-TimePoint ServerTable::coldUntil(const ServerChange &change, TimePoint now) const
+void ServerTable::recordRegistration(const BackendServerId &id, const std::optional<DepartedServer> &known, TimePoint now)
 {
-    const bool isCold = change.server->coldFor.count() > 0;
-    const TimePoint stated = isCold ? now + std::min(change.server->coldFor, maxColdTime) : TimePoint();
-    const auto found = this->entries.find(change.id);
-    if (found == this->entries.end() || found->second.startedAt != change.server->startedAt) {
+    // A start whose entry is back has been registered since it was first seen, unless its id was used by another one meanwhile.
+    const std::optional<TimePoint> otherStart = this->departed.lastRegisteredAt(id);
+    const bool isNewestStart = known.has_value() && (!otherStart.has_value() || known->registeredAt >= *otherStart);
+    this->registeredAt[id] = isNewestStart ? known->registeredAt : now;
+}
+
+DepartedServer ServerTable::knownOf(const BackendServerId &id) const
+{
+    const RegisteredServer &server = this->entries.at(id);
+    return {id, server.startedAt, this->registeredAt.at(id), server.server.leaving, server.server.coldUntil};
+}
+
+TimePoint ServerTable::coldUntil(const RegisteredServer &server, const std::optional<DepartedServer> &known, TimePoint now)
+{
+    const bool isCold = server.coldFor.count() > 0;
+    const TimePoint stated = isCold ? now + std::min(server.coldFor, maxColdTime) : TimePoint();
+    if (!known.has_value()) {
         return stated;
     }
     // An entry is renewed continuously. What says the same as the one before must not count as a change.
-    const TimePoint known = found->second.server.coldUntil;
-    const bool isSameColdTime = isCold && std::chrono::abs(stated - known) < coldUntilTolerance;
-    return isSameColdTime || (!isCold && known <= now) ? known : stated;
+    const bool isSameColdTime = isCold && std::chrono::abs(stated - known->coldUntil) < coldUntilTolerance;
+    return isSameColdTime || (!isCold && known->coldUntil <= now) ? known->coldUntil : stated;
 }
 
 bool ServerTable::recordLeaving(const BackendServerId &id, TimePoint sentAt)
 {
     const auto found = this->entries.find(id);
     if (found == this->entries.end() || sentAt < this->registeredAt.at(id)) {
+        this->departed.recordLeaving(id, sentAt);
         return false;
     }
     return !std::exchange(found->second.server.leaving, true);
 }
 
-bool ServerTable::isKnownToLeave(const BackendServerId &id, const RegisteredServer &server) const
-{
-    const auto found = this->entries.find(id);
-    if (found != this->entries.end()) {
-        return found->second.startedAt == server.startedAt && found->second.server.leaving;
-    }
-    return std::find(this->departed.begin(), this->departed.end(), std::pair(id, server.startedAt)) != this->departed.end();
-}
-
 bool ServerTable::replace(const std::vector<ServerChange> &listed, TimePoint now)
 {
     bool changed = false;
@@ -96,15 +106,20 @@
         this->graceDeadlines.emplace(id, this->storeUnavailable ? TimePoint::max() : *this->graceUntil);
         return !std::exchange(found->second.server.missing, true);
     }
-    if (isLeaving) {
-        this->departed.emplace_back(id, found->second.startedAt);
-        if (this->departed.size() > maxDeparted) {
-            this->departed.pop_front();
-        }
+    this->graceDeadlines.erase(id);
+    this->removeEntry(id);
+    return true;
+}
+
+bool ServerTable::removeEntry(const BackendServerId &id)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end()) {
+        return false;
     }
+    this->departed.add(this->knownOf(id));
     this->entries.erase(found);
     this->registeredAt.erase(id);
-    this->graceDeadlines.erase(id);
     return true;
 }
 
@@ -116,8 +131,7 @@
             ++entry;
             continue;
         }
-        changed = this->entries.erase(entry->first) > 0 || changed;
-        this->registeredAt.erase(entry->first);
+        changed = this->removeEntry(entry->first) || changed;
         entry = this->graceDeadlines.erase(entry);
     }
     return changed;
--- a/tests/state/servertable_test.cpp
+++ b/tests/state/servertable_test.cpp
@@ -88,11 +88,104 @@
     EXPECT_FALSE(isLeaving());
     EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint(4s))) << "the old one answered late";
     EXPECT_TRUE(table.apply(removal("a"), TimePoint(6s)));
-    table.apply(entry("a"), TimePoint(7s));
+    restarted.server->startedAt = 2;
+    table.apply(restarted, TimePoint(7s));
     EXPECT_FALSE(table.recordLeaving(BackendServerId("a"), TimePoint(6s)));
     EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(8s)));
 }
 
+// A server that ends by having its entry removed says that it leaves only afterwards. An entry of the same start that a restored
+// store lists again made it get new requests, which were lost when it ended.
+TEST(ServerTable, AServerThatSaidItLeavesWhileItWasNotListedIsLeavingWhenItsEntryIsBack)
+{
+    ServerTable table;
+    const BackendServerId id("a");
+    table.apply(entry("a"), TimePoint(1s));
+    table.apply(removal("a"), TimePoint(3s));
+    EXPECT_FALSE(table.recordLeaving(id, TimePoint(2s))) << "the list of servers is unchanged";
+    table.replace({entry("a")}, TimePoint(5s));
+    EXPECT_TRUE(table.servers().at(id).server.leaving);
+    ServerChange restarted = entry("a");
+    restarted.server->startedAt = 1;
+    table.apply(restarted, TimePoint(6s));
+    EXPECT_FALSE(table.servers().at(id).server.leaving);
+}
+
+// A response to a request that was sent before the entry came back is of the same start of the server.
+TEST(ServerTable, AServerThatSaysItLeavesAfterItsEntryIsBackIsLeavingWheneverTheRequestWasSent)
+{
+    ServerTable table;
+    const BackendServerId id("a");
+    table.apply(entry("a"), TimePoint(1s));
+    table.apply(removal("a"), TimePoint(3s));
+    table.apply(entry("a"), TimePoint(5s));
+    EXPECT_TRUE(table.recordLeaving(id, TimePoint(2s)));
+    EXPECT_TRUE(table.servers().at(id).server.leaving);
+}
+
+// The grace period after an outage ends without a record of the store, unlike a removal.
+TEST(ServerTable, AServerWhoseGracePeriodEndedIsLeavingWhenItsEntryIsBack)
+{
+    ServerTable table;
+    const BackendServerId id("a");
+    table.apply(entry("a"), TimePoint(1s));
+    table.apply(entry("b"), TimePoint(1s));
+    table.onStoreLost();
+    table.onStoreRecovered(TimePoint(5s));
+    table.replace({}, TimePoint(5s));
+    EXPECT_TRUE(table.recordLeaving(id, TimePoint(6s)));
+    EXPECT_TRUE(table.expire(TimePoint(7s)));
+    EXPECT_FALSE(table.recordLeaving(BackendServerId("b"), TimePoint(6s))) << "it answers after the grace period";
+    table.replace({entry("a"), entry("b")}, TimePoint(8s));
+    EXPECT_TRUE(table.servers().at(id).server.leaving);
+    EXPECT_TRUE(table.servers().at(BackendServerId("b")).server.leaving);
+}
+
+// A restored store may list an earlier start of a server than the newest that is known.
+TEST(ServerTable, AnEarlierStartThatSaidItLeavesIsLeavingWhenItsEntryIsBack)
+{
+    ServerTable table;
+    const BackendServerId id("a");
+    table.apply(entry("a"), TimePoint(1s));
+    ServerChange restarted = entry("a");
+    restarted.server->startedAt = 1;
+    table.apply(restarted, TimePoint(5s));
+    EXPECT_FALSE(table.recordLeaving(id, TimePoint(4s))) << "the newest start did not say so";
+    table.apply(entry("a"), TimePoint(7s));
+    EXPECT_TRUE(table.servers().at(id).server.leaving);
+    EXPECT_FALSE(table.recordLeaving(id, TimePoint(6s))) << "the request was sent to the newest start";
+    table.apply(restarted, TimePoint(9s));
+    EXPECT_TRUE(table.servers().at(id).server.leaving);
+}
+
+TEST(ServerTable, AServerWhoseEntryIsBackIsColdForNoLongerThanBefore)
+{
+    ServerTable table;
+    ServerChange cold = entry("a");
+    cold.server->coldFor = 3s;
+    table.apply(cold, TimePoint(10s));
+    table.apply(removal("a"), TimePoint(11s));
+    cold.server->coldFor = 1800ms;
+    table.apply(cold, TimePoint(11400ms));
+    EXPECT_EQ(table.servers().at(BackendServerId("a")).server.coldUntil, TimePoint(13s)) << "the same end, read 200 ms later";
+}
+
+TEST(DepartedServers, TheOldestAreForgotten)
+{
+    DepartedServers departed;
+    const auto server = [](std::size_t number) {
+        return DepartedServer{BackendServerId(std::to_string(number)), number, TimePoint(1s), true, TimePoint()};
+    };
+    for (std::size_t i = 0; i <= DepartedServers::maxServers; ++i) {
+        departed.add(server(i));
+    }
+    EXPECT_EQ(departed.take(server(0).id, 0), std::nullopt);
+    EXPECT_EQ(departed.take(server(1).id, 1), server(1));
+    EXPECT_EQ(departed.take(server(1).id, 1), std::nullopt);
+    EXPECT_EQ(departed.lastRegisteredAt(server(2).id), TimePoint(1s));
+    EXPECT_EQ(departed.lastRegisteredAt(server(1).id), std::nullopt);
+}
+
 // Each renewal says how much longer a server is cold. Read with different lags, these must neither move the end nor be published
 // as changes again and again.
 TEST(ServerTable, TheEndOfAColdTimeIsKnownFromTheFirstEntry)
