Keep limits on rejections while a server's entry is away

A server that fails after too many rejections got as many requests as it has slots when its entry vanished for a moment and came back: the limit was dropped with the entry, and a limit stated meanwhile at the next change of the list.

--- a/include/flamingosaddle/traffic/rejectionlimits.h
+++ b/include/flamingosaddle/traffic/rejectionlimits.h
@@ -82,9 +82,6 @@
     /** Removes the target's statements that no longer hold. */
     void expire(TargetIndex target, TimePoint now);
 
-    /** Removes what is known of servers that are not among @p servers, all servers of the target. */
-    void retain(TargetIndex target, const std::vector<BackendServerId> &servers);
-
     // Queries.
 
     bool isEmpty() const
--- a/src/traffic/dispatchershares.cpp
+++ b/src/traffic/dispatchershares.cpp
@@ -110,12 +110,6 @@
 {
     std::vector<std::pair<BackendServerId, ServerIndex>> servers = this->pool.presentServers(target);
     std::sort(servers.begin(), servers.end());
-    std::vector<BackendServerId> ids;
-    ids.reserve(servers.size());
-    for (const auto &[id, index] : servers) {
-        ids.push_back(id);
-    }
-    this->rejectionLimits.retain(target, ids);
     std::vector<std::optional<RejectionShare>> shares;
     shares.reserve(servers.size());
     for (std::size_t position = 0; position < servers.size(); ++position) {
--- a/src/traffic/rejectionlimits.cpp
+++ b/src/traffic/rejectionlimits.cpp
@@ -38,20 +38,6 @@
     }));
 }
 
-void RejectionLimits::retain(TargetIndex target, const std::vector<BackendServerId> &servers)
-{
-    const auto known = this->entries.find(target);
-    if (known == this->entries.end()) {
-        return;
-    }
-    std::erase_if(known->second, [&servers](const auto &entry) {
-        return std::find(servers.begin(), servers.end(), entry.first) == servers.end();
-    });
-    if (known->second.empty()) {
-        this->entries.erase(known);
-    }
-}
-
 void RejectionLimits::expire(TargetIndex target, TimePoint now)
 {
     const auto report = this->peerReports.find(target);
