Write each deployed setting on a line of its own

The daemon refused the file ("invalid line '{{'").

Both are plain lines now; a place without a value is filled in with nothing, which counts as not given. The new test failed before (three lines that are not whole, and a file that is refused). TheDeployedSettingsTakeFractions gives the ratio a value in its range, since that line is now read.

--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -137,6 +137,7 @@
         {"platform.address", "127.0.0.1:8223"},
         {"cloud.address", "127.0.0.1:8223"},
         {"bounds.retry_ratio", "0.2"},
+        {"bounds.cold_overage", "1.1578947368421"},
     };
     std::size_t figures = 0;
     for (std::size_t begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{")) {
@@ -154,6 +155,31 @@
     }
 }
 
+// Guards against a daemon that does not start with settings that were filled in line by line: a section that ends on a later line
+// leaves a mark in front of another setting's name.
+TEST(Settings, EachLineOfTheDeployedSettingsIsWholeByItself)
+{
+    std::ifstream file(DEPLOYED_SETTINGS);
+    ASSERT_TRUE(file.good()) << DEPLOYED_SETTINGS;
+    std::string filledIn;
+    for (std::string line; std::getline(file, line);) {
+        const std::string name = line.substr(0, line.find(' '));
+        EXPECT_EQ(name.find_first_of("{}"), std::string::npos) << line;
+        // A place without a value is filled in with nothing.
+        const bool isOptional = line.find("{{bounds.cold") != std::string::npos;
+        filledIn += isOptional ? name + " = \n" : line + "\n";
+    }
+    const auto loaded = loadSettings({"--settings-file", writtenFile(filledIn)}, environmentOf(minimalEnvironment));
+    if (const auto *errors = std::get_if<std::vector<Error>>(&loaded)) {
+        for (const Error &error : *errors) {
+            ADD_FAILURE() << error.text();
+        }
+        return;
+    }
+    EXPECT_EQ(std::get<Settings>(loaded).coldOverage, Settings().coldOverage);
+    EXPECT_EQ(std::get<Settings>(loaded).coldTolerance, Settings().coldTolerance);
+}
+
 TEST(Settings, TheFileComesAfterFlagsAndEnvironment)
 {
     const std::string path = writtenFile("# comment\nmax-waiting = 7\nheader-timeout = 1000\nidle-timeout=50\n");
