Take statuses below 100 and 101 for what they are: no response

Cause: the HTTP client took each status below 200 but 101 for an interim response, and 101 for a final one, though requests never ask for another protocol.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -40,7 +40,10 @@
      * may have seen any of it.
      */
     virtual boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout, TimePoint deadline) = 0;
-    /** Reads the head of the final response; interim ones are passed over. */
+    /**
+     * Reads the head of the final response; interim ones are passed over. A status below 100 or a switch of protocols, which no
+     * request asks for, is a Protocol error; one above 599 is passed on.
+     */
     virtual boost::asio::awaitable<Result<HttpResponseHead>> readHead(Duration timeout) = 0;
     /**
      * Appends the next bytes of the body to @p piece, after clearing it. Answers false at the end mark of the body. A
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -30,6 +30,7 @@
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 // Chunk headers, their extensions and trailer fields are parsed only as a whole, so that they are kept until their end.
 constexpr std::size_t maxUnparsedBytes = maxHeadBytes;
+constexpr int firstStatus = 100;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
@@ -234,10 +235,15 @@
     return success();
 }
 
-bool ClientConnection::finishHead()
+Result<bool> ClientConnection::finishHead()
 {
     const auto status = static_cast<int>(this->parser->get().result_int());
-    if (status < firstFinalStatus && status != switchingProtocols) {
+    // Requests ask for no other protocol.
+    if (status < firstStatus || status == switchingProtocols) {
+        return fail(ErrorKind::Protocol, this->host + " sent the status " + std::to_string(status) + ", which is no response",
+            "correct the server");
+    }
+    if (status < firstFinalStatus) {
         // An interim answer; the real one follows.
         this->parser.reset();
         return false;
@@ -268,7 +274,11 @@
             co_return fail(parsed.error());
         }
         if (this->parser->is_header_done()) {
-            if (this->finishHead()) {
+            const Result<bool> isFinal = this->finishHead();
+            if (!isFinal.has_value()) {
+                co_return fail(isFinal.error());
+            }
+            if (isFinal.value()) {
                 break;
             }
             continue;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -47,7 +47,8 @@
     Result<void> takeRead(const boost::system::error_code &error, std::size_t count);
     Result<void> parseInput();
     Error failure(const boost::system::error_code &error) const;
-    bool finishHead();
+    /** Returns whether the head that was read is that of the final response. */
+    Result<bool> finishHead();
     bool endsWithConnection(const boost::system::error_code &error);
 
     boost::asio::ip::tcp::socket socket;
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -93,7 +93,9 @@
 
 TEST(HttpClient, InvalidAnswersAreProtocolErrors)
 {
-    for (const char *answer : {"SMTP ready\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+    for (const char *answer : {"SMTP ready\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+             "HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.1 1000 OK\r\n\r\n"}) {
         RawServer server(answer);
         const Result<HttpResponse> response = fetchFrom(server.endpoint());
         ASSERT_FALSE(response.has_value()) << answer;
--- a/tests/http/httpfixture.cpp
+++ b/tests/http/httpfixture.cpp
@@ -177,7 +177,8 @@
     this->socket = this->acceptor.accept();
     this->socket.set_option(tcp::no_delay(true));
     std::string request;
-    asio::read_until(this->socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    const std::size_t headBytes = asio::read_until(this->socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    this->bodyBytes = request.size() - headBytes;
 }
 
 bool ManualServer::send(std::string_view bytes)
@@ -187,4 +188,25 @@
     return !error;
 }
 
+std::size_t ManualServer::readBody(std::size_t count)
+{
+    std::array<char, 65'536> buffer{};
+    boost::system::error_code error;
+    while (this->bodyBytes < count && !error) {
+        this->bodyBytes += this->socket.read_some(asio::buffer(buffer), error);
+    }
+    return this->bodyBytes;
+}
+
+void ManualServer::finishSending()
+{
+    this->socket.shutdown(tcp::socket::shutdown_send);
+}
+
+void ManualServer::reset()
+{
+    this->socket.set_option(asio::socket_base::linger(true, 0));
+    this->socket.close();
+}
+
 } // namespace flamingosaddle::test
--- a/tests/http/httpfixture.h
+++ b/tests/http/httpfixture.h
@@ -153,11 +153,18 @@
     void acceptRequest();
     /** Returns whether the bytes were sent; they are not once the client has closed the connection. */
     bool send(std::string_view bytes);
+    /** Reads until @p count bytes of the request's body have come or the client has closed. Returns how many have come. */
+    std::size_t readBody(std::size_t count);
+    /** Tells the client that nothing more comes. */
+    void finishSending();
+    /** Resets the connection. */
+    void reset();
 
 private:
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::ip::tcp::socket socket;
+    std::size_t bodyBytes = 0; // of the request that have come
 };
 
 } // namespace flamingosaddle::test
