Read responses while the request is being written

A server may respond to a long upload before it has read it.

Cause: send() returned when the whole request was written, and a failure to write hid what had been received before it.

send() now also returns when the server has sent something, and the rest is written while the response is read. What came before a reset is read. The connection is not used again unless the request was written as a whole. Calls with a permission fail in this case, as it covers no later write.

Small requests are now written without waiting for the reactor.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -36,8 +36,9 @@
     static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> connect(Endpoint endpoint, Duration timeout);
 
     /**
-     * Sends one request and begins an exchange that ends at @p deadline. After a failure anyByteSent() tells whether the server
-     * may have seen any of it.
+     * Sends one request and begins an exchange that ends at @p deadline. Returns when the request is written or the server has
+     * sent something, which may be a response to a part of it; the rest is then written while the response is read. @p request
+     * must outlive that. After a failure anyByteSent() tells whether the server may have seen any of it.
      */
     virtual boost::asio::awaitable<Result<void>> send(const HttpRequest &request, Duration timeout, TimePoint deadline) = 0;
     /**
@@ -62,6 +63,7 @@
     virtual void close() = 0;
 
     virtual bool anyByteSent() const = 0; ///< of the last request
+    virtual bool isRequestSent() const = 0; ///< whether the last request has been written as a whole
     /** Whether the last body had neither a length nor chunks and was ended by the server's close. */
     virtual bool bodyEndedWithConnection() const = 0;
     /** Whether the last answer was read whole and the server keeps the connection open. */
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -50,6 +50,11 @@
         co_return fail(ErrorKind::Cancelled, "the permission to send was over", "nothing was sent; ask for a new permission");
     }
     const Result<void> sent = co_await connection.send(request, timeout, deadline);
+    if (sent.has_value() && !connection.isRequestSent()) {
+        // The permission does not cover what would be written after this call.
+        connection.close();
+        co_return fail(ErrorKind::ConnectionLost, "the server responded before it had the whole request", "look at its log");
+    }
     co_return sent;
 }
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -2,9 +2,10 @@
 
 #include "wire.h"
 
+#include <flamingosaddle/base/timer.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -106,6 +107,41 @@
 struct ClientConnection::Parser : http::response_parser<AppendingBody> {
 };
 
+/**
+ * A request that is written while the connection waits for its response.
+ */
+struct ClientConnection::Upload {
+    std::string head;
+    std::array<asio::const_buffer, 2> rest; // of the head and of the body, which belongs to the request
+    std::size_t sentBytes = 0;
+    boost::system::error_code error;
+    bool hasInput = false; // whether the server has sent something, or closed
+    bool isAbandoned = false; // whether the connection is gone or carries another request
+    std::shared_ptr<Timer> waiting; // set while send() waits
+
+    bool isWritten() const
+    {
+        return asio::buffer_size(this->rest) == 0;
+    }
+
+    void consume(std::size_t count)
+    {
+        this->sentBytes += count;
+        for (asio::const_buffer &buffer : this->rest) {
+            const std::size_t used = std::min(count, buffer.size());
+            buffer += used;
+            count -= used;
+        }
+    }
+
+    void wake() const
+    {
+        if (this->waiting) {
+            this->waiting->cancel();
+        }
+    }
+};
+
 ClientConnection::ClientConnection(tcp::socket socket, std::string host)
     : socket(std::move(socket))
     , host(std::move(host))
@@ -120,7 +156,12 @@
     noticeDeadPaths(this->socket.native_handle());
 }
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection()
+{
+    if (this->upload) {
+        this->upload->isAbandoned = true;
+    }
+}
 
 std::string ClientConnection::headOf(const HttpRequest &request) const
 {
@@ -172,20 +213,27 @@
 {
     this->deadline = deadline;
     this->headBytes = 0;
-    this->sentAny = false;
     this->wholeAnswer = false;
     this->bodyEnded = false;
     this->headRequest = request.method == "HEAD";
     this->parser.reset();
     this->body.clear();
-    const std::string head = this->headOf(request);
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(request.payload())};
-    boost::system::error_code error;
+    if (this->upload) {
+        this->upload->isAbandoned = true;
+    }
+    this->upload = std::make_shared<Upload>();
+    this->upload->head = this->headOf(request);
+    this->upload->rest = {asio::buffer(this->upload->head), asio::buffer(request.payload())};
     this->startWait(RuntimeClock::now() + timeout);
-    const std::size_t sent = co_await asio::async_write(this->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
-    this->sentAny = sent > 0;
-    if (error) {
-        const Error reason = this->failure(error);
+    this->writeUpload();
+    if (!this->upload->isWritten() && !this->upload->error) {
+        co_await this->awaitUploadOrInput();
+    }
+    boost::system::error_code ignored;
+    // What the server sent before it reset the connection can still be read.
+    const bool isLost = this->upload->error && this->socket.available(ignored) == 0;
+    if (isLost) {
+        const Error reason = this->failure(this->upload->error);
         this->endWait();
         co_return fail(reason);
     }
@@ -193,6 +241,47 @@
     co_return success();
 }
 
+void ClientConnection::writeUpload()
+{
+    Upload &upload = *this->upload;
+    while (!upload.isWritten() && !upload.error) {
+        boost::system::error_code error;
+        upload.consume(this->socket.write_some(upload.rest, error));
+        if (error == asio::error::would_block) {
+            this->writeUploadWhenReady();
+            return;
+        }
+        upload.error = error;
+    }
+    upload.wake();
+}
+
+void ClientConnection::writeUploadWhenReady()
+{
+    this->socket.async_wait(tcp::socket::wait_write, [this, upload = this->upload](const boost::system::error_code &error) {
+        if (upload->isAbandoned) {
+            return;
+        }
+        upload->error = error;
+        this->writeUpload();
+    });
+}
+
+asio::awaitable<void> ClientConnection::awaitUploadOrInput()
+{
+    const std::shared_ptr<Upload> current = this->upload;
+    this->socket.async_wait(tcp::socket::wait_read, [current](const boost::system::error_code &error) {
+        current->hasInput = !error;
+        current->wake();
+    });
+    current->waiting = std::make_shared<Timer>(this->socket.get_executor(), TimePoint::max());
+    while (!current->isWritten() && !current->error && !current->hasInput) {
+        boost::system::error_code ignored;
+        co_await current->waiting->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    current->waiting.reset();
+}
+
 Result<void> ClientConnection::takeRead(const boost::system::error_code &error, std::size_t count)
 {
     if (error) {
@@ -334,7 +423,8 @@
 
 bool ClientConnection::endsWithConnection(const boost::system::error_code &error)
 {
-    return error == asio::error::eof && this->bodyMayEndWithConnection && this->parser->need_eof();
+    // A write that has failed has taken the error that would follow here.
+    return error == asio::error::eof && this->bodyMayEndWithConnection && this->parser->need_eof() && this->isRequestSent();
 }
 
 void ClientConnection::acceptBodyUntilClose()
@@ -351,7 +441,12 @@
 
 bool ClientConnection::anyByteSent() const
 {
-    return this->sentAny;
+    return this->upload && this->upload->sentBytes > 0;
+}
+
+bool ClientConnection::isRequestSent() const
+{
+    return this->upload && this->upload->isWritten();
 }
 
 bool ClientConnection::bodyEndedWithConnection() const
@@ -361,7 +456,7 @@
 
 bool ClientConnection::isReusable() const
 {
-    return this->socket.is_open() && this->wholeAnswer && this->parser && this->parser->keep_alive();
+    return this->socket.is_open() && this->wholeAnswer && this->isRequestSent() && this->parser && this->parser->keep_alive();
 }
 
 bool ClientConnection::isStale() const
--- a/tests/relay/oddresponse_test.cpp
+++ b/tests/relay/oddresponse_test.cpp
@@ -141,6 +141,16 @@
     }
 }
 
+TEST_P(OddResponse, AWholeResponseIsReturnedWhileTheRequestIsUnderWay)
+{
+    RequestPath path(GetParam());
+    path.begin(longBodyBytes);
+    path.server.send("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n0123456789abcdefg");
+    const std::string response = path.responseAtOnce();
+    EXPECT_EQ(statusOf(response), 200) << response;
+    EXPECT_TRUE(response.ends_with("0123456789abcdefg")) << response;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Places, OddResponse, testing::Values(Place::Server, Place::ServerOfPeer, Place::Peer), [](const auto &place) {
         std::string name = toString(place.param);
