Trust an end of the connection only after the request was received

Cause: a body without a length or chunks was whole whenever the connection ended in order. The upload fits into the buffers of the socket, so that it counted as sent though the server had read nothing.

Such a body is whole now only if the server's system has acknowledged the whole request by then. The end itself carries that acknowledgement, so that a server that has read the request and closes is not affected (test).

EarlyResponse.ABodyThatEndsWithTheConnectionWhileTheRequestIsUnderWayIsLost and OddResponse.APartOfAResponseThatEndsWhileTheRequestIsUnderWayIsNone (backend server, one of a peer, peer) failed before.

--- a/include/flamingosaddle/http/client.h
+++ b/include/flamingosaddle/http/client.h
@@ -53,8 +53,8 @@
      */
     virtual boost::asio::awaitable<Result<bool>> readBody(std::string &piece, Duration timeout) = 0;
     /**
-     * From now on a body that has neither a length nor chunks is whole when the server closes the connection in order; one
-     * that is reset is not.
+     * From now on a body that has neither a length nor chunks is whole when the server closes the connection in order after it
+     * has received the whole request; one that is reset is not.
      */
     virtual void acceptBodyUntilClose() = 0;
     /** Brings the deadline of the current exchange forward, if it is later. */
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -9,8 +9,10 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -423,8 +425,17 @@
 
 bool ClientConnection::endsWithConnection(const boost::system::error_code &error)
 {
-    // A write that has failed has taken the error that would follow here.
-    return error == asio::error::eof && this->bodyMayEndWithConnection && this->parser->need_eof() && this->isRequestSent();
+    // A server that has not received the whole request cannot have ended its response in order.
+    return error == asio::error::eof && this->bodyMayEndWithConnection && this->parser->need_eof()
+        && this->isRequestAcknowledged();
+}
+
+bool ClientConnection::isRequestAcknowledged() const
+{
+    int unacknowledgedBytes = 0;
+    // A system that cannot tell leaves the count at 0.
+    (void)::ioctl(this->nativeHandle(), SIOCOUTQ, &unacknowledgedBytes);
+    return this->isRequestSent() && unacknowledgedBytes == 0;
 }
 
 void ClientConnection::acceptBodyUntilClose()
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -54,6 +54,8 @@
     void writeUploadWhenReady();
     /** Returns when the request is written or the server has sent something. */
     boost::asio::awaitable<void> awaitUploadOrInput();
+    /** Returns whether the server's system has acknowledged the whole request. */
+    bool isRequestAcknowledged() const;
     Result<void> takeRead(const boost::system::error_code &error, std::size_t count);
     Result<void> parseInput();
     Error failure(const boost::system::error_code &error) const;
--- a/tests/http/earlyresponse_test.cpp
+++ b/tests/http/earlyresponse_test.cpp
@@ -88,6 +88,22 @@
 
 } // namespace
 
+// The server cannot have read the request, so it has broken off, whatever ended the body.
+TEST_F(EarlyResponse, ABodyThatEndsWithTheConnectionWhileTheRequestIsUnderWayIsLost)
+{
+    for (const std::size_t uploadBytes : {bufferedUpload, blockedUpload}) {
+        for (const std::size_t readBytes : {std::size_t{0}, std::size_t{65'536}}) {
+            this->begin(uploadBytes);
+            this->server.readBody(readBytes);
+            this->server.send(undelimitedResponse);
+            this->server.finishSending();
+            const Exchange result = this->exchange.get();
+            ASSERT_TRUE(result.response.has_error()) << uploadBytes << ' ' << readBytes << ' ' << result.response.value().body;
+            EXPECT_EQ(result.response.error().kind(), ErrorKind::ConnectionLost);
+        }
+    }
+}
+
 TEST_F(EarlyResponse, ABodyThatEndsWithTheConnectionAfterTheRequestWasReadIsWhole)
 {
     this->begin(bufferedUpload);
--- a/tests/relay/oddresponse_test.cpp
+++ b/tests/relay/oddresponse_test.cpp
@@ -141,6 +141,17 @@
     }
 }
 
+TEST_P(OddResponse, APartOfAResponseThatEndsWhileTheRequestIsUnderWayIsNone)
+{
+    RequestPath path(GetParam());
+    path.begin(longBodyBytes);
+    path.server.send(undelimitedResponse);
+    path.server.finishSending();
+    const std::string response = path.responseAtOnce();
+    EXPECT_EQ(statusOf(response), 502) << response;
+    EXPECT_EQ(response.find("0123456789abcdefg"), std::string::npos) << response;
+}
+
 TEST_P(OddResponse, AWholeResponseIsReturnedWhileTheRequestIsUnderWay)
 {
     RequestPath path(GetParam());
