Continue a stream at the version that began it

Cause: the version that a retry requires was read from the server's entry when the attempt had failed; the entry was that of the new process by then.

The relay now states the version that it read when it sent the attempt, which is also recorded for callers' resumptions. An attempt whose server no longer has the required version is not sent.

The dispatcher's tests state the version in place of asking for that of the entry.

--- a/include/flamingosaddle/relay/asyncdispatcher.h
+++ b/include/flamingosaddle/relay/asyncdispatcher.h
@@ -70,8 +70,8 @@
     void recordRejectionLimit(std::optional<std::uint32_t> rejectionsPerSecond);
     /** Sends no requests to the server for @p pause, as it asked in the head of its response. */
     void pauseServer(Duration pause);
-    /** Lets retry() wait only for servers with the software version of this one, because the caller has a part of its stream. */
-    void requireSameVersion();
+    /** Lets retry() wait only for servers with the software version, because the caller has a part of a stream of theirs. */
+    void requireVersion(const std::string &softwareVersion);
     /** Takes one more sending of the request to its server from the limit on resends. Returns false if none is left. */
     bool tryResend();
     void recordFirstToken();
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -120,10 +120,10 @@
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
 
     /**
-     * Lets the request be retried only on servers with the software version of the current one, because it continues its
-     * stream.
+     * Lets the request be retried only on servers with the software version, because it continues a stream that one of them
+     * began.
      */
-    void requireSameVersion(Ticket ticket);
+    void requireVersion(Ticket ticket, const std::string &softwareVersion);
 
     /**
      * Takes one more sending of a running request, to the server that it was assigned to, from the limit on resends. Returns
--- a/src/relay/asyncdispatcher.cpp
+++ b/src/relay/asyncdispatcher.cpp
@@ -97,10 +97,10 @@
     }
 }
 
-void ServerGrant::requireSameVersion()
+void ServerGrant::requireVersion(const std::string &softwareVersion)
 {
     if (this->core) {
-        this->core->requireSameVersion(this->ticket);
+        this->core->requireVersion(this->ticket, softwareVersion);
     }
 }
 
--- a/src/relay/asyncdispatchercore.cpp
+++ b/src/relay/asyncdispatchercore.cpp
@@ -92,10 +92,10 @@
     return this->dispatcher.withoutRestart(ticket, end, RuntimeClock::now());
 }
 
-void AsyncDispatcherCore::requireSameVersion(Ticket ticket)
+void AsyncDispatcherCore::requireVersion(Ticket ticket, const std::string &softwareVersion)
 {
     const std::scoped_lock lock(this->mutex);
-    this->dispatcher.requireSameVersion(ticket);
+    this->dispatcher.requireVersion(ticket, softwareVersion);
 }
 
 bool AsyncDispatcherCore::tryResend(Ticket ticket)
--- a/src/relay/asyncdispatchercore.h
+++ b/src/relay/asyncdispatchercore.h
@@ -56,7 +56,7 @@
     void recordRejectionLimit(Ticket ticket, std::optional<std::uint32_t> rejectionsPerSecond);
     void pauseServer(Ticket ticket, const BackendServerId &server, Duration pause);
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome end);
-    void requireSameVersion(Ticket ticket);
+    void requireVersion(Ticket ticket, const std::string &softwareVersion);
     bool tryResend(Ticket ticket);
     void recordFirstToken(Ticket ticket);
     void recordTokens(Ticket ticket, std::uint32_t count);
--- a/src/relay/callerexchange.cpp
+++ b/src/relay/callerexchange.cpp
@@ -307,7 +307,9 @@
             co_return;
         }
         if (this->relay.hasSentEvents()) {
-            grant.requireSameVersion();
+            // The server may have restarted with another version meanwhile.
+            this->routed.profile.softwareVersion = this->outcome.softwareVersion;
+            grant.requireVersion(this->outcome.softwareVersion);
         }
         const std::optional<Refusal> refusal = co_await grant.retry(result.end, result.anyByteSent, this->disconnectSignal);
         if (refusal.has_value() && this->mayForward(*refusal)) {
@@ -336,6 +338,12 @@
         result.error = Error(ErrorKind::Unreachable, "the backend server was removed", "try again later");
         co_return result;
     }
+    const std::string &requiredVersion = this->routed.profile.softwareVersion;
+    if (!requiredVersion.empty() && server->value.softwareVersion != requiredVersion) {
+        result.error
+            = Error(ErrorKind::Unreachable, "the backend server restarted with another software version", "try again later");
+        co_return result;
+    }
     ActiveSpan attemptSpan(this->environment.tracer, this->span.context(), "backend-server");
     attemptSpan.addAttribute("server", grant.server().text());
     this->outcome.server = grant.server();
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -83,9 +83,9 @@
     return this->implementation->withoutRestart(ticket, outcome, now);
 }
 
-void Dispatcher::requireSameVersion(Ticket ticket)
+void Dispatcher::requireVersion(Ticket ticket, const std::string &softwareVersion)
 {
-    this->implementation->requireSameVersion(ticket);
+    this->implementation->requireVersion(ticket, softwareVersion);
 }
 
 bool Dispatcher::tryResend(Ticket ticket, TimePoint now)
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -71,12 +71,11 @@
     return this->pool.isRestarting(record.server, record.startedAt, now) ? AttemptOutcome::ServerError : outcome;
 }
 
-void Dispatcher::Implementation::requireSameVersion(Ticket ticket)
+void Dispatcher::Implementation::requireVersion(Ticket ticket, const std::string &softwareVersion)
 {
     const std::optional<RequestIndex> index = this->requests.find(ticket);
     if (index.has_value() && this->requests.record(*index).isRunning()) {
-        RequestRecord &record = this->requests.record(*index);
-        record.softwareVersion = this->pool.server(record.server).softwareVersion;
+        this->requests.record(*index).softwareVersion = softwareVersion;
     }
 }
 
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -37,7 +37,7 @@
         Ticket ticket, std::optional<std::uint32_t> rejectionsPerSecond, TimePoint now);
     bool onPauseRequested(Ticket ticket, Duration pause, TimePoint now);
     AttemptOutcome withoutRestart(Ticket ticket, AttemptOutcome outcome, TimePoint now);
-    void requireSameVersion(Ticket ticket);
+    void requireVersion(Ticket ticket, const std::string &softwareVersion);
     bool tryResend(Ticket ticket, TimePoint now);
     void onFirstToken(Ticket ticket, TimePoint now);
     void onTokens(Ticket ticket, std::uint32_t count, TimePoint now);
--- a/tests/relay/callerfixture.cpp
+++ b/tests/relay/callerfixture.cpp
@@ -246,7 +246,7 @@
     this->thread.stop();
 }
 
-void CallerFixture::addEngine(const Endpoint &endpoint, const std::string &softwareVersion)
+BackendServerId CallerFixture::addEngine(const Endpoint &endpoint, const std::string &softwareVersion)
 {
     this->config = std::make_shared<ConfigState>(*this->config);
     const std::string id = "e" + std::to_string(this->config->nextOffset());
@@ -255,6 +255,17 @@
     apply(*this->config, PutBackendServer{std::move(engine)});
     this->publish(TimePoint::max());
     this->dispatcher->setServers(backendServersOf(*this->config));
+    return BackendServerId(id);
+}
+
+void CallerFixture::setSoftwareVersion(const BackendServerId &id, const std::string &softwareVersion)
+{
+    this->config = std::make_shared<ConfigState>(*this->config);
+    BackendServer engine = this->config->findBackendServer(id)->value;
+    engine.softwareVersion = softwareVersion;
+    apply(*this->config, PutBackendServer{std::move(engine)});
+    this->publish(TimePoint::max());
+    this->dispatcher->setServers(backendServersOf(*this->config));
 }
 
 void CallerFixture::publish(TimePoint freshUntil)
--- a/tests/relay/callerfixture.h
+++ b/tests/relay/callerfixture.h
@@ -67,7 +67,10 @@
         const DispatcherOptions &dispatcherOptions = {});
     ~CallerFixture();
 
-    void addEngine(const Endpoint &endpoint, const std::string &softwareVersion = {});
+    /** Returns the id of the new engine. */
+    BackendServerId addEngine(const Endpoint &endpoint, const std::string &softwareVersion = {});
+    /** Lets an engine be one that has restarted in its place with another software version. */
+    void setSoftwareVersion(const BackendServerId &id, const std::string &softwareVersion);
     void withdrawKey();
     /** Publishes the configuration as fresh until @p freshUntil. */
     void publish(TimePoint freshUntil);
--- a/tests/relay/streamversion_test.cpp
+++ b/tests/relay/streamversion_test.cpp
@@ -82,6 +82,33 @@
     }
 }
 
+// A server may be released in place, under the id that it had, while the connection to its old process is silent.
+TEST(StreamVersion, AStreamGoesOnAtTheVersionThatBeganItAfterItsServerWasReleasedInPlace)
+{
+    FakeBackend released([](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        Result<void> written = co_await exchange.beginStream(200, std::move(headers));
+        const std::string piece = event(1) + event(2) + event(3);
+        written = co_await exchange.writePiece(piece);
+        co_await neverRespond(exchange);
+    });
+    const FakeBackend newer(breakOffAfterThirdEvent);
+    const FakeBackend older(breakOffAfterThirdEvent);
+    CallerFixture setup({}, {}, {}, {}, numberedStreamAdapter());
+    const BackendServerId id = setup.addEngine(released.endpoint(), "v1");
+    RawClient caller(setup.endpoint());
+    caller.send(chatRequest());
+    caller.readUntil(event(3));
+    setup.setSoftwareVersion(id, "v2");
+    setup.addEngine(newer.endpoint(), "v2");
+    setup.addEngine(older.endpoint(), "v1");
+    released.stop();
+    EXPECT_TRUE(isComplete(caller.readAll()));
+    EXPECT_EQ(newer.requests().size(), 0U) << "versions in one stream";
+    EXPECT_EQ(older.requests().size(), 1U);
+}
+
 TEST(StreamVersion, TheOnlyServerOfAVersionIsNotReplacedByAnotherVersion)
 {
     std::vector<std::string> versions = {"v1", "v2", "v3"};
--- a/tests/traffic/homes_test.cpp
+++ b/tests/traffic/homes_test.cpp
@@ -212,7 +212,7 @@
     // The same within one response.
     const Ticket ticket = this->accept(profile(Names{west}));
     const Servers first = this->startedOn();
-    this->dispatcher.requireSameVersion(ticket);
+    this->dispatcher.requireVersion(ticket, first.front() == "w1" ? "v1" : "v2");
     EXPECT_FALSE(this->dispatcher.retry(ticket, AttemptOutcome::NotSent, false, start).has_value());
     EXPECT_EQ(this->startedOn(), first);
 }
@@ -283,13 +283,16 @@
     DataCentreRegions regions{{east1, east}, {east2, east}, {west1, west}};
     std::vector<BackendServer> servers;
     std::map<BackendServerId, DataCentre> places;
+    std::map<BackendServerId, std::string> versions;
     for (int i = 0; i < 16; ++i) {
         servers.push_back(serverOf("s" + std::to_string(i), dataCentres[i % 4], 2));
         servers.back().softwareVersion = i % 3 == 0 ? "v1" : "v2";
         places[servers.back().id] = servers.back().dataCentre;
+        versions[servers.back().id] = servers.back().softwareVersion;
     }
     this->dispatcher.setServers(servers, start);
     std::map<Ticket, Homes> homesOfTicket;
+    std::map<Ticket, std::string> versionOfTicket; // at the server that runs it
     std::vector<Ticket> running;
     for (int step = 0; step < 5000; ++step) {
         switch (random() % 8) {
@@ -310,7 +313,7 @@
                 const Ticket ticket = running[random() % running.size()];
                 std::erase(running, ticket);
                 if (random() % 2 == 0) {
-                    this->dispatcher.requireSameVersion(ticket);
+                    this->dispatcher.requireVersion(ticket, versionOfTicket.at(ticket));
                     this->dispatcher.retry(ticket, AttemptOutcome::NotSent, false, start);
                 } else {
                     this->dispatcher.finish(ticket, AttemptOutcome::Completed, start);
@@ -329,6 +332,7 @@
         this->dispatcher.dispatch(start, this->decisions);
         for (const Assignment &assignment : this->decisions.assignments) {
             running.push_back(assignment.ticket);
+            versionOfTicket[assignment.ticket] = versions.at(assignment.server);
             const Homes &homes = homesOfTicket.at(assignment.ticket);
             ASSERT_TRUE(!homes.has_value() || isHome(*homes, regions, places.at(assignment.server))) << "step " << step;
         }
