Resume streams of an instance that stopped before a release

Cause: where a stream began is saved only while its service has several versions. An instance that stops before it knows of the second one saves nothing.

An unknown stream is now resumed at the version before the release if an instance was lost within a stream's lifetime and before the first server of another version started, and none since. The log is read once more after the time in which the others save. In all other cases it is refused as before: overlapping releases, a loss after the release, further versions in the log, an instance that did not see the release begin.

What instances exchange and store is unchanged.

--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -48,6 +48,8 @@
         /** Added to the interval for each instance, because the store limits the appends of all instances together. */
         Duration flushIntervalPerInstance = std::chrono::milliseconds(10);
         std::function<std::chrono::milliseconds()> unixTime; ///< returns the time since the Unix epoch
+        /** Returns Membership::latestLossOfContact(). Empty: it is never known that an instance has stopped. */
+        std::function<std::optional<TimePoint>()> latestLossOfContact;
         std::uint64_t seed = 1;
     };
 
@@ -79,6 +81,15 @@
 
     StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
     StreamVersion soleVersion(const ServiceName &service) const;
+    /**
+     * Returns the version that the service had before its release if a stream that nobody has saved must have begun before it:
+     * an instance was lost shortly before the first server of another version started, and none since. The others have saved
+     * their streams.
+     */
+    StreamVersion versionBeforeRelease(const ServiceName &service) const;
+    /** Waits until the other instances have saved the streams that they have begun so far. */
+    boost::asio::awaitable<void> awaitSaves();
+    Duration saveInterval() const;
     boost::asio::awaitable<StreamVersion> versionOf(std::string request, ServiceName service);
     /** Reads the servers' entries and the log, as of a time after the call. Returns whether both could be read. */
     boost::asio::awaitable<bool> refresh();
@@ -89,6 +100,7 @@
     Directory &directory;
     Options options;
     StreamOrigins origins;
+    TimePoint startedAt = RuntimeClock::now();
     Backoff backoff;
     std::size_t instanceCount = 1;
     std::optional<std::uint64_t> nextOffset; // of the log; empty before the first read
--- a/include/flamingosaddle/state/membership.h
+++ b/include/flamingosaddle/state/membership.h
@@ -46,6 +46,8 @@
     MemberState state = MemberState::Joining;
     bool isTerminated = false; ///< whether the incarnation announced its shutdown; later heartbeats of it are ignored
     TimePoint updatedAt; ///< time of the last heartbeat, or of the change to Gone
+    TimePoint lastHeartbeatAt;
+    std::optional<TimePoint> predecessorHeartbeatAt{}; ///< last heartbeat of the incarnation before
 
     friend bool operator==(const Member &, const Member &) = default;
 };
@@ -73,6 +75,7 @@
     Duration unverifiedTimeout = std::chrono::seconds(30); ///< how long an unverified member is contacted
     /** How long a member that stopped sending heartbeats may still be running, out of contact with this instance only. */
     Duration outOfContactTime = std::chrono::seconds(30);
+    Duration silenceTime = std::chrono::milliseconds(1500); ///< time without a heartbeat after which a member may have stopped
 
     friend bool operator==(const MembershipTiming &, const MembershipTiming &) = default;
 };
@@ -135,6 +138,12 @@
      */
     std::vector<InstanceId> sharingInstances(TimePoint now) const;
 
+    /**
+     * Returns when an incarnation of another instance that may have stopped since, or has ended, was last heard, of the one that
+     * was heard last; nothing if there is none.
+     */
+    std::optional<TimePoint> latestLossOfContact(TimePoint now) const;
+
     /** Returns the addresses to contact: those of listed instances and unverified members that are not live members. */
     std::vector<Endpoint> contactAddresses() const;
 
--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -41,6 +41,16 @@
     friend bool operator==(const StreamOriginRecord &, const StreamOriginRecord &) = default;
 };
 
+/**
+ * The last release of a service whose servers had all the same version for long enough that no stream of an earlier one is left.
+ */
+struct ServiceRelease {
+    std::string versionBefore;
+    std::uint64_t firstStartedAt = 0; ///< Unix milliseconds; start of the first server of another version, 0 if not known
+
+    friend bool operator==(const ServiceRelease &, const ServiceRelease &) = default;
+};
+
 std::string encodeStreamOrigins(const std::vector<StreamOriginRecord> &records);
 /** Fails with Protocol for anything that encodeStreamOrigins() does not return. */
 Result<std::vector<StreamOriginRecord>> decodeStreamOrigins(std::string_view text);
@@ -73,19 +83,27 @@
 
     // Queries.
 
+    Duration streamLifetime() const;
     /** Returns where the stream began; nullptr if it is not known. */
     const StreamOrigin *find(std::uint64_t stream) const;
     /** Returns the version of the service's servers if no other is known to have served during a stream's lifetime. */
     std::optional<std::string> soleVersion(const ServiceName &service, TimePoint now) const;
+    /** Returns the service's release that is under way or that streams may outlast, if only one is. */
+    const ServiceRelease *release(const ServiceName &service, TimePoint now) const;
 
 private:
     struct Service {
         std::set<std::string> versions; // of the servers when it last had any
         std::optional<TimePoint> mixedAt; // when there were last known to be several versions
+        std::optional<TimePoint> changedAt; // when the versions last changed; empty if they never did
+        std::optional<ServiceRelease> release;
+        std::map<std::string, TimePoint> recordedVersions; // in records of any instance, with the newest time of each
 
         bool isMixed(Duration lifetime, TimePoint now) const;
     };
 
+    /** Follows the release of a service whose servers have these versions, given the first start of each. */
+    void observeRelease(Service &service, const std::map<std::string, std::uint64_t> &firstStarts, TimePoint now) const;
     void add(std::uint64_t stream, StreamOrigin origin, TimePoint now);
 
     Duration lifetime = Duration::zero();
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -64,7 +64,7 @@
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
-    Directory *directory, const ControllerOptions &options)
+    Directory *directory, const ControllerOptions &options, std::function<std::optional<TimePoint>()> latestLossOfContact)
 {
     if (directory == nullptr || !hooks->streams.append || !hooks->streams.read) {
         return nullptr;
@@ -72,6 +72,7 @@
     StreamRegistry::Options registry;
     registry.unixTime = options.systemTime;
     registry.seed = options.seed;
+    registry.latestLossOfContact = std::move(latestLossOfContact);
     return std::make_unique<StreamRegistry>(context.get_executor(), hooks->streams, *directory, std::move(registry));
 }
 
@@ -187,7 +188,10 @@
                   this->hooks.onServersConfirmed(confirmedAt);
               }
           }))
-    , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions))
+    , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions,
+          [this] {
+              return this->peers.membership().latestLossOfContact(RuntimeClock::now());
+          }))
     , duties(std::make_unique<Duties>(duties, this->directory.get(), this->peers, this->controllerOptions))
     , replica(
           this->platform,
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -49,7 +49,7 @@
 boost::asio::awaitable<void> StreamRegistry::run()
 {
     while (!this->stopped) {
-        co_await delay(this->options.flushInterval + this->instanceCount * this->options.flushIntervalPerInstance);
+        co_await delay(this->saveInterval());
         this->origins.expire(RuntimeClock::now());
         co_await this->flush();
     }
@@ -120,6 +120,14 @@
         if (!version.isKnown && isRefreshed) {
             version = this->soleVersion(service);
         }
+        if (!version.isKnown && isRefreshed && this->versionBeforeRelease(service).isKnown) {
+            co_await this->awaitSaves();
+            const bool isRefreshedAgain = co_await this->refresh();
+            version = this->knownVersion(request, service);
+            if (!version.isKnown && isRefreshedAgain) {
+                version = this->versionBeforeRelease(service);
+            }
+        }
     }
     logEvent(version.isKnown ? LogLevel::Info : LogLevel::Warning, "control",
         version.isKnown ? "a stream is resumed at its software version" : "the software version of a stream is not known",
@@ -145,6 +153,31 @@
     return {true, *version, "only version"};
 }
 
+StreamVersion StreamRegistry::versionBeforeRelease(const ServiceName &service) const
+{
+    const TimePoint now = RuntimeClock::now();
+    const ServiceRelease *release = this->origins.release(service, now);
+    const std::optional<TimePoint> loss = this->options.latestLossOfContact ? this->options.latestLossOfContact() : std::nullopt;
+    if (release == nullptr || !loss.has_value() || *loss < this->startedAt || *loss < now - this->origins.streamLifetime()) {
+        return {};
+    }
+    const auto unixLoss = this->options.unixTime() - std::chrono::ceil<std::chrono::milliseconds>(now - *loss);
+    if (unixLoss >= std::chrono::milliseconds(release->firstStartedAt)) {
+        return {};
+    }
+    return {true, release->versionBefore, "version before the release"};
+}
+
+boost::asio::awaitable<void> StreamRegistry::awaitSaves()
+{
+    co_await delay(this->saveInterval() + this->options.flushInterval);
+}
+
+Duration StreamRegistry::saveInterval() const
+{
+    return this->options.flushInterval + this->instanceCount * this->options.flushIntervalPerInstance;
+}
+
 boost::asio::awaitable<bool> StreamRegistry::refresh()
 {
     const TimePoint requestedAt = RuntimeClock::now();
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -75,7 +75,11 @@
         this->evictOthersAt(heartbeat.address, heartbeat.from.instance, now);
     }
     const bool isShutdown = heartbeat.state == MemberState::Gone;
-    this->memberTable[heartbeat.from.instance] = {heartbeat, heartbeat.state, isShutdown, now};
+    Member member{heartbeat, heartbeat.state, isShutdown, now, now};
+    if (known != this->memberTable.end()) {
+        member.predecessorHeartbeatAt = isNew ? known->second.lastHeartbeatAt : known->second.predecessorHeartbeatAt;
+    }
+    this->memberTable[heartbeat.from.instance] = std::move(member);
     return HeartbeatResult::Accepted;
 }
 
@@ -170,6 +174,17 @@
     return instances;
 }
 
+std::optional<TimePoint> Membership::latestLossOfContact(TimePoint now) const
+{
+    std::optional<TimePoint> latest;
+    for (const auto &[instance, member] : this->memberTable) {
+        const bool isSilent = member.state == MemberState::Gone || now >= member.lastHeartbeatAt + this->timing.silenceTime;
+        const std::optional<TimePoint> loss = isSilent ? std::optional(member.lastHeartbeatAt) : member.predecessorHeartbeatAt;
+        latest = std::max(latest, loss);
+    }
+    return latest;
+}
+
 std::vector<Endpoint> Membership::contactAddresses() const
 {
     std::vector<Endpoint> contacts;
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingosaddle
 {
@@ -70,20 +71,52 @@
 
 void StreamOrigins::observeServers(const std::map<BackendServerId, RegisteredServer> &servers, TimePoint now)
 {
-    std::map<ServiceName, std::set<std::string>> current;
+    std::map<ServiceName, std::map<std::string, std::uint64_t>> current; // with the first start of each version's servers
     for (const auto &[id, registered] : servers) {
-        current[registered.server.service].insert(registered.server.softwareVersion);
+        std::map<std::string, std::uint64_t> &firstStarts = current[registered.server.service];
+        const auto known = firstStarts.emplace(registered.server.softwareVersion, registered.startedAt).first;
+        known->second = std::min(known->second, registered.startedAt);
     }
-    for (auto &[name, versions] : current) {
+    for (const auto &[name, firstStarts] : current) {
         Service &service = this->services[name];
+        this->observeRelease(service, firstStarts, now);
+        std::set<std::string> versions;
+        for (const auto &[version, startedAt] : firstStarts) {
+            versions.insert(version);
+        }
         const bool hasChanged = !service.versions.empty() && service.versions != versions;
         if (hasChanged || versions.size() > 1) {
             service.mixedAt = now;
         }
+        if (hasChanged) {
+            service.changedAt = now;
+        }
         service.versions = std::move(versions);
     }
 }
 
+void StreamOrigins::observeRelease(Service &service, const std::map<std::string, std::uint64_t> &firstStarts, TimePoint now) const
+{
+    const bool hasNewVersion = std::any_of(firstStarts.begin(), firstStarts.end(), [&service](const auto &entry) {
+        return !service.versions.contains(entry.first);
+    });
+    if (hasNewVersion && !service.versions.empty()) {
+        const bool wasSteady
+            = service.versions.size() == 1 && (!service.changedAt.has_value() || now >= *service.changedAt + this->lifetime);
+        service.release.reset();
+        if (wasSteady) {
+            service.release = {*service.versions.begin(), std::numeric_limits<std::uint64_t>::max()};
+        }
+    }
+    if (service.release.has_value()) {
+        for (const auto &[version, startedAt] : firstStarts) {
+            if (version != service.release->versionBefore) {
+                service.release->firstStartedAt = std::min(service.release->firstStartedAt, startedAt);
+            }
+        }
+    }
+}
+
 void StreamOrigins::recordStart(std::uint64_t stream, StreamOrigin origin, TimePoint now)
 {
     this->add(stream, std::move(origin), now);
@@ -112,6 +145,7 @@
         const Duration age = std::max(unixNow - record.mixedAt, std::chrono::milliseconds(0));
         Service &service = this->services.try_emplace(record.origin.service).first->second;
         service.mixedAt = std::max(service.mixedAt.value_or(TimePoint::min()), now - std::min(age, this->lifetime + clockMargin));
+        service.recordedVersions[record.origin.softwareVersion] = now;
         for (const std::uint64_t stream : record.streams) {
             if (!this->streams.contains(stream)) {
                 this->add(stream, record.origin, now);
@@ -163,6 +197,11 @@
     }
 }
 
+Duration StreamOrigins::streamLifetime() const
+{
+    return this->lifetime;
+}
+
 const StreamOrigin *StreamOrigins::find(std::uint64_t stream) const
 {
     const auto found = this->streams.find(stream);
@@ -178,4 +217,20 @@
     return *found->second.versions.begin();
 }
 
+const ServiceRelease *StreamOrigins::release(const ServiceName &name, TimePoint now) const
+{
+    const auto found = this->services.find(name);
+    if (found == this->services.end() || !found->second.release.has_value() || !found->second.isMixed(this->lifetime, now)) {
+        return nullptr;
+    }
+    const Service &service = found->second;
+    // A stream of a version that this instance did not see may have begun before the instance did.
+    const bool hasOtherVersion = std::any_of(
+        service.recordedVersions.begin(), service.recordedVersions.end(), [&service, this, now](const auto &recorded) {
+            const bool isSeen = recorded.first == service.release->versionBefore || service.versions.contains(recorded.first);
+            return !isSeen && now < recorded.second + this->lifetime;
+        });
+    return hasOtherVersion ? nullptr : &*service.release;
+}
+
 } // namespace flamingosaddle
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -58,12 +58,14 @@
         this->configs.push_back(config);
     }
 
-    void put(const std::string &id, const ServiceName &service = {}, const std::string &softwareVersion = {})
+    void put(const std::string &id, const ServiceName &service = {}, const std::string &softwareVersion = {},
+        std::chrono::milliseconds startedAt = {})
     {
         RegisteredServer registered;
         registered.server.id = BackendServerId(id);
         registered.server.service = service;
         registered.server.softwareVersion = softwareVersion;
+        registered.startedAt = static_cast<std::uint64_t>(startedAt.count());
         this->entries.push_back({registered.server.id, registered});
     }
 
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -23,6 +23,11 @@
 const ServiceName service("engines");
 constexpr std::chrono::milliseconds unixAtZero(1'700'000'000'000);
 
+std::chrono::milliseconds unixNow()
+{
+    return unixAtZero + std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+}
+
 /** What all instances share: the store with its log of streams. */
 struct SharedStore : FakeStore {
     std::vector<std::string> streamRecords;
@@ -46,7 +51,7 @@
         : context(context)
         , store(store)
         , instance(context, store, true)
-        , registry(context.get_executor(), this->logHooks(), this->instance.directory, options())
+        , registry(context.get_executor(), this->logHooks(), this->instance.directory, this->options())
     {
         this->instance.onUpdate = [this] {
             this->registry.onDirectoryUpdate();
@@ -54,11 +59,12 @@
         boost::asio::co_spawn(context, this->registry.run(), boost::asio::detached);
     }
 
-    static StreamRegistry::Options options()
+    StreamRegistry::Options options()
     {
         StreamRegistry::Options options;
-        options.unixTime = [] {
-            return unixAtZero + std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now().time_since_epoch());
+        options.unixTime = unixNow;
+        options.latestLossOfContact = [this] {
+            return this->latestLoss;
         };
         return options;
     }
@@ -107,6 +113,7 @@
     boost::asio::io_context &context;
     SharedStore &store;
     FakeInstance instance;
+    std::optional<TimePoint> latestLoss; ///< when this instance last heard one that has stopped
     StreamRegistry registry;
 };
 
@@ -211,6 +218,59 @@
     EXPECT_EQ(first.versionOf("stream"), std::nullopt);
 }
 
+// An instance that has stopped cannot save its streams when a release begins. Callers of its streams were refused.
+TEST_F(StreamRegistryTest, AStreamOfAnInstanceThatStoppedBeforeTheReleaseIsResumedAtTheOldVersion)
+{
+    RunningInstance &stopped = this->start();
+    RunningInstance &other = this->start();
+    stopped.registry.recordStart("stream", service, "v1");
+    this->kill(stopped);
+    other.latestLoss = RuntimeClock::now();
+    advanceTime(this->context, 1s);
+    this->store.put("new", service, "v2", unixNow());
+    advanceTime(this->context, 2s);
+    EXPECT_EQ(other.versionOf("stream"), "v1");
+    other.registry.recordStart("saved meanwhile", service, "v2");
+    EXPECT_EQ(other.versionOf("saved meanwhile"), "v2");
+    other.latestLoss = RuntimeClock::now();
+    EXPECT_EQ(other.versionOf("stream"), std::nullopt) << "it may have begun at either version";
+    other.latestLoss = RuntimeClock::now() - 21s;
+    EXPECT_EQ(other.versionOf("stream"), std::nullopt) << "longer ago than a stream lasts";
+}
+
+TEST_F(StreamRegistryTest, AnUnknownStreamIsNotResumedWhenSeveralReleasesOverlap)
+{
+    RunningInstance &other = this->start();
+    advanceTime(this->context, 1s);
+    other.latestLoss = RuntimeClock::now();
+    advanceTime(this->context, 1s);
+    this->store.put("new", service, "v2", unixNow());
+    advanceTime(this->context, 2s);
+    EXPECT_EQ(other.versionOf("stream"), "v1");
+    this->store.put("newest", service, "v3", unixNow());
+    advanceTime(this->context, 2s);
+    EXPECT_EQ(other.versionOf("stream"), std::nullopt);
+}
+
+TEST_F(StreamRegistryTest, AnUnknownStreamIsNotResumedByAnInstanceThatMissedTheBegin)
+{
+    RunningInstance &first = this->start();
+    this->store.put("new", service, "v2", unixNow());
+    first.registry.recordStart("at v2", service, "v2");
+    advanceTime(this->context, 1s);
+    this->store.remove("old");
+    advanceTime(this->context, 1s);
+    RunningInstance &second = this->start();
+    second.latestLoss = RuntimeClock::now();
+    advanceTime(this->context, 1s);
+    this->store.put("newest", service, "v3", unixNow());
+    advanceTime(this->context, 2s);
+    EXPECT_EQ(second.versionOf("stream"), "v2") << "versions in the log are known";
+    first.registry.recordStart("at v1", service, "v1");
+    advanceTime(this->context, 1s);
+    EXPECT_EQ(second.versionOf("stream"), std::nullopt) << "a stream of v1 may be under way";
+}
+
 // Guards against resumptions that wait for each other's reads of a store that does not answer.
 TEST_F(StreamRegistryTest, ResumptionsAtOneTimeShareAFailedRead)
 {
--- a/tests/state/membership_test.cpp
+++ b/tests/state/membership_test.cpp
@@ -54,6 +54,36 @@
     EXPECT_EQ(this->apply(heartbeat("self", 9, 3)), HeartbeatResult::Own);
 }
 
+// What an instance did until it stopped may be known to nobody else.
+TEST_F(MembershipTest, KnowsWhenItLastHeardAnInstanceThatMayHaveStopped)
+{
+    const auto latestLoss = [this] {
+        return this->membership.latestLossOfContact(this->now);
+    };
+    const TimePoint begin = this->now;
+    EXPECT_EQ(latestLoss(), std::nullopt);
+    this->apply(heartbeat("i1", 1, 1));
+    this->apply(heartbeat("i2", 1, 1));
+    EXPECT_EQ(latestLoss(), std::nullopt);
+    this->now += 1s;
+    this->apply(heartbeat("i2", 1, 2));
+    this->now += 1s;
+    this->apply(heartbeat("i2", 1, 3));
+    EXPECT_EQ(latestLoss(), begin) << "the first is silent";
+    this->membership.expire(this->now + 2s);
+    EXPECT_EQ(latestLoss(), begin) << "it counts as gone";
+    this->apply(heartbeat("i1", 1, 2));
+    EXPECT_EQ(latestLoss(), std::nullopt) << "it was only frozen";
+    this->now += 1s;
+    this->apply(heartbeat("i1", 2, 1));
+    this->apply(heartbeat("i2", 1, 4));
+    EXPECT_EQ(latestLoss(), begin + 2s) << "it was started anew";
+    this->now += 1s;
+    this->apply(heartbeat("i1", 2, 2));
+    this->apply(heartbeat("i2", 1, 5, MemberState::Gone));
+    EXPECT_EQ(latestLoss(), begin + 4s);
+}
+
 TEST_F(MembershipTest, ContactsUnverifiedMembersUntilAHeartbeatOrTheTimeout)
 {
     const Heartbeat unverified = heartbeat("i1", 1, 1);
