Save streams that run again, as the store may forget them

Cause: where a stream began was saved once. After the loss only the instance that began it knew.

Streams that still run are saved again after 3 s, with the next append, and all of them before a shutdown; only while a service has several versions. This also covers a store that comes back from an older copy. The format of the records is unchanged.

--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -60,7 +60,7 @@
     /** Runs until stop(). The object must outlive the coroutine. */
     boost::asio::awaitable<void> run();
     void stop();
-    /** Saves what is unsaved, before a shutdown. */
+    /** Saves all streams that this instance has begun and that still run, before a shutdown. */
     boost::asio::awaitable<void> flush();
     /** Follows the directory's configuration and servers. */
     void onDirectoryUpdate();
@@ -79,6 +79,7 @@
         bool hasSucceeded = false;
     };
 
+    boost::asio::awaitable<void> saveUnsaved();
     StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
     StreamVersion soleVersion(const ServiceName &service) const;
     /**
--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -64,6 +64,8 @@
 {
 public:
     static constexpr std::size_t maxStreams = 50'000; ///< known at a time; the oldest are forgotten first
+    /** Time after which a stream that still runs is saved again, because the store may have lost what was saved. */
+    static constexpr Duration saveRepetition = std::chrono::seconds(3);
 
     // Commands.
 
@@ -79,6 +81,8 @@
     std::vector<StreamOriginRecord> takeUnsaved(std::chrono::milliseconds unixNow, TimePoint now);
     /** Takes back what could not be saved. */
     void restoreUnsaved(const std::vector<StreamOriginRecord> &records);
+    /** Considers all streams of this instance unsaved. */
+    void forgetSaves();
     void expire(TimePoint now);
 
     // Queries.
@@ -105,12 +109,15 @@
     /** Follows the release of a service whose servers have these versions, given the first start of each. */
     void observeRelease(Service &service, const std::map<std::string, std::uint64_t> &firstStarts, TimePoint now) const;
     void add(std::uint64_t stream, StreamOrigin origin, TimePoint now);
+    /** Considers the streams that were saved at @p savedUntil or before unsaved. */
+    void repeatSaves(TimePoint savedUntil);
 
     Duration lifetime = Duration::zero();
     std::map<ServiceName, Service> services;
     std::unordered_map<std::uint64_t, StreamOrigin> streams;
     std::deque<std::pair<TimePoint, std::uint64_t>> byAge; // oldest first
     std::vector<std::uint64_t> unsaved; // of this instance
+    std::deque<std::pair<TimePoint, std::uint64_t>> saved; // of this instance, with the time of the save; oldest first
 };
 
 } // namespace flamingosaddle
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -51,7 +51,7 @@
     while (!this->stopped) {
         co_await delay(this->saveInterval());
         this->origins.expire(RuntimeClock::now());
-        co_await this->flush();
+        co_await this->saveUnsaved();
     }
 }
 
@@ -61,6 +61,12 @@
 }
 
 boost::asio::awaitable<void> StreamRegistry::flush()
+{
+    this->origins.forgetSaves();
+    co_await this->saveUnsaved();
+}
+
+boost::asio::awaitable<void> StreamRegistry::saveUnsaved()
 {
     const std::vector<StreamOriginRecord> unsaved = this->origins.takeUnsaved(this->options.unixTime(), RuntimeClock::now());
     if (unsaved.empty()) {
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_set>
 
 namespace flamingosaddle
 {
@@ -156,6 +157,7 @@
 
 std::vector<StreamOriginRecord> StreamOrigins::takeUnsaved(std::chrono::milliseconds unixNow, TimePoint now)
 {
+    this->repeatSaves(now - saveRepetition);
     std::map<std::pair<ServiceName, std::string>, StreamOriginRecord> records;
     std::erase_if(this->unsaved, [&](std::uint64_t id) {
         const auto stream = this->streams.find(id);
@@ -172,6 +174,7 @@
         const Duration sinceMixed = service->second.versions.size() > 1 ? Duration::zero() : now - *service->second.mixedAt;
         record.mixedAt = unixNow - std::chrono::duration_cast<std::chrono::milliseconds>(sinceMixed);
         record.streams.push_back(id);
+        this->saved.emplace_back(now, id);
         return true;
     });
     std::vector<StreamOriginRecord> taken;
@@ -184,8 +187,26 @@
 
 void StreamOrigins::restoreUnsaved(const std::vector<StreamOriginRecord> &records)
 {
+    std::unordered_set<std::uint64_t> ids;
     for (const StreamOriginRecord &record : records) {
-        this->unsaved.insert(this->unsaved.end(), record.streams.begin(), record.streams.end());
+        ids.insert(record.streams.begin(), record.streams.end());
+    }
+    std::erase_if(this->saved, [&ids](const auto &entry) {
+        return ids.contains(entry.second);
+    });
+    this->unsaved.insert(this->unsaved.end(), ids.begin(), ids.end());
+}
+
+void StreamOrigins::forgetSaves()
+{
+    this->repeatSaves(TimePoint::max());
+}
+
+void StreamOrigins::repeatSaves(TimePoint savedUntil)
+{
+    while (!this->saved.empty() && this->saved.front().first <= savedUntil) {
+        this->unsaved.push_back(this->saved.front().second);
+        this->saved.pop_front();
     }
 }
 
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -271,6 +271,52 @@
     EXPECT_EQ(second.versionOf("stream"), std::nullopt) << "a stream of v1 may be under way";
 }
 
+// Guards against callers that are refused when the store has lost what an instance had saved, as when it forgets its history or
+// comes back from a copy.
+TEST_F(StreamRegistryTest, AStreamThatRunsIsSavedAgain)
+{
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.registry.recordStart("stream", service, "v1");
+    first.registry.recordStart("completed", service, "v1");
+    advanceTime(this->context, 500ms);
+    EXPECT_EQ(this->store.streamRecords.size(), 1U);
+    this->store.streamRecords.clear();
+    first.registry.recordCompletion("completed");
+    advanceTime(this->context, StreamOrigins::saveRepetition);
+    EXPECT_EQ(this->store.streamRecords.size(), 1U);
+    this->kill(first);
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("stream"), "v1");
+    EXPECT_EQ(second.versionOf("completed"), std::nullopt);
+}
+
+TEST_F(StreamRegistryTest, AStreamThatRunsIsSavedAgainBeforeAShutdown)
+{
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.registry.recordStart("stream", service, "v1");
+    advanceTime(this->context, 500ms);
+    this->store.streamRecords.clear();
+    boost::asio::co_spawn(this->context, first.registry.flush(), boost::asio::detached);
+    advanceTime(this->context, 100ms);
+    this->kill(first);
+    EXPECT_EQ(this->start().versionOf("stream"), "v1");
+}
+
+TEST_F(StreamRegistryTest, AStreamThatCouldNotBeSavedIsSavedOnce)
+{
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.instance.isStoreUnreachable = true;
+    first.registry.recordStart("stream", service, "v1");
+    advanceTime(this->context, 2 * StreamOrigins::saveRepetition);
+    first.instance.isStoreUnreachable = false;
+    advanceTime(this->context, StreamOrigins::saveRepetition - 500ms);
+    EXPECT_LE(this->store.streamRecords.size(), 2U);
+    EXPECT_EQ(this->start().versionOf("stream"), "v1");
+}
+
 // Guards against resumptions that wait for each other's reads of a store that does not answer.
 TEST_F(StreamRegistryTest, ResumptionsAtOneTimeShareAFailedRead)
 {
