Hold limits on rejections until a response ends them

Cause: a statement that no response had repeated for 10 s no longer held. A service that nobody asks gives no responses, so that all instances forgot at the same time.

A statement now holds until a response comes without one. Without repetition for 10 s it is unconfirmed: a response of any server of the target without a limit ends it, and an instance that leaves all servers to others tries one.

AStatementHoldsWhileNobodyAsksTheServers failed before (6 requests at once in place of 2).

--- a/include/flamingosaddle/traffic/rejectionlimits.h
+++ b/include/flamingosaddle/traffic/rejectionlimits.h
@@ -46,8 +46,10 @@
  * their slots are divided among the instances, so that none is rejected as long as a server runs what its slots allow. An
  * instance without a slot leaves its requests to those that have one.
  *
- * A server whose statement is not known or no longer holds, as after its restart or while other instances use it, is treated like
- * the others of its target.
+ * A server whose statement is not known, as after its restart or while other instances use it, is treated like the others of its
+ * target. A statement holds until a response says otherwise, since servers that get no requests state nothing. One that was not
+ * repeated for statementValidity is unconfirmed: a response of any server of the target without a limit ends it, and an instance
+ * that leaves all servers to others tries one of them.
  */
 class RejectionLimits
 {
@@ -64,13 +66,13 @@
     /** Time in which a rejection arrives. A request that was not rejected by then runs or waits at the server. */
     static constexpr Duration confirmationTime = std::chrono::milliseconds(50);
     static constexpr double pauseMargin = 1.2; ///< ratio of the pause to the window, for requests that travel at different speeds
-    /** Time after which a statement that was not repeated no longer holds. */
+    /** Time after which a statement that was not repeated is unconfirmed, and is not told to other instances. */
     static constexpr Duration statementValidity = std::chrono::seconds(10);
     static constexpr std::uint32_t assumedInstances = 8; ///< until setInstances() is called
 
     // Commands.
 
-    /** Applies what a server states in a response. Returns whether its known limit changed. */
+    /** Applies what a server states in a response. Returns whether a known limit changed, ended or was confirmed. */
     bool applyResponse(TargetIndex target, const ServerRejectionLimit &stated);
 
     /** Applies what servers of the target stated to a peer. Returns whether the target had no limit before. */
@@ -79,9 +81,6 @@
     /** Sets the instances that share the limits. */
     void setInstances(const InstanceId &self, const std::vector<InstanceId> &peers);
 
-    /** Removes the target's statements that no longer hold. */
-    void expire(TargetIndex target, TimePoint now);
-
     // Queries.
 
     bool isEmpty() const
@@ -92,19 +91,26 @@
     /** Returns whether any server of the target has a limit. */
     bool hasLimit(TargetIndex target) const;
 
+    /**
+     * Returns the position of the server that this instance tries, of @p count servers of the target that it leaves to others;
+     * nothing while a statement is confirmed.
+     */
+    std::optional<std::size_t> serverToTry(TargetIndex target, std::size_t count, TimePoint now) const;
+
     /** Returns the lowest limit that servers of the target stated in responses to this instance, if any. */
     std::optional<PeerReport> ownReport(TargetIndex target, TimePoint now) const;
 
     /**
      * Returns this instance's share of the server's limit, or nothing if it has none.
      */
-    std::optional<RejectionShare> share(
-        TargetIndex target, const BackendServerId &server, const ServerPlace &place, TimePoint now) const;
+    std::optional<RejectionShare> share(TargetIndex target, const BackendServerId &server, const ServerPlace &place) const;
 
 private:
     /** Returns how much of @p amount of a server this instance has, if it is assigned in turn over servers and instances. */
     std::uint32_t ownPart(std::size_t amount, std::size_t position) const;
-    std::optional<std::uint32_t> limitOf(TargetIndex target, const BackendServerId &server, TimePoint now) const;
+    std::optional<std::uint32_t> limitOf(TargetIndex target, const BackendServerId &server) const;
+    /** Removes the target's unconfirmed statements. Returns whether there were any. */
+    bool removeUnconfirmed(TargetIndex target, TimePoint now);
 
     std::map<TargetIndex, std::map<BackendServerId, ServerRejectionLimit>> entries; // read in responses
     std::map<TargetIndex, PeerReport> peerReports;
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -140,7 +140,9 @@
      * shares to one request at each server.
      */
     void leaveToPeers(TargetIndex target, std::vector<std::optional<RejectionShare>> &shares);
-    /** Updates the shares of all rejection limits at intervals, without statements that no longer hold. */
+    /** Without a share of any of the target's servers, lets one be tried if what they stated is unconfirmed. */
+    void tryOneServer(TargetIndex target, std::vector<std::optional<RejectionShare>> &shares, TimePoint now) const;
+    /** Updates the shares of all rejection limits at intervals. */
     void refreshRejectionShares(TimePoint now);
     /** Lets a server be treated as cold until its entry, renewed since, says otherwise. */
     void suspectCold(ServerIndex server, ColdReason reason, TimePoint now);
--- a/src/traffic/dispatchershares.cpp
+++ b/src/traffic/dispatchershares.cpp
@@ -12,6 +12,14 @@
 
 constexpr Duration rejectionShareInterval = std::chrono::seconds(1); // between updates of the shares of rejection limits
 
+/** Returns whether all servers are left to other instances. */
+bool isWithoutShare(const std::vector<std::optional<RejectionShare>> &shares)
+{
+    return !shares.empty() && std::all_of(shares.begin(), shares.end(), [](const std::optional<RejectionShare> &share) {
+        return share.has_value() && share->starts == 0;
+    });
+}
+
 } // namespace
 
 bool Dispatcher::Implementation::applyPeerRateLimit(const ServerRateLimit &report, TimePoint now)
@@ -64,7 +72,6 @@
     this->rejectionSharesUpdatedAt = now;
     for (TargetIndex target = 0; target < this->pool.targetCount(); ++target) {
         if (this->rejectionLimits.hasLimit(target)) {
-            this->rejectionLimits.expire(target, now);
             this->updateRejectionShares(target, now);
         }
     }
@@ -114,9 +121,9 @@
     shares.reserve(servers.size());
     for (std::size_t position = 0; position < servers.size(); ++position) {
         const auto &[id, index] = servers[position];
-        shares.push_back(
-            this->rejectionLimits.share(target, id, {position, servers.size(), this->pool.server(index).slots}, now));
+        shares.push_back(this->rejectionLimits.share(target, id, {position, servers.size(), this->pool.server(index).slots}));
     }
+    this->tryOneServer(target, shares, now);
     this->leaveToPeers(target, shares);
     for (std::size_t position = 0; position < servers.size(); ++position) {
         const ServerIndex index = servers[position].second;
@@ -127,14 +134,21 @@
     }
 }
 
+void Dispatcher::Implementation::tryOneServer(
+    TargetIndex target, std::vector<std::optional<RejectionShare>> &shares, TimePoint now) const
+{
+    const std::optional<std::size_t> position
+        = isWithoutShare(shares) ? this->rejectionLimits.serverToTry(target, shares.size(), now) : std::nullopt;
+    if (position.has_value()) {
+        shares[*position] = RejectionShare{1, shares[*position]->pause, 1};
+    }
+}
+
 void Dispatcher::Implementation::leaveToPeers(TargetIndex target, std::vector<std::optional<RejectionShare>> &shares)
 {
-    const bool isWithoutShare
-        = !shares.empty() && std::all_of(shares.begin(), shares.end(), [](const std::optional<RejectionShare> &share) {
-              return share.has_value() && share->starts == 0;
-          });
-    const bool isLeft = isWithoutShare && this->peers.canServe(this->nameOf(target));
-    if (isWithoutShare && !isLeft) {
+    const bool hasNoShare = isWithoutShare(shares);
+    const bool isLeft = hasNoShare && this->peers.canServe(this->nameOf(target));
+    if (hasNoShare && !isLeft) {
         // Nobody else takes the requests, so that each server gets one until it rejects it.
         for (std::optional<RejectionShare> &share : shares) {
             share = RejectionShare{1, share->pause, std::nullopt};
--- a/src/traffic/rejectionlimits.cpp
+++ b/src/traffic/rejectionlimits.cpp
@@ -13,9 +13,11 @@
         if (isKnown && servers->second.erase(stated.server) > 0 && servers->second.empty()) {
             this->entries.erase(servers);
         }
-        return isKnown;
+        return this->removeUnconfirmed(target, stated.statedAt) || isKnown;
     }
-    const bool isChanged = !isKnown || servers->second.at(stated.server).rejectionsPerSecond != stated.rejectionsPerSecond;
+    const bool wasConfirmed = !this->serverToTry(target, 1, stated.statedAt).has_value();
+    const bool isChanged
+        = !isKnown || !wasConfirmed || servers->second.at(stated.server).rejectionsPerSecond != stated.rejectionsPerSecond;
     this->entries[target][stated.server] = stated;
     return isChanged;
 }
@@ -38,22 +40,25 @@
     }));
 }
 
-void RejectionLimits::expire(TargetIndex target, TimePoint now)
+bool RejectionLimits::removeUnconfirmed(TargetIndex target, TimePoint now)
 {
+    bool removed = false;
     const auto report = this->peerReports.find(target);
     if (report != this->peerReports.end() && now - report->second.statedAt >= statementValidity) {
         this->peerReports.erase(report);
+        removed = true;
     }
     const auto known = this->entries.find(target);
     if (known == this->entries.end()) {
-        return;
+        return removed;
     }
-    std::erase_if(known->second, [now](const auto &entry) {
+    const std::size_t count = std::erase_if(known->second, [now](const auto &entry) {
         return now - entry.second.statedAt >= statementValidity;
     });
     if (known->second.empty()) {
         this->entries.erase(known);
     }
+    return removed || count > 0;
 }
 
 bool RejectionLimits::hasLimit(TargetIndex target) const
@@ -81,26 +86,39 @@
     return report;
 }
 
-std::optional<std::uint32_t> RejectionLimits::limitOf(TargetIndex target, const BackendServerId &server, TimePoint now) const
+std::optional<std::uint32_t> RejectionLimits::limitOf(TargetIndex target, const BackendServerId &server) const
 {
+    std::optional<std::uint32_t> lowest;
+    const auto take = [&lowest](std::uint32_t limit) {
+        lowest = std::min(lowest.value_or(limit), limit);
+    };
     const auto servers = this->entries.find(target);
     if (servers != this->entries.end()) {
         const auto own = servers->second.find(server);
-        if (own != servers->second.end() && now - own->second.statedAt < statementValidity) {
+        if (own != servers->second.end()) {
             return own->second.rejectionsPerSecond;
         }
-    }
-    std::optional<std::uint32_t> lowest;
-    if (const std::optional<PeerReport> report = this->ownReport(target, now)) {
-        lowest = report->rejectionsPerSecond;
+        for (const auto &[id, stated] : servers->second) {
+            take(*stated.rejectionsPerSecond);
+        }
     }
     const auto peers = this->peerReports.find(target);
-    if (peers != this->peerReports.end() && now - peers->second.statedAt < statementValidity) {
-        lowest = std::min(lowest.value_or(peers->second.rejectionsPerSecond), peers->second.rejectionsPerSecond);
+    if (peers != this->peerReports.end()) {
+        take(peers->second.rejectionsPerSecond);
     }
     return lowest;
 }
 
+std::optional<std::size_t> RejectionLimits::serverToTry(TargetIndex target, std::size_t count, TimePoint now) const
+{
+    const auto peers = this->peerReports.find(target);
+    const bool isReported = peers != this->peerReports.end() && now - peers->second.statedAt < statementValidity;
+    if (count == 0 || isReported || this->ownReport(target, now).has_value()) {
+        return std::nullopt;
+    }
+    return this->ownPosition % count;
+}
+
 std::uint32_t RejectionLimits::ownPart(std::size_t amount, std::size_t position) const
 {
     const std::size_t rest = amount % this->instances;
@@ -110,9 +128,9 @@
 }
 
 std::optional<RejectionShare> RejectionLimits::share(
-    TargetIndex target, const BackendServerId &server, const ServerPlace &place, TimePoint now) const
+    TargetIndex target, const BackendServerId &server, const ServerPlace &place) const
 {
-    const std::optional<std::uint32_t> stated = this->limitOf(target, server, now);
+    const std::optional<std::uint32_t> stated = this->limitOf(target, server);
     if (!stated.has_value()) {
         return std::nullopt;
     }
