--- a/tests/traffic/rejectionlimits_test.cpp
+++ b/tests/traffic/rejectionlimits_test.cpp
@@ -40,6 +40,39 @@
     return limits;
 }
 
+/** A server with 6 slots and the dispatcher of its only instance. */
+class OneServer
+{
+public:
+    OneServer()
+    {
+        this->server.id = serverId(0);
+        this->server.models = {this->model};
+        this->server.slots = 6;
+        this->dispatcher.setServers({this->server}, now);
+        this->dispatcher.setInstances(InstanceId("i0"), {}, now);
+    }
+
+    /** Submits so many requests and returns which of all that wait are started. */
+    std::vector<Assignment> start(std::size_t requests, TimePoint time)
+    {
+        RequestProfile profile;
+        profile.requestClass.deadline = 2h;
+        profile.model = this->model;
+        profile.arrival = time;
+        for (std::size_t i = 0; i < requests; ++i) {
+            EXPECT_TRUE(std::holds_alternative<Ticket>(this->dispatcher.submit(profile, time)));
+        }
+        Decisions decisions;
+        this->dispatcher.dispatch(time, decisions);
+        return decisions.assignments;
+    }
+
+    const ModelName model{"model"};
+    BackendServer server;
+    Dispatcher dispatcher{DispatcherOptions()};
+};
+
 } // namespace
 
 TEST(RejectionLimits, SharesOfAllInstancesDoNotExceedTheLimitAndEachInstanceHasAServer)
@@ -152,33 +185,14 @@
 // entries, so that they got as many requests as they have slots when they were listed again.
 TEST(RejectionLimits, AStatementOutlastsTheAbsenceOfItsServer)
 {
-    const ModelName model("model");
-    BackendServer server;
-    server.id = serverId(0);
-    server.models = {model};
-    server.slots = 6;
-    Dispatcher dispatcher{DispatcherOptions()};
-    dispatcher.setServers({server}, now);
-    dispatcher.setInstances(InstanceId("i0"), {}, now);
-    const auto start = [&](std::size_t requests, TimePoint time) {
-        RequestProfile profile;
-        profile.requestClass.deadline = 60s;
-        profile.model = model;
-        profile.arrival = time;
-        for (std::size_t i = 0; i < requests; ++i) {
-            EXPECT_TRUE(std::holds_alternative<Ticket>(dispatcher.submit(profile, time)));
-        }
-        Decisions decisions;
-        dispatcher.dispatch(time, decisions);
-        return decisions.assignments;
-    };
-    const std::vector<Assignment> first = start(1, now);
+    OneServer fleet;
+    const std::vector<Assignment> first = fleet.start(1, now);
     ASSERT_EQ(first.size(), 1U);
-    dispatcher.setServers({}, now + 1s);
-    dispatcher.onRejectionLimit(first.front().ticket, 2, now + 1s);
-    dispatcher.finish(first.front().ticket, AttemptOutcome::Completed, now + 1s);
-    dispatcher.setServers({server}, now + 2s);
-    EXPECT_EQ(start(6, now + 2s).size(), 2U) << "more may be turned away than the server survives";
+    fleet.dispatcher.setServers({}, now + 1s);
+    fleet.dispatcher.onRejectionLimit(first.front().ticket, 2, now + 1s);
+    fleet.dispatcher.finish(first.front().ticket, AttemptOutcome::Completed, now + 1s);
+    fleet.dispatcher.setServers({fleet.server}, now + 2s);
+    EXPECT_EQ(fleet.start(6, now + 2s).size(), 2U) << "more may be turned away than the server survives";
 }
 
 // Servers that get no requests say nothing. All instances forgot at one time that they fail after a few rejections, and the next
@@ -186,37 +200,16 @@
 TEST(RejectionLimits, AStatementHoldsWhileNobodyAsksTheServers)
 {
     for (const Duration quietTime : {RejectionLimits::statementValidity + 1s, Duration(1h)}) {
-        const ModelName model("model");
-        BackendServer server;
-        server.id = serverId(0);
-        server.models = {model};
-        server.slots = 6;
-        Dispatcher dispatcher{DispatcherOptions()};
-        dispatcher.setServers({server}, now);
-        dispatcher.setInstances(InstanceId("i0"), {}, now);
-        const auto start = [&](std::size_t requests, TimePoint time) {
-            RequestProfile profile;
-            profile.requestClass.deadline = 60s;
-            profile.model = model;
-            profile.arrival = time;
-            for (std::size_t i = 0; i < requests; ++i) {
-                EXPECT_TRUE(std::holds_alternative<Ticket>(dispatcher.submit(profile, time)));
-            }
-            Decisions decisions;
-            dispatcher.dispatch(time, decisions);
-            return decisions.assignments;
-        };
-        const std::vector<Assignment> first = start(1, now);
+        OneServer fleet;
+        const std::vector<Assignment> first = fleet.start(1, now);
         ASSERT_EQ(first.size(), 1U);
-        dispatcher.onRejectionLimit(first.front().ticket, 2, now);
-        dispatcher.finish(first.front().ticket, AttemptOutcome::Completed, now);
-        Decisions decisions;
-        dispatcher.dispatch(now + quietTime / 2, decisions);
-        const std::vector<Assignment> burst = start(6, now + quietTime);
+        fleet.dispatcher.onRejectionLimit(first.front().ticket, 2, now);
+        fleet.dispatcher.finish(first.front().ticket, AttemptOutcome::Completed, now);
+        fleet.start(0, now + quietTime / 2);
+        const std::vector<Assignment> burst = fleet.start(6, now + quietTime);
         ASSERT_EQ(burst.size(), 2U) << "more may be turned away than the server survives";
-        dispatcher.onRejectionLimit(burst.front().ticket, std::nullopt, now + quietTime);
-        dispatcher.dispatch(now + quietTime, decisions);
-        EXPECT_EQ(decisions.assignments.size(), 4U) << "a response ends it";
+        fleet.dispatcher.onRejectionLimit(burst.front().ticket, std::nullopt, now + quietTime);
+        EXPECT_EQ(fleet.start(0, now + quietTime).size(), 4U) << "a response ends it";
     }
 }
 
