Bound the time of a release by when its first server was seen

The start of a server comes from its own clock, which may be fast or be set back. A loss of contact after the server was first seen never counts as one from before the release. The test that goes with it tells the two apart only with the bound.

--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -47,6 +47,7 @@
 struct ServiceRelease {
     std::string versionBefore;
     std::uint64_t firstStartedAt = 0; ///< Unix milliseconds; start of the first server of another version, 0 if not known
+    TimePoint observedAt; ///< when that server was first seen
 
     friend bool operator==(const ServiceRelease &, const ServiceRelease &) = default;
 };
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -167,8 +167,9 @@
     if (release == nullptr || !loss.has_value() || *loss < this->startedAt || *loss < now - this->origins.streamLifetime()) {
         return {};
     }
+    // The server's clock may be wrong, but it did not start after it was seen.
     const auto unixLoss = this->options.unixTime() - std::chrono::ceil<std::chrono::milliseconds>(now - *loss);
-    if (unixLoss >= std::chrono::milliseconds(release->firstStartedAt)) {
+    if (*loss >= release->observedAt || unixLoss >= std::chrono::milliseconds(release->firstStartedAt)) {
         return {};
     }
     return {true, release->versionBefore, "version before the release"};
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -106,7 +106,7 @@
             = service.versions.size() == 1 && (!service.changedAt.has_value() || now >= *service.changedAt + this->lifetime);
         service.release.reset();
         if (wasSteady) {
-            service.release = {*service.versions.begin(), std::numeric_limits<std::uint64_t>::max()};
+            service.release = {*service.versions.begin(), std::numeric_limits<std::uint64_t>::max(), now};
         }
     }
     if (service.release.has_value()) {
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -238,6 +238,17 @@
     EXPECT_EQ(other.versionOf("stream"), std::nullopt) << "longer ago than a stream lasts";
 }
 
+TEST_F(StreamRegistryTest, AServerWhoseClockIsFastDoesNotHideThatAnInstanceWasLostAfterTheRelease)
+{
+    RunningInstance &other = this->start();
+    advanceTime(this->context, 1s);
+    this->store.put("new", service, "v2", unixNow() + 5s);
+    advanceTime(this->context, 1s);
+    other.latestLoss = RuntimeClock::now();
+    advanceTime(this->context, 1s);
+    EXPECT_EQ(other.versionOf("stream"), std::nullopt);
+}
+
 TEST_F(StreamRegistryTest, AnUnknownStreamIsNotResumedWhenSeveralReleasesOverlap)
 {
     RunningInstance &other = this->start();
