Date versions in records of streams by the records' own time

A record that an instance reads late named a version as if it were in use now, so that a stream of an earlier release could keep unknown streams from being resumed.

--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -102,7 +102,7 @@
         std::optional<TimePoint> mixedAt; // when there were last known to be several versions
         std::optional<TimePoint> changedAt; // when the versions last changed; empty if they never did
         std::optional<ServiceRelease> release;
-        std::map<std::string, TimePoint> recordedVersions; // in records of any instance, with the newest time of each
+        std::map<std::string, TimePoint> recordedVersions; // in records of any instance, with the newest of their times
 
         bool isMixed(Duration lifetime, TimePoint now) const;
     };
--- a/include/flamingosaddle/traffic/rejectionlimits.h
+++ b/include/flamingosaddle/traffic/rejectionlimits.h
@@ -109,6 +109,8 @@
     /** Returns how much of @p amount of a server this instance has, if it is assigned in turn over servers and instances. */
     std::uint32_t ownPart(std::size_t amount, std::size_t position) const;
     std::optional<std::uint32_t> limitOf(TargetIndex target, const BackendServerId &server) const;
+    /** Returns whether a server of the target stated a limit within statementValidity, here or to a peer. */
+    bool isConfirmed(TargetIndex target, TimePoint now) const;
     /** Removes the target's unconfirmed statements. Returns whether there were any. */
     bool removeUnconfirmed(TargetIndex target, TimePoint now);
 
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -145,8 +145,10 @@
         // A time in the future comes from a clock that is ahead.
         const Duration age = std::max(unixNow - record.mixedAt, std::chrono::milliseconds(0));
         Service &service = this->services.try_emplace(record.origin.service).first->second;
-        service.mixedAt = std::max(service.mixedAt.value_or(TimePoint::min()), now - std::min(age, this->lifetime + clockMargin));
-        service.recordedVersions[record.origin.softwareVersion] = now;
+        const TimePoint mixedAt = now - std::min(age, this->lifetime + clockMargin);
+        service.mixedAt = std::max(service.mixedAt.value_or(TimePoint::min()), mixedAt);
+        TimePoint &recordedAt = service.recordedVersions.try_emplace(record.origin.softwareVersion, mixedAt).first->second;
+        recordedAt = std::max(recordedAt, mixedAt);
         for (const std::uint64_t stream : record.streams) {
             if (!this->streams.contains(stream)) {
                 this->add(stream, record.origin, now);
--- a/src/traffic/rejectionlimits.cpp
+++ b/src/traffic/rejectionlimits.cpp
@@ -15,9 +15,8 @@
         }
         return this->removeUnconfirmed(target, stated.statedAt) || isKnown;
     }
-    const bool wasConfirmed = !this->serverToTry(target, 1, stated.statedAt).has_value();
-    const bool isChanged
-        = !isKnown || !wasConfirmed || servers->second.at(stated.server).rejectionsPerSecond != stated.rejectionsPerSecond;
+    const bool isChanged = !isKnown || !this->isConfirmed(target, stated.statedAt)
+        || servers->second.at(stated.server).rejectionsPerSecond != stated.rejectionsPerSecond;
     this->entries[target][stated.server] = stated;
     return isChanged;
 }
@@ -110,13 +109,15 @@
 }
 
 std::optional<std::size_t> RejectionLimits::serverToTry(TargetIndex target, std::size_t count, TimePoint now) const
+{
+    return count == 0 || this->isConfirmed(target, now) ? std::nullopt : std::optional(this->ownPosition % count);
+}
+
+bool RejectionLimits::isConfirmed(TargetIndex target, TimePoint now) const
 {
     const auto peers = this->peerReports.find(target);
     const bool isReported = peers != this->peerReports.end() && now - peers->second.statedAt < statementValidity;
-    if (count == 0 || isReported || this->ownReport(target, now).has_value()) {
-        return std::nullopt;
-    }
-    return this->ownPosition % count;
+    return isReported || this->ownReport(target, now).has_value();
 }
 
 std::uint32_t RejectionLimits::ownPart(std::size_t amount, std::size_t position) const
