--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -218,7 +218,7 @@
     EXPECT_EQ(first.versionOf("stream"), std::nullopt);
 }
 
-// An instance that has stopped cannot save its streams when a release begins. Callers of its streams were refused.
+// Guards against refused resumptions of streams whose instance stopped before a release and so could not save them.
 TEST_F(StreamRegistryTest, AStreamOfAnInstanceThatStoppedBeforeTheReleaseIsResumedAtTheOldVersion)
 {
     RunningInstance &stopped = this->start();
--- a/tests/state/servertable_test.cpp
+++ b/tests/state/servertable_test.cpp
@@ -94,8 +94,8 @@
     EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(8s)));
 }
 
-// A server that ends by having its entry removed says that it leaves only afterwards. An entry of the same start that a restored
-// store lists again made it get new requests, which were lost when it ended.
+// Guards against new requests to a server that is about to end: one whose entry is removed says that it leaves only afterwards, and a
+// restored store may list the same start again.
 TEST(ServerTable, AServerThatSaidItLeavesWhileItWasNotListedIsLeavingWhenItsEntryIsBack)
 {
     ServerTable table;
--- a/tests/traffic/rejectionlimits_test.cpp
+++ b/tests/traffic/rejectionlimits_test.cpp
@@ -181,8 +181,8 @@
     EXPECT_EQ(limits.share(target, serverId(0), {0, 1, 1}), std::nullopt);
 }
 
-// The entries of servers vanish for seconds, and a restored store may lack them. What the servers stated was forgotten with their
-// entries, so that they got as many requests as they have slots when they were listed again.
+// Guards against a limit that is lost with the entry of its server, which may vanish for seconds: the server would get as many
+// requests as it has slots when it is listed again.
 TEST(RejectionLimits, AStatementOutlastsTheAbsenceOfItsServer)
 {
     OneServer fleet;
@@ -195,8 +195,8 @@
     EXPECT_EQ(fleet.start(6, now + 2s).size(), 2U) << "more may be turned away than the server survives";
 }
 
-// Servers that get no requests say nothing. All instances forgot at one time that they fail after a few rejections, and the next
-// requests that came at once were sent to all of their slots.
+// Guards against a limit that expires while a service gets no requests, and its servers state nothing: the next requests that come at
+// once would be sent to all of their slots.
 TEST(RejectionLimits, AStatementHoldsWhileNobodyAsksTheServers)
 {
     for (const Duration quietTime : {RejectionLimits::statementValidity + 1s, Duration(1h)}) {
