--- a/tests/state/servertable_test.cpp
+++ b/tests/state/servertable_test.cpp
@@ -94,8 +94,8 @@
     EXPECT_TRUE(table.recordLeaving(BackendServerId("a"), TimePoint(8s)));
 }
 
-// Guards against new requests to a server that is about to end: one whose entry is removed says that it leaves only afterwards, and a
-// restored store may list the same start again.
+// Guards against new requests to a server that is about to end: one whose entry is removed says that it leaves only afterwards,
+// and a restored store may list the same start again.
 TEST(ServerTable, AServerThatSaidItLeavesWhileItWasNotListedIsLeavingWhenItsEntryIsBack)
 {
     ServerTable table;
--- a/tests/traffic/rejectionlimits_test.cpp
+++ b/tests/traffic/rejectionlimits_test.cpp
@@ -195,8 +195,8 @@
     EXPECT_EQ(fleet.start(6, now + 2s).size(), 2U) << "more may be turned away than the server survives";
 }
 
-// Guards against a limit that expires while a service gets no requests, and its servers state nothing: the next requests that come at
-// once would be sent to all of their slots.
+// Guards against a limit that expires while a service gets no requests, and its servers state nothing: the next requests that
+// come at once would be sent to all of their slots.
 TEST(RejectionLimits, AStatementHoldsWhileNobodyAsksTheServers)
 {
     for (const Duration quietTime : {RejectionLimits::statementValidity + 1s, Duration(1h)}) {
