--- a/review/rig-3.hh
+++ b/review/rig-3.hh
@@ -375,6 +375,9 @@
         this->crash();
     }
 
+    /** Returns whether a new connection is accepted; otherwise it is reset. May be empty. */
+    std::function<bool(int fd)> onAccept;
+
     bool start(const std::string &address, int &port, Handler requestHandler)
     {
         this->handler = std::move(requestHandler);
@@ -435,6 +438,10 @@
                 }
                 continue;
             }
+            if (this->onAccept && !this->onAccept(fd)) {
+                closeWithReset(fd);
+                continue;
+            }
             const int one = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
             {
