--- a/review/rig-3.hh
+++ b/review/rig-3.hh
@@ -375,8 +375,9 @@
         this->crash();
     }
 
-    /** Returns whether a new connection is accepted; otherwise it is reset. May be empty. */
+    /** Returns whether a new connection is served; otherwise it is reset after resetDelay. May be empty. */
     std::function<bool(int fd)> onAccept;
+    double resetDelay = 0.01;
 
     bool start(const std::string &address, int &port, Handler requestHandler)
     {
@@ -438,10 +439,6 @@
                 }
                 continue;
             }
-            if (this->onAccept && !this->onAccept(fd)) {
-                closeWithReset(fd);
-                continue;
-            }
             const int one = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
             {
@@ -456,6 +453,16 @@
 
     void serve(int fd)
     {
+        if (this->onAccept && !this->onAccept(fd)) {
+            sleepFor(this->resetDelay);
+            const linger abort{1, 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+            const std::scoped_lock lock(this->mutex);
+            this->open.erase(fd);
+            close(fd);
+            this->ended.notify_all();
+            return;
+        }
         Reader reader(fd);
         Message request;
         while (this->running && reader.read(request, now() + 600, false) == ReadEnd::Complete) {
@@ -525,6 +532,58 @@
     return answer;
 }
 
+/** A client that keeps its connection for many requests, and opens a new one when it was closed. */
+class KeptClient
+{
+public:
+    explicit KeptClient(std::string address)
+        : endpoint(std::move(address))
+    {
+    }
+
+    ~KeptClient()
+    {
+        this->drop();
+    }
+
+    Answer ask(const std::string &head, const std::string &body, double timeout)
+    {
+        Answer answer;
+        answer.sentAt = now();
+        const double deadline = now() + timeout;
+        if (this->fd >= 0 && isPeerGone(this->fd)) {
+            this->drop();
+        }
+        if (this->fd < 0) {
+            this->fd = connectTo(this->endpoint, std::min(timeout, 1.0));
+            this->reader = std::make_unique<Reader>(this->fd);
+        }
+        answer.isConnected = this->fd >= 0;
+        if (answer.isConnected) {
+            sendAll(this->fd, head + "\r\n" + body);
+            answer.end = this->reader->read(answer.message, deadline, true);
+            if (answer.end != ReadEnd::Complete || lower(answer.message.header("Connection")) == "close") {
+                this->drop();
+            }
+        }
+        answer.endedAt = now();
+        return answer;
+    }
+
+private:
+    void drop()
+    {
+        if (this->fd >= 0) {
+            close(this->fd);
+            this->fd = -1;
+        }
+    }
+
+    std::string endpoint;
+    int fd = -1;
+    std::unique_ptr<Reader> reader;
+};
+
 inline std::string newId()
 {
     static std::mutex mutex;
