--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,3 +8,4 @@
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "build/review-3/case-$number"
 done
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/http10.cc -o build/review-3/http10
