Know of releases that were made while no instance ran

Cause: an instance that has just started takes the only version that the servers show for the only one that there was. The store had nothing that says otherwise, because streams are saved only while a service has several versions.

Change: relays keep the versions of resumable services in the store (keyed.versions), and replace them when they change. An instance that finds other versions at the servers than in the store knows of a release. It resumes an unknown stream at the version before only if no instance saw the release, it is one of the first to start, and none was lost since; otherwise it refuses.

Ruled out: saving all streams always, which is an append each 0.3 s for each instance in quiet times.

--- a/include/flamingosaddle/control/directory.h
+++ b/include/flamingosaddle/control/directory.h
@@ -63,12 +63,25 @@
 };
 
 /**
- * Hooks for a log of the platform that all instances share. Both may be empty if the platform has none.
+ * The software versions of services in the store, see VersionHistory.
+ */
+struct StoredVersions {
+    std::uint64_t endOffset = 0; ///< of the log, at which an append that replaces them has to arrive
+    std::optional<std::string> record; ///< empty before the first append
+
+    friend bool operator==(const StoredVersions &, const StoredVersions &) = default;
+};
+
+/**
+ * Hooks for logs of the platform that all instances share. All may be empty if the platform has none.
  */
 struct StreamLogHooks {
     std::function<boost::asio::awaitable<Result<void>>(std::string record)> append;
     /** Reads from @p from, or from the oldest retained record. Fails with Trimmed when the platform no longer holds @p from. */
     std::function<boost::asio::awaitable<Result<StreamLogBatch>>(std::optional<std::uint64_t> from)> read;
+    std::function<boost::asio::awaitable<Result<StoredVersions>>()> readVersions;
+    /** Replaces the versions in the store. Fails with Conflict unless the log ends at @p endOffset. */
+    std::function<boost::asio::awaitable<Result<void>>(std::string record, std::uint64_t endOffset)> appendVersions;
 };
 
 /**
@@ -179,6 +192,8 @@
      * found no newer one (the time at which it was sent) or by a relay.
      */
     std::optional<TimePoint> confirmedAt() const;
+    /** Returns the store's epoch at this instance's last read of the servers' entries. */
+    std::uint64_t storeEpoch() const;
 
 private:
     struct Batch {
--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -4,6 +4,7 @@
 #include <flamingosaddle/base/clock.h>
 #include <flamingosaddle/control/directory.h>
 #include <flamingosaddle/state/streamorigins.h>
+#include <flamingosaddle/state/versionhistory.h>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -48,6 +49,10 @@
         /** Added to the interval for each instance, because the store limits the appends of all instances together. */
         Duration flushIntervalPerInstance = std::chrono::milliseconds(10);
         std::function<std::chrono::milliseconds()> unixTime; ///< returns the time since the Unix epoch
+        /** Returns whether this instance is a relay, which keeps the services' versions in the store. Empty: it is one. */
+        std::function<bool()> isRelay;
+        /** Time after the start until this instance writes versions, by when it knows whether it is a relay. */
+        Duration initialVersionsDelay = std::chrono::seconds(2);
         /** Returns Membership::latestLossOfContact(). Empty: it is never known that an instance has stopped. */
         std::function<std::optional<TimePoint>()> latestLossOfContact;
         std::uint64_t seed = 1;
@@ -80,6 +85,15 @@
     };
 
     boost::asio::awaitable<void> saveUnsaved();
+    /** Follows the services' versions in the store, and updates them if this instance is a relay. */
+    boost::asio::awaitable<void> followVersions();
+    boost::asio::awaitable<Result<void>> loadVersions();
+    boost::asio::awaitable<Result<void>> updateVersions();
+    boost::asio::awaitable<void> tryUpdateVersions();
+    /** Updates the versions in the store at once if this instance has seen a change. */
+    void updateVersionsSoon();
+    bool mayUpdateVersions() const;
+    void applyVersionChanges();
     StreamVersion knownVersion(const std::string &request, const ServiceName &service) const;
     StreamVersion soleVersion(const ServiceName &service) const;
     /**
@@ -88,6 +102,13 @@
      * their streams.
      */
     StreamVersion versionBeforeRelease(const ServiceName &service) const;
+    /**
+     * Returns the version that the service had before a release during which no instance ran, if that is how its servers got
+     * their versions. No stream that nobody has saved began since, unless an instance was lost.
+     */
+    StreamVersion versionBeforeUnobservedRelease(const ServiceName &service) const;
+    /** Returns the version at which a stream that nobody has saved must have begun. */
+    StreamVersion versionOfUnsaved(const ServiceName &service) const;
     /** Waits until the other instances have saved the streams that they have begun so far. */
     boost::asio::awaitable<void> awaitSaves();
     Duration saveInterval() const;
@@ -101,6 +122,9 @@
     Directory &directory;
     Options options;
     StreamOrigins origins;
+    VersionHistory versions;
+    std::uint64_t versionsEndOffset = 0; // of the log at the last read
+    bool isUpdatingVersions = false;
     TimePoint startedAt = RuntimeClock::now();
     Backoff backoff;
     std::size_t instanceCount = 1;
--- a/include/flamingosaddle/state/streamorigins.h
+++ b/include/flamingosaddle/state/streamorigins.h
@@ -73,6 +73,8 @@
     /** @param lifetime longest time from the begin of a stream to its last resumption */
     void setLifetime(Duration lifetime);
     void observeServers(const std::map<BackendServerId, RegisteredServer> &servers, TimePoint now);
+    /** Records that the service's versions changed at a time that this instance learned from others or from the store. */
+    void recordVersionChange(const ServiceName &service, TimePoint changedAt);
     void recordStart(std::uint64_t stream, StreamOrigin origin, TimePoint now);
     /** Records that the stream was sent as a whole, so that it is not resumed. */
     void recordCompletion(std::uint64_t stream);
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -64,7 +64,8 @@
 }
 
 std::unique_ptr<StreamRegistry> makeStreamRegistry(boost::asio::io_context &context, const std::optional<DirectoryHooks> &hooks,
-    Directory *directory, const ControllerOptions &options, std::function<std::optional<TimePoint>()> latestLossOfContact)
+    Directory *directory, const ControllerOptions &options, std::function<bool()> isRelay,
+    std::function<std::optional<TimePoint>()> latestLossOfContact)
 {
     if (directory == nullptr || !hooks->streams.append || !hooks->streams.read) {
         return nullptr;
@@ -72,6 +73,7 @@
     StreamRegistry::Options registry;
     registry.unixTime = options.systemTime;
     registry.seed = options.seed;
+    registry.isRelay = std::move(isRelay);
     registry.latestLossOfContact = std::move(latestLossOfContact);
     return std::make_unique<StreamRegistry>(context.get_executor(), hooks->streams, *directory, std::move(registry));
 }
@@ -188,7 +190,11 @@
                   this->hooks.onServersConfirmed(confirmedAt);
               }
           }))
-    , streamRegistry(makeStreamRegistry(context, directory, this->directory.get(), this->controllerOptions,
+    , streamRegistry(makeStreamRegistry(
+          context, directory, this->directory.get(), this->controllerOptions,
+          [this] {
+              return this->peers.isRelay();
+          },
           [this] {
               return this->peers.membership().latestLossOfContact(RuntimeClock::now());
           }))
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -569,4 +569,9 @@
     return this->configConfirmedAt;
 }
 
+std::uint64_t Directory::storeEpoch() const
+{
+    return this->serversEpoch;
+}
+
 } // namespace flamingosaddle
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -3,8 +3,10 @@
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/base/hash.h>
 #include <flamingosaddle/base/log.h>
+#include <flamingosaddle/platform/storeoffset.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -34,6 +36,23 @@
     return requestsPerStream * longest;
 }
 
+std::set<ServiceName> resumableServices(const ConfigObjects &objects)
+{
+    std::set<ServiceName> services;
+    for (const Route &route : objects.routes) {
+        if (!route.resumable) {
+            continue;
+        }
+        for (const ServiceWeight &part : route.split) {
+            services.insert(part.service);
+        }
+        if (route.split.empty()) {
+            services.insert(route.service);
+        }
+    }
+    return services;
+}
+
 } // namespace
 
 StreamRegistry::StreamRegistry(
@@ -52,6 +71,7 @@
         co_await delay(this->saveInterval());
         this->origins.expire(RuntimeClock::now());
         co_await this->saveUnsaved();
+        co_await this->followVersions();
     }
 }
 
@@ -84,12 +104,115 @@
     }
 }
 
+boost::asio::awaitable<void> StreamRegistry::followVersions()
+{
+    if (this->stopped || this->versions.services().empty() || !this->hooks.readVersions) {
+        co_return;
+    }
+    const bool isRestored = this->directory.storeEpoch() > this->versions.epoch();
+    Result<void> result = success();
+    if (!this->versions.isLoaded() || (isRestored && this->mayUpdateVersions())) {
+        result = co_await this->loadVersions();
+    }
+    if (result.has_value() && this->mayUpdateVersions() && this->versions.hasUnstored()) {
+        result = co_await this->updateVersions();
+    }
+    if (result.has_error() && !this->stopped) {
+        logEvent(LogLevel::Warning, "control", "the software versions of services were not read or stored",
+            {{"reason", result.error().text()}});
+        co_await delay(this->backoff.next());
+    }
+}
+
+bool StreamRegistry::mayUpdateVersions() const
+{
+    const bool isRelay = !this->options.isRelay || this->options.isRelay();
+    return isRelay && RuntimeClock::now() >= this->startedAt + this->options.initialVersionsDelay;
+}
+
+void StreamRegistry::updateVersionsSoon()
+{
+    if (this->stopped || this->isUpdatingVersions || !this->versions.isLoaded() || !this->versions.hasUnstored()
+        || !this->mayUpdateVersions()) {
+        return;
+    }
+    // run() tries again if this fails.
+    boost::asio::co_spawn(this->controlExecutor, this->tryUpdateVersions(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> StreamRegistry::tryUpdateVersions()
+{
+    const Result<void> updated = co_await this->updateVersions();
+    if (updated.has_error()) {
+        logEvent(
+            LogLevel::Info, "control", "a change of software versions is not stored yet", {{"reason", updated.error().text()}});
+    }
+}
+
+boost::asio::awaitable<Result<void>> StreamRegistry::loadVersions()
+{
+    const Result<StoredVersions> stored = co_await this->hooks.readVersions();
+    if (stored.has_error()) {
+        co_return fail(stored.error());
+    }
+    std::vector<ServiceVersions> services;
+    if (stored.value().record.has_value()) {
+        Result<std::vector<ServiceVersions>> decoded = decodeServiceVersions(*stored.value().record);
+        if (decoded.has_error()) {
+            logEvent(LogLevel::Warning, "control", "skipped a record of software versions", {{"reason", decoded.error().text()}});
+        } else {
+            services = std::move(decoded.value());
+        }
+    }
+    this->versionsEndOffset = stored.value().endOffset;
+    this->versions.applyStored(services, epochOf(stored.value().endOffset), this->options.unixTime(), RuntimeClock::now());
+    this->applyVersionChanges();
+    co_return success();
+}
+
+boost::asio::awaitable<Result<void>> StreamRegistry::updateVersions()
+{
+    if (this->isUpdatingVersions) {
+        co_return success();
+    }
+    this->isUpdatingVersions = true;
+    Result<void> result = co_await this->loadVersions();
+    // The servers' entries have to be newer than the versions that are replaced.
+    if (result.has_value() && this->versions.hasUnstored() && co_await this->directory.readServersNow()
+        && this->versions.hasUnstored()) {
+        const std::vector<ServiceVersions> services
+            = this->versions.versionsToStore(this->options.unixTime(), RuntimeClock::now());
+        result = co_await this->hooks.appendVersions(encodeServiceVersions(services), this->versionsEndOffset);
+        const bool isOvertaken = result.has_error() && result.error().kind() == ErrorKind::Conflict;
+        if (result.has_value() || isOvertaken) {
+            result = co_await this->loadVersions();
+        }
+    }
+    this->isUpdatingVersions = false;
+    co_return result;
+}
+
+void StreamRegistry::applyVersionChanges()
+{
+    for (const ServiceName &service : this->versions.services()) {
+        if (const std::optional<TimePoint> changedAt = this->versions.changedAt(service)) {
+            this->origins.recordVersionChange(service, *changedAt);
+        }
+    }
+}
+
 void StreamRegistry::onDirectoryUpdate()
 {
+    const std::map<BackendServerId, RegisteredServer> &servers = this->directory.servers().servers();
     if (this->directory.config().has_value()) {
-        this->origins.setLifetime(streamLifetime(this->directory.config()->objects));
+        const ConfigObjects &objects = this->directory.config()->objects;
+        this->origins.setLifetime(streamLifetime(objects));
+        this->versions.configure(resumableServices(objects), streamLifetime(objects));
     }
-    this->origins.observeServers(this->directory.servers().servers(), RuntimeClock::now());
+    this->origins.observeServers(servers, RuntimeClock::now());
+    this->versions.observeServers(servers, RuntimeClock::now());
+    this->applyVersionChanges();
+    this->updateVersionsSoon();
 }
 
 void StreamRegistry::setInstanceCount(std::size_t count)
@@ -126,12 +249,12 @@
         if (!version.isKnown && isRefreshed) {
             version = this->soleVersion(service);
         }
-        if (!version.isKnown && isRefreshed && this->versionBeforeRelease(service).isKnown) {
+        if (!version.isKnown && isRefreshed && this->versionOfUnsaved(service).isKnown) {
             co_await this->awaitSaves();
             const bool isRefreshedAgain = co_await this->refresh();
             version = this->knownVersion(request, service);
             if (!version.isKnown && isRefreshedAgain) {
-                version = this->versionBeforeRelease(service);
+                version = this->versionOfUnsaved(service);
             }
         }
     }
@@ -175,6 +298,22 @@
     return {true, release->versionBefore, "version before the release"};
 }
 
+StreamVersion StreamRegistry::versionBeforeUnobservedRelease(const ServiceName &service) const
+{
+    const std::optional<std::string> version = this->versions.versionBeforeUnobservedRelease(service, RuntimeClock::now());
+    const std::optional<TimePoint> loss = this->options.latestLossOfContact ? this->options.latestLossOfContact() : std::nullopt;
+    if (!version.has_value() || (loss.has_value() && *loss >= this->startedAt)) {
+        return {};
+    }
+    return {true, *version, "version before a release that no instance saw"};
+}
+
+StreamVersion StreamRegistry::versionOfUnsaved(const ServiceName &service) const
+{
+    const StreamVersion version = this->versionBeforeRelease(service);
+    return version.isKnown ? version : this->versionBeforeUnobservedRelease(service);
+}
+
 boost::asio::awaitable<void> StreamRegistry::awaitSaves()
 {
     co_await delay(this->saveInterval() + this->options.flushInterval);
@@ -196,7 +335,14 @@
     }
     this->isRefreshing = true;
     const TimePoint startedAt = RuntimeClock::now();
-    bool succeeded = co_await this->directory.readServersNow();
+    bool succeeded = true;
+    if (this->hooks.readVersions && !this->versions.services().empty()) {
+        succeeded = (co_await this->loadVersions()).has_value();
+    }
+    if (succeeded) {
+        // After the versions in the store, so that a release which these lack is one that nobody has seen.
+        succeeded = co_await this->directory.readServersNow();
+    }
     if (succeeded) {
         succeeded = co_await this->readLog();
     }
--- a/src/state/streamorigins.cpp
+++ b/src/state/streamorigins.cpp
@@ -118,6 +118,12 @@
     }
 }
 
+void StreamOrigins::recordVersionChange(const ServiceName &name, TimePoint changedAt)
+{
+    Service &service = this->services[name];
+    service.mixedAt = std::max(service.mixedAt.value_or(changedAt), changedAt);
+}
+
 void StreamOrigins::recordStart(std::uint64_t stream, StreamOrigin origin, TimePoint now)
 {
     this->add(stream, std::move(origin), now);
--- a/tests/adapter/streamlog_test.cpp
+++ b/tests/adapter/streamlog_test.cpp
@@ -1,5 +1,7 @@
 #include "fakestore.h"
 
+#include <flamingosaddle/platform/storeoffset.h>
+
 #include <platform/streamlog.h>
 
 #include <gtest/gtest.h>
@@ -59,3 +61,17 @@
     this->store.failNextCall(503);
     EXPECT_TRUE(this->read(std::nullopt).has_error());
 }
+
+TEST_F(StreamLogTest, VersionsAreReplacedOnlyByThoseWhoHaveReadTheNewest)
+{
+    const StoredVersions none = this->thread.await(this->log.readVersions()).value();
+    EXPECT_EQ(none.record, std::nullopt);
+    EXPECT_TRUE(this->thread.await(this->log.appendVersions("one", none.endOffset)).has_value());
+    EXPECT_EQ(this->thread.await(this->log.appendVersions("two", none.endOffset)).error().kind(), ErrorKind::Conflict);
+    const StoredVersions one = this->thread.await(this->log.readVersions()).value();
+    EXPECT_EQ(one.record, "one");
+    this->store.takeCopy();
+    this->store.restore();
+    EXPECT_TRUE(this->thread.await(this->log.appendVersions("two", one.endOffset)).has_error());
+    EXPECT_EQ(epochOf(this->thread.await(this->log.readVersions()).value().endOffset), epochOf(one.endOffset) + 1);
+}
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -2,6 +2,7 @@
 #include "rununtil.h"
 
 #include <flamingosaddle/control/streamregistry.h>
+#include <flamingosaddle/platform/storeoffset.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,6 +32,8 @@
 /** What all instances share: the store with its log of streams. */
 struct SharedStore : FakeStore {
     std::vector<std::string> streamRecords;
+    std::vector<std::string> versionRecords; // of which the last one holds
+    std::uint64_t epoch = 0;
 
     void publishRoute()
     {
@@ -63,6 +66,9 @@
     {
         StreamRegistry::Options options;
         options.unixTime = unixNow;
+        options.isRelay = [this] {
+            return this->isRelay;
+        };
         options.latestLossOfContact = [this] {
             return this->latestLoss;
         };
@@ -93,9 +99,36 @@
             batch.isAtEnd = end == this->store.streamRecords.size();
             co_return batch;
         };
+        this->addVersionHooks(hooks);
         return hooks;
     }
 
+    void addVersionHooks(StreamLogHooks &hooks)
+    {
+        hooks.readVersions = [this]() -> boost::asio::awaitable<Result<StoredVersions>> {
+            ++this->versionReads;
+            if (this->instance.isStoreUnreachable) {
+                co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+            }
+            StoredVersions stored;
+            stored.endOffset = makeOffset(this->store.epoch, this->store.versionRecords.size());
+            if (!this->store.versionRecords.empty()) {
+                stored.record = this->store.versionRecords.back();
+            }
+            co_return stored;
+        };
+        hooks.appendVersions = [this](std::string record, std::uint64_t endOffset) -> boost::asio::awaitable<Result<void>> {
+            if (this->instance.isStoreUnreachable) {
+                co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
+            }
+            if (endOffset != makeOffset(this->store.epoch, this->store.versionRecords.size())) {
+                co_return fail(ErrorKind::Conflict, "the log ends elsewhere", "read it");
+            }
+            this->store.versionRecords.push_back(std::move(record));
+            co_return success();
+        };
+    }
+
     std::optional<std::string> versionOf(const std::string &request)
     {
         std::optional<StreamVersion> version;
@@ -113,6 +146,8 @@
     boost::asio::io_context &context;
     SharedStore &store;
     FakeInstance instance;
+    bool isRelay = true;
+    std::size_t versionReads = 0;
     std::optional<TimePoint> latestLoss; ///< when this instance last heard one that has stopped
     StreamRegistry registry;
 };
@@ -351,3 +386,111 @@
     EXPECT_EQ(decided, resumptions);
     advanceTime(this->context, resumptions * first.instance.failureDelay); // ends what still waits
 }
+
+// Guards against streams that go on at another software version when all instances end while a service is released. Nothing of
+// them was saved, and an instance that starts afterwards sees the new version alone.
+TEST_F(StreamRegistryTest, AStreamIsNotResumedAtAVersionThatWasReleasedWhileNoInstanceRan)
+{
+    RunningInstance &first = this->start();
+    first.registry.recordStart("stream", service, "v1");
+    advanceTime(this->context, 5s);
+    this->kill(first);
+    this->store.put("new", service, "v2", unixNow());
+    this->store.remove("old");
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("stream"), "v1");
+    advanceTime(this->context, 21s);
+    EXPECT_EQ(second.versionOf("begun later"), "v2") << "no stream of v1 can be resumed any more";
+}
+
+// Guards against refused resumptions after all instances ended, where servers of the version that began the streams still serve.
+TEST_F(StreamRegistryTest, AStreamIsResumedAtTheVersionBeforeAReleaseThatNoInstanceSaw)
+{
+    RunningInstance &first = this->start();
+    advanceTime(this->context, 5s);
+    this->kill(first);
+    this->store.put("new", service, "v2", unixNow());
+    RunningInstance &second = this->start();
+    RunningInstance &third = this->start();
+    second.registry.recordStart("begun since", service, "v2");
+    EXPECT_EQ(third.versionOf("stream"), "v1");
+    EXPECT_EQ(third.versionOf("begun since"), "v2");
+    advanceTime(this->context, 5s);
+    EXPECT_EQ(this->store.versionRecords.size(), 2U) << "one instance has stored the release";
+    EXPECT_EQ(second.versionOf("stream"), "v1");
+    EXPECT_EQ(third.versionOf("stream"), "v1");
+    third.latestLoss = RuntimeClock::now();
+    EXPECT_EQ(third.versionOf("stream"), std::nullopt) << "the lost instance may have begun it at either version";
+    EXPECT_EQ(this->start().versionOf("stream"), std::nullopt) << "an instance may have been lost before this one started";
+}
+
+TEST_F(StreamRegistryTest, AnUnknownStreamIsResumedAfterAllInstancesRestartedWithoutARelease)
+{
+    RunningInstance &first = this->start();
+    advanceTime(this->context, 5s);
+    this->kill(first);
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("stream"), "v1");
+    advanceTime(this->context, 5s);
+    EXPECT_EQ(second.versionOf("stream"), "v1");
+    EXPECT_EQ(this->store.versionRecords.size(), 1U);
+}
+
+// Guards against the same for a release that instances saw before they ended: a stream may have begun at either version.
+TEST_F(StreamRegistryTest, AnUnknownStreamIsNotResumedIfAnInstanceSawTheRelease)
+{
+    RunningInstance &first = this->start();
+    this->start();
+    advanceTime(this->context, 5s);
+    EXPECT_EQ(this->store.versionRecords.size(), 1U);
+    this->store.put("new", service, "v2", unixNow());
+    advanceTime(this->context, 500ms);
+    EXPECT_EQ(this->store.versionRecords.size(), 2U);
+    EXPECT_TRUE(this->store.streamRecords.empty()) << "none ran";
+    this->kill(first);
+    this->kill(*this->runs[1]);
+    this->store.remove("old");
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("stream"), std::nullopt);
+    advanceTime(this->context, 5s);
+    EXPECT_EQ(second.versionOf("stream"), std::nullopt);
+    advanceTime(this->context, 20s);
+    EXPECT_EQ(second.versionOf("stream"), "v2");
+}
+
+// Guards against a release that the store has forgotten, because it was restored from a copy while no instance ran.
+TEST_F(StreamRegistryTest, VersionsOfARestoredStoreDoNotTellHowAnUnknownStreamBegan)
+{
+    RunningInstance &first = this->start();
+    advanceTime(this->context, 5s);
+    this->store.put("new", service, "v2", unixNow());
+    advanceTime(this->context, 1s);
+    this->kill(first);
+    this->store.versionRecords.pop_back();
+    ++this->store.epoch;
+    RunningInstance &second = this->start();
+    EXPECT_EQ(second.versionOf("stream"), std::nullopt);
+    advanceTime(this->context, 5s);
+    EXPECT_EQ(second.versionOf("stream"), std::nullopt);
+}
+
+TEST_F(StreamRegistryTest, VersionsAreNotReadWithoutStreamsThatMayBeResumed)
+{
+    this->store.configs.back().objects.routes.back().resumable = false;
+    RunningInstance &first = this->start();
+    advanceTime(this->context, 5s);
+    EXPECT_TRUE(this->store.versionRecords.empty());
+    EXPECT_EQ(first.versionReads, 0U);
+}
+
+TEST_F(StreamRegistryTest, AnInstanceThatIsNoRelayStoresNoVersions)
+{
+    RunningInstance &first = this->start();
+    first.isRelay = false;
+    advanceTime(this->context, 5s);
+    EXPECT_TRUE(this->store.versionRecords.empty());
+    first.isRelay = true;
+    advanceTime(this->context, 1s);
+    EXPECT_EQ(this->store.versionRecords.size(), 1U);
+    EXPECT_LE(first.versionReads, 4U);
+}
