Check the path when requests fail on all servers before an answer

Cause: only a connection that is not opened, or half a second of silence while requests run, leads to a check of the path. A request that was sent and reset was neither, and with little traffic no request was running in between.

Evidence: Unreachable.RequestsWhoseConnectionsAreResetBeforeAnAnswerLeadToACheck fails on the commit before: no check is due.

Change: a request that fails on a server leads to a check if nothing was received from any server of the target for half a second, and contradicts a check that succeeded. A server that fails among others that answer leads to none.

--- a/include/flamingosaddle/traffic/serverpaths.h
+++ b/include/flamingosaddle/traffic/serverpaths.h
@@ -50,8 +50,8 @@
 /**
  * Tells whether this instance can open connections to the backend servers of each target.
  *
- * A lost connection, or requests of which none is answered for a while, may be the fault of a server or of the path. They only
- * lead to a check, in which connections to several servers are opened. A target is unreachable if most of these fail, and is
+ * A lost connection, or requests that fail or remain unanswered for a while, may be the fault of a server or of the path. They
+ * only lead to a check, in which connections to several servers are opened. A target is unreachable if most of these fail, and is
  * checked again at short intervals until most succeed: an instance that reaches only a few servers would overload them.
  *
  * A device on the path may accept connections and reset them later, so each connection has to stay open for a while. That time
@@ -87,6 +87,11 @@
      * @param isUrgent whether a check has to start as soon as an earlier one has ended
      */
     void recordLostConnection(TargetIndex target, bool isUrgent);
+    /**
+     * Records that a request failed on a server of the target that accepts connections. Leads to a check unless something was or
+     * is received from any server of the target within silenceLimit.
+     */
+    void recordFailure(TargetIndex target);
 
     /** Starts a check of the target with connections to @p servers of its servers. Returns what they have in common. */
     PathCheck startCheck(TargetIndex target, std::size_t servers, TimePoint now);
@@ -123,6 +128,8 @@
         std::uint32_t running = 0;
         std::optional<TimePoint> unansweredSince;
         bool hasLostConnection = false; // since the last check
+        bool hasFailure = false; // since the last check and the last contact
+        std::optional<TimePoint> contactAt; // the last one
         bool isUrgent = false; // whether the next check does not wait for the interval
         bool hasContact = false; // since the start of the last check
         Duration holdTime = minHoldTime; // of the next check
@@ -139,8 +146,8 @@
     Target &target(TargetIndex index);
     /** Returns when the target has to be checked; nothing if there is no reason. */
     std::optional<TimePoint> dueAt(const Target &target) const;
-    /** Returns whether connections were lost, and nothing was received, since the start of a check that found the target
-     * reachable. */
+    /** Returns whether connections were lost or requests failed, and nothing was received, since the start of a check that found
+     * the target reachable. */
     static bool isContradicted(const Target &target);
     void setUnreachable(Target &target, bool isUnreachable, TimePoint now);
 
--- a/src/traffic/dispatcherattempts.cpp
+++ b/src/traffic/dispatcherattempts.cpp
@@ -263,6 +263,8 @@
     } else if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ServerFailed) {
         const bool isDeath = outcome == AttemptOutcome::ServerFailed;
         this->paths.recordLostConnection(record.serviceTarget, isDeath && this->options.confirmDeathsByPathCheck);
+    } else if (outcome == AttemptOutcome::ServerError) {
+        this->paths.recordFailure(record.serviceTarget);
     }
     this->paths.recordEnd(record.serviceTarget);
 }
--- a/src/traffic/serverpaths.cpp
+++ b/src/traffic/serverpaths.cpp
@@ -36,6 +36,8 @@
 {
     Target &target = this->target(index);
     target.hasContact = true;
+    target.hasFailure = false;
+    target.contactAt = now;
     if (target.running > 0) {
         target.unansweredSince = now;
     }
@@ -48,10 +50,15 @@
     target.isUrgent = target.isUrgent || isUrgent;
 }
 
+void ServerPaths::recordFailure(TargetIndex index)
+{
+    this->target(index).hasFailure = true;
+}
+
 bool ServerPaths::isContradicted(const Target &target)
 {
     const bool wasReached = target.round > 0 && target.pending == 0 && !target.isUnreachable;
-    return wasReached && target.hasLostConnection && !target.hasContact;
+    return wasReached && (target.hasLostConnection || target.hasFailure) && !target.hasContact;
 }
 
 PathCheck ServerPaths::startCheck(TargetIndex index, std::size_t servers, TimePoint now)
@@ -66,6 +73,7 @@
         target.interval = minCheckInterval;
     }
     target.hasLostConnection = false;
+    target.hasFailure = false;
     target.isUrgent = false;
     target.hasContact = false;
     target.servers = servers;
@@ -115,6 +123,7 @@
 {
     Target &target = this->target(index);
     target.hasLostConnection = false;
+    target.hasFailure = false;
     target.isUrgent = false;
     target.pending = 0;
     this->setUnreachable(target, false, TimePoint());
@@ -167,10 +176,14 @@
     if (target.hasLostConnection) {
         return earliest;
     }
-    if (!target.unansweredSince.has_value()) {
+    std::optional<TimePoint> silentSince = target.unansweredSince;
+    if (target.hasFailure) {
+        silentSince = std::min(silentSince.value_or(TimePoint::max()), target.contactAt.value_or(TimePoint()));
+    }
+    if (!silentSince.has_value()) {
         return std::nullopt;
     }
-    return std::max(*target.unansweredSince + silenceLimit, earliest);
+    return std::max(*silentSince + silenceLimit, earliest);
 }
 
 void ServerPaths::dueChecks(TimePoint now, std::vector<TargetIndex> &due) const
--- a/tests/traffic/serverpaths_test.cpp
+++ b/tests/traffic/serverpaths_test.cpp
@@ -179,3 +179,51 @@
         EXPECT_EQ(paths.startCheck(target, servers, at(time)).holdTime, ServerPaths::minHoldTime);
     }
 }
+
+// Guards against an instance whose requests fail at once on each server, so that none of them is silent for long.
+TEST(ServerPaths, RequestsThatFailOnAllServersAreChecked)
+{
+    ServerPaths paths;
+    paths.recordStart(target, at(0ms));
+    paths.recordContact(target, at(10ms));
+    paths.recordEnd(target);
+    paths.recordFailure(target);
+    EXPECT_TRUE(dueAt(paths, 400ms).empty()) << "another server may answer";
+    EXPECT_EQ(paths.nextCheck(), at(10ms) + ServerPaths::silenceLimit);
+    paths.recordFailure(target);
+    EXPECT_EQ(dueAt(paths, 510ms).size(), 1U);
+    EXPECT_TRUE(check(paths, 510ms, 0));
+    EXPECT_TRUE(paths.isUnreachable(target));
+}
+
+TEST(ServerPaths, AnInstanceWithFewRequestsChecksAfterTheFirstThatFails)
+{
+    ServerPaths paths;
+    paths.recordFailure(target);
+    EXPECT_EQ(dueAt(paths, 0ms).size(), 1U) << "nothing was ever received";
+    check(paths, 0ms, 3);
+    paths.recordContact(target, at(1s));
+    paths.recordFailure(target);
+    EXPECT_EQ(dueAt(paths, 20s).size(), 1U);
+}
+
+TEST(ServerPaths, AFailureAmongAnswersLeadsToNoCheck)
+{
+    ServerPaths paths;
+    for (int i = 0; i < 100; ++i) {
+        paths.recordFailure(target);
+        paths.recordContact(target, at(i * 100ms));
+        EXPECT_TRUE(dueAt(paths, i * 100ms + 99ms).empty());
+    }
+}
+
+TEST(ServerPaths, FailuresContradictACheckThatHeldItsConnectionsTooShortly)
+{
+    ServerPaths paths;
+    paths.recordFailure(target);
+    check(paths, 0ms, 3);
+    paths.recordFailure(target);
+    EXPECT_EQ(dueAt(paths, ServerPaths::minCheckInterval).size(), 1U);
+    EXPECT_EQ(paths.startCheck(target, servers, at(ServerPaths::minCheckInterval)).holdTime,
+        ServerPaths::holdTimeFactor * ServerPaths::minHoldTime);
+}
--- a/tests/traffic/unreachable_test.cpp
+++ b/tests/traffic/unreachable_test.cpp
@@ -226,6 +226,34 @@
     EXPECT_EQ(refusal->runState, RunState::Unknown);
 }
 
+// Guards against an instance that fails all requests because new connections are accepted and reset before an answer.
+TEST_F(Unreachable, RequestsWhoseConnectionsAreResetBeforeAnAnswerLeadToACheck)
+{
+    this->addPeer();
+    const Ticket ticket = this->startRequest(profile(false));
+    this->dispatcher.finish(ticket, AttemptOutcome::ServerError, start);
+    this->check(false, start);
+    EXPECT_EQ(this->reasonOf(profile()), RefusalReason::Unreachable);
+}
+
+// Guards against requests that are left to peers because one server of several fails its requests.
+TEST_F(Unreachable, AServerThatFailsItsRequestsTakesNoPathAway)
+{
+    this->addPeer();
+    TimePoint now = start;
+    for (int i = 0; i < 50; ++i) {
+        now += 100ms;
+        const Ticket failing = this->startRequest(profile());
+        this->dispatcher.finish(failing, AttemptOutcome::ServerError, now);
+        std::vector<PathCheck> checks;
+        this->dispatcher.takePathChecks(now, checks);
+        for (std::size_t connection = 0; connection < checks.size(); ++connection) {
+            this->dispatcher.onPathCheck(checks[connection], connection > 0, now);
+        }
+        EXPECT_EQ(this->reasonOf(profile()), std::nullopt);
+    }
+}
+
 TEST_F(Unreachable, EarlierAttemptsCountAgainstTheLimits)
 {
     RequestProfile forwarded = profile();
