Name the response that ends a stream by HTTP/1.0

Cause: g++ 12 miscompiles temporaries of braced initialisers in an awaited call, here std::exchange(this->heldBack, {}).

Evidence: HttpServer.AStreamIsSentWholeToAnOldClient ends the test process before the change (free(): invalid pointer).

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -282,7 +282,10 @@
     }
     if (this->version == 10) {
         this->answer = Answer::None;
-        co_return co_await this->respond(std::exchange(this->heldBack, {}));
+        // A named object, because g++ 12 miscompiles temporaries of braced initialisers in an awaited call.
+        HttpResponse whole = std::move(this->heldBack);
+        this->heldBack = HttpResponse();
+        co_return co_await this->respond(std::move(whole));
     }
     this->answer = Answer::Complete;
     co_return co_await this->write(gather(streamEnd));
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -148,6 +148,30 @@
     EXPECT_EQ(client.readAll(), "");
 }
 
+// Guards against a stream that ends the process because its caller speaks HTTP/1.0.
+TEST(HttpServer, AStreamIsSentWholeToAnOldClient)
+{
+    TestServer server([](HttpExchange &exchange) -> awaitable<void> {
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream; a value that is too long to be kept in place");
+        Result<void> written = co_await exchange.beginStream(200, std::move(headers));
+        const std::string piece(1000, 'x');
+        for (int pieces = 0; pieces < 3 && written.has_value(); ++pieces) {
+            written = co_await exchange.writePiece(piece);
+        }
+        written = co_await exchange.endStream();
+        EXPECT_TRUE(written.has_value());
+    });
+    for (int i = 0; i < 3; ++i) {
+        RawClient client(server.endpoint());
+        client.send("GET / HTTP/1.0\r\n\r\n");
+        const std::string answer = client.readAll();
+        EXPECT_TRUE(statusLine(answer).ends_with("200 OK"));
+        EXPECT_NE(answer.find("Content-Length: 3000\r\n"), std::string::npos);
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + std::string(3000, 'x')));
+    }
+}
+
 TEST(HttpServer, RefusesASlowSender)
 {
     TestServer server(echo, smallLimits());
