--- a/src/relay/forwardrelay.cpp
+++ b/src/relay/forwardrelay.cpp
@@ -87,8 +87,7 @@
     this->parameters.endpoint = peer.address;
     this->parameters.headTimeout = this->remainingTime() + deadlineMargin;
     this->parameters.deadline = this->deadline + deadlineMargin;
-    const BackendPool::StepHook ignoreStep = [](RequestStep) {
-    };
+    const BackendPool::StepHook ignoreStep = [](RequestStep) {};
     BackendPool::CallResult called = co_await this->pool.call(this->parameters, *this->caller, ignoreStep);
     if (const BackendFailure *failed = std::get_if<BackendFailure>(&called)) {
         if (failed->end == AttemptOutcome::NotSent) {
