Withhold removed entries that a restored store lists again

Cause: an entry in a list of a restored store counted as a registration, though the same start had been removed before.

Evidence: RemovedServerTest.AServerIsNotUsedBecauseARestoredStoreListsItAgain and AServerIsUsedOnceItRenewsItsEntryInARestoredStore fail on the commit before: the server is in use again after the first read.

Change: each start that is gone remembers the epoch of its removal. An entry in a list of a later epoch is withheld until it is written anew, has another start, or is still listed after five seconds, by when the store removes what its server does not renew.

--- a/include/flamingosaddle/state/departedservers.h
+++ b/include/flamingosaddle/state/departedservers.h
@@ -22,6 +22,7 @@
     TimePoint registeredAt; ///< when this start was first seen
     bool leaving = false;
     TimePoint coldUntil; ///< see BackendServer::coldUntil
+    std::uint64_t epoch = 0; ///< of the store that removed the entry
 
     friend bool operator==(const DepartedServer &, const DepartedServer &) = default;
 };
@@ -48,6 +49,8 @@
 
     // Queries.
 
+    /** Returns what is known of a start, or nullptr if it is not remembered. */
+    const DepartedServer *find(const BackendServerId &id, std::uint64_t startedAt) const;
     /** Returns when the newest start of the server was first seen, or nothing if none is remembered. */
     std::optional<TimePoint> lastRegisteredAt(const BackendServerId &id) const;
 
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -38,12 +38,15 @@
 struct ServerTableOptions {
     /** Time after an outage of the platform's store for servers whose entries expired during it to register again. */
     Duration gracePeriod = std::chrono::seconds(2);
+    /** Time after which a restored entry that is still listed is renewed by its server: the store removes those that are not. */
+    Duration withholdPeriod = std::chrono::seconds(5);
 };
 
 /**
  * The registered backend servers. An entry that disappears during an outage of the store, or is found missing shortly after
  * it, is kept as missing until the grace period ends, because the server could not renew it. A server that leaves remains leaving
- * until it restarts, whether it is listed or not, since an entry that says otherwise comes from a backup of the store. An entry
+ * until it restarts, whether it is listed or not, since an entry that says otherwise comes from a backup of the store. For the
+ * same reason an entry that was removed, and that a store restored since lists again, is withheld until it is renewed. An entry
  * states how much longer its server is cold; the table turns that into a time, see BackendServer::coldUntil. The class does no
  * I/O and reads no clock: the time is an argument.
  */
@@ -59,6 +62,8 @@
 
     // Commands. Those with a result return whether servers() changed.
 
+    /** Sets the epoch of the store that the next changes come from. */
+    void setEpoch(std::uint64_t epoch);
     bool apply(const ServerChange &change, TimePoint now);
     /** Replaces the entries with the complete list @p entries. */
     bool replace(const std::vector<ServerChange> &entries, TimePoint now);
@@ -67,7 +72,7 @@
      * that was registered then, also if its entry has disappeared or a newer start of the server has registered since.
      */
     bool recordLeaving(const BackendServerId &id, TimePoint sentAt);
-    /** Removes the entries whose grace period has ended. */
+    /** Removes the entries whose grace period has ended, and uses those that were withheld for long enough. */
     bool expire(TimePoint now);
     /** Starts an outage of the store: entries that disappear are kept. */
     void onStoreLost();
@@ -78,6 +83,8 @@
 
     // Queries.
     const std::map<BackendServerId, RegisteredServer> &servers() const;
+    /** Returns the entries that are withheld. */
+    std::vector<ServerChange> withheld() const;
     /** Returns the server as its entry would state it at @p now. */
     RegisteredServer statementOf(const BackendServerId &id, TimePoint now) const;
     /** Returns when expire() is next due. */
@@ -88,6 +95,14 @@
     Duration remainingGrace(TimePoint now) const;
 
 private:
+    /** An entry that a restored store lists again. */
+    struct Withheld {
+        RegisteredServer server;
+        TimePoint until;
+    };
+
+    /** Returns whether the entry was removed before the store was restored. */
+    bool wasRemovedBefore(const ServerChange &listed) const;
     bool remove(const BackendServerId &id, TimePoint now);
     /** Removes the entry of a server and remembers what is known of its start. Returns whether there was one. */
     bool removeEntry(const BackendServerId &id);
@@ -102,6 +117,8 @@
     std::map<BackendServerId, RegisteredServer> entries;
     std::map<BackendServerId, TimePoint> registeredAt; // when the current start of each server was first seen
     DepartedServers departed;
+    std::map<BackendServerId, Withheld> withheldEntries;
+    std::uint64_t epoch = 0;
     std::map<BackendServerId, TimePoint> graceDeadlines; // end of the grace period of each missing entry
     bool storeUnavailable = false;
     std::optional<TimePoint> graceUntil;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -312,6 +312,9 @@
             relayed.changes.push_back({id, this->serverTable.statementOf(id, now)});
         }
     }
+    // The receiver may not know that these were removed, and needs them if they are renewed.
+    const std::vector<ServerChange> withheld = this->serverTable.withheld();
+    relayed.changes.insert(relayed.changes.end(), withheld.begin(), withheld.end());
     return relayed;
 }
 
@@ -456,6 +459,7 @@
     }
     const TimePoint now = RuntimeClock::now();
     const ServerListLog log(this->serverTable, reading.changes, reading.isComplete);
+    this->serverTable.setEpoch(epochOf(reading.nextOffset));
     bool changed = false;
     if (reading.isComplete) {
         changed = this->serverTable.replace(reading.changes, now);
--- a/src/state/departedservers.cpp
+++ b/src/state/departedservers.cpp
@@ -32,6 +32,12 @@
     }
 }
 
+const DepartedServer *DepartedServers::find(const BackendServerId &id, std::uint64_t startedAt) const
+{
+    const auto found = this->index.find({id, startedAt});
+    return found == this->index.end() ? nullptr : &*found->second;
+}
+
 std::optional<TimePoint> DepartedServers::lastRegisteredAt(const BackendServerId &id) const
 {
     const Servers::iterator *const start = this->newestStart(id, TimePoint::max());
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -12,8 +12,14 @@
 {
 }
 
+void ServerTable::setEpoch(std::uint64_t epoch)
+{
+    this->epoch = epoch;
+}
+
 bool ServerTable::apply(const ServerChange &change, TimePoint now)
 {
+    this->withheldEntries.erase(change.id);
     if (!change.server.has_value()) {
         return this->remove(change.id, now);
     }
@@ -51,7 +57,7 @@
 DepartedServer ServerTable::knownOf(const BackendServerId &id) const
 {
     const RegisteredServer &server = this->entries.at(id);
-    return {id, server.startedAt, this->registeredAt.at(id), server.server.leaving, server.server.coldUntil};
+    return {id, server.startedAt, this->registeredAt.at(id), server.server.leaving, server.server.coldUntil, this->epoch};
 }
 
 TimePoint ServerTable::coldUntil(const RegisteredServer &server, const std::optional<DepartedServer> &known, TimePoint now)
@@ -76,14 +82,29 @@
     return !std::exchange(found->second.server.leaving, true);
 }
 
+bool ServerTable::wasRemovedBefore(const ServerChange &listed) const
+{
+    const DepartedServer *known = listed.server.has_value() ? this->departed.find(listed.id, listed.server->startedAt) : nullptr;
+    return known != nullptr && known->epoch < this->epoch && !this->entries.contains(listed.id);
+}
+
 bool ServerTable::replace(const std::vector<ServerChange> &listed, TimePoint now)
 {
     bool changed = false;
     std::set<BackendServerId> listedIds;
+    std::map<BackendServerId, Withheld> stillWithheld;
     for (const ServerChange &entry : listed) {
         listedIds.insert(entry.id);
+        if (this->wasRemovedBefore(entry)) {
+            const auto known = this->withheldEntries.find(entry.id);
+            const TimePoint until
+                = known != this->withheldEntries.end() ? known->second.until : now + this->options.withholdPeriod;
+            stillWithheld.emplace(entry.id, Withheld{*entry.server, until});
+            continue;
+        }
         changed = this->apply(entry, now) || changed;
     }
+    this->withheldEntries = std::move(stillWithheld);
     std::vector<BackendServerId> missing;
     for (const auto &[id, server] : this->entries) {
         if (!listedIds.contains(id)) {
@@ -135,6 +156,15 @@
         changed = this->removeEntry(entry->first) || changed;
         entry = this->graceDeadlines.erase(entry);
     }
+    std::vector<ServerChange> renewed;
+    for (const auto &[id, entry] : this->withheldEntries) {
+        if (entry.until <= now) {
+            renewed.push_back({id, entry.server});
+        }
+    }
+    for (const ServerChange &change : renewed) {
+        changed = this->apply(change, now) || changed;
+    }
     return changed;
 }
 
@@ -165,6 +195,15 @@
     return this->entries;
 }
 
+std::vector<ServerChange> ServerTable::withheld() const
+{
+    std::vector<ServerChange> changes;
+    for (const auto &[id, entry] : this->withheldEntries) {
+        changes.push_back({id, entry.server});
+    }
+    return changes;
+}
+
 RegisteredServer ServerTable::statementOf(const BackendServerId &id, TimePoint now) const
 {
     RegisteredServer server = this->entries.at(id);
@@ -180,6 +219,9 @@
     for (const auto &[id, until] : this->graceDeadlines) {
         next = std::min(next.value_or(until), until);
     }
+    for (const auto &[id, entry] : this->withheldEntries) {
+        next = std::min(next.value_or(entry.until), entry.until);
+    }
     return next;
 }
 
--- a/tests/control/fakeinstance.h
+++ b/tests/control/fakeinstance.h
@@ -2,6 +2,7 @@
 
 #include <flamingosaddle/base/delay.h>
 #include <flamingosaddle/control/directory.h>
+#include <flamingosaddle/platform/storeoffset.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +25,14 @@
     std::vector<PublishedConfig> configs;
     std::vector<EvacuationChange> evacuations; // each at the offset of a repeated configuration
     std::vector<ServerChange> entries;
+    std::uint64_t epoch = 0; ///< of the servers' entries
+
+    /** Replaces the servers' entries by those of a backup. */
+    void restore(std::vector<ServerChange> backup)
+    {
+        this->entries = std::move(backup);
+        ++this->epoch;
+    }
 
     void evacuate(const DataCentre &dataCentre, bool evacuated)
     {
@@ -155,12 +164,19 @@
     boost::asio::awaitable<Result<ServerReadResult>> readServers(
         std::optional<std::uint64_t> from, std::chrono::milliseconds wait)
     {
-        const std::size_t begin = from.value_or(0);
-        BOOST_OUTCOME_CO_TRYV(co_await this->waitForChange(from.has_value() ? wait : std::chrono::milliseconds(0), [this, begin] {
-            return this->store.entries.size() > begin;
-        }));
+        const std::size_t begin = positionOf(from.value_or(0));
+        const auto isRestored = [this, from] {
+            return from.has_value() && epochOf(*from) != this->store.epoch;
+        };
+        BOOST_OUTCOME_CO_TRYV(
+            co_await this->waitForChange(from.has_value() ? wait : std::chrono::milliseconds(0), [this, begin, isRestored] {
+                return this->store.entries.size() > begin || isRestored();
+            }));
+        if (isRestored()) {
+            co_return fail(ErrorKind::Trimmed, "the store was restored", "read it anew");
+        }
         ServerReadResult reading;
-        reading.nextOffset = this->store.entries.size();
+        reading.nextOffset = makeOffset(this->store.epoch, this->store.entries.size());
         reading.isComplete = !from.has_value();
         reading.changes.assign(this->store.entries.begin() + static_cast<std::ptrdiff_t>(begin), this->store.entries.end());
         co_return reading;
--- a/tests/control/removedserver_test.cpp
+++ b/tests/control/removedserver_test.cpp
@@ -97,6 +97,63 @@
     EXPECT_TRUE(isLeaving("removed"));
 }
 
+// Guards against requests to a server that left, because a store that was restored from a backup lists its old entry again.
+TEST_F(RemovedServerTest, AServerIsNotUsedBecauseARestoredStoreListsItAgain)
+{
+    const std::vector<ServerChange> backup = this->store.entries;
+    this->store.remove("removed");
+    this->advance(1s);
+    ASSERT_FALSE(this->instance.hasServer("removed"));
+    this->store.restore(backup);
+    this->advance(4s);
+    EXPECT_FALSE(this->instance.hasServer("removed"));
+    EXPECT_TRUE(this->instance.hasServer("other"));
+    this->store.remove("removed");
+    this->advance(4s);
+    EXPECT_FALSE(this->instance.hasServer("removed"));
+}
+
+// Guards against a server that lives and is not used for good, since its entry was away when the store was restored.
+TEST_F(RemovedServerTest, AServerIsUsedOnceItRenewsItsEntryInARestoredStore)
+{
+    const std::vector<ServerChange> backup = this->store.entries;
+    this->store.remove("removed");
+    this->advance(1s);
+    this->store.restore(backup);
+    this->advance(1s);
+    ASSERT_FALSE(this->instance.hasServer("removed"));
+    this->store.put("removed");
+    this->advance(1s);
+    EXPECT_TRUE(this->instance.hasServer("removed"));
+    this->store.remove("removed");
+    this->advance(1s);
+    ASSERT_FALSE(this->instance.hasServer("removed"));
+    this->store.put("removed");
+    this->advance(1s);
+    EXPECT_TRUE(this->instance.hasServer("removed")) << "no restoration in between";
+}
+
+TEST_F(RemovedServerTest, AServerThatARestoredStoreKeepsListingIsUsed)
+{
+    const std::vector<ServerChange> backup = this->store.entries;
+    this->store.remove("removed");
+    this->advance(1s);
+    this->store.restore(backup);
+    this->advance(7s);
+    EXPECT_TRUE(this->instance.hasServer("removed"));
+}
+
+TEST_F(RemovedServerTest, ANewStartOfAServerIsUsedThoughARestoredStoreListedTheOldOne)
+{
+    const std::vector<ServerChange> backup = this->store.entries;
+    this->store.remove("removed");
+    this->advance(1s);
+    this->store.restore(backup);
+    this->store.put("removed", {}, {}, 1ms);
+    this->advance(1s);
+    EXPECT_TRUE(this->instance.hasServer("removed"));
+}
+
 INSTANTIATE_TEST_SUITE_P(Removals, RemovalAfterOutageTest, testing::Values(-1000ms, 200ms, 700ms, 1200ms),
     [](const testing::TestParamInfo<std::chrono::milliseconds> &info) {
         return info.param < 0ms ? "DuringTheOutage" : "After" + std::to_string(info.param.count()) + "Milliseconds";
