--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -62,8 +62,12 @@
 
     // Commands.
 
-    /** Runs until stop(). The object must outlive the coroutine. */
+    // Each coroutine runs until stop(). The object must outlive them.
+
+    /** Saves streams. */
     boost::asio::awaitable<void> run();
+    /** Keeps the versions of services. Does not hold up run() while their log cannot be read. */
+    boost::asio::awaitable<void> runVersions();
     void stop();
     /** Saves all streams that this instance has begun and that still run, before a shutdown. */
     boost::asio::awaitable<void> flush();
@@ -127,6 +131,7 @@
     bool isUpdatingVersions = false;
     TimePoint startedAt = RuntimeClock::now();
     Backoff backoff;
+    Backoff versionsBackoff;
     std::size_t instanceCount = 1;
     std::optional<std::uint64_t> nextOffset; // of the log; empty before the first read
     std::optional<Refresh> lastRefresh; // the last one that ended
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -248,6 +248,7 @@
     this->spawn(this->directory->runServerExpiry());
     if (this->streamRegistry) {
         this->spawn(this->streamRegistry->run());
+        this->spawn(this->streamRegistry->runVersions());
     }
 }
 
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -62,6 +62,7 @@
     , directory(directory)
     , options(std::move(options))
     , backoff(initialRetryDelay, maxRetryDelay, this->options.seed)
+    , versionsBackoff(initialRetryDelay, maxRetryDelay, this->options.seed)
 {
 }
 
@@ -71,6 +72,13 @@
         co_await delay(this->saveInterval());
         this->origins.expire(RuntimeClock::now());
         co_await this->saveUnsaved();
+    }
+}
+
+boost::asio::awaitable<void> StreamRegistry::runVersions()
+{
+    while (!this->stopped) {
+        co_await delay(this->saveInterval());
         co_await this->followVersions();
     }
 }
@@ -120,7 +128,9 @@
     if (result.has_error() && !this->stopped) {
         logEvent(LogLevel::Warning, "control", "the software versions of services were not read or stored",
             {{"reason", result.error().text()}});
-        co_await delay(this->backoff.next());
+        co_await delay(this->versionsBackoff.next());
+    } else {
+        this->versionsBackoff.reset();
     }
 }
 
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -33,7 +33,7 @@
 struct SharedStore : FakeStore {
     std::vector<std::string> streamRecords;
     std::vector<std::string> versionRecords; // of which the last one holds
-    std::uint64_t epoch = 0;
+    bool areVersionsUnreachable = false;
 
     void publishRoute()
     {
@@ -60,6 +60,7 @@
             this->registry.onDirectoryUpdate();
         };
         boost::asio::co_spawn(context, this->registry.run(), boost::asio::detached);
+        boost::asio::co_spawn(context, this->registry.runVersions(), boost::asio::detached);
     }
 
     StreamRegistry::Options options()
@@ -107,7 +108,8 @@
     {
         hooks.readVersions = [this]() -> boost::asio::awaitable<Result<StoredVersions>> {
             ++this->versionReads;
-            if (this->instance.isStoreUnreachable) {
+            if (this->instance.isStoreUnreachable || this->store.areVersionsUnreachable) {
+                co_await delay(this->instance.failureDelay);
                 co_return fail(ErrorKind::Unreachable, "the store is unreachable", "try again");
             }
             StoredVersions stored;
@@ -494,3 +496,16 @@
     EXPECT_EQ(this->store.versionRecords.size(), 1U);
     EXPECT_LE(first.versionReads, 4U);
 }
+
+// Guards against streams that are saved late because another partition of the store is down.
+TEST_F(StreamRegistryTest, StreamsAreSavedWhileVersionsCannotBeRead)
+{
+    this->store.areVersionsUnreachable = true;
+    this->store.put("new", service, "v2");
+    RunningInstance &first = this->start();
+    first.instance.failureDelay = 1s;
+    advanceTime(this->context, 10s);
+    first.registry.recordStart("stream", service, "v1");
+    advanceTime(this->context, 500ms);
+    EXPECT_EQ(this->store.streamRecords.size(), 1U);
+}
