--- a/include/flamingosaddle/control/streamregistry.h
+++ b/include/flamingosaddle/control/streamregistry.h
@@ -107,8 +107,8 @@
      */
     StreamVersion versionBeforeRelease(const ServiceName &service) const;
     /**
-     * Returns the version that the service had before a release during which no instance ran, if that is how its servers got
-     * their versions. No stream that nobody has saved began since, unless an instance was lost.
+     * Returns the version that the service had before its release if no instance ran when that began, and none was lost since.
+     * A stream that is not saved began before the release, because running instances save all streams after it.
      */
     StreamVersion versionBeforeUnobservedRelease(const ServiceName &service) const;
     /** Returns the version at which a stream that nobody has saved must have begun. */
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -38,7 +38,7 @@
 struct ServerTableOptions {
     /** Time after an outage of the platform's store for servers whose entries expired during it to register again. */
     Duration gracePeriod = std::chrono::seconds(2);
-    /** Time after which a restored entry that is still listed is renewed by its server: the store removes those that are not. */
+    /** Time for which a restored entry is withheld; longer than the store lists an entry that its server does not renew. */
     Duration withholdPeriod = std::chrono::seconds(5);
 };
 
--- a/include/flamingosaddle/state/versionhistory.h
+++ b/include/flamingosaddle/state/versionhistory.h
@@ -43,7 +43,7 @@
 class VersionHistory
 {
 public:
-    /** Longest time between the starts of instances that are started together, with the difference of their clocks. */
+    /** Longest time between the starts of instances that start together, including the difference between their clocks. */
     static constexpr Duration commonStartTime = std::chrono::seconds(5);
 
     // Commands.
@@ -67,7 +67,7 @@
     std::uint64_t epoch() const;
     /** Returns whether the store lacks something that this instance has seen. */
     bool hasUnstored() const;
-    /** Returns what the store is to have of all services. */
+    /** Returns the versions of all services with which to replace those in the store. */
     std::vector<ServiceVersions> versionsToStore(std::chrono::milliseconds unixNow, TimePoint now) const;
     /** Returns the time of the last change of the service's versions that any instance knows of; empty if there was none. */
     std::optional<TimePoint> changedAt(const ServiceName &service) const;
--- a/include/flamingosaddle/traffic/types.h
+++ b/include/flamingosaddle/traffic/types.h
@@ -130,7 +130,7 @@
     std::uint64_t fingerprint = 0; ///< of the request
     std::vector<std::uint64_t> promptParts; ///< of the request, see RequestProfile
     Duration ranFor{0}; ///< from the start of the attempt to the failure
-    Duration ago{0}; ///< from the failure to this report, if it was not known at once what had failed
+    Duration ago{0}; ///< from the failure to this report; 0 if the death was confirmed at once
 
     friend bool operator==(const ServerDeath &, const ServerDeath &) = default;
 };
--- a/src/control/streamregistry.cpp
+++ b/src/control/streamregistry.cpp
@@ -146,7 +146,7 @@
         || !this->mayUpdateVersions()) {
         return;
     }
-    // run() tries again if this fails.
+    // runVersions() tries again if this fails.
     boost::asio::co_spawn(this->controlExecutor, this->tryUpdateVersions(), boost::asio::detached);
 }
 
--- a/src/traffic/dispatcherdeaths.cpp
+++ b/src/traffic/dispatcherdeaths.cpp
@@ -14,9 +14,9 @@
 namespace
 {
 
-// A dead server's entry disappears, or that of its next start appears, within a few of its heartbeats.
+// The store removes the entry of a dead server, or lists its next start, within this time.
 constexpr Duration disputeTime = std::chrono::seconds(10);
-constexpr std::size_t maxDisputedDeaths = 256; // the oldest are forgotten first
+constexpr std::size_t maxDisputedDeaths = 256; // bounds memory; the oldest are dropped first
 
 } // namespace
 
--- a/src/traffic/dispatcherimplementation.h
+++ b/src/traffic/dispatcherimplementation.h
@@ -221,8 +221,8 @@
     void recordDeath(const RequestRecord &record, TimePoint now);
     void confirmDeath(ServerDeath death, TimePoint diedAt, TimePoint now);
     /**
-     * Decides on the unconfirmed deaths of the target after a check of it has ended. If it did not reach most servers, these may
-     * be cut off, or the request itself has ended them: the deaths are disputed until the servers' entries tell.
+     * Decides on the unconfirmed deaths of the target after a check of it has ended. If the check did not reach most servers,
+     * either the path is lost or the request has crashed them, and the deaths are in dispute until the servers' entries change.
      */
     void decideDeaths(TargetIndex target, TimePoint now);
     void addDisputedDeath(DisputedDeath death);
--- a/tests/control/streamregistry_test.cpp
+++ b/tests/control/streamregistry_test.cpp
@@ -438,7 +438,7 @@
     EXPECT_EQ(this->store.versionRecords.size(), 1U);
 }
 
-// Guards against the same for a release that instances saw before they ended: a stream may have begun at either version.
+// Guards against a stream that is resumed at the old version although an instance may have begun it at the new one and ended.
 TEST_F(StreamRegistryTest, AnUnknownStreamIsNotResumedIfAnInstanceSawTheRelease)
 {
     RunningInstance &first = this->start();
