Derive the times of withheld entries and disputed deaths from the servers' heartbeat

Cause: 5 s and 10 s were fixed and fit a heartbeat of 1.2 s. With rarer heartbeats a withheld entry was used again before the store removed it, and a crash was dropped before the server's entry could show it.

Change: the setting server-heartbeat, filled in from heartbeat_ms; both times are three of these and two seconds, 5.6 s at 1.2 s.

--- a/include/flamingosaddle/app/settings.h
+++ b/include/flamingosaddle/app/settings.h
@@ -99,6 +99,7 @@
     // Control.
     std::chrono::milliseconds freshnessLimit{5000};
     std::chrono::milliseconds heartbeatInterval{500};
+    std::chrono::milliseconds serverHeartbeat{1200};
     std::chrono::milliseconds leaseDuration{2500};
     std::chrono::milliseconds usageFlushInterval{800};
     std::chrono::milliseconds usageWindow{60000};
--- a/include/flamingosaddle/control/controller.h
+++ b/include/flamingosaddle/control/controller.h
@@ -42,6 +42,7 @@
     std::vector<Endpoint> seedPeers; ///< contacted in addition to the platform's list of instances
     PeerTiming peerTiming;
     PeerServerLimits peerLimits{};
+    ServerTableOptions servers{};
     std::uint64_t seed = 1;
 };
 
--- a/include/flamingosaddle/state/servertable.h
+++ b/include/flamingosaddle/state/servertable.h
@@ -35,11 +35,17 @@
     friend bool operator==(const ServerChange &, const ServerChange &) = default;
 };
 
+/**
+ * Returns the longest time from the end of a server that renews its entry at the interval @p heartbeat until all instances know
+ * that the entry is gone.
+ */
+Duration entryRemovalTime(Duration heartbeat);
+
 struct ServerTableOptions {
     /** Time after an outage of the platform's store for servers whose entries expired during it to register again. */
     Duration gracePeriod = std::chrono::seconds(2);
     /** Time for which a restored entry is withheld; longer than the store lists an entry that its server does not renew. */
-    Duration withholdPeriod = std::chrono::seconds(5);
+    Duration withholdPeriod = entryRemovalTime(std::chrono::milliseconds(1200));
 };
 
 /**
--- a/include/flamingosaddle/traffic/dispatcher.h
+++ b/include/flamingosaddle/traffic/dispatcher.h
@@ -40,6 +40,8 @@
      * other servers. Requires that the owner runs the checks, see takePathChecks().
      */
     bool confirmDeathsByPathCheck = false;
+    /** Time for which a death that the check has not confirmed may be confirmed by the server's entry, see entryRemovalTime(). */
+    Duration disputeTime = std::chrono::seconds(10);
     bool serializeSuspects = true; ///< whether a request suspected of killing a server runs one at a time over all instances
     ResendLimitOptions resendLimit; ///< limit on resends, applied to each service
     ColdServerOptions coldServers; ///< what cold servers bear beyond what they state
--- a/src/app/daemonoptions.cpp
+++ b/src/app/daemonoptions.cpp
@@ -63,6 +63,7 @@
     options.quarantineDeaths = static_cast<std::uint32_t>(settings.quarantineDeaths);
     options.exemptUnsentAttempts = settings.configuration == ConfigurationSource::Operator;
     options.confirmDeathsByPathCheck = true;
+    options.disputeTime = entryRemovalTime(settings.serverHeartbeat);
     options.serializeSuspects = settings.configuration == ConfigurationSource::Log;
     options.resendLimit
         = {settings.resendWindow, settings.resendRatio, static_cast<std::uint32_t>(settings.resendExtra), RuntimeClock::now()};
@@ -89,6 +90,7 @@
     options.systemTime = wallMilliseconds;
     options.seedPeers = settings.seedPeers;
     options.peerTiming.heartbeatInterval = settings.heartbeatInterval;
+    options.servers.withholdPeriod = entryRemovalTime(settings.serverHeartbeat);
     options.seed = seed;
     return options;
 }
--- a/src/app/settingdescriptions.cpp
+++ b/src/app/settingdescriptions.cpp
@@ -522,6 +522,9 @@
         &Settings::freshnessLimit, 100, hour));
     all.push_back(
         timeSetting("heartbeat-interval", "Time between two heartbeats to a peer.", &Settings::heartbeatInterval, 10, 60000));
+    all.push_back(timeSetting("server-heartbeat",
+        "Time between two renewals of a backend server's entry, which disappears after three that are missing.",
+        &Settings::serverHeartbeat, 10, 60000));
     all.push_back(timeSetting("lease-duration", "Length of the lease of the instance that reports usage and orders servers.",
         &Settings::leaseDuration, 100, hour));
     all.push_back(timeSetting("usage-flush-interval",
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -59,6 +59,7 @@
     }
     DirectoryOptions directoryOptions;
     directoryOptions.seed = options.seed;
+    directoryOptions.servers = options.servers;
     return std::make_unique<Directory>(
         *hooks, std::move(relayHooks), directoryOptions, std::move(onUpdate), std::move(onServersConfirmed));
 }
--- a/src/state/servertable.cpp
+++ b/src/state/servertable.cpp
@@ -7,6 +7,20 @@
 namespace flamingosaddle
 {
 
+namespace
+{
+
+constexpr int missedHeartbeats = 3; // after which the store removes an entry
+// Two reads of the entries, the second by an instance that waits for a relay first.
+constexpr Duration entryReadTime = std::chrono::seconds(2);
+
+} // namespace
+
+Duration entryRemovalTime(Duration heartbeat)
+{
+    return missedHeartbeats * heartbeat + entryReadTime;
+}
+
 ServerTable::ServerTable(ServerTableOptions options)
     : options(options)
 {
--- a/src/traffic/dispatcherdeaths.cpp
+++ b/src/traffic/dispatcherdeaths.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-// The store removes the entry of a dead server, or lists its next start, within this time.
-constexpr Duration disputeTime = std::chrono::seconds(10);
 constexpr std::size_t maxDisputedDeaths = 256; // bounds memory; the oldest are dropped first
 
 } // namespace
@@ -83,8 +81,8 @@
 
 void Dispatcher::Implementation::decideDisputedDeaths(const std::vector<BackendServer> &servers, TimePoint now)
 {
-    std::erase_if(this->disputedDeaths, [now](const DisputedDeath &disputed) {
-        return now >= disputed.diedAt + disputeTime;
+    std::erase_if(this->disputedDeaths, [this, now](const DisputedDeath &disputed) {
+        return now >= disputed.diedAt + this->options.disputeTime;
     });
     if (this->disputedDeaths.empty()) {
         return;
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -166,7 +166,8 @@
         const std::string name = line.substr(0, line.find(' '));
         EXPECT_EQ(name.find_first_of("{}"), std::string::npos) << line;
         // A place without a value is filled in with nothing.
-        const bool isOptional = line.find("{{bounds.cold") != std::string::npos;
+        const bool isOptional
+            = line.find("{{bounds.cold") != std::string::npos || line.find("{{heartbeat_ms") != std::string::npos;
         filledIn += isOptional ? name + " = \n" : line + "\n";
     }
     const auto loaded = loadSettings({"--settings-file", writtenFile(filledIn)}, environmentOf(minimalEnvironment));
@@ -178,6 +179,7 @@
     }
     EXPECT_EQ(std::get<Settings>(loaded).coldOverage, Settings().coldOverage);
     EXPECT_EQ(std::get<Settings>(loaded).coldTolerance, Settings().coldTolerance);
+    EXPECT_EQ(std::get<Settings>(loaded).serverHeartbeat, Settings().serverHeartbeat);
 }
 
 TEST(Settings, TheFileComesAfterFlagsAndEnvironment)
--- a/tests/traffic/unreachable_test.cpp
+++ b/tests/traffic/unreachable_test.cpp
@@ -1,6 +1,7 @@
 // What the dispatcher does with requests while it has no path to the servers of a target. Guards against requests that fail here
 // although a peer could serve them, and against requests that are left to peers for no reason or after they may have run.
 
+#include <flamingosaddle/state/servertable.h>
 #include <flamingosaddle/traffic/dispatcher.h>
 #include <flamingosaddle/traffic/rejectionlimits.h>
 
@@ -502,6 +503,23 @@
     EXPECT_EQ(this->reasonOf(again), RefusalReason::Quarantined);
 }
 
+// Guards against crashes that go unnoticed where servers renew their entries rarely, so that these disappear late.
+TEST_F(Unreachable, ADeathStaysInDisputeUntilTheEntryOfADeadServerMustHaveGone)
+{
+    for (const Duration heartbeat : {1200ms, 4000ms}) {
+        DispatcherOptions rare = options();
+        rare.disputeTime = entryRemovalTime(heartbeat);
+        this->dispatcher = Dispatcher(rare);
+        this->dispatcher.setServers(sixServers(), start);
+        this->loseConnection(9, false, start);
+        this->loseConnection(9, false, start + 1s);
+        this->dispatcher.setServers({serverOf("s7")}, start + 3 * heartbeat + 1s);
+        RequestProfile again = profile();
+        again.fingerprint = 9;
+        EXPECT_EQ(this->reasonOf(again), RefusalReason::Quarantined);
+    }
+}
+
 TEST_F(Unreachable, ACompletedRequestIsNotQuarantinedForServersThatEndLater)
 {
     this->loseConnection(9, false, start);
